--- /dev/null
+++ b/notchhoist/blackboards/__init__.py
@@ -0,0 +1,51 @@
+"""Blackboards: what each role knows; controllers read and write them."""
+
+from notchhoist.blackboards.agent import (
+    AgentBoard,
+    AgentIdentity,
+    ClaimState,
+    Delegation,
+    Exchange,
+    Flow,
+    LocalOrigin,
+    Origin,
+    Outcome,
+    PeerState,
+    PendingAsk,
+    RemoteOrigin,
+    Run,
+    RunState,
+    make_agent_board,
+)
+from notchhoist.blackboards.balancer import (
+    AgentHealth,
+    BalancerBoard,
+    BalancerIdentity,
+    make_balancer_board,
+)
+from notchhoist.blackboards.common import ConfigBoard, Count, Counters
+
+__all__ = [
+    "AgentBoard",
+    "AgentHealth",
+    "AgentIdentity",
+    "BalancerBoard",
+    "BalancerIdentity",
+    "ClaimState",
+    "ConfigBoard",
+    "Count",
+    "Counters",
+    "Delegation",
+    "Exchange",
+    "Flow",
+    "LocalOrigin",
+    "Origin",
+    "Outcome",
+    "PeerState",
+    "PendingAsk",
+    "RemoteOrigin",
+    "Run",
+    "RunState",
+    "make_agent_board",
+    "make_balancer_board",
+]
--- /dev/null
+++ b/notchhoist/blackboards/agent.py
@@ -0,0 +1,401 @@
+"""The blackboard of an agent."""
+
+import enum
+from collections import OrderedDict
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from notchhoist import model, parts, wire
+from notchhoist.blackboards.common import ConfigBoard, Counters
+
+DEFAULT_IDLE_S = 60.0
+"""A flow without a stream is forgotten after this silence, seconds."""
+
+DIRECTORY_CAPACITY = 200_000
+QUEUE_PER_SLOT = 4
+INITIAL_SLOTS = 1
+
+INCARNATION_BITS = 40
+RUN_BITS = 20
+"""A run's number is the incarnation and a count of so many bits."""
+
+
+@attrs.frozen
+class AgentIdentity:
+    """Who an agent is, from its settings.
+
+    Attributes:
+        service: Service that its backend server is attached to.
+        server: Name of the backend server, which is the host's name.
+        zone: Availability zone.
+        peer: Its own peer endpoint.
+        incarnation: Number below 2**40 that is drawn anew at each start.
+        idle_s: A flow without a stream is forgotten after this silence.
+    """
+
+    service: str
+    server: str
+    zone: str
+    peer: model.Endpoint
+    incarnation: int
+    idle_s: float = DEFAULT_IDLE_S
+
+
+@attrs.define
+class Exchange:
+    """A request of a caller as its flow sees it (RFC 7252, 4.2).
+
+    Attributes:
+        request: The request.
+        at: Runtime clock of its arrival, seconds.
+        acknowledged: An empty acknowledgement has been sent.
+        reply: The final answer, or None before it.
+        separate_mid: Message ID of a separate response, or None.
+        resend_at: When to send the separate response again, or None.
+        resends: How often it has been sent again.
+    """
+
+    request: wire.CoapMessage
+    at: float
+    acknowledged: bool = False
+    reply: bytes | None = None
+    separate_mid: int | None = None
+    resend_at: float | None = None
+    resends: int = 0
+
+
+@attrs.define
+class Flow:
+    """A flow that this agent owns.
+
+    Attributes:
+        caller: Endpoint of the caller.
+        last_seen: Runtime clock of the last datagram either way, seconds.
+        balancer: Balancer that last brought a datagram, or None.
+        exchanges: Recent requests by message ID.
+        streams: Open streams: token, and runtime clock of the last
+            notification, seconds.
+        restored: Taken over after a restart; its streams are not known.
+        uploads: Runtime clock of the last block of each upload.
+        delegates: Agent that takes the blocks of an upload, by upload.
+    """
+
+    caller: model.Endpoint
+    last_seen: float
+    balancer: model.Endpoint | None = None
+    exchanges: OrderedDict[int, Exchange] = attrs.Factory(OrderedDict)
+    streams: dict[bytes, float] = attrs.Factory(dict)
+    restored: bool = False
+    uploads: dict[bytes, float] = attrs.Factory(dict)
+    delegates: dict[bytes, model.Endpoint] = attrs.Factory(dict)
+
+    def is_pinned(self) -> bool:
+        """Tells whether the flow has state at the backend server."""
+        return bool(self.streams or self.uploads or self.restored)
+
+
+@attrs.frozen
+class LocalOrigin:
+    """The request came from a flow that this agent owns."""
+
+    caller: model.Endpoint
+    mid: int
+
+
+@attrs.frozen
+class RemoteOrigin:
+    """A peer asked for the run, or for its outcome."""
+
+    agent: model.Endpoint
+    run: int
+
+
+Origin = LocalOrigin | RemoteOrigin
+
+
+class RunState(enum.Enum):
+    """Where a run stands."""
+
+    NEW = "new"
+    QUEUED = "queued"
+    CLAIMING = "claiming"
+    STARTED = "started"
+    DELEGATED = "delegated"
+    FENCING = "fencing"
+    ASKING = "asking"
+    DONE = "done"
+
+
+@attrs.define(eq=False)
+class Run:
+    """A request on its way to an outcome.
+
+    Attributes:
+        number: Number of the run at this agent.
+        caller: Endpoint of the caller.
+        request: The request.
+        datagram: The caller's bytes.
+        kind: Name of the kind of request.
+        weight: Weight of the kind.
+        repeatable: The request may run more than once.
+        arrived_at: Runtime clock of its arrival, seconds.
+        deadline: Runtime clock by which it has to be answered, seconds.
+        origins: Who waits for the outcome.
+        identity: Digest that names the request; empty where repeatable.
+        attempt: Digest that names this sending of it; likewise.
+        state: Where the run stands.
+        holds_slot: It has a slot of the local backend server.
+        started_at: Runtime clock when it was given to the backend server.
+        excluded: Agents that could not take it.
+        tries: How often it was started or delegated.
+        claim: Number of its claim, once it has one.
+        refusal: Why it is being given up on, once it is.
+        retry_after_s: When the caller may come back, seconds.
+    """
+
+    number: int
+    caller: model.Endpoint
+    request: wire.CoapMessage
+    datagram: bytes
+    kind: str
+    weight: int
+    repeatable: bool
+    arrived_at: float
+    deadline: float
+    origins: list[Origin]
+    identity: bytes = b""
+    attempt: bytes = b""
+    state: RunState = RunState.NEW
+    holds_slot: bool = False
+    started_at: float = 0.0
+    excluded: set[model.Endpoint] = attrs.Factory(set)
+    tries: int = 0
+    claim: int | None = None
+    refusal: str = ""
+    retry_after_s: int = 1
+
+
+@attrs.define
+class Delegation:
+    """A run that a peer was asked to take.
+
+    Attributes:
+        run: The run.
+        peer: The peer.
+        incarnation: Incarnation of the peer when it was asked.
+        sent_at: Runtime clock of the last sending, seconds.
+        message: The message, for sending it again.
+    """
+
+    run: Run
+    peer: model.Endpoint
+    incarnation: int
+    sent_at: float
+    message: model.RunRequest | model.AskOutcome
+
+
+@attrs.define
+class ClaimState:
+    """A claim under way.
+
+    Attributes:
+        run: Run that it is for.
+        number: Number of the claim.
+        fence: It asks for a fence, not for a grant.
+        claim: The count of votes.
+        asked_at: Runtime clock of the first asking, seconds.
+        sent_at: Runtime clock of the last asking, seconds.
+        holder: Agent that stands in the way, if any.
+    """
+
+    run: Run
+    number: int
+    fence: bool
+    claim: parts.Claim
+    asked_at: float
+    sent_at: float
+    holder: model.Endpoint | None = None
+
+
+@attrs.define
+class Outcome:
+    """How a request that must not be repeated ended here.
+
+    Attributes:
+        attempt: Digest of the attempt that ended so.
+        status: The outcome.
+        response: The backend server's response, or None.
+        at: Runtime clock, seconds.
+        retry_after_s: When the caller may come back, seconds.
+    """
+
+    attempt: bytes
+    status: model.RunStatus
+    response: wire.CoapMessage | None
+    at: float
+    retry_after_s: int = 1
+
+
+@attrs.define
+class PeerState:
+    """What is known of another agent of the service.
+
+    Attributes:
+        report: Its last load report.
+        heard_at: Runtime clock of that, seconds.
+        sent_since: Requests given to it since.
+    """
+
+    report: model.LoadReport
+    heard_at: float
+    sent_since: int = 0
+
+
+@attrs.define
+class PendingAsk:
+    """A flow whose owner is being asked for.
+
+    Attributes:
+        forwards: Datagrams that wait for the answer.
+        awaited: Peers that have not answered.
+        until: Runtime clock when the wait ends, seconds.
+    """
+
+    forwards: list[model.Forward]
+    awaited: set[model.Endpoint]
+    until: float
+
+
+@attrs.define
+class AgentBoard:
+    """Everything that an agent knows.
+
+    Attributes:
+        identity: Who it is.
+        config: Configuration and platform.
+        service: Record of its service, the last one known, or None.
+        sets: Earlier sets of agents and until when they count.
+        flows: Flows that it owns.
+        directory: Pointers to the owners of flows that it is home of.
+        tenure: How long it has been home without a break.
+        referred: Flows that a newer home asked for: home and time.
+        asks: Flows whose owner is being asked for.
+        peers: The other agents of the service.
+        balancers_seen: Runtime clock of the last word from each balancer.
+        exchanges: Exchanges without a final answer, or whose separate
+            response is not acknowledged, by caller and message ID.
+        runs: Runs under way by number.
+        by_identity: Run under way for each identity.
+        started: Run at the backend server for each caller and token.
+        remote_runs: Run under way for each request of a peer.
+        remote_replies: Recent replies to peers, for repeated requests.
+        guests: Callers that only runs of peers use a socket for.
+        delegations: Runs given to peers by run number.
+        claims: Claims under way by number.
+        outcomes: Outcomes of identities.
+        witness: Memory of what this agent granted.
+        admission: Slots and queue of the backend server.
+        budget: Retry budget.
+        backend_draining_until: The backend server refuses new work.
+        stopping: A planned stop has begun.
+        pauses: Detector of gaps in the own clock.
+        counters: Counts since the start.
+        latencies: Time from arrival to answer by kind, microseconds.
+        next_report_at: When to report the load next.
+        next_announce_at: When to announce the flows next.
+        next_sweep_at: When to look for what has expired next.
+        next_number: Last number drawn for a run.
+        recovered: The peers have been asked for flows owned before.
+        outbox: Effects that the current event has brought about.
+    """
+
+    identity: AgentIdentity
+    config: ConfigBoard
+    tenure: parts.Tenure
+    directory: parts.Directory
+    witness: parts.Witness
+    admission: parts.Admission
+    service: model.Service | None = None
+    sets: dict[tuple[model.Endpoint, ...], float] = attrs.Factory(dict)
+    flows: dict[model.Endpoint, Flow] = attrs.Factory(dict)
+    referred: dict[model.Endpoint, tuple[model.Endpoint, float]] = (
+        attrs.Factory(dict)
+    )
+    asks: dict[model.Endpoint, PendingAsk] = attrs.Factory(dict)
+    peers: dict[model.Endpoint, PeerState] = attrs.Factory(dict)
+    balancers_seen: dict[model.Endpoint, float] = attrs.Factory(dict)
+    exchanges: dict[tuple[model.Endpoint, int], Exchange] = attrs.Factory(dict)
+    runs: dict[int, Run] = attrs.Factory(dict)
+    by_identity: dict[bytes, Run] = attrs.Factory(dict)
+    started: dict[tuple[model.Endpoint, bytes], Run] = attrs.Factory(dict)
+    remote_runs: dict[RemoteOrigin, Run] = attrs.Factory(dict)
+    remote_replies: OrderedDict[RemoteOrigin, model.RunReply] = attrs.Factory(
+        OrderedDict
+    )
+    guests: dict[model.Endpoint, float] = attrs.Factory(dict)
+    delegations: dict[int, Delegation] = attrs.Factory(dict)
+    claims: dict[int, ClaimState] = attrs.Factory(dict)
+    outcomes: OrderedDict[bytes, Outcome] = attrs.Factory(OrderedDict)
+    budget: parts.RetryBudget = attrs.Factory(parts.RetryBudget)
+    backend_draining_until: float = -1.0
+    stopping: bool = False
+    pauses: parts.PauseDetector = attrs.Factory(
+        lambda: parts.PauseDetector(threshold_s=1.0)
+    )
+    counters: Counters = attrs.Factory(Counters)
+    latencies: dict[str, HdrHistogram] = attrs.Factory(dict)
+    next_report_at: float = 0.0
+    next_announce_at: float = 0.0
+    next_sweep_at: float = 0.0
+    next_number: int = 0
+    recovered: bool = False
+    outbox: list[model.Effect] = attrs.Factory(list)
+
+    def send(self, to: model.Endpoint, message: model.Message) -> None:
+        """Puts a message to a peer into the outbox."""
+        self.outbox.append(model.SendPeer(to, message))
+
+    def draw_number(self) -> int:
+        """Returns a number that no other run of this incarnation has."""
+        self.next_number += 1
+        return self.next_number
+
+    def other_agents(self) -> list[model.Endpoint]:
+        """Returns the published agents of the service but this one."""
+        if self.service is None:
+            return []
+        own = self.identity.peer
+        return [agent for agent in self.service.agents() if agent != own]
+
+
+def make_agent_board(
+    identity: AgentIdentity,
+    now: float,
+    seeds: tuple[model.Endpoint, ...] = (),
+) -> AgentBoard:
+    """Makes the blackboard of an agent that starts now."""
+    config = ConfigBoard(
+        store=parts.RevisionStore(),
+        service=identity.service,
+        zone=identity.zone,
+        started_at=now,
+        seeds=seeds,
+    )
+    return AgentBoard(
+        identity=identity,
+        next_number=identity.incarnation << RUN_BITS,
+        config=config,
+        tenure=parts.Tenure(needed_s=identity.idle_s, since=now),
+        directory=parts.Directory(
+            lease_s=identity.idle_s, capacity=DIRECTORY_CAPACITY
+        ),
+        witness=parts.Witness(
+            lifetime_s=model.Service("x", identity.peer).memory_s,
+            started_at=now,
+        ),
+        admission=parts.Admission(
+            ramp=parts.Ramp(slots=INITIAL_SLOTS),
+            queue_limit=QUEUE_PER_SLOT * INITIAL_SLOTS,
+        ),
+    )
--- /dev/null
+++ b/notchhoist/controllers/balancing.py
@@ -0,0 +1,130 @@
+"""Decisions of a balancer: which agent a caller's datagram goes to."""
+
+import random
+
+import attrs
+
+from notchhoist import model, parts, wire
+from notchhoist.blackboards import AgentHealth, BalancerBoard, Count
+
+PING_AFTER_S = 0.25
+"""An agent that owes an answer this long is pinged, seconds."""
+
+SUSPECT_AFTER_S = 0.75
+"""An agent that owes an answer this long is taken for dead, seconds."""
+
+PING_S = 0.5
+HEALTH_CAPACITY = 10_000
+
+
+@attrs.define
+class FlowForwarder:
+    """Forwards callers' datagrams and relays answers.
+
+    It keeps hints about where flows live; nothing correct depends on them.
+
+    Attributes:
+        board: Everything that the balancer knows.
+        rng: Source of every draw.
+    """
+
+    board: BalancerBoard
+    rng: random.Random
+
+    def on_caller(self, event: model.CallerDatagram, now: float) -> None:
+        """Forwards a caller's datagram."""
+        board = self.board
+        board.counters[Count.CALLER_DATAGRAMS] += 1
+        service = board.config.store.services.get(event.service)
+        if service is None or not service.servers:
+            board.counters[Count.UNKNOWN_SERVICE] += 1
+            return
+        if len(event.datagram) > wire.MAX_DATAGRAM_BYTES:
+            board.counters[Count.CALLER_MALFORMED] += 1
+            return
+        agent = self._route(service, event.caller)
+        forward = model.Forward(
+            service=event.service,
+            caller=event.caller,
+            datagram=event.datagram,
+            revision=board.config.store.revision,
+            hops=0,
+            placed=False,
+            balancer=board.identity.peer,
+        )
+        self._expect_answer(agent, now)
+        board.outbox.append(model.SendPeer(agent, forward))
+
+    def _route(
+        self, service: model.Service, caller: model.Endpoint
+    ) -> model.Endpoint:
+        hint = self.board.hints.get(model.FlowKey(service.name, caller))
+        if hint is not None and not self._is_suspected(hint):
+            return hint
+        ranked = parts.rank_nodes(parts.flow_hash_key(caller), service.agents())
+        alive = (agent for agent in ranked if not self._is_suspected(agent))
+        return next(alive, ranked[0])
+
+    def _is_suspected(self, agent: model.Endpoint) -> bool:
+        health = self.board.agents.get(agent)
+        return health is not None and health.suspected
+
+    def _expect_answer(self, agent: model.Endpoint, now: float) -> None:
+        health = self.board.agents.setdefault(agent, AgentHealth())
+        if health.unanswered_since is None:
+            health.unanswered_since = now
+
+    def on_deliver(
+        self, sender: model.Endpoint, message: model.Deliver, now: float
+    ) -> None:
+        """Relays an agent's datagram to the caller."""
+        self.note_alive(sender)
+        service = self.board.config.store.services.get(message.service)
+        if service is None:
+            self.board.counters[Count.UNKNOWN_SERVICE] += 1
+            return
+        flow = model.FlowKey(message.service, message.caller)
+        self.board.remember_hint(flow, message.owner)
+        if message.datagram:
+            self.board.outbox.append(
+                model.SendCaller(
+                    message.service, message.caller, message.datagram
+                )
+            )
+
+    def note_alive(self, agent: model.Endpoint) -> None:
+        """Notes that an agent has answered."""
+        health = self.board.agents.get(agent)
+        if health is not None:
+            health.unanswered_since = None
+            health.suspected = False
+
+    def tick(self, now: float) -> None:
+        """Pings agents that owe an answer and suspects silent ones."""
+        if self.board.pauses.observe(now):
+            self._forgive(now)
+        for agent, health in self.board.agents.items():
+            self._check(agent, health, now)
+        if len(self.board.agents) > HEALTH_CAPACITY:
+            self.board.agents.clear()
+
+    def _forgive(self, now: float) -> None:
+        """After a pause, silence says nothing about the agents."""
+        self.board.counters[Count.PAUSES] += 1
+        for health in self.board.agents.values():
+            if health.unanswered_since is not None:
+                health.unanswered_since = now
+
+    def _check(
+        self, agent: model.Endpoint, health: AgentHealth, now: float
+    ) -> None:
+        if health.unanswered_since is None:
+            return
+        silence = now - health.unanswered_since
+        if silence > SUSPECT_AFTER_S and not health.suspected:
+            health.suspected = True
+            self.board.counters[Count.AGENT_SUSPECTED] += 1
+        if silence > PING_AFTER_S and now - health.pinged_at > PING_S:
+            health.pinged_at = now
+            nonce = self.rng.getrandbits(31)
+            self.board.outbox.append(model.SendPeer(agent, model.Ping(nonce)))
--- /dev/null
+++ b/notchhoist/controllers/claims.py
@@ -0,0 +1,168 @@
+"""Claims: gathering grants and fences from the witnesses of a request."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from notchhoist import model, parts
+from notchhoist.blackboards import AgentBoard, ClaimState, Count, Run
+
+RESEND_S = 0.1
+"""A witness that has not answered is asked again after this time, seconds."""
+
+GIVE_UP_S = 0.4
+"""A claim without a majority after this time is lost, seconds."""
+
+CLAIM_BITS = 62
+
+
+@attrs.define
+class ClaimKeeper:
+    """Asks witnesses, counts their verdicts, and is a witness itself.
+
+    Attributes:
+        board: Everything that the agent knows.
+        rng: Source of claim numbers.
+        on_settled: Called with each claim that is won or lost.
+    """
+
+    board: AgentBoard
+    rng: random.Random
+    on_settled: Callable[[ClaimState, bool, float], None] = attrs.field(
+        init=False
+    )
+
+    def start(self, run: Run, fence: bool, now: float) -> None:
+        """Begins to claim a grant, or a fence, for a run."""
+        state = ClaimState(
+            run=run,
+            number=self.rng.getrandbits(CLAIM_BITS),
+            fence=fence,
+            claim=parts.Claim(sets=self._witness_sets(run.identity)),
+            asked_at=now,
+            sent_at=now,
+        )
+        if fence and run.claim is not None:
+            state.number = run.claim
+        run.claim = state.number
+        self.board.claims[state.number] = state
+        self._ask_missing(state, now)
+        self._settle_if_decided(state, now)
+
+    def _witness_sets(
+        self, identity: bytes
+    ) -> tuple[tuple[model.Endpoint, ...], ...]:
+        service = self.board.service
+        current = service.agents() if service else ()
+        groups = [current, *self.board.sets]
+        chosen = [parts.witnesses_of(identity, group) for group in groups]
+        return tuple(dict.fromkeys(group for group in chosen if group))
+
+    def _ask_missing(self, state: ClaimState, now: float) -> None:
+        state.sent_at = now
+        request = model.GrantRequest(
+            service=self.board.identity.service,
+            identity=state.run.identity,
+            attempt=state.run.attempt,
+            fence=state.fence,
+            epoch=self._epoch(),
+            claim=state.number,
+        )
+        for witness in state.claim.voters():
+            if witness in state.claim.votes:
+                continue
+            if witness == self.board.identity.peer:
+                self._vote_myself(state, request, now)
+            else:
+                self.board.send(witness, request)
+
+    def _vote_myself(
+        self, state: ClaimState, request: model.GrantRequest, now: float
+    ) -> None:
+        own = self.board.identity.peer
+        decision = self._decide(own, request, now)
+        self._count_vote(state, own, decision)
+
+    def _epoch(self) -> int:
+        return self.board.service.epoch if self.board.service else 0
+
+    def on_request(
+        self, sender: model.Endpoint, request: model.GrantRequest, now: float
+    ) -> None:
+        """Answers as a witness."""
+        decision = self._decide(sender, request, now)
+        self.board.send(
+            sender,
+            model.GrantReply(
+                service=request.service,
+                identity=request.identity,
+                attempt=request.attempt,
+                fence=request.fence,
+                verdict=decision.verdict,
+                holder=decision.holder.agent if decision.holder else None,
+                epoch=self._epoch(),
+                claim=request.claim,
+            ),
+        )
+
+    def _decide(
+        self, asker: model.Endpoint, request: model.GrantRequest, now: float
+    ) -> parts.Decision:
+        if request.epoch < self._epoch():
+            return parts.Decision(model.Verdict.STALE_EPOCH)
+        witness = self.board.witness
+        decide = witness.fence if request.fence else witness.grant
+        claimant = parts.Claimant(asker, request.claim)
+        return decide(request.identity, request.attempt, claimant, now)
+
+    def on_reply(
+        self, sender: model.Endpoint, reply: model.GrantReply, now: float
+    ) -> None:
+        """Counts a witness's verdict."""
+        state = self.board.claims.get(reply.claim)
+        if state is None or state.fence != reply.fence:
+            return
+        holder = (
+            parts.Claimant(reply.holder, 0)
+            if reply.holder is not None
+            else None
+        )
+        self._count_vote(state, sender, parts.Decision(reply.verdict, holder))
+        self._settle_if_decided(state, now)
+
+    def _count_vote(
+        self, state: ClaimState, voter: model.Endpoint, decision: parts.Decision
+    ) -> None:
+        state.claim.vote(voter, decision.verdict)
+        if decision.verdict is model.Verdict.STALE_EPOCH:
+            self.board.config.next_ask_at = 0.0
+        denied = decision.verdict is model.Verdict.DENIED
+        if denied and decision.holder is not None:
+            state.holder = decision.holder.agent
+
+    def _settle_if_decided(self, state: ClaimState, now: float) -> None:
+        tally = state.claim.tally()
+        if tally is not parts.Tally.OPEN:
+            self._settle(state, tally is parts.Tally.WON, now)
+
+    def _settle(self, state: ClaimState, won: bool, now: float) -> None:
+        if self.board.claims.pop(state.number, None) is None:
+            return
+        self.board.counters[_count_of(state.fence, won)] += 1
+        self.on_settled(state, won, now)
+
+    def tick(self, now: float) -> None:
+        """Asks silent witnesses again and gives up old claims."""
+        for state in list(self.board.claims.values()):
+            if now - state.asked_at > GIVE_UP_S:
+                self._settle(state, False, now)
+            elif now - state.sent_at > RESEND_S:
+                self._ask_missing(state, now)
+                self._settle_if_decided(state, now)
+
+
+def _count_of(fence: bool, won: bool) -> Count:
+    if fence:
+        return Count.FENCES_WON if won else Count.FENCES_LOST
+    return Count.GRANTS_WON if won else Count.GRANTS_LOST
--- /dev/null
+++ b/notchhoist/controllers/delegating.py
@@ -0,0 +1,301 @@
+"""Delegation: requests that run at another agent's backend server.
+
+The owner of a flow stays the one that answers the caller. A peer that has no
+free slot says so at once and has started nothing.
+"""
+
+import attrs
+
+from notchhoist import model, parts, wire
+from notchhoist.blackboards import (
+    AgentBoard,
+    Count,
+    Delegation,
+    RemoteOrigin,
+    Run,
+    RunState,
+)
+from notchhoist.controllers.exchanges import ExchangeKeeper, upload_key
+from notchhoist.controllers.loads import LoadKeeper
+from notchhoist.controllers.running import RunKeeper
+
+RESEND_S = 0.4
+"""A peer that has not answered is asked again after this time, seconds."""
+
+ASK_TIMEOUT_S = 0.5
+"""A holder of a grant that is silent this long is given up, seconds."""
+
+MAX_REFUSALS = 3
+REPLY_CAPACITY = 4096
+
+
+@attrs.define
+class DelegationKeeper:
+    """Gives runs to peers and takes runs of peers.
+
+    Attributes:
+        board: Everything that the agent knows.
+        loads: The load of the peers.
+        exchanges: The message layer, which makes runs.
+        runs: The runs.
+    """
+
+    board: AgentBoard
+    loads: LoadKeeper
+    exchanges: ExchangeKeeper
+    runs: RunKeeper
+
+    def delegate(self, run: Run, may_queue: bool, now: float) -> bool:
+        """Gives a run to a peer.
+
+        Args:
+            run: The run.
+            may_queue: It may wait at the peer.
+            now: Runtime clock, seconds.
+
+        Returns:
+            False where no peer can take it.
+        """
+        if not run.origins or isinstance(run.origins[0], RemoteOrigin):
+            return False
+        if len(run.excluded) >= MAX_REFUSALS:
+            return False
+        candidates = self.loads.request_candidates(now, run.excluded)
+        chosen = parts.most_free(candidates)
+        if chosen is None and may_queue:
+            chosen = min(candidates, key=lambda item: item.fill, default=None)
+        if chosen is None:
+            return False
+        self._assign_upload(run, chosen.agent)
+        self._give(run, chosen.agent, may_queue, now)
+        return True
+
+    def _assign_upload(self, run: Run, agent: model.Endpoint) -> None:
+        flow = self.board.flows.get(run.caller)
+        if flow is not None and run.request.block1 is not None:
+            flow.delegates[upload_key(run.request)] = agent
+
+    def delegate_assigned(self, run: Run, now: float) -> bool:
+        """Gives a later block to the peer that has the earlier ones."""
+        flow = self.board.flows.get(run.caller)
+        block = run.request.block1
+        if flow is None or block is None:
+            return False
+        key = upload_key(run.request)
+        if block[0] == 0:
+            flow.delegates.pop(key, None)
+        agent = flow.delegates.get(key)
+        if agent is None:
+            return False
+        self._give(run, agent, True, now)
+        if not block[1]:
+            del flow.delegates[key]
+        return True
+
+    def _give(
+        self, run: Run, agent: model.Endpoint, may_queue: bool, now: float
+    ) -> None:
+        self.board.counters[Count.DELEGATED] += 1
+        self.loads.note_sent(agent)
+        run.state = RunState.DELEGATED
+        run.tries += 1
+        message = model.RunRequest(
+            service=self.board.identity.service,
+            run=run.number,
+            caller=run.caller,
+            datagram=run.datagram,
+            remaining_ms=max(1, int((run.deadline - now) * 1000)),
+            may_queue=may_queue,
+        )
+        self._send(run, agent, message, now)
+
+    def _send(
+        self,
+        run: Run,
+        agent: model.Endpoint,
+        message: model.RunRequest | model.AskOutcome,
+        now: float,
+    ) -> None:
+        self.board.delegations[run.number] = Delegation(
+            run=run,
+            peer=agent,
+            incarnation=self.loads.incarnation_of(agent),
+            sent_at=now,
+            message=message,
+        )
+        self.board.send(agent, message)
+
+    def ask_outcome(self, run: Run, holder: model.Endpoint, now: float) -> None:
+        """Asks the holder of a grant how the request ended."""
+        run.deadline = min(run.deadline, now + ASK_TIMEOUT_S)
+        message = model.AskOutcome(
+            service=self.board.identity.service,
+            run=run.number,
+            identity=run.identity,
+            attempt=run.attempt,
+        )
+        self._send(run, holder, message, now)
+
+    def on_run_request(
+        self, sender: model.Endpoint, message: model.RunRequest, now: float
+    ) -> None:
+        """Takes a run for a peer, or says at once that there is no slot."""
+        origin = RemoteOrigin(sender, message.run)
+        if origin in self.board.remote_runs:
+            return
+        earlier = self.board.remote_replies.get(origin)
+        if earlier is not None:
+            self.board.send(sender, earlier)
+            return
+        try:
+            request = wire.decode_coap(message.datagram)
+        except model.CodecError:
+            self.board.counters[Count.PEER_MALFORMED] += 1
+            return
+        run = self.exchanges.make_run(
+            message.caller, request, message.datagram, origin, now
+        )
+        run.deadline = min(run.deadline, now + message.remaining_ms / 1000)
+        self.board.remote_runs[origin] = run
+        self._enter(run, origin, message.may_queue, now)
+
+    def _enter(
+        self, run: Run, origin: RemoteOrigin, may_queue: bool, now: float
+    ) -> None:
+        is_running = run.identity in self.board.by_identity
+        if is_running or run.identity in self.board.outcomes:
+            self.runs.submit(run, now)
+        elif not self.runs.enter_or_queue(run, may_queue, now):
+            self.reply(origin, model.RunStatus.NO_SLOT, None, 1)
+
+    def on_ask_outcome(
+        self, sender: model.Endpoint, message: model.AskOutcome, now: float
+    ) -> None:
+        """Tells, now or at its end, how a run of this agent ended."""
+        origin = RemoteOrigin(sender, message.run)
+        running = self.board.by_identity.get(message.identity)
+        if running is not None:
+            if origin not in running.origins:
+                running.origins.append(origin)
+            return
+        outcome = self.board.outcomes.get(message.identity)
+        if outcome is None:
+            self.reply(origin, model.RunStatus.UNKNOWN, None, 1)
+            return
+        self.reply(
+            origin, outcome.status, outcome.response, outcome.retry_after_s
+        )
+
+    def reply(
+        self,
+        origin: RemoteOrigin,
+        status: model.RunStatus,
+        response: wire.CoapMessage | None,
+        retry_after_s: int,
+    ) -> None:
+        """Tells a peer how its run ended."""
+        self.board.remote_runs.pop(origin, None)
+        message = model.RunReply(
+            service=self.board.identity.service,
+            run=origin.run,
+            status=status,
+            datagram=wire.encode_coap(response) if response else b"",
+            retry_after_s=retry_after_s,
+        )
+        self.board.remote_replies[origin] = message
+        if len(self.board.remote_replies) > REPLY_CAPACITY:
+            self.board.remote_replies.popitem(last=False)
+        self.board.send(origin.agent, message)
+
+    def on_run_reply(
+        self, sender: model.Endpoint, reply: model.RunReply, now: float
+    ) -> None:
+        """Takes a peer's word on how a run ended."""
+        delegation = self.board.delegations.get(reply.run)
+        if delegation is None or delegation.peer != sender:
+            return
+        del self.board.delegations[reply.run]
+        run = delegation.run
+        run.retry_after_s = max(1, reply.retry_after_s)
+        if run.state is RunState.ASKING:
+            self._finish_asked(run, reply, now)
+        elif run.state is RunState.DELEGATED:
+            self._settle(run, delegation.peer, reply, now)
+
+    def _finish_asked(
+        self, run: Run, reply: model.RunReply, now: float
+    ) -> None:
+        status = reply.status
+        if status is model.RunStatus.ANSWERED:
+            self._finish_answered(run, reply, now)
+            return
+        if status is not model.RunStatus.NOT_RUN:
+            status = model.RunStatus.UNKNOWN
+        self.runs.finish(run, status, None, now)
+
+    def _finish_answered(
+        self, run: Run, reply: model.RunReply, now: float
+    ) -> None:
+        try:
+            response = wire.decode_coap(reply.datagram)
+        except model.CodecError:
+            self.board.counters[Count.PEER_MALFORMED] += 1
+            self.runs.finish(run, model.RunStatus.UNKNOWN, None, now)
+            return
+        self.board.budget.deposit(now)
+        self.runs.finish(run, model.RunStatus.ANSWERED, response, now)
+
+    def _settle(
+        self,
+        run: Run,
+        peer: model.Endpoint,
+        reply: model.RunReply,
+        now: float,
+    ) -> None:
+        run.excluded.add(peer)
+        if reply.status is model.RunStatus.ANSWERED:
+            self._finish_answered(run, reply, now)
+        elif reply.status is model.RunStatus.NO_SLOT:
+            self._after_refusal(run, now)
+        elif reply.status is model.RunStatus.TIMED_OUT:
+            run.state = RunState.NEW
+            self.runs.retry(run, now)
+        else:
+            self.runs.finish(run, reply.status, None, now)
+
+    def _after_refusal(self, run: Run, now: float) -> None:
+        """A refusal for lack of a slot started no work: not charged."""
+        run.state = RunState.NEW
+        block = run.request.block1
+        if block is not None and block[0] > 0:
+            self.runs.refuse(run, "server_leaving", now)
+        else:
+            self.runs.dispatch(run, now)
+
+    def tick(self, now: float) -> None:
+        """Asks silent peers again and gives up dead ones."""
+        for number, delegation in list(self.board.delegations.items()):
+            if delegation.run.state is RunState.DONE:
+                del self.board.delegations[number]
+            elif self._is_lost(delegation, now):
+                del self.board.delegations[number]
+                self._on_lost(delegation, now)
+            elif now - delegation.sent_at > RESEND_S:
+                delegation.sent_at = now
+                self.board.send(delegation.peer, delegation.message)
+
+    def _is_lost(self, delegation: Delegation, now: float) -> bool:
+        if not self.loads.is_alive(delegation.peer, now):
+            return True
+        current = self.loads.incarnation_of(delegation.peer)
+        return current != delegation.incarnation
+
+    def _on_lost(self, delegation: Delegation, now: float) -> None:
+        run = delegation.run
+        run.excluded.add(delegation.peer)
+        if run.state is RunState.ASKING:
+            self.runs.finish(run, model.RunStatus.UNKNOWN, None, now)
+        elif run.repeatable:
+            self.runs.retry(run, now)
+        else:
+            self.runs.refuse(run, "peer_lost", now)
--- /dev/null
+++ b/notchhoist/controllers/exchanges.py
@@ -0,0 +1,337 @@
+"""Exchanges: the message layer of CoAP between a caller and its flow.
+
+Retransmissions are recognized here, answers find their own request, and what
+belongs to a stream passes through unchanged.
+"""
+
+import random
+from collections.abc import Callable
+
+import attrs
+import xxhash
+
+from notchhoist import model, wire
+from notchhoist.blackboards import (
+    AgentBoard,
+    Count,
+    Exchange,
+    Flow,
+    LocalOrigin,
+    Origin,
+    Run,
+)
+from notchhoist.controllers.loads import LoadKeeper
+
+ACK_AFTER_S = 1.0
+"""A request without an answer is acknowledged after this time, seconds."""
+
+RESEND_S = 2.0
+MAX_RESENDS = 4
+EXCHANGES_PER_FLOW = 64
+OTHER_KIND = model.Kind(
+    name="other", method="", path="", weight=1, repeatable=False
+)
+STREAM_SEND_S = 1.0
+
+
+@attrs.define
+class ExchangeKeeper:
+    """Takes the datagrams of owned flows and answers callers.
+
+    Attributes:
+        board: Everything that the agent knows.
+        loads: The load of the peers, and the balancers seen.
+        rng: Source of message IDs.
+        on_run: Takes each new run.
+        on_pinned: Called when a flow gets a stream or an upload.
+    """
+
+    board: AgentBoard
+    loads: LoadKeeper
+    rng: random.Random
+    on_run: Callable[[Run, float], None] = attrs.field(init=False)
+    on_pinned: Callable[[Flow], None] = attrs.field(init=False)
+
+    def on_datagram(self, flow: Flow, datagram: bytes, now: float) -> None:
+        """Takes a caller's datagram on a flow that this agent owns."""
+        service = self.board.service
+        if service is not None and not service.kinds:
+            self._pass_to_backend(flow.caller, datagram, now)
+            return
+        try:
+            message = wire.decode_coap(datagram)
+        except model.CodecError:
+            self.board.counters[Count.CALLER_MALFORMED] += 1
+            self.hint_owner(flow, now)
+            return
+        if message.is_request:
+            self._on_request(flow, message, datagram, now)
+        elif message.is_empty:
+            self._on_empty(flow, message, datagram, now)
+        else:
+            self.board.counters[Count.CALLER_MALFORMED] += 1
+            self.hint_owner(flow, now)
+
+    def hint_owner(self, flow: Flow, now: float) -> None:
+        """Tells the balancer where the flow lives, with nothing to send."""
+        self.send_to_caller(flow, b"", now)
+
+    def _on_empty(
+        self, flow: Flow, message: wire.CoapMessage, datagram: bytes, now: float
+    ) -> None:
+        if message.is_confirmable:
+            self.send_to_caller(flow, wire.reset_for(message.mid), now)
+            return
+        self._acknowledged(flow, message.mid)
+        if flow.streams or flow.restored:
+            self._pass_to_backend(flow.caller, datagram, now)
+        self.hint_owner(flow, now)
+
+    def _acknowledged(self, flow: Flow, mid: int) -> None:
+        for key, exchange in list(self.board.exchanges.items()):
+            if key[0] == flow.caller and exchange.separate_mid == mid:
+                exchange.resend_at = None
+                del self.board.exchanges[key]
+
+    def _pass_to_backend(
+        self, caller: model.Endpoint, datagram: bytes, now: float
+    ) -> None:
+        self.board.outbox.append(
+            model.SendBackend(caller, datagram, now + STREAM_SEND_S)
+        )
+
+    def _on_request(
+        self, flow: Flow, request: wire.CoapMessage, datagram: bytes, now: float
+    ) -> None:
+        known = flow.exchanges.get(request.mid)
+        if known is not None and known.request.token == request.token:
+            self._on_retransmission(flow, known, now)
+            return
+        self.board.counters[Count.REQUESTS] += 1
+        exchange = Exchange(request=request, at=now)
+        flow.exchanges[request.mid] = exchange
+        if len(flow.exchanges) > EXCHANGES_PER_FLOW:
+            flow.exchanges.popitem(last=False)
+        self.board.exchanges[flow.caller, request.mid] = exchange
+        self._note_upload(flow, request, now)
+        self.on_run(self._make_run(flow, request, datagram, now), now)
+
+    def _on_retransmission(
+        self, flow: Flow, exchange: Exchange, now: float
+    ) -> None:
+        self.board.counters[Count.RETRANSMISSIONS] += 1
+        if exchange.reply is not None:
+            self.send_to_caller(flow, exchange.reply, now)
+        elif exchange.request.is_confirmable:
+            self._acknowledge(flow, exchange, now)
+
+    def _acknowledge(self, flow: Flow, exchange: Exchange, now: float) -> None:
+        exchange.acknowledged = True
+        acknowledgement = wire.empty_ack(exchange.request.mid)
+        self.send_to_caller(flow, acknowledgement, now)
+
+    def _note_upload(
+        self, flow: Flow, request: wire.CoapMessage, now: float
+    ) -> None:
+        if request.block1 is None:
+            return
+        number, more = request.block1
+        upload = upload_key(request)
+        if not more:
+            flow.uploads.pop(upload, None)
+        elif number == 0 or upload in flow.uploads:
+            was_pinned = flow.is_pinned()
+            flow.uploads[upload] = now
+            if not was_pinned:
+                self.on_pinned(flow)
+
+    def _make_run(
+        self, flow: Flow, request: wire.CoapMessage, datagram: bytes, now: float
+    ) -> Run:
+        return self.make_run(
+            flow.caller,
+            request,
+            datagram,
+            LocalOrigin(flow.caller, request.mid),
+            now,
+        )
+
+    def make_run(
+        self,
+        caller: model.Endpoint,
+        request: wire.CoapMessage,
+        datagram: bytes,
+        origin: Origin,
+        now: float,
+    ) -> Run:
+        """Makes a run of a request, classified by the service's kinds."""
+        kind = kind_of(self.board.service, request)
+        run = Run(
+            number=self.board.draw_number(),
+            caller=caller,
+            request=request,
+            datagram=datagram,
+            kind=kind.name,
+            weight=kind.weight,
+            repeatable=kind.repeatable,
+            arrived_at=now,
+            deadline=now + kind.deadline_s,
+            origins=[origin],
+        )
+        if not kind.repeatable:
+            run.identity = identity_of(caller, request)
+            run.attempt = attempt_of(run.identity, request)
+        return run
+
+    def answer(
+        self,
+        origin: LocalOrigin,
+        render: Callable[[wire.CoapMessage, int | None], bytes],
+        now: float,
+    ) -> None:
+        """Gives a request its final answer.
+
+        Args:
+            origin: Flow and message ID of the request.
+            render: Writes the answer to a request, with the message ID of a
+                separate response or None.
+            now: Runtime clock, seconds.
+        """
+        flow = self.board.flows.get(origin.caller)
+        exchange = flow.exchanges.get(origin.mid) if flow else None
+        if flow is None or exchange is None or exchange.reply is not None:
+            return
+        if exchange.acknowledged:
+            exchange.separate_mid = self.rng.getrandbits(16)
+            exchange.resend_at = now + RESEND_S
+        else:
+            self.board.exchanges.pop((origin.caller, origin.mid), None)
+        exchange.reply = render(exchange.request, exchange.separate_mid)
+        self.send_to_caller(flow, exchange.reply, now)
+
+    def send_to_caller(self, flow: Flow, datagram: bytes, now: float) -> None:
+        """Sends a datagram to the caller of a flow by a live balancer."""
+        balancer = self.loads.return_balancer(flow.balancer, now)
+        if balancer is None:
+            return
+        self.board.send(
+            balancer,
+            model.Deliver(
+                service=self.board.identity.service,
+                caller=flow.caller,
+                datagram=datagram,
+                owner=self.board.identity.peer,
+            ),
+        )
+
+    def open_stream(self, flow: Flow, token: bytes, now: float) -> None:
+        """Notes that a stream has begun."""
+        was_pinned = flow.is_pinned()
+        flow.streams[token] = now
+        if not was_pinned:
+            self.on_pinned(flow)
+
+    def on_notification(
+        self,
+        caller: model.Endpoint,
+        message: wire.CoapMessage,
+        datagram: bytes,
+        now: float,
+    ) -> bool:
+        """Passes a stream's notification on.
+
+        Returns:
+            False where the flow has no such stream.
+        """
+        flow = self.board.flows.get(caller)
+        if flow is None:
+            return False
+        if message.token not in flow.streams and not flow.restored:
+            return False
+        flow.last_seen = now
+        if message.observe is not None:
+            flow.streams[message.token] = now
+        else:
+            flow.streams.pop(message.token, None)
+        self.send_to_caller(flow, datagram, now)
+        return True
+
+    def on_opaque(
+        self, caller: model.Endpoint, datagram: bytes, now: float
+    ) -> None:
+        """Passes a datagram of an opaque service on."""
+        flow = self.board.flows.get(caller)
+        if flow is not None:
+            flow.last_seen = now
+            self.send_to_caller(flow, datagram, now)
+
+    def tick(self, now: float) -> None:
+        """Acknowledges slow requests, resends unacknowledged responses."""
+        for key, exchange in list(self.board.exchanges.items()):
+            flow = self.board.flows.get(key[0])
+            if flow is None:
+                del self.board.exchanges[key]
+            elif exchange.reply is None:
+                self._acknowledge_if_slow(flow, exchange, now)
+            else:
+                self._resend_if_due(key, flow, exchange, now)
+
+    def _acknowledge_if_slow(
+        self, flow: Flow, exchange: Exchange, now: float
+    ) -> None:
+        is_open = exchange.request.is_confirmable and not exchange.acknowledged
+        if is_open and now - exchange.at > ACK_AFTER_S:
+            self._acknowledge(flow, exchange, now)
+
+    def _resend_if_due(
+        self,
+        key: tuple[model.Endpoint, int],
+        flow: Flow,
+        exchange: Exchange,
+        now: float,
+    ) -> None:
+        if exchange.resend_at is None or exchange.resends >= MAX_RESENDS:
+            del self.board.exchanges[key]
+        elif now >= exchange.resend_at:
+            exchange.resends += 1
+            exchange.resend_at = now + RESEND_S * 2**exchange.resends
+            self.send_to_caller(flow, exchange.reply or b"", now)
+
+
+def kind_of(
+    service: model.Service | None, request: wire.CoapMessage
+) -> model.Kind:
+    """Returns the first kind that a request matches.
+
+    A request that matches none has the least weight and may not be repeated.
+    """
+    segment = request.path[0] if request.path else ""
+    for kind in service.kinds if service else ():
+        if kind.method == request.method and kind.path in ("", segment):
+            return kind
+    return OTHER_KIND
+
+
+def identity_of(caller: model.Endpoint, request: wire.CoapMessage) -> bytes:
+    """Returns the digest that names a request that must not be repeated.
+
+    It is the caller's own Request-Tag where there is one (with the number of
+    the block), else the token and the message ID.
+    """
+    tag = request.request_tag
+    if tag is None:
+        name = b"m%d:%s" % (request.mid, request.token)
+    else:
+        name = b"t%d:%s" % ((request.block1 or (0, False))[0], tag)
+    return xxhash.xxh3_128_digest(b"%s|%s" % (str(caller).encode(), name))
+
+
+def attempt_of(identity: bytes, request: wire.CoapMessage) -> bytes:
+    """Returns the digest that names one sending of a request."""
+    name = b"%d:%s" % (request.mid, request.token)
+    return xxhash.xxh3_128_digest(identity + name)
+
+
+def upload_key(request: wire.CoapMessage) -> bytes:
+    """Returns what the blocks of one upload have in common."""
+    return (request.request_tag or b"") + "/".join(request.path).encode()
--- /dev/null
+++ b/notchhoist/controllers/flows.py
@@ -0,0 +1,333 @@
+"""Flows: which agent owns which, and how everybody finds it.
+
+The home of a flow is the first agent in its rendezvous order. The home keeps
+a pointer to the owner, places new flows, and passes on what comes astray.
+"Unknown, so new" is sound only after a whole idle timeout as home; before
+that the home asks the other agents.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from notchhoist import model, parts
+from notchhoist.blackboards import AgentBoard, Count, Flow, PendingAsk
+from notchhoist.controllers.loads import LoadKeeper
+
+MAX_HOPS = 4
+ASK_S = 0.15
+"""Time to wait for peers that are asked for an owner, seconds."""
+
+REFERRED_S = 5.0
+"""How long a newer home's question keeps this agent from placing a flow."""
+
+RESTART_GRACE_S = 15.0
+"""A pinned flow of an agent that fell silent is kept for it, seconds."""
+
+ANNOUNCE_BATCH = 40
+SWEEP_S = 1.0
+STREAM_IDLE_S = 300.0
+UPLOAD_IDLE_S = 30.0
+
+
+@attrs.define
+class FlowKeeper:
+    """Owns flows and is home of flows.
+
+    Attributes:
+        board: Everything that the agent knows.
+        loads: The load of the peers.
+        rng: Source of every draw.
+        on_datagram: Takes a datagram of a flow that this agent owns.
+    """
+
+    board: AgentBoard
+    loads: LoadKeeper
+    rng: random.Random
+    on_datagram: Callable[[Flow, bytes, float], None] = attrs.field(init=False)
+
+    def on_forward(self, forward: model.Forward, now: float) -> None:
+        """Takes a caller's datagram from a balancer or another agent."""
+        flow = self.board.flows.get(forward.caller)
+        if flow is None and forward.placed:
+            flow = self.adopt(forward.caller, now)
+        if flow is not None:
+            self._process(flow, forward, now)
+            return
+        self._route(forward, now)
+
+    def _process(self, flow: Flow, forward: model.Forward, now: float) -> None:
+        flow.balancer = forward.balancer
+        flow.last_seen = now
+        self.on_datagram(flow, forward.datagram, now)
+
+    def adopt(self, caller: model.Endpoint, now: float) -> Flow:
+        """Begins to own a flow."""
+        self.board.counters[Count.FLOWS_ADOPTED] += 1
+        flow = Flow(caller=caller, last_seen=now)
+        self.board.flows[caller] = flow
+        self.board.directory.forget(caller)
+        return flow
+
+    def _route(self, forward: model.Forward, now: float) -> None:
+        owner = self._known_owner(forward.caller, now)
+        if owner is not None:
+            self._pass_on(forward, owner, True, now)
+        elif self._is_home(forward.caller, now) or forward.hops >= MAX_HOPS:
+            self._find_or_place(forward, now)
+        else:
+            home = self.home_of(forward.caller, now)
+            self._pass_on(forward, home, False, now)
+
+    def _known_owner(
+        self, caller: model.Endpoint, now: float
+    ) -> model.Endpoint | None:
+        pointer = self.board.directory.find(caller, now)
+        if pointer is None:
+            return None
+        if pointer.pinned and self._may_return(pointer.owner, now):
+            return pointer.owner
+        if not self.loads.is_alive(pointer.owner, now):
+            self.board.counters[Count.OWNER_LOST] += 1
+            self.board.directory.forget(caller)
+            return None
+        state = self.board.peers.get(pointer.owner)
+        is_leaving = state is not None and state.report.leaving
+        return None if is_leaving and not pointer.pinned else pointer.owner
+
+    def _may_return(self, owner: model.Endpoint, now: float) -> bool:
+        state = self.board.peers.get(owner)
+        return state is None or now - state.heard_at < RESTART_GRACE_S
+
+    def home_of(self, caller: model.Endpoint, now: float) -> model.Endpoint:
+        """Returns the first agent of a flow's order that is alive."""
+        ranked = self._ranked(caller)
+        alive = (agent for agent in ranked if self.loads.is_alive(agent, now))
+        return next(alive, self.board.identity.peer)
+
+    def _is_home(self, caller: model.Endpoint, now: float) -> bool:
+        return self.home_of(caller, now) == self.board.identity.peer
+
+    def _ranked(self, caller: model.Endpoint) -> list[model.Endpoint]:
+        service = self.board.service
+        agents = service.agents() if service else ()
+        return parts.rank_nodes(parts.flow_hash_key(caller), agents)
+
+    def _pass_on(
+        self,
+        forward: model.Forward,
+        to: model.Endpoint,
+        placed: bool,
+        now: float,
+    ) -> None:
+        if to == self.board.identity.peer:
+            flow = self.board.flows.get(forward.caller)
+            flow = flow or self.adopt(forward.caller, now)
+            self._process(flow, forward, now)
+            return
+        if forward.hops > MAX_HOPS:
+            self.board.counters[Count.HOPS_EXHAUSTED] += 1
+            return
+        passed = attrs.evolve(forward, hops=forward.hops + 1, placed=placed)
+        self.board.send(to, passed)
+
+    def _find_or_place(self, forward: model.Forward, now: float) -> None:
+        caller = forward.caller
+        referred = self.board.referred.get(caller)
+        if referred is not None and now - referred[1] < REFERRED_S:
+            self._pass_on(forward, referred[0], False, now)
+        elif caller in self.board.asks:
+            self.board.asks[caller].forwards.append(forward)
+        elif self.board.tenure.holds(now):
+            self._place(caller, [forward], now)
+        else:
+            self._ask_peers(forward, now)
+
+    def _ask_peers(self, forward: model.Forward, now: float) -> None:
+        former = [agent for agents in self.board.sets for agent in agents]
+        awaited = {
+            agent
+            for agent in (*self.board.other_agents(), *former)
+            if agent != self.board.identity.peer
+            and self.loads.is_alive(agent, now)
+        }
+        if not awaited:
+            self._place(forward.caller, [forward], now)
+            return
+        self.board.counters[Count.OWNER_ASKED] += 1
+        self.board.asks[forward.caller] = PendingAsk(
+            forwards=[forward], awaited=awaited, until=now + ASK_S
+        )
+        question = model.AskOwner(
+            service=forward.service,
+            caller=forward.caller,
+            revision=self.board.config.store.revision,
+        )
+        for agent in sorted(awaited):
+            self.board.send(agent, question)
+
+    def on_ask_owner(
+        self, sender: model.Endpoint, ask: model.AskOwner, now: float
+    ) -> None:
+        """Tells a home what this agent knows of a flow."""
+        owner = None
+        if ask.caller in self.board.flows:
+            owner = self.board.identity.peer
+        else:
+            owner = self._known_owner(ask.caller, now)
+        if owner is None and ask.revision >= self.board.config.store.revision:
+            self.board.referred[ask.caller] = (sender, now)
+        self.board.send(sender, model.TellOwner(ask.service, ask.caller, owner))
+
+    def on_tell_owner(
+        self, sender: model.Endpoint, tell: model.TellOwner, now: float
+    ) -> None:
+        """Takes a peer's answer about a flow."""
+        ask = self.board.asks.get(tell.caller)
+        if ask is None:
+            return
+        if tell.owner is not None:
+            del self.board.asks[tell.caller]
+            self.board.directory.point(tell.caller, tell.owner, now)
+            for forward in ask.forwards:
+                self._pass_on(forward, tell.owner, True, now)
+            return
+        ask.awaited.discard(sender)
+        if not ask.awaited:
+            del self.board.asks[tell.caller]
+            self._place(tell.caller, ask.forwards, now)
+
+    def _place(
+        self,
+        caller: model.Endpoint,
+        forwards: list[model.Forward],
+        now: float,
+    ) -> None:
+        self.board.counters[Count.FLOWS_PLACED] += 1
+        chosen = self.choose_owner(now)
+        self.board.directory.point(caller, chosen, now)
+        self.loads.note_sent(chosen)
+        for forward in forwards:
+            self._pass_on(forward, chosen, True, now)
+
+    def choose_owner(self, now: float) -> model.Endpoint:
+        """Chooses the agent for a new flow; itself where there is no other."""
+        candidates = self.loads.flow_candidates(now)
+        chosen = parts.two_choices(candidates, self.rng)
+        return chosen.agent if chosen else self.board.identity.peer
+
+    def move(self, flow: Flow, to: model.Endpoint, now: float) -> None:
+        """Hands an unpinned flow to another agent."""
+        self.board.counters[Count.FLOWS_MOVED] += 1
+        del self.board.flows[flow.caller]
+        self.board.outbox.append(model.FlowClosed(flow.caller))
+        record = model.FlowRecord(flow.caller, to, pinned=False)
+        home = self.home_of(flow.caller, now)
+        if home == self.board.identity.peer:
+            self.board.directory.point(flow.caller, to, now)
+        else:
+            message = model.Announce(self.board.identity.service, [record])
+            self.board.send(home, message)
+
+    def on_announce(
+        self, sender: model.Endpoint, message: model.Announce, now: float
+    ) -> None:
+        """Takes pointers from an owner, or back from a home."""
+        own = self.board.identity.peer
+        for record in message.flows:
+            if record.owner != own:
+                self._point(record, now)
+            elif record.caller not in self.board.flows and record.pinned:
+                flow = self.adopt(record.caller, now)
+                flow.restored = True
+
+    def _point(self, record: model.FlowRecord, now: float) -> None:
+        old = self.board.directory.find(record.caller, now)
+        keeps = old is not None and old.pinned and not record.pinned
+        if keeps and old is not None and old.owner != record.owner:
+            return
+        self.board.directory.point(
+            record.caller, record.owner, now, record.pinned
+        )
+
+    def on_ask_flows(self, sender: model.Endpoint, now: float) -> None:
+        """Tells a restarted agent which flows it owned."""
+        records = [
+            model.FlowRecord(caller, sender, pointer.pinned)
+            for caller, pointer in self.board.directory.pointers.items()
+            if pointer.owner == sender
+        ]
+        self._announce_to(sender, records)
+
+    def announce(self, flows: Iterable[Flow]) -> None:
+        """Tells the homes, first and second, that this agent owns flows."""
+        batches: dict[model.Endpoint, list[model.FlowRecord]] = {}
+        own = self.board.identity.peer
+        for flow in flows:
+            record = model.FlowRecord(flow.caller, own, flow.is_pinned())
+            for home in self._ranked(flow.caller)[:2]:
+                if home != own:
+                    batches.setdefault(home, []).append(record)
+        for home, records in batches.items():
+            self._announce_to(home, records)
+
+    def _announce_to(
+        self, agent: model.Endpoint, records: list[model.FlowRecord]
+    ) -> None:
+        service = self.board.identity.service
+        for start in range(0, len(records), ANNOUNCE_BATCH):
+            batch = records[start : start + ANNOUNCE_BATCH]
+            self.board.send(agent, model.Announce(service, batch))
+
+    def recover(self) -> None:
+        """Asks the peers, after a start, which flows this agent owned."""
+        self.board.recovered = True
+        for agent in self.board.other_agents():
+            self.board.send(agent, model.AskFlows(self.board.identity.service))
+
+    def tick(self, now: float) -> None:
+        """Ends old questions, announces flows, forgets what expired."""
+        for caller, ask in list(self.board.asks.items()):
+            if now > ask.until:
+                del self.board.asks[caller]
+                self._place(caller, ask.forwards, now)
+        if now >= self.board.next_announce_at:
+            idle = self.board.identity.idle_s
+            self.board.next_announce_at = now + idle / 3
+            self.announce(self.board.flows.values())
+        if now >= self.board.next_sweep_at:
+            self.board.next_sweep_at = now + SWEEP_S
+            self._sweep(now)
+
+    def _sweep(self, now: float) -> None:
+        board = self.board
+        board.directory.expire(now)
+        for caller, (_, at) in list(board.referred.items()):
+            if now - at > REFERRED_S:
+                del board.referred[caller]
+        for flow in list(board.flows.values()):
+            self._sweep_flow(flow, now)
+        for caller, at in list(board.guests.items()):
+            if now - at > board.identity.idle_s:
+                del board.guests[caller]
+                self._close(caller)
+
+    def _sweep_flow(self, flow: Flow, now: float) -> None:
+        for token, at in list(flow.streams.items()):
+            if now - at > STREAM_IDLE_S:
+                del flow.streams[token]
+        for upload, at in list(flow.uploads.items()):
+            if now - at > UPLOAD_IDLE_S:
+                del flow.uploads[upload]
+                flow.delegates.pop(upload, None)
+        idle = now - flow.last_seen
+        if idle > STREAM_IDLE_S:
+            flow.restored = False
+        if idle > self.board.identity.idle_s and not flow.is_pinned():
+            del self.board.flows[flow.caller]
+            self._close(flow.caller)
+
+    def _close(self, caller: model.Endpoint) -> None:
+        if caller not in self.board.flows and caller not in self.board.guests:
+            self.board.outbox.append(model.FlowClosed(caller))
--- /dev/null
+++ b/notchhoist/controllers/nodes.py
@@ -0,0 +1,407 @@
+"""Nodes: the whole decision logic of one process behind one small boundary.
+
+A node takes an event or a tick with the time, and gives back effects. It does
+no I/O and reads no clock, so that any harness can drive it.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from notchhoist import model, wire
+from notchhoist.blackboards import (
+    AgentBoard,
+    AgentIdentity,
+    BalancerBoard,
+    BalancerIdentity,
+    Count,
+    RunState,
+    make_agent_board,
+    make_balancer_board,
+)
+from notchhoist.blackboards.agent import QUEUE_PER_SLOT
+from notchhoist.controllers.balancing import FlowForwarder
+from notchhoist.controllers.claims import ClaimKeeper
+from notchhoist.controllers.configuring import ConfigKeeper
+from notchhoist.controllers.delegating import DelegationKeeper
+from notchhoist.controllers.exchanges import ExchangeKeeper
+from notchhoist.controllers.flows import FlowKeeper
+from notchhoist.controllers.loads import LoadKeeper
+from notchhoist.controllers.running import RunKeeper
+
+TICK_S = 0.05
+"""Time between two ticks that a node is meant to get, seconds."""
+
+
+class Node(Protocol):
+    """What a harness drives."""
+
+    @property
+    def board(self) -> AgentBoard | BalancerBoard:
+        """The blackboard, for inspection."""
+
+    def handle(self, event: model.Event, now: float) -> list[model.Effect]:
+        """Takes an event and returns what is to be done."""
+
+    def tick(self, now: float) -> list[model.Effect]:
+        """Does what is due and returns what is to be done."""
+
+    def stop(self, now: float) -> list[model.Effect]:
+        """Begins a planned stop."""
+
+    def is_idle(self) -> bool:
+        """Tells whether a planned stop would cut nothing."""
+
+
+def _drain(outbox: list[model.Effect]) -> list[model.Effect]:
+    effects = list(outbox)
+    outbox.clear()
+    return effects
+
+
+@attrs.define
+class BalancerNode:
+    """The decisions of a balancer; see ``make_balancer``."""
+
+    board: BalancerBoard
+    config: ConfigKeeper
+    forwarder: FlowForwarder
+
+    def handle(self, event: model.Event, now: float) -> list[model.Effect]:
+        """Takes an event and returns what is to be done."""
+        match event:
+            case model.CallerDatagram():
+                self.forwarder.on_caller(event, now)
+            case model.PeerMessage():
+                self._on_peer(event.sender, event.message, now)
+            case model.ConfigurationRead():
+                self.config.on_read(event, now)
+            case model.HostsRead():
+                self.config.on_hosts(event, now)
+            case _:
+                self.board.counters[Count.MISDIRECTED] += 1
+        return _drain(self.board.outbox)
+
+    def _on_peer(
+        self, sender: model.Endpoint, message: model.Message, now: float
+    ) -> None:
+        match message:
+            case model.Deliver():
+                self.forwarder.on_deliver(sender, message, now)
+            case model.ConfigAsk():
+                self.config.on_ask(sender, message, now)
+            case model.ConfigDiff():
+                self.config.on_difference(message, now)
+            case model.LeavingHosts():
+                self.config.on_leaving(message, now)
+            case model.Ping():
+                self.board.outbox.append(
+                    model.SendPeer(sender, model.Pong(message.nonce))
+                )
+            case model.Pong():
+                self.forwarder.note_alive(sender)
+            case _:
+                self.board.counters[Count.MISDIRECTED] += 1
+
+    def tick(self, now: float) -> list[model.Effect]:
+        """Does what is due and returns what is to be done."""
+        self.config.tick(now)
+        self.forwarder.tick(now)
+        return _drain(self.board.outbox)
+
+    def stop(self, now: float) -> list[model.Effect]:
+        """Begins a planned stop."""
+        self.board.stopping = True
+        return _drain(self.board.outbox)
+
+    def is_idle(self) -> bool:
+        """A balancer keeps nothing that a stop could cut."""
+        return True
+
+
+@attrs.define
+class AgentNode:
+    """The decisions of an agent; see ``make_agent``."""
+
+    board: AgentBoard
+    config: ConfigKeeper
+    loads: LoadKeeper
+    flows: FlowKeeper
+    exchanges: ExchangeKeeper
+    claims: ClaimKeeper
+    runs: RunKeeper
+    delegations: DelegationKeeper
+
+    def handle(self, event: model.Event, now: float) -> list[model.Effect]:
+        """Takes an event and returns what is to be done."""
+        match event:
+            case model.PeerMessage():
+                self._on_peer(event.sender, event.message, now)
+            case model.BackendDatagram():
+                self._on_backend(event, now)
+            case model.ConfigurationRead():
+                self.config.on_read(event, now)
+            case model.HostsRead():
+                self.config.on_hosts(event, now)
+            case _:
+                self.board.counters[Count.MISDIRECTED] += 1
+        return _drain(self.board.outbox)
+
+    def _on_peer(
+        self, sender: model.Endpoint, message: model.Message, now: float
+    ) -> None:
+        service = getattr(message, "service", "") or ""
+        if service not in ("", self.board.identity.service):
+            self.board.counters[Count.MISDIRECTED] += 1
+            return
+        if isinstance(message, model.ConfigDiff | model.ConfigAsk):
+            self._on_config(sender, message, now)
+            return
+        self._on_coordination(sender, message, now)
+
+    def _on_config(
+        self,
+        sender: model.Endpoint,
+        message: model.ConfigDiff | model.ConfigAsk,
+        now: float,
+    ) -> None:
+        if isinstance(message, model.ConfigDiff):
+            self.config.on_difference(message, now)
+        else:
+            self.config.on_ask(sender, message, now)
+
+    def _on_coordination(
+        self, sender: model.Endpoint, message: model.Message, now: float
+    ) -> None:
+        match message:
+            case model.Forward():
+                self.board.balancers_seen[message.balancer] = now
+                self.flows.on_forward(message, now)
+            case model.RunRequest():
+                self.delegations.on_run_request(sender, message, now)
+            case model.RunReply():
+                self.delegations.on_run_reply(sender, message, now)
+            case model.AskOutcome():
+                self.delegations.on_ask_outcome(sender, message, now)
+            case model.GrantRequest():
+                self.claims.on_request(sender, message, now)
+            case model.GrantReply():
+                self.claims.on_reply(sender, message, now)
+            case model.LoadReport():
+                self.loads.on_report(sender, message, now)
+            case _:
+                self._on_membership(sender, message, now)
+
+    def _on_membership(
+        self, sender: model.Endpoint, message: model.Message, now: float
+    ) -> None:
+        match message:
+            case model.AskOwner():
+                self.flows.on_ask_owner(sender, message, now)
+            case model.TellOwner():
+                self.flows.on_tell_owner(sender, message, now)
+            case model.Announce():
+                self.flows.on_announce(sender, message, now)
+            case model.AskFlows():
+                self.flows.on_ask_flows(sender, now)
+            case model.LeavingHosts():
+                self.config.on_leaving(message, now)
+            case model.Ping():
+                self.board.send(sender, model.Pong(message.nonce))
+            case model.Pong():
+                self.board.balancers_seen[sender] = now
+            case _:
+                self.board.counters[Count.MISDIRECTED] += 1
+
+    def _on_backend(self, event: model.BackendDatagram, now: float) -> None:
+        service = self.board.service
+        if service is not None and not service.kinds:
+            self.exchanges.on_opaque(event.caller, event.datagram, now)
+            return
+        try:
+            message = wire.decode_coap(event.datagram)
+        except model.CodecError:
+            self.board.counters[Count.BACKEND_MALFORMED] += 1
+            return
+        if not message.is_response:
+            return
+        if self.runs.on_response(event.caller, message, now):
+            return
+        passed = self.exchanges.on_notification(
+            event.caller, message, event.datagram, now
+        )
+        if not passed:
+            self.board.counters[Count.STRAY_RESPONSES] += 1
+
+    def tick(self, now: float) -> list[model.Effect]:
+        """Does what is due and returns what is to be done."""
+        if self.board.pauses.observe(now):
+            self._on_pause(now)
+        self.config.tick(now)
+        self.loads.tick(now)
+        self.claims.tick(now)
+        self.delegations.tick(now)
+        self.runs.tick(now)
+        self.exchanges.tick(now)
+        self.flows.tick(now)
+        for agents, until in list(self.board.sets.items()):
+            if now > until:
+                del self.board.sets[agents]
+        return _drain(self.board.outbox)
+
+    def _on_pause(self, now: float) -> None:
+        """What was known before a pause may be old by now."""
+        self.board.counters[Count.PAUSES] += 1
+        self.board.tenure.restart(now)
+        self.board.directory.pointers.clear()
+
+    def on_config_change(self, now: float) -> None:
+        """Applies a revision that has come into force."""
+        board = self.board
+        record = board.config.store.services.get(board.identity.service)
+        if record is None or record == board.service:
+            return
+        self._note_sets(record, now)
+        changed = board.service is None or set(record.agents()) != set(
+            board.service.agents()
+        )
+        board.service = record
+        self._apply_slots(record)
+        board.witness.lifetime_s = max(
+            record.memory_s, board.witness.lifetime_s if not changed else 0.0
+        )
+        if not board.recovered:
+            self.flows.recover()
+        elif changed:
+            board.tenure.restart(now)
+            self.flows.announce(board.flows.values())
+
+    def _note_sets(self, record: model.Service, now: float) -> None:
+        """Sets of agents that were in force count for a lifetime more."""
+        until = now + record.memory_s
+        former = [group.agents for group in record.former]
+        if self.board.service is not None:
+            former.append(self.board.service.agents())
+        for agents in former:
+            if agents and set(agents) != set(record.agents()):
+                self.board.sets[agents] = until
+        self.board.sets.pop(record.agents(), None)
+
+    def _apply_slots(self, record: model.Service) -> None:
+        server = record.server_of(self.board.identity.peer)
+        if server is None:
+            return
+        self.board.admission.ramp.slots = server.slots
+        self.board.admission.queue_limit = server.slots * QUEUE_PER_SLOT
+
+    def stop(self, now: float) -> list[model.Effect]:
+        """Begins a planned stop: no new work, and the peers are told."""
+        self.board.stopping = True
+        self.loads.report(now)
+        return _drain(self.board.outbox)
+
+    def is_idle(self) -> bool:
+        """Tells whether no request is in progress here."""
+        return not any(
+            run.state is not RunState.DONE for run in self.board.runs.values()
+        )
+
+
+def make_balancer(
+    identity: BalancerIdentity,
+    now: float,
+    seed: int,
+    seeds: tuple[model.Endpoint, ...] = (),
+) -> BalancerNode:
+    """Makes the decisions of a balancer that starts now.
+
+    Args:
+        identity: Who it is.
+        now: Runtime clock, seconds.
+        seed: Seed of every draw.
+        seeds: Peers to ask where the platform is down.
+
+    Returns:
+        A node that has heard of nothing yet.
+    """
+    board = make_balancer_board(identity, now, seeds)
+    rng = random.Random(seed)
+    config = ConfigKeeper(
+        board=board.config,
+        counters=board.counters,
+        outbox=board.outbox,
+        peer=identity.peer,
+        host=identity.name,
+        may_watch=True,
+        rng=rng,
+        on_change=lambda _: None,
+    )
+    return BalancerNode(board, config, FlowForwarder(board, rng))
+
+
+def make_agent(
+    identity: AgentIdentity,
+    now: float,
+    seed: int,
+    seeds: tuple[model.Endpoint, ...] = (),
+) -> AgentNode:
+    """Makes the decisions of an agent that starts now.
+
+    Args:
+        identity: Who it is.
+        now: Runtime clock, seconds.
+        seed: Seed of every draw.
+        seeds: Peers to ask where the platform is down.
+
+    Returns:
+        A node that has heard of nothing yet.
+    """
+    board = make_agent_board(identity, now, seeds)
+    rng = random.Random(seed)
+    loads = LoadKeeper(board)
+    flows = FlowKeeper(board, loads, rng)
+    exchanges = ExchangeKeeper(board, loads, rng)
+    claims = ClaimKeeper(board, rng)
+    runs = RunKeeper(board, loads, flows, exchanges, claims)
+    delegations = DelegationKeeper(board, loads, exchanges, runs)
+    node = AgentNode(
+        board=board,
+        config=_agent_config(board, rng),
+        loads=loads,
+        flows=flows,
+        exchanges=exchanges,
+        claims=claims,
+        runs=runs,
+        delegations=delegations,
+    )
+    _connect(node)
+    return node
+
+
+def _agent_config(board: AgentBoard, rng: random.Random) -> ConfigKeeper:
+    unset: Callable[[float], None] = lambda _: None  # noqa: E731
+    return ConfigKeeper(
+        board=board.config,
+        counters=board.counters,
+        outbox=board.outbox,
+        peer=board.identity.peer,
+        host=board.identity.server,
+        may_watch=False,
+        rng=rng,
+        on_change=unset,
+    )
+
+
+def _connect(node: AgentNode) -> None:
+    """Lets the controllers of an agent call each other."""
+    node.config.on_change = node.on_config_change
+    node.flows.on_datagram = node.exchanges.on_datagram
+    node.exchanges.on_run = node.runs.submit
+    node.exchanges.on_pinned = lambda flow: node.flows.announce([flow])
+    node.claims.on_settled = node.runs.on_claim
+    node.runs.delegate = node.delegations.delegate
+    node.runs.delegate_assigned = node.delegations.delegate_assigned
+    node.runs.ask_outcome = node.delegations.ask_outcome
+    node.runs.reply = node.delegations.reply
--- /dev/null
+++ b/notchhoist/controllers/running.py
@@ -0,0 +1,515 @@
+"""Runs: from a request to its outcome.
+
+A run gets a slot of the own backend server, waits for one, goes to a peer, or
+is refused at once. A run that must not be repeated starts only with a grant
+of its witnesses, and is called "not run" only with their fence.
+"""
+
+from collections.abc import Callable
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from notchhoist import model, parts, wire
+from notchhoist.blackboards import (
+    AgentBoard,
+    ClaimState,
+    Count,
+    Origin,
+    Outcome,
+    RemoteOrigin,
+    Run,
+    RunState,
+)
+from notchhoist.controllers.claims import ClaimKeeper
+from notchhoist.controllers.exchanges import ExchangeKeeper
+from notchhoist.controllers.flows import FlowKeeper
+from notchhoist.controllers.loads import LoadKeeper
+
+GRANT_LEASE_S = 1.0
+"""A grant is used within this time of asking for it, seconds, or not."""
+
+SEND_LEASE_S = 0.5
+"""A datagram for the backend server is sent within this time, or dropped."""
+
+ATTEMPT_SHARE = 1 / 3
+"""Share of the deadline that one try of a repeatable request may take."""
+
+DRAINING_S = 3.0
+"""How long a backend server's word that it is draining counts, seconds."""
+
+DRAINING_PAYLOAD = b"draining"
+OUTCOME_CAPACITY = 100_000
+MAX_LATENCY_US = 600_000_000
+SHED_CODE = "5.03"
+
+
+@attrs.define
+class RunKeeper:
+    """Brings runs to their outcomes.
+
+    Attributes:
+        board: Everything that the agent knows.
+        loads: The load of the peers.
+        flows: The flows.
+        exchanges: The message layer.
+        claims: Grants and fences.
+        delegate: Gives a run to a peer; False where none can take it.
+        delegate_assigned: Gives a later block of an upload to the peer that
+            has the earlier ones; False where there is none.
+        ask_outcome: Asks the holder of a grant how a run ended.
+        reply: Tells a peer how its run ended.
+    """
+
+    board: AgentBoard
+    loads: LoadKeeper
+    flows: FlowKeeper
+    exchanges: ExchangeKeeper
+    claims: ClaimKeeper
+    delegate: Callable[[Run, bool, float], bool] = attrs.field(init=False)
+    delegate_assigned: Callable[[Run, float], bool] = attrs.field(init=False)
+    ask_outcome: Callable[[Run, model.Endpoint, float], None] = attrs.field(
+        init=False
+    )
+    reply: Callable[
+        [RemoteOrigin, model.RunStatus, wire.CoapMessage | None, int], None
+    ] = attrs.field(init=False)
+
+    def submit(self, run: Run, now: float) -> None:
+        """Takes a new run."""
+        if not run.repeatable and self._is_known(run, now):
+            return
+        self._register(run)
+        self.dispatch(run, now)
+
+    def _register(self, run: Run) -> None:
+        self.board.runs[run.number] = run
+        if run.identity:
+            self.board.by_identity[run.identity] = run
+
+    def _is_known(self, run: Run, now: float) -> bool:
+        """Joins a run or repeats an outcome of the same identity."""
+        running = self.board.by_identity.get(run.identity)
+        if running is not None:
+            running.origins.extend(run.origins)
+            return True
+        outcome = self.board.outcomes.get(run.identity)
+        if outcome is None:
+            return False
+        is_new_try = outcome.attempt != run.attempt
+        if is_new_try and outcome.status is model.RunStatus.NOT_RUN:
+            return False
+        for origin in run.origins:
+            self._tell(origin, outcome, now, run.kind, "repeated")
+        return True
+
+    def dispatch(self, run: Run, now: float) -> None:
+        """Finds a run its place: here, at a peer, in the queue, or none."""
+        if self.delegate_assigned(run, now):
+            return
+        if self._needs_its_flow(run):
+            self._dispatch_to_flow(run, now)
+            return
+        takes = self.loads.takes_new_work(now)
+        if self._own_agent_allowed(run) and takes and self._enter(run, now):
+            return
+        if self.delegate(run, False, now):
+            return
+        if self._own_agent_allowed(run) and takes:
+            self._enqueue(run, now)
+        elif not self.delegate(run, True, now):
+            self.refuse(run, "no_free_slot", now)
+
+    def _own_agent_allowed(self, run: Run) -> bool:
+        return self.board.identity.peer not in run.excluded
+
+    def _needs_its_flow(self, run: Run) -> bool:
+        """Tells whether state at one backend server belongs to the run."""
+        request = run.request
+        if request.observe is not None:
+            return True
+        flow = self.board.flows.get(run.caller)
+        if flow is None or request.block1 is None:
+            return False
+        return request.block1[0] > 0
+
+    def _dispatch_to_flow(self, run: Run, now: float) -> None:
+        is_new = wire.is_observe_registration(run.request)
+        if is_new and not self.loads.takes_new_work(now):
+            self._move_stream(run, now)
+        elif not self._enter(run, now):
+            self._enqueue(run, now)
+
+    def _move_stream(self, run: Run, now: float) -> None:
+        """Opens a stream elsewhere, because this server is leaving."""
+        flow = self.board.flows.get(run.caller)
+        target = self.flows.choose_owner(now)
+        if flow is None or flow.is_pinned() or target == self._own():
+            self.refuse(run, "server_leaving", now)
+            return
+        forward = model.Forward(
+            service=self.board.identity.service,
+            caller=run.caller,
+            datagram=run.datagram,
+            revision=self.board.config.store.revision,
+            hops=1,
+            placed=True,
+            balancer=flow.balancer or self._own(),
+        )
+        self._drop(run)
+        self.flows.move(flow, target, now)
+        self.board.send(target, forward)
+
+    def _own(self) -> model.Endpoint:
+        return self.board.identity.peer
+
+    def _drop(self, run: Run) -> None:
+        run.state = RunState.DONE
+        self.board.runs.pop(run.number, None)
+        if self.board.by_identity.get(run.identity) is run:
+            del self.board.by_identity[run.identity]
+
+    def _enter(self, run: Run, now: float) -> bool:
+        if not self.board.admission.try_enter(run):
+            return False
+        self._begin(run, now)
+        return True
+
+    def _enqueue(self, run: Run, now: float) -> None:
+        run.state = RunState.QUEUED
+        for refused in self.board.admission.enqueue(run, now):
+            self._refuse_job(refused, "queue_full", now)
+
+    def enter_or_queue(self, run: Run, may_queue: bool, now: float) -> bool:
+        """Takes a run for a peer; False where there is no slot for it."""
+        if not self.loads.takes_new_work(now):
+            return False
+        if self.board.admission.free() <= 0 and not may_queue:
+            return False
+        self._register(run)
+        if not self._enter(run, now):
+            self._enqueue(run, now)
+        return True
+
+    def _begin(self, run: Run, now: float) -> None:
+        """Starts a run that has a slot, or first claims its grant."""
+        run.holds_slot = True
+        run.started_at = now
+        if run.repeatable:
+            self._launch(run, now)
+        else:
+            run.state = RunState.CLAIMING
+            self.claims.start(run, fence=False, now=now)
+
+    def _launch(self, run: Run, now: float) -> None:
+        run.state = RunState.STARTED
+        run.started_at = now
+        run.tries += 1
+        self.board.counters[Count.STARTED] += 1
+        self.board.started[run.caller, run.request.token] = run
+        if run.caller not in self.board.flows:
+            self.board.guests[run.caller] = now
+        self.board.outbox.append(
+            model.SendBackend(
+                caller=run.caller,
+                datagram=wire.with_deadline(run.request, run.deadline - now),
+                not_after=min(now + SEND_LEASE_S, run.deadline),
+            )
+        )
+
+    def on_claim(self, state: ClaimState, won: bool, now: float) -> None:
+        """Goes on with a run whose grant or fence is settled."""
+        run = state.run
+        if state.fence:
+            self._on_fence(state, won, now)
+        elif run.state is not RunState.CLAIMING:
+            return
+        elif won and self._may_start(state, now):
+            self._launch(run, now)
+        else:
+            self._on_no_grant(state, won, now)
+
+    def _may_start(self, state: ClaimState, now: float) -> bool:
+        is_fresh = now - state.asked_at < GRANT_LEASE_S
+        return is_fresh and now < state.run.deadline
+
+    def _on_no_grant(self, state: ClaimState, won: bool, now: float) -> None:
+        run = state.run
+        self._release(run, None)
+        if not won and self._is_other_and_alive(state.holder, now):
+            self._ask_holder(run, state.holder, now)
+        else:
+            self.refuse(run, "no_grant", now)
+        self.pump(now)
+
+    def _is_other_and_alive(
+        self, holder: model.Endpoint | None, now: float
+    ) -> bool:
+        if holder is None or holder == self._own():
+            return False
+        return self.loads.is_alive(holder, now)
+
+    def _ask_holder(
+        self, run: Run, holder: model.Endpoint | None, now: float
+    ) -> None:
+        if holder is None:
+            return
+        run.state = RunState.ASKING
+        self.ask_outcome(run, holder, now)
+
+    def refuse(
+        self, run: Run, reason: str, now: float, retry_after_s: int = 0
+    ) -> None:
+        """Gives a run up at once; "not run" is said only with a fence."""
+        self._release(run, None)
+        run.refusal = reason
+        run.retry_after_s = (
+            retry_after_s or self.board.admission.retry_after_s()
+        )
+        if run.repeatable:
+            self.finish(run, model.RunStatus.NO_SLOT, None, now)
+            return
+        run.state = RunState.FENCING
+        self.claims.start(run, fence=True, now=now)
+
+    def _refuse_job(self, job: parts.Job, reason: str, now: float) -> None:
+        if isinstance(job, Run):
+            self.refuse(job, reason, now)
+
+    def _on_fence(self, state: ClaimState, won: bool, now: float) -> None:
+        run = state.run
+        if run.state is not RunState.FENCING:
+            return
+        if won:
+            self.finish(run, model.RunStatus.NOT_RUN, None, now)
+        elif self._is_other_and_alive(state.holder, now):
+            self._ask_holder(run, state.holder, now)
+        else:
+            self.finish(run, model.RunStatus.UNKNOWN, None, now)
+
+    def on_response(
+        self,
+        caller: model.Endpoint,
+        message: wire.CoapMessage,
+        now: float,
+    ) -> bool:
+        """Takes a backend server's response; False if it is for no run."""
+        run = self.board.started.get((caller, message.token))
+        if run is None or run.state is not RunState.STARTED:
+            return False
+        if message.is_confirmable:
+            self._acknowledge_backend(run, message, now)
+        if message.code.dotted == SHED_CODE:
+            self._on_shed(run, message, now)
+        else:
+            self._on_answer(run, message, now)
+        self.pump(now)
+        return True
+
+    def _acknowledge_backend(
+        self, run: Run, message: wire.CoapMessage, now: float
+    ) -> None:
+        self.board.outbox.append(
+            model.SendBackend(
+                run.caller, wire.empty_ack(message.mid), now + SEND_LEASE_S
+            )
+        )
+
+    def _on_answer(
+        self, run: Run, message: wire.CoapMessage, now: float
+    ) -> None:
+        self.board.admission.ramp.succeeded()
+        self.board.budget.deposit(now)
+        self._release(run, now - run.started_at)
+        flow = self.board.flows.get(run.caller)
+        is_stream = run.request.observe == 0 and message.observe is not None
+        if flow is not None and is_stream:
+            self.exchanges.open_stream(flow, message.token, now)
+        if flow is not None and run.request.observe == 1:
+            flow.streams.pop(message.token, None)
+        self.finish(run, model.RunStatus.ANSWERED, message, now)
+
+    def _on_shed(self, run: Run, message: wire.CoapMessage, now: float) -> None:
+        """The backend server refused before it started any work."""
+        self.board.counters[Count.SHED] += 1
+        if message.payload.startswith(DRAINING_PAYLOAD):
+            self.board.backend_draining_until = now + DRAINING_S
+        else:
+            self.board.admission.ramp.failed()
+        self._release(run, None)
+        run.excluded.add(self._own())
+        if run.repeatable and not self._needs_its_flow(run):
+            self._dispatch_again(run, now)
+        else:
+            self.refuse(run, "shed", now, message.max_age_s or 1)
+
+    def _dispatch_again(self, run: Run, now: float) -> None:
+        run.state = RunState.NEW
+        if _is_for_peer(run):
+            self.refuse(run, "shed", now)
+        else:
+            self.dispatch(run, now)
+
+    def retry(self, run: Run, now: float) -> None:
+        """Tries a repeatable run elsewhere, if the budget allows."""
+        if run.repeatable and self.board.budget.try_spend(now):
+            self.board.counters[Count.RETRIED] += 1
+            self._dispatch_again(run, now)
+            return
+        self.board.counters[Count.RETRY_REFUSED] += 1
+        run.refusal = "retry_budget"
+        run.retry_after_s = self.board.budget.retry_after_s(now) or 1
+        self.finish(run, model.RunStatus.TIMED_OUT, None, now)
+
+    def finish(
+        self,
+        run: Run,
+        status: model.RunStatus,
+        response: wire.CoapMessage | None,
+        now: float,
+    ) -> None:
+        """Tells everybody who waits how a run ended."""
+        if run.state is RunState.DONE:
+            return
+        self._release(run, None)
+        self._drop(run)
+        if response is not None:
+            self._record_latency(run, now)
+        outcome = Outcome(run.attempt, status, response, now, run.retry_after_s)
+        if run.identity:
+            self._remember(run.identity, outcome)
+        for origin in run.origins:
+            self._tell(origin, outcome, now, run.kind, run.refusal)
+
+    def _remember(self, identity: bytes, outcome: Outcome) -> None:
+        self.board.outcomes[identity] = outcome
+        if len(self.board.outcomes) > OUTCOME_CAPACITY:
+            self.board.outcomes.popitem(last=False)
+
+    def _record_latency(self, run: Run, now: float) -> None:
+        histogram = self.board.latencies.get(run.kind)
+        if histogram is None:
+            histogram = HdrHistogram(1, MAX_LATENCY_US, 2)
+            self.board.latencies[run.kind] = histogram
+        histogram.record_value(max(1, int((now - run.arrived_at) * 1e6)))
+
+    def _tell(
+        self,
+        origin: Origin,
+        outcome: Outcome,
+        now: float,
+        kind: str,
+        reason: str,
+    ) -> None:
+        if isinstance(origin, RemoteOrigin):
+            self.reply(
+                origin, outcome.status, outcome.response, outcome.retry_after_s
+            )
+            return
+        self.board.counters[_COUNT_OF[outcome.status]] += 1
+        if outcome.response is not None:
+            response = outcome.response
+            self.exchanges.answer(
+                origin,
+                lambda request, mid: wire.readdressed(response, request, mid),
+                now,
+            )
+            return
+        refusal = _REFUSAL_OF[outcome.status]
+        self.exchanges.answer(
+            origin,
+            lambda request, mid: wire.refusal(
+                request, refusal, reason, outcome.retry_after_s, mid
+            ),
+            now,
+        )
+
+    def _release(self, run: Run, service_s: float | None) -> None:
+        self.board.started.pop((run.caller, run.request.token), None)
+        if run.state is RunState.QUEUED:
+            self.board.admission.remove(run)
+        if run.holds_slot:
+            run.holds_slot = False
+            self.board.admission.leave(run.kind, service_s)
+
+    def pump(self, now: float) -> None:
+        """Gives free slots to requests that wait."""
+        while True:
+            job, late = self.board.admission.next_job(now)
+            for refused in late:
+                self._refuse_job(refused, "deadline", now)
+            if not isinstance(job, Run):
+                return
+            self._begin(job, now)
+
+    def tick(self, now: float) -> None:
+        """Ends what is past its time, and fills free slots."""
+        for run in list(self.board.runs.values()):
+            if run.state is RunState.STARTED:
+                self._check_started(run, now)
+            elif run.state is not RunState.DONE and now >= run.deadline:
+                self._on_deadline(run, now)
+        self.pump(now)
+        while self.board.outcomes:
+            identity, outcome = next(iter(self.board.outcomes.items()))
+            if now - outcome.at <= self.board.witness.lifetime_s:
+                break
+            del self.board.outcomes[identity]
+        self.board.witness.expire(now)
+
+    def _on_deadline(self, run: Run, now: float) -> None:
+        if run.state in (RunState.FENCING, RunState.ASKING):
+            self.finish(run, model.RunStatus.UNKNOWN, None, now)
+        elif run.state in (RunState.QUEUED, RunState.DELEGATED):
+            self.refuse(run, "deadline", now)
+
+    def _check_started(self, run: Run, now: float) -> None:
+        elapsed = now - run.started_at
+        if now >= run.deadline:
+            self._abandon(run, now)
+            run.refusal = "deadline"
+            self.finish(run, model.RunStatus.UNKNOWN, None, now)
+            return
+        whole = run.deadline - run.arrived_at
+        is_slow = elapsed > whole * ATTEMPT_SHARE
+        if run.repeatable and is_slow and not self._needs_its_flow(run):
+            self._abandon(run, now)
+            run.excluded.add(self._own())
+            self._retry_or_tell(run, now)
+
+    def _retry_or_tell(self, run: Run, now: float) -> None:
+        """The agent that owns the flow decides on retries."""
+        if _is_for_peer(run):
+            self.finish(run, model.RunStatus.TIMED_OUT, None, now)
+        else:
+            self.retry(run, now)
+
+    def _abandon(self, run: Run, now: float) -> None:
+        """Cancels a run at the backend server and frees its slot."""
+        self.board.admission.ramp.failed()
+        self.board.outbox.append(
+            model.SendBackend(
+                run.caller, wire.reset_for(run.request.mid), now + SEND_LEASE_S
+            )
+        )
+        self._release(run, now - run.started_at)
+
+
+def _is_for_peer(run: Run) -> bool:
+    return isinstance(run.origins[0], RemoteOrigin)
+
+
+_COUNT_OF = {
+    model.RunStatus.ANSWERED: Count.ANSWERED,
+    model.RunStatus.NO_SLOT: Count.BUSY,
+    model.RunStatus.NOT_RUN: Count.NOT_RUN,
+    model.RunStatus.UNKNOWN: Count.UNKNOWN,
+    model.RunStatus.TIMED_OUT: Count.UNKNOWN,
+}
+
+_REFUSAL_OF = {
+    model.RunStatus.NO_SLOT: wire.Refusal.BUSY,
+    model.RunStatus.NOT_RUN: wire.Refusal.NOT_RUN,
+    model.RunStatus.UNKNOWN: wire.Refusal.UNKNOWN,
+    model.RunStatus.TIMED_OUT: wire.Refusal.UNKNOWN,
+}
--- /dev/null
+++ b/notchhoist/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon ``notchhoistd``: settings, sockets, tasks, dump, logs."""
--- /dev/null
+++ b/notchhoist/daemon/sockets.py
@@ -0,0 +1,165 @@
+"""UDP sockets that are read in batches and never raise out of a task."""
+
+import socket
+from collections.abc import Callable
+
+import anyio
+import attrs
+import xxhash
+
+from notchhoist import model
+
+BATCH = 64
+RECEIVE_BYTES = 65_535
+BUFFER_BYTES = 1 << 20
+MIN_PORT = 1024
+PORT_SPAN = 60_000
+LOOPBACK_PREFIX = "127."
+DERIVED_ATTEMPTS = 4
+
+OnDatagram = Callable[[bytes, model.Endpoint], None]
+
+
+@attrs.define(eq=False)
+class UdpPort:
+    """A bound UDP socket.
+
+    Attributes:
+        sock: The socket, not blocking.
+        closed: It has been closed.
+    """
+
+    sock: socket.socket
+    closed: bool = False
+
+    @property
+    def endpoint(self) -> model.Endpoint:
+        """The local endpoint."""
+        host, port = self.sock.getsockname()[:2]
+        return model.Endpoint(host, port)
+
+    def send(self, datagram: bytes, to: model.Endpoint | None = None) -> None:
+        """Sends a datagram; what the kernel refuses is lost, as on a wire."""
+        try:
+            if to is None:
+                self.sock.send(datagram)
+            else:
+                self.sock.sendto(datagram, (to.host, to.port))
+        except OSError:
+            return
+
+    def receive(self) -> list[tuple[bytes, model.Endpoint]]:
+        """Returns what is there now, at most a batch."""
+        received: list[tuple[bytes, model.Endpoint]] = []
+        while len(received) < BATCH:
+            try:
+                data, address = self.sock.recvfrom(RECEIVE_BYTES)
+            except ConnectionError:
+                continue
+            except OSError:
+                break
+            received.append((data, model.Endpoint(address[0], address[1])))
+        return received
+
+    def discard(self) -> int:
+        """Throws away everything that waits; returns how many."""
+        count = 0
+        while batch := self.receive():
+            count += len(batch)
+        return count
+
+    async def run(self, on_datagram: OnDatagram) -> None:
+        """Hands over datagrams until the port is closed."""
+        while not self.closed:
+            try:
+                await anyio.wait_readable(self.sock)
+            except (anyio.ClosedResourceError, OSError, ValueError):
+                return
+            for data, sender in self.receive():
+                on_datagram(data, sender)
+            await anyio.lowlevel.checkpoint()
+
+    def close(self) -> None:
+        """Closes the socket; ``run`` returns."""
+        if self.closed:
+            return
+        self.closed = True
+        anyio.notify_closing(self.sock)
+        self.sock.close()
+
+
+def open_udp(
+    local: model.Endpoint, peer: model.Endpoint | None = None
+) -> UdpPort:
+    """Opens a UDP port.
+
+    Args:
+        local: Where to bind; port 0 lets the kernel choose.
+        peer: Endpoint to connect to, or None.
+
+    Returns:
+        The port.
+
+    Raises:
+        OSError: The address cannot be bound.
+    """
+    family = socket.AF_INET6 if ":" in local.host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_DGRAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+        sock.bind((local.host, local.port))
+        if peer is not None:
+            sock.connect((peer.host, peer.port))
+    except OSError:
+        sock.close()
+        raise
+    return UdpPort(sock)
+
+
+def derived_endpoint(
+    agent: str, caller: model.Endpoint, attempt: int
+) -> model.Endpoint:
+    """Returns the loopback endpoint that a flow is bound to.
+
+    It follows from the agent and the caller alone, so a restarted agent binds
+    the same one and the backend server sees the same flow.
+
+    Examples:
+        >>> caller = model.Endpoint("10.1.1.1", 4000)
+        >>> derived_endpoint("a", caller, 0) == derived_endpoint("a", caller, 0)
+        True
+
+    Args:
+        agent: Name of the agent's host.
+        caller: Endpoint of the caller.
+        attempt: Counts further choices where one is taken.
+
+    Returns:
+        An endpoint in 127.0.0.0/8.
+    """
+    text = f"{agent}|{caller}|{attempt}".encode()
+    digest = xxhash.xxh3_64_intdigest(text)
+    octets = [(digest >> shift) & 0xFF for shift in (0, 8, 16)]
+    last = 1 + octets[2] % 254
+    host = f"{LOOPBACK_PREFIX}{octets[0]}.{octets[1]}.{last}"
+    return model.Endpoint(host, MIN_PORT + (digest >> 24) % PORT_SPAN)
+
+
+def open_flow(
+    agent: str, caller: model.Endpoint, backend: model.Endpoint
+) -> UdpPort:
+    """Opens the socket of a flow towards the backend server.
+
+    Beside a backend server on loopback the endpoint is derived, elsewhere
+    the kernel chooses it.
+    """
+    if not backend.host.startswith(LOOPBACK_PREFIX):
+        any_address = "::" if ":" in backend.host else "0.0.0.0"
+        return open_udp(model.Endpoint(any_address, 0), backend)
+    for attempt in range(DERIVED_ATTEMPTS):
+        try:
+            return open_udp(derived_endpoint(agent, caller, attempt), backend)
+        except OSError:
+            continue
+    return open_udp(model.Endpoint("127.0.0.1", 0), backend)
--- /dev/null
+++ b/notchhoist/documents/__init__.py
@@ -0,0 +1,23 @@
+"""Published configuration and settings: reading, checking, writing."""
+
+from notchhoist.documents.configuration import (
+    parse_balancers,
+    parse_configuration,
+    parse_service,
+    write_balancers,
+    write_configuration,
+    write_service,
+)
+from notchhoist.documents.structuring import read_json, structure, unstructure
+
+__all__ = [
+    "parse_balancers",
+    "parse_configuration",
+    "parse_service",
+    "read_json",
+    "structure",
+    "unstructure",
+    "write_balancers",
+    "write_configuration",
+    "write_service",
+]
--- /dev/null
+++ b/notchhoist/parts/__init__.py
@@ -0,0 +1,46 @@
+"""Coordination parts for others to embed: no I/O, the clock is an argument."""
+
+from notchhoist.parts.admission import Admission, Job, KindQueue, Ramp
+from notchhoist.parts.directory import Directory, Pointer
+from notchhoist.parts.placement import Candidate, most_free, two_choices
+from notchhoist.parts.rendezvous import flow_hash_key, rank_nodes
+from notchhoist.parts.retry_budget import RetryBudget
+from notchhoist.parts.revisions import Difference, RevisionStore
+from notchhoist.parts.tenure import PauseDetector, Tenure
+from notchhoist.parts.witness import (
+    WITNESSES,
+    Claim,
+    Claimant,
+    Decision,
+    Tally,
+    Witness,
+    majority_of,
+    witnesses_of,
+)
+
+__all__ = [
+    "WITNESSES",
+    "Admission",
+    "Candidate",
+    "Claim",
+    "Claimant",
+    "Decision",
+    "Difference",
+    "Directory",
+    "Job",
+    "KindQueue",
+    "PauseDetector",
+    "Pointer",
+    "Ramp",
+    "RetryBudget",
+    "RevisionStore",
+    "Tally",
+    "Tenure",
+    "Witness",
+    "flow_hash_key",
+    "majority_of",
+    "most_free",
+    "rank_nodes",
+    "two_choices",
+    "witnesses_of",
+]
--- /dev/null
+++ b/notchhoist/parts/directory.py
@@ -0,0 +1,85 @@
+"""A bounded directory of flows: pointers with a lease."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+
+import attrs
+
+from notchhoist import model
+
+
+@attrs.define
+class Pointer:
+    """Where a flow lives, and when that was last heard.
+
+    Attributes:
+        owner: Agent that owns the flow.
+        heard_at: Runtime clock, seconds.
+        pinned: The flow has a stream or an upload there.
+    """
+
+    owner: model.Endpoint
+    heard_at: float
+    pinned: bool = False
+
+
+@attrs.define
+class Directory:
+    """Maps callers to the agents that own their flows.
+
+    Examples:
+        >>> directory = Directory(lease_s=10.0, capacity=100)
+        >>> caller, agent = model.Endpoint("c", 1), model.Endpoint("a", 2)
+        >>> directory.point(caller, agent, now=0.0)
+        >>> directory.find(caller, now=5.0).owner == agent
+        True
+        >>> directory.find(caller, now=11.0) is None
+        True
+
+    Attributes:
+        lease_s: Time after which a pointer that nobody renews is void.
+        capacity: Most pointers kept; the oldest goes first.
+        pointers: The pointers, oldest first.
+    """
+
+    lease_s: float
+    capacity: int
+    pointers: OrderedDict[model.Endpoint, Pointer] = attrs.Factory(OrderedDict)
+
+    def point(
+        self,
+        caller: model.Endpoint,
+        owner: model.Endpoint,
+        now: float,
+        pinned: bool = False,
+    ) -> None:
+        """Sets or renews the pointer of a caller."""
+        self.pointers[caller] = Pointer(owner, now, pinned)
+        self.pointers.move_to_end(caller)
+        if len(self.pointers) > self.capacity:
+            self.pointers.popitem(last=False)
+
+    def find(self, caller: model.Endpoint, now: float) -> Pointer | None:
+        """Returns the pointer of a caller, if its lease still runs."""
+        pointer = self.pointers.get(caller)
+        if pointer is None or now - pointer.heard_at > self.lease_s:
+            return None
+        return pointer
+
+    def forget(self, caller: model.Endpoint) -> None:
+        """Drops the pointer of a caller, if there is one."""
+        self.pointers.pop(caller, None)
+
+    def owned_by(self, owner: model.Endpoint) -> Iterator[model.Endpoint]:
+        """Yields the callers whose flows an agent owns."""
+        for caller, pointer in self.pointers.items():
+            if pointer.owner == owner:
+                yield caller
+
+    def expire(self, now: float) -> None:
+        """Drops the pointers whose lease is over."""
+        while self.pointers:
+            caller, pointer = next(iter(self.pointers.items()))
+            if now - pointer.heard_at <= self.lease_s:
+                return
+            del self.pointers[caller]
--- /dev/null
+++ b/notchhoist/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, fakes, and history checking."""
--- /dev/null
+++ b/notchhoist/testing/backend.py
@@ -0,0 +1,321 @@
+"""Stand-in of a backend server: a sans-I/O CoAP server with slots.
+
+It works on as many requests as it has slots and sheds the rest, starts cold,
+drains, takes cancellation (a reset of the request) and deadlines, streams to
+observers and takes uploads in blocks. Its load endpoint may lag or lie.
+"""
+
+import heapq
+import itertools
+from collections import OrderedDict
+
+import attrs
+from aiocoap import Message
+from aiocoap.numbers.codes import Code
+from aiocoap.numbers.types import Type
+
+from notchhoist import model, wire
+from notchhoist.testing.history import History, Started
+
+DEDUPLICATION = 4096
+NOTIFY_S = 0.5
+COLD_FACTOR = 4.0
+QUICK_S = 0.8
+ONCE_METHOD = "POST"
+
+
+@attrs.frozen
+class BackendProfile:
+    """How a backend server behaves.
+
+    Attributes:
+        service: Its service.
+        name: Its name.
+        slots: Requests that it works on at the same time.
+        service_s: Time that a request takes, seconds.
+        cold_s: It is slower for this time after its start, seconds.
+        shed_every: It sheds each n-th request although it has a slot; 0 for
+            none.
+    """
+
+    service: str
+    name: str
+    slots: int
+    service_s: float = 0.05
+    cold_s: float = 0.0
+    shed_every: int = 0
+
+
+@attrs.define
+class Work:
+    """A request that is being worked on."""
+
+    number: int
+    source: model.Endpoint
+    request: wire.CoapMessage
+    deadline: float | None
+    acknowledged: bool
+    cancelled: bool = False
+
+
+@attrs.define
+class Observer:
+    """A caller of a stream.
+
+    Attributes:
+        source: Where notifications go.
+        request: The registration.
+        count: Notifications so far.
+        next_at: Runtime clock of the next notification, seconds.
+    """
+
+    source: model.Endpoint
+    request: wire.CoapMessage
+    count: int
+    next_at: float
+
+
+@attrs.frozen
+class Reply:
+    """A datagram that the server sends."""
+
+    to: model.Endpoint
+    datagram: bytes
+
+
+@attrs.define
+class BackendModel:
+    """A backend server.
+
+    Attributes:
+        profile: How it behaves.
+        started_at: Runtime clock at its start, seconds.
+        history: Where starts are recorded.
+        draining: It refuses new work.
+        slow_factor: Times that everything takes longer.
+        in_progress: Requests worked on, by source and message ID.
+        peak: Most requests worked on at the same time.
+    """
+
+    profile: BackendProfile
+    started_at: float
+    history: History
+    draining: bool = False
+    slow_factor: float = 1.0
+    in_progress: dict[tuple[model.Endpoint, int], Work] = attrs.Factory(dict)
+    peak: int = 0
+    finished: int = 0
+    seen: int = 0
+    answers: OrderedDict[tuple[model.Endpoint, int], bytes] = attrs.Factory(
+        OrderedDict
+    )
+    observers: dict[tuple[model.Endpoint, bytes], Observer] = attrs.Factory(
+        dict
+    )
+    uploads: dict[tuple[model.Endpoint, str], list[bytes]] = attrs.Factory(dict)
+    due: list[tuple[float, int, Work]] = attrs.Factory(list)
+    numbers: "itertools.count[int]" = attrs.Factory(lambda: itertools.count(1))
+
+    def receive(
+        self, datagram: bytes, source: model.Endpoint, now: float
+    ) -> list[Reply]:
+        """Takes a datagram."""
+        try:
+            message = wire.decode_coap(datagram)
+        except model.CodecError:
+            return []
+        key = (source, message.mid)
+        if message.is_empty:
+            self._on_empty(message, key)
+            return []
+        if not message.is_request:
+            return []
+        if key in self.answers:
+            return [Reply(source, self.answers[key])]
+        if key in self.in_progress:
+            return []
+        return self._on_request(message, source, now)
+
+    def _on_empty(
+        self, message: wire.CoapMessage, key: tuple[model.Endpoint, int]
+    ) -> None:
+        if not message.is_reset:
+            return
+        work = self.in_progress.pop(key, None)
+        if work is not None:
+            work.cancelled = True
+        for name in list(self.observers):
+            if name[0] == key[0] and work is None:
+                del self.observers[name]
+
+    def _on_request(
+        self, request: wire.CoapMessage, source: model.Endpoint, now: float
+    ) -> list[Reply]:
+        self.seen += 1
+        if not self._is_own(request):
+            self.history.misdirected.append(name_of(request))
+        continues = wire.is_block_continuation(request)
+        if self.draining and not continues and request.observe != 1:
+            return [self._refusal(request, source, b"draining")]
+        if self._sheds():
+            return [self._refusal(request, source, b"shed")]
+        self._record_start(request, now)
+        return self._start(request, source, now)
+
+    def _is_own(self, request: wire.CoapMessage) -> bool:
+        return len(request.path) > 1 and request.path[1] == self.profile.service
+
+    def _sheds(self) -> bool:
+        every = self.profile.shed_every
+        if every and self.seen % every == 0:
+            return True
+        return len(self.in_progress) >= self.profile.slots
+
+    def _refusal(
+        self, request: wire.CoapMessage, source: model.Endpoint, why: bytes
+    ) -> Reply:
+        answer = Message(code=Code.SERVICE_UNAVAILABLE, payload=why)
+        answer.opt.max_age = 1
+        return self._answer(request, source, answer)
+
+    def _record_start(self, request: wire.CoapMessage, now: float) -> None:
+        self.history.started.append(
+            Started(
+                at=now,
+                service=self.profile.service,
+                server=self.profile.name,
+                request=name_of(request),
+                once=request.method == ONCE_METHOD,
+            )
+        )
+
+    def _start(
+        self, request: wire.CoapMessage, source: model.Endpoint, now: float
+    ) -> list[Reply]:
+        takes = self._time_of(now)
+        left = wire.deadline_of(request)
+        work = Work(
+            number=next(self.numbers),
+            source=source,
+            request=request,
+            deadline=None if left is None else now + left,
+            acknowledged=takes > QUICK_S,
+        )
+        self.in_progress[source, request.mid] = work
+        self.peak = max(self.peak, len(self.in_progress))
+        heapq.heappush(self.due, (now + takes, work.number, work))
+        if work.acknowledged and request.is_confirmable:
+            return [Reply(source, wire.empty_ack(request.mid))]
+        return []
+
+    def _time_of(self, now: float) -> float:
+        cold = now - self.started_at < self.profile.cold_s
+        factor = COLD_FACTOR if cold else 1.0
+        return self.profile.service_s * factor * self.slow_factor
+
+    def next_due(self) -> float | None:
+        """Returns when ``tick`` has something to do, or None."""
+        times = [item.next_at for item in self.observers.values()]
+        if self.due:
+            times.append(self.due[0][0])
+        return min(times, default=None)
+
+    def tick(self, now: float) -> list[Reply]:
+        """Finishes what is due and sends notifications."""
+        replies = []
+        while self.due and self.due[0][0] <= now:
+            work = heapq.heappop(self.due)[2]
+            replies.extend(self._finish(work, now))
+        for observer in self.observers.values():
+            if observer.next_at <= now:
+                replies.append(self._notify(observer, now))
+        return replies
+
+    def _finish(self, work: Work, now: float) -> list[Reply]:
+        if work.cancelled:
+            return []
+        self.in_progress.pop((work.source, work.request.mid), None)
+        if work.deadline is not None and now > work.deadline:
+            return []
+        self.finished += 1
+        answer = self._result(work, now)
+        if work.acknowledged:
+            return [self._separate(work.request, work.source, answer)]
+        return [self._answer(work.request, work.source, answer)]
+
+    def _result(self, work: Work, now: float) -> Message:
+        request = work.request
+        if request.block1 is not None:
+            return self._take_block(work)
+        if wire.is_observe_registration(request):
+            return self._open_stream(work, now)
+        if request.observe == 1:
+            self.observers.pop((work.source, request.token), None)
+        code = Code.CONTENT if request.method == "GET" else Code.CHANGED
+        return Message(code=code, payload=self._payload(request))
+
+    def _payload(self, request: wire.CoapMessage) -> bytes:
+        return f"{self.profile.name}|{name_of(request)}".encode()
+
+    def _take_block(self, work: Work) -> Message:
+        request = work.request
+        number, more = request.block1 or (0, False)
+        key = (work.source, "/".join(request.path))
+        if number == 0:
+            self.uploads[key] = []
+        blocks = self.uploads.get(key)
+        if blocks is None or len(blocks) != number:
+            return Message(code=Code.REQUEST_ENTITY_INCOMPLETE)
+        blocks.append(request.payload)
+        code = Code.CONTINUE
+        payload = b""
+        if more:
+            answer = Message(code=code, payload=payload)
+        else:
+            del self.uploads[key]
+            size = sum(len(block) for block in blocks)
+            text = self._payload(request) + f"|{size}".encode()
+            answer = Message(code=Code.CHANGED, payload=text)
+        answer.opt.block1 = request.raw.opt.block1
+        return answer
+
+    def _open_stream(self, work: Work, now: float) -> Message:
+        key = (work.source, work.request.token)
+        self.observers[key] = Observer(
+            work.source, work.request, 1, now + NOTIFY_S
+        )
+        answer = Message(
+            code=Code.CONTENT, payload=self._payload(work.request) + b"|1"
+        )
+        answer.opt.observe = 1
+        return answer
+
+    def _notify(self, observer: Observer, now: float) -> Reply:
+        observer.count += 1
+        observer.next_at = now + NOTIFY_S
+        text = self._payload(observer.request) + b"|%d" % observer.count
+        answer = Message(code=Code.CONTENT, payload=text)
+        answer.opt.observe = observer.count
+        return self._separate(observer.request, observer.source, answer)
+
+    def _separate(
+        self, request: wire.CoapMessage, source: model.Endpoint, answer: Message
+    ) -> Reply:
+        answer.mtype = Type.NON
+        answer.mid = (next(self.numbers) * 7919) & 0xFFFF
+        answer.token = request.token
+        return Reply(source, answer.encode())
+
+    def _answer(
+        self, request: wire.CoapMessage, source: model.Endpoint, answer: Message
+    ) -> Reply:
+        data = wire.readdressed(wire.CoapMessage(answer), request)
+        self.answers[source, request.mid] = data
+        if len(self.answers) > DEDUPLICATION:
+            self.answers.popitem(last=False)
+        return Reply(source, data)
+
+
+def name_of(request: wire.CoapMessage) -> str:
+    """Returns the name that a request carries: its path's last segment."""
+    return request.path[-1] if request.path else ""
--- /dev/null
+++ b/notchhoist/testing/main_job.py
@@ -0,0 +1,271 @@
+"""The main job: both deployments of the brief, in small, as real processes.
+
+``python -m notchhoist.testing.main_job`` brings up the platform, fabric,
+backend servers, agents and balancers on loopback, lets callers book, read,
+upload and follow streams with every packet sprayed, prints what came of it,
+and ends with status 0 only when every check held.
+"""
+
+import collections
+import sys
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+from typing import TypeVar
+
+import anyio
+import attrs
+import orjson
+from hdrh.histogram import HdrHistogram
+
+from notchhoist import documents
+from notchhoist.testing.caller import Mode, Task
+from notchhoist.testing.deployment import (
+    ARCHIVE_INTAKE,
+    FEED_HUB,
+    HALLBOOK,
+    SCOREDROP,
+    ServicePlan,
+)
+from notchhoist.testing.history import History, Result, Violation
+from notchhoist.testing.launcher import Deployment
+from notchhoist.testing.stand_in import BackendReport
+
+READY_LIMIT_S = 60.0
+POLL_S = 0.2
+SETTLE_S = 0.5
+CALLER_LIMIT_S = 60.0
+MAX_LATENCY_US = 120_000_000
+PERCENTILES = (50.0, 90.0, 99.0)
+
+
+def small(plan: ServicePlan, servers: int) -> ServicePlan:
+    """Returns a plan with fewer backend servers."""
+    return attrs.evolve(plan, slots=plan.slots[:servers])
+
+
+def booking_tasks(caller: int) -> list[Task]:
+    """Returns the tasks of a conductor: bookings and roster feeds."""
+    tasks = []
+    for turn in range(5):
+        name = f"h{caller:02}{turn}"
+        tasks.append(Task("booking", "POST", "hallbook", f"b{name}"))
+        tasks.append(Task("roster", "GET", "hallbook", f"r{name}"))
+    return tasks
+
+
+def upload_tasks(caller: int) -> list[Task]:
+    """Returns the tasks of a band librarian: score uploads."""
+    return [
+        Task(
+            "upload",
+            "PUT",
+            "scoredrop",
+            f"u{caller:02}{turn}",
+            Mode.UPLOAD,
+            size=4000,
+        )
+        for turn in range(2)
+    ]
+
+
+def feed_tasks(caller: int) -> list[Task]:
+    """Returns the tasks of a field unit: a stream, or check-ins."""
+    if caller % 2:
+        name = f"f{caller:02}"
+        return [Task("feed", "GET", "feed-hub", name, Mode.STREAM, size=12)]
+    return [
+        Task("checkin", "POST", "feed-hub", f"c{caller:02}{turn}", tagged=True)
+        for turn in range(8)
+    ]
+
+
+def bundle_tasks(caller: int) -> list[Task]:
+    """Returns the tasks of a field unit that brings its bundle."""
+    return [
+        Task(
+            "bundle",
+            "PUT",
+            "archive-intake",
+            f"a{caller:02}",
+            Mode.UPLOAD,
+            size=6000,
+        )
+    ]
+
+
+TASKS = {
+    "hallbook": (booking_tasks, 24),
+    "scoredrop": (upload_tasks, 12),
+    "feed-hub": (feed_tasks, 20),
+    "archive-intake": (bundle_tasks, 10),
+}
+
+
+def main() -> int:
+    """Runs the job; returns the exit status."""
+    with tempfile.TemporaryDirectory(prefix="notchhoist-") as folder:
+        deployments = [
+            Deployment(
+                Path(folder, "one"),
+                1,
+                (small(HALLBOOK, 3), small(SCOREDROP, 2)),
+            ),
+            Deployment(
+                Path(folder, "two"),
+                2,
+                (small(FEED_HUB, 3), small(ARCHIVE_INTAKE, 2)),
+            ),
+        ]
+        try:
+            problems = anyio.run(run, deployments)
+        finally:
+            for deployment in deployments:
+                deployment.stop()
+        problems += report(deployments)
+    for problem in problems:
+        print("FAILED", problem)
+    print("main job:", "failed" if problems else "every check held")
+    return 1 if problems else 0
+
+
+async def run(deployments: Sequence[Deployment]) -> list[str]:
+    """Brings the deployments up and lets the callers do their tasks."""
+    for deployment in deployments:
+        deployment.start()
+    lagging = await wait_ready(deployments)
+    if lagging:
+        return [f"no configuration in force at {', '.join(lagging)}"]
+    for deployment in deployments:
+        start_callers(deployment)
+    problems = []
+    for deployment in deployments:
+        for plan in deployment.plans:
+            name = f"callers-{plan.name}"
+            if deployment.wait(name, CALLER_LIMIT_S + 10.0):
+                problems.append(f"{name}: bad exit status")
+    return problems
+
+
+async def wait_ready(deployments: Sequence[Deployment]) -> list[str]:
+    """Waits until every daemon is ready and witnesses no longer abstain.
+
+    Args:
+        deployments: What has been started.
+
+    Returns:
+        The hosts that were not ready in time.
+    """
+    until = anyio.current_time() + READY_LIMIT_S
+    while True:
+        lagging = [host for item in deployments for host in item.lagging()]
+        if not lagging:
+            memory_s = max(item.memory_s for item in deployments)
+            await anyio.sleep(memory_s + SETTLE_S)
+            return []
+        if anyio.current_time() > until:
+            return lagging
+        await anyio.sleep(POLL_S)
+
+
+def start_callers(deployment: Deployment) -> None:
+    """Starts the callers of every service."""
+    for plan in deployment.plans:
+        make_tasks, count = TASKS[plan.name]
+        callers = [make_tasks(number) for number in range(count)]
+        deployment.start_callers(plan.name, callers, CALLER_LIMIT_S)
+
+
+def report(deployments: Sequence[Deployment]) -> list[str]:
+    """Prints the figures of every service; returns what did not hold."""
+    problems = []
+    for deployment in deployments:
+        for plan in deployment.plans:
+            problems += report_service(deployment, plan)
+    return problems
+
+
+def report_service(deployment: Deployment, plan: ServicePlan) -> list[str]:
+    """Prints the figures of one service; returns what did not hold."""
+    path = deployment.report_of(f"callers-{plan.name}")
+    if not path.exists():
+        return [f"{plan.name}: no report of its callers"]
+    history = load(path, History)
+    servers = [
+        load(deployment.report_of(f"{plan.name}-{place + 1}"), BackendReport)
+        for place in range(len(plan.slots))
+    ]
+    for server in servers:
+        history.started.extend(server.history.started)
+        history.misdirected.extend(server.history.misdirected)
+    print_service(plan, history, servers)
+    return problems_of(plan, history, servers)
+
+
+T = TypeVar("T")
+
+
+def load(path: Path, wanted: type[T]) -> T:
+    """Reads a report."""
+    return documents.structure(orjson.loads(path.read_bytes()), wanted).unwrap()
+
+
+def imbalance(servers: Sequence[BackendReport]) -> float:
+    """Returns max over mean of slot occupancy."""
+    taken = [server.busy_s / server.slots for server in servers]
+    mean = sum(taken) / len(taken)
+    return max(taken) / mean if mean else 1.0
+
+
+def print_service(
+    plan: ServicePlan, history: History, servers: Sequence[BackendReport]
+) -> None:
+    """Prints the figures of one service."""
+    results = collections.Counter(item.result.value for item in history.told)
+    histogram = HdrHistogram(1, MAX_LATENCY_US, 2)
+    for item in history.told:
+        histogram.record_value(max(1, int(item.latency_s * 1e6)))
+    latencies = " ".join(
+        f"p{percentile:g} "
+        f"{histogram.get_value_at_percentile(percentile) / 1000:.0f} ms"
+        for percentile in PERCENTILES
+    )
+    print(f"{plan.name}: {len(history.told)} requests, {dict(results)}")
+    print(f"  own answers {count_own(history)}, broken {dict(history.broken)}")
+    print(f"  imbalance {imbalance(servers):.2f} (max over mean)")
+    print(f"  latency {latencies}")
+
+
+def count_own(history: History) -> int:
+    """Returns how many answers were the answer to their own request."""
+    return sum(
+        item.result is Result.ANSWERED and item.request in item.payload
+        for item in history.told
+    )
+
+
+def problems_of(
+    plan: ServicePlan, history: History, servers: Sequence[BackendReport]
+) -> list[str]:
+    """Returns what did not hold for one service."""
+    violations: list[Violation] = history.check()
+    problems = [f"{plan.name}: {item}" for item in violations]
+    problems += [
+        f"{plan.name}: {count} flows broken by {cause}"
+        for cause, count in history.broken.items()
+    ]
+    problems += [
+        f"{plan.name}: {item.request} got {item.result} {item.payload}"
+        for item in history.told
+        if item.result is not Result.ANSWERED
+    ]
+    problems += [
+        f"{server.name}: {server.peak} of {server.slots} slots taken"
+        for server in servers
+        if server.peak > server.slots
+    ]
+    return problems
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/notchhoist/wire/__init__.py
@@ -0,0 +1,37 @@
+"""Codecs: Thrift between our own processes, CoAP towards callers."""
+
+from notchhoist.wire.coap import (
+    MAX_DATAGRAM_BYTES,
+    CoapMessage,
+    Refusal,
+    deadline_of,
+    decode_coap,
+    empty_ack,
+    encode_coap,
+    is_block_continuation,
+    is_observe_registration,
+    readdressed,
+    refusal,
+    reset_for,
+    with_deadline,
+)
+from notchhoist.wire.peer import Envelope, decode_peer, encode_peer
+
+__all__ = [
+    "MAX_DATAGRAM_BYTES",
+    "CoapMessage",
+    "Envelope",
+    "Refusal",
+    "deadline_of",
+    "decode_coap",
+    "decode_peer",
+    "empty_ack",
+    "encode_coap",
+    "encode_peer",
+    "is_block_continuation",
+    "is_observe_registration",
+    "readdressed",
+    "refusal",
+    "reset_for",
+    "with_deadline",
+]
