Once-only requests: memory of restarted witnesses, no early acknowledgement

Change: a restarted witness asks the other agents for what they remember, after the lease of any vote of its earlier incarnation; it speaks on an identity once all other witnesses of it have told. Contradictions seal an identity. Requests are not acknowledged before their answer. Attached servers learn the former sets of agents from their peers before they claim.

Two witnesses lost within the recovery time of 1.3 s still mean "unknown" for their identities until the lifetime is over.

--- a/notchhoist/blackboards/agent.py
+++ b/notchhoist/blackboards/agent.py
@@ -49,20 +49,12 @@
     Attributes:
         request: The request.
         at: Runtime clock of its arrival, seconds.
-        acknowledged: An empty acknowledgement has been sent.
         reply: The final answer, or None before it.
-        separate_mid: Message ID of a separate response, or None.
-        resend_at: When to send the separate response again, or None.
-        resends: How often it has been sent again.
     """
 
     request: wire.CoapMessage
     at: float
-    acknowledged: bool = False
     reply: bytes | None = None
-    separate_mid: int | None = None
-    resend_at: float | None = None
-    resends: int = 0
 
 
 @attrs.define
@@ -283,8 +275,6 @@
         asks: Flows whose owner is being asked for.
         peers: The other agents of the service.
         balancers_seen: Runtime clock of the last word from each balancer.
-        exchanges: Exchanges without a final answer, or whose separate
-            response is not acknowledged, by caller and message ID.
         runs: Runs under way by number.
         by_identity: Run under way for each identity.
         started: Run at the backend server for each caller and token.
@@ -307,6 +297,9 @@
         next_sweep_at: When to look for what has expired next.
         next_number: Last number drawn for a run.
         recovered: The peers have been asked for flows owned before.
+        sets_known: Enough peers have told which sets of agents still count.
+        told_sets: Peers that have told.
+        next_records_at: When to ask for the peers' memories next.
         outbox: Effects that the current event has brought about.
     """
 
@@ -325,7 +318,6 @@
     asks: dict[model.Endpoint, PendingAsk] = attrs.Factory(dict)
     peers: dict[model.Endpoint, PeerState] = attrs.Factory(dict)
     balancers_seen: dict[model.Endpoint, float] = attrs.Factory(dict)
-    exchanges: dict[tuple[model.Endpoint, int], Exchange] = attrs.Factory(dict)
     runs: dict[int, Run] = attrs.Factory(dict)
     by_identity: dict[bytes, Run] = attrs.Factory(dict)
     started: dict[tuple[model.Endpoint, bytes], Run] = attrs.Factory(dict)
@@ -350,6 +342,9 @@
     next_sweep_at: float = 0.0
     next_number: int = 0
     recovered: bool = False
+    sets_known: bool = False
+    told_sets: set[model.Endpoint] = attrs.Factory(set)
+    next_records_at: float = 0.0
     outbox: list[model.Effect] = attrs.Factory(list)
 
     def send(self, to: model.Endpoint, message: model.Message) -> None:
@@ -361,6 +356,12 @@
         self.next_number += 1
         return self.next_number
 
+    def known_agents(self) -> list[model.Endpoint]:
+        """Returns all other agents of the service, now and formerly."""
+        former = [agent for agents in self.sets for agent in agents]
+        everybody = dict.fromkeys([*self.other_agents(), *former])
+        return [agent for agent in everybody if agent != self.identity.peer]
+
     def other_agents(self) -> list[model.Endpoint]:
         """Returns the published agents of the service but this one."""
         if self.service is None:
@@ -391,6 +392,7 @@
             lease_s=identity.idle_s, capacity=DIRECTORY_CAPACITY
         ),
         witness=parts.Witness(
+            own=identity.peer,
             lifetime_s=model.Service("x", identity.peer).memory_s,
             started_at=now,
         ),
--- a/notchhoist/controllers/claims.py
+++ b/notchhoist/controllers/claims.py
@@ -39,7 +39,7 @@
             run=run,
             number=self.rng.getrandbits(CLAIM_BITS),
             fence=fence,
-            claim=parts.Claim(sets=self._witness_sets(run.identity)),
+            claim=parts.Claim(sets=self.witness_sets(run.identity)),
             asked_at=now,
             sent_at=now,
         )
@@ -47,12 +47,16 @@
             state.number = run.claim
         run.claim = state.number
         self.board.claims[state.number] = state
+        if not self.board.sets_known:
+            self._settle(state, False, now)
+            return
         self._ask_missing(state, now)
         self._settle_if_decided(state, now)
 
-    def _witness_sets(
+    def witness_sets(
         self, identity: bytes
     ) -> tuple[tuple[model.Endpoint, ...], ...]:
+        """Returns the witnesses of an identity in each set that counts."""
         service = self.board.service
         current = service.agents() if service else ()
         groups = [current, *self.board.sets]
@@ -114,7 +118,18 @@
         witness = self.board.witness
         decide = witness.fence if request.fence else witness.grant
         claimant = parts.Claimant(asker, request.claim)
-        return decide(request.identity, request.attempt, claimant, now)
+        others = self._other_witnesses(request.identity)
+        return decide(request.identity, request.attempt, claimant, now, others)
+
+    def _other_witnesses(self, identity: bytes) -> frozenset[model.Endpoint]:
+        own = self.board.identity.peer
+        witnesses = {
+            node
+            for group in self.witness_sets(identity)
+            if own in group
+            for node in group
+        }
+        return frozenset(witnesses - {own})
 
     def on_reply(
         self, sender: model.Endpoint, reply: model.GrantReply, now: float
--- a/notchhoist/controllers/exchanges.py
+++ b/notchhoist/controllers/exchanges.py
@@ -1,10 +1,11 @@
 """Exchanges: the message layer of CoAP between a caller and its flow.
 
 Retransmissions are recognized here, answers find their own request, and what
-belongs to a stream passes through unchanged.
+belongs to a stream passes through unchanged. A request that is slow is not
+acknowledged before its answer: the caller goes on retransmitting, so that
+another agent hears of it if this one dies.
 """
 
-import random
 from collections.abc import Callable
 
 import attrs
@@ -22,11 +23,6 @@
 )
 from notchhoist.controllers.loads import LoadKeeper
 
-ACK_AFTER_S = 1.0
-"""A request without an answer is acknowledged after this time, seconds."""
-
-RESEND_S = 2.0
-MAX_RESENDS = 4
 EXCHANGES_PER_FLOW = 64
 OTHER_KIND = model.Kind(
     name="other", method="", path="", weight=1, repeatable=False
@@ -41,14 +37,12 @@
     Attributes:
         board: Everything that the agent knows.
         loads: The load of the peers, and the balancers seen.
-        rng: Source of message IDs.
         on_run: Takes each new run.
         on_pinned: Called when a flow gets a stream or an upload.
     """
 
     board: AgentBoard
     loads: LoadKeeper
-    rng: random.Random
     on_run: Callable[[Run, float], None] = attrs.field(init=False)
     on_pinned: Callable[[Flow], None] = attrs.field(init=False)
 
@@ -82,17 +76,10 @@
         if message.is_confirmable:
             self.send_to_caller(flow, wire.reset_for(message.mid), now)
             return
-        self._acknowledged(flow, message.mid)
         if flow.streams or flow.restored:
             self._pass_to_backend(flow.caller, datagram, now)
         self.hint_owner(flow, now)
 
-    def _acknowledged(self, flow: Flow, mid: int) -> None:
-        for key, exchange in list(self.board.exchanges.items()):
-            if key[0] == flow.caller and exchange.separate_mid == mid:
-                exchange.resend_at = None
-                del self.board.exchanges[key]
-
     def _pass_to_backend(
         self, caller: model.Endpoint, datagram: bytes, now: float
     ) -> None:
@@ -112,7 +99,6 @@
         flow.exchanges[request.mid] = exchange
         if len(flow.exchanges) > EXCHANGES_PER_FLOW:
             flow.exchanges.popitem(last=False)
-        self.board.exchanges[flow.caller, request.mid] = exchange
         self._note_upload(flow, request, now)
         self.on_run(self._make_run(flow, request, datagram, now), now)
 
@@ -122,13 +108,8 @@
         self.board.counters[Count.RETRANSMISSIONS] += 1
         if exchange.reply is not None:
             self.send_to_caller(flow, exchange.reply, now)
-        elif exchange.request.is_confirmable:
-            self._acknowledge(flow, exchange, now)
-
-    def _acknowledge(self, flow: Flow, exchange: Exchange, now: float) -> None:
-        exchange.acknowledged = True
-        acknowledgement = wire.empty_ack(exchange.request.mid)
-        self.send_to_caller(flow, acknowledgement, now)
+        else:
+            self.hint_owner(flow, now)
 
     def _note_upload(
         self, flow: Flow, request: wire.CoapMessage, now: float
@@ -186,27 +167,21 @@
     def answer(
         self,
         origin: LocalOrigin,
-        render: Callable[[wire.CoapMessage, int | None], bytes],
+        render: Callable[[wire.CoapMessage], bytes],
         now: float,
     ) -> None:
         """Gives a request its final answer.
 
         Args:
             origin: Flow and message ID of the request.
-            render: Writes the answer to a request, with the message ID of a
-                separate response or None.
+            render: Writes the answer to a request.
             now: Runtime clock, seconds.
         """
         flow = self.board.flows.get(origin.caller)
         exchange = flow.exchanges.get(origin.mid) if flow else None
         if flow is None or exchange is None or exchange.reply is not None:
             return
-        if exchange.acknowledged:
-            exchange.separate_mid = self.rng.getrandbits(16)
-            exchange.resend_at = now + RESEND_S
-        else:
-            self.board.exchanges.pop((origin.caller, origin.mid), None)
-        exchange.reply = render(exchange.request, exchange.separate_mid)
+        exchange.reply = render(exchange.request)
         self.send_to_caller(flow, exchange.reply, now)
 
     def send_to_caller(self, flow: Flow, datagram: bytes, now: float) -> None:
@@ -265,38 +240,6 @@
             flow.last_seen = now
             self.send_to_caller(flow, datagram, now)
 
-    def tick(self, now: float) -> None:
-        """Acknowledges slow requests, resends unacknowledged responses."""
-        for key, exchange in list(self.board.exchanges.items()):
-            flow = self.board.flows.get(key[0])
-            if flow is None:
-                del self.board.exchanges[key]
-            elif exchange.reply is None:
-                self._acknowledge_if_slow(flow, exchange, now)
-            else:
-                self._resend_if_due(key, flow, exchange, now)
-
-    def _acknowledge_if_slow(
-        self, flow: Flow, exchange: Exchange, now: float
-    ) -> None:
-        is_open = exchange.request.is_confirmable and not exchange.acknowledged
-        if is_open and now - exchange.at > ACK_AFTER_S:
-            self._acknowledge(flow, exchange, now)
-
-    def _resend_if_due(
-        self,
-        key: tuple[model.Endpoint, int],
-        flow: Flow,
-        exchange: Exchange,
-        now: float,
-    ) -> None:
-        if exchange.resend_at is None or exchange.resends >= MAX_RESENDS:
-            del self.board.exchanges[key]
-        elif now >= exchange.resend_at:
-            exchange.resends += 1
-            exchange.resend_at = now + RESEND_S * 2**exchange.resends
-            self.send_to_caller(flow, exchange.reply or b"", now)
-
 
 def kind_of(
     service: model.Service | None, request: wire.CoapMessage
--- a/notchhoist/controllers/flows.py
+++ b/notchhoist/controllers/flows.py
@@ -145,12 +145,10 @@
             self._ask_peers(forward, now)
 
     def _ask_peers(self, forward: model.Forward, now: float) -> None:
-        former = [agent for agents in self.board.sets for agent in agents]
         awaited = {
             agent
-            for agent in (*self.board.other_agents(), *former)
-            if agent != self.board.identity.peer
-            and self.loads.is_alive(agent, now)
+            for agent in self.board.known_agents()
+            if self.loads.is_alive(agent, now)
         }
         if not awaited:
             self._place(forward.caller, [forward], now)
--- a/notchhoist/controllers/loads.py
+++ b/notchhoist/controllers/loads.py
@@ -70,10 +70,8 @@
             limit=board.admission.ramp.limit(),
             flows=len(board.flows),
         )
-        former = [agent for agents in board.sets for agent in agents]
-        for agent in dict.fromkeys([*board.other_agents(), *former]):
-            if agent != board.identity.peer:
-                board.send(agent, message)
+        for agent in board.known_agents():
+            board.send(agent, message)
 
     def _ping_balancers(self) -> None:
         """Keeps a few balancers known as alive, for datagrams to callers."""
--- a/notchhoist/controllers/nodes.py
+++ b/notchhoist/controllers/nodes.py
@@ -29,6 +29,7 @@
 from notchhoist.controllers.exchanges import ExchangeKeeper
 from notchhoist.controllers.flows import FlowKeeper
 from notchhoist.controllers.loads import LoadKeeper
+from notchhoist.controllers.remembering import MemoryKeeper
 from notchhoist.controllers.running import RunKeeper
 
 TICK_S = 0.05
@@ -133,6 +134,7 @@
     claims: ClaimKeeper
     runs: RunKeeper
     delegations: DelegationKeeper
+    memory: MemoryKeeper
 
     def handle(self, event: model.Event, now: float) -> list[model.Effect]:
         """Takes an event and returns what is to be done."""
@@ -198,6 +200,10 @@
         self, sender: model.Endpoint, message: model.Message, now: float
     ) -> None:
         match message:
+            case model.AskRecords():
+                self.memory.on_ask_records(sender, now)
+            case model.Records():
+                self.memory.on_records(sender, message, now)
             case model.AskOwner():
                 self.flows.on_ask_owner(sender, message, now)
             case model.TellOwner():
@@ -241,10 +247,10 @@
             self._on_pause(now)
         self.config.tick(now)
         self.loads.tick(now)
+        self.memory.tick(now)
         self.claims.tick(now)
         self.delegations.tick(now)
         self.runs.tick(now)
-        self.exchanges.tick(now)
         self.flows.tick(now)
         for agents, until in list(self.board.sets.items()):
             if now > until:
@@ -362,7 +368,7 @@
     rng = random.Random(seed)
     loads = LoadKeeper(board)
     flows = FlowKeeper(board, loads, rng)
-    exchanges = ExchangeKeeper(board, loads, rng)
+    exchanges = ExchangeKeeper(board, loads)
     claims = ClaimKeeper(board, rng)
     runs = RunKeeper(board, loads, flows, exchanges, claims)
     delegations = DelegationKeeper(board, loads, exchanges, runs)
@@ -375,6 +381,7 @@
         claims=claims,
         runs=runs,
         delegations=delegations,
+        memory=MemoryKeeper(board, claims),
     )
     _connect(node)
     return node
--- a/notchhoist/controllers/running.py
+++ b/notchhoist/controllers/running.py
@@ -280,7 +280,7 @@
         run = state.run
         if run.state is not RunState.FENCING:
             return
-        if won:
+        if won and now - state.asked_at < GRANT_LEASE_S:
             self.finish(run, model.RunStatus.NOT_RUN, None, now)
         elif self._is_other_and_alive(state.holder, now):
             self._ask_holder(run, state.holder, now)
@@ -411,15 +411,15 @@
             response = outcome.response
             self.exchanges.answer(
                 origin,
-                lambda request, mid: wire.readdressed(response, request, mid),
+                lambda request: wire.readdressed(response, request),
                 now,
             )
             return
         refusal = _REFUSAL_OF[outcome.status]
         self.exchanges.answer(
             origin,
-            lambda request, mid: wire.refusal(
-                request, refusal, reason, outcome.retry_after_s, mid
+            lambda request: wire.refusal(
+                request, refusal, reason, outcome.retry_after_s
             ),
             now,
         )
--- a/notchhoist/documents/configuration.py
+++ b/notchhoist/documents/configuration.py
@@ -29,6 +29,9 @@
 MEMORY_PER_DEADLINE = 2.0
 """Witnesses remember at least this many deadlines of a once-only kind."""
 
+MAX_DEADLINE_S = 45.0
+"""A caller retransmits this long (RFC 7252, MAX_TRANSMIT_SPAN), seconds."""
+
 METHODS = ("GET", "POST", "PUT", "DELETE", "FETCH", "PATCH", "IPATCH")
 
 
@@ -126,8 +129,9 @@
         yield _bad(f"{place}.method", " or ".join(METHODS), kind.method)
     if not 1 <= kind.weight <= MAX_WEIGHT:
         yield _bad(f"{place}.weight", f"1 to {MAX_WEIGHT}", kind.weight)
-    if not 0.0 < kind.deadline_s <= MAX_MEMORY_S:
-        yield _bad(f"{place}.deadline_s", "0 to 3600 s", kind.deadline_s)
+    if not 0.0 < kind.deadline_s <= MAX_DEADLINE_S:
+        expected = f"above 0 to {MAX_DEADLINE_S} s"
+        yield _bad(f"{place}.deadline_s", expected, kind.deadline_s)
 
 
 def _memory_problems(
--- a/notchhoist/model/__init__.py
+++ b/notchhoist/model/__init__.py
@@ -36,10 +36,12 @@
 )
 from notchhoist.model.identifiers import Endpoint, FlowKey, parse_endpoint
 from notchhoist.model.messages import (
+    AgentSet,
     Announce,
     AskFlows,
     AskOutcome,
     AskOwner,
+    AskRecords,
     ConfigAsk,
     ConfigDiff,
     Deliver,
@@ -52,6 +54,8 @@
     Message,
     Ping,
     Pong,
+    RecordEntry,
+    Records,
     RunReply,
     RunRequest,
     RunStatus,
@@ -60,10 +64,12 @@
 )
 
 __all__ = [
+    "AgentSet",
     "Announce",
     "AskFlows",
     "AskOutcome",
     "AskOwner",
+    "AskRecords",
     "BackendDatagram",
     "BackendServer",
     "BalancerHost",
@@ -98,6 +104,8 @@
     "Pong",
     "ReadConfiguration",
     "ReadHosts",
+    "RecordEntry",
+    "Records",
     "RunReply",
     "RunRequest",
     "RunStatus",
--- a/notchhoist/model/messages.py
+++ b/notchhoist/model/messages.py
@@ -164,6 +164,63 @@
     claim: int
 
 
+@attrs.frozen(slots=True)
+class AskRecords:
+    """A young witness asks a peer for what it remembers."""
+
+    service: str
+
+
+@attrs.frozen(slots=True)
+class RecordEntry:
+    """What a witness remembers of one identity.
+
+    Attributes:
+        identity: Digest that names the request.
+        age_ms: Time since the first word of it, milliseconds.
+        sealed: It may have been granted to somebody, nobody knows whom.
+        holder: Agent that holds the grant, or None.
+        claim: Number of the holder's claim; 0 without a holder.
+        granted_attempt: Attempt that the grant was given for.
+        fenced: Attempts that will never be granted.
+    """
+
+    identity: bytes
+    age_ms: int
+    sealed: bool
+    holder: Endpoint | None
+    claim: int
+    granted_attempt: bytes
+    fenced: list[bytes]
+
+
+@attrs.frozen(slots=True)
+class AgentSet:
+    """A set of agents that was in force."""
+
+    agents: list[Endpoint]
+
+
+@attrs.frozen(slots=True)
+class Records:
+    """Answers ``AskRecords``.
+
+    Attributes:
+        service: Service of both agents.
+        complete: The sender is older than a lifetime.
+        vouchers: Where it is not, the agents older than a lifetime whose
+            memory it has taken in.
+        records: What the receiver is a witness of.
+        sets: Sets of agents that still count.
+    """
+
+    service: str
+    complete: bool
+    vouchers: list[Endpoint]
+    records: list[RecordEntry]
+    sets: list[AgentSet]
+
+
 @attrs.frozen(slots=True)
 class RunRequest:
     """Asks a peer with a free slot to run a request.
@@ -307,6 +364,8 @@
     | AskFlows
     | GrantRequest
     | GrantReply
+    | AskRecords
+    | Records
     | RunRequest
     | RunReply
     | AskOutcome
--- a/notchhoist/parts/__init__.py
+++ b/notchhoist/parts/__init__.py
@@ -1,18 +1,19 @@
 """Coordination parts for others to embed: no I/O, the clock is an argument."""
 
 from notchhoist.parts.admission import Admission, Job, KindQueue, Ramp
+from notchhoist.parts.claim import Claim, Tally
 from notchhoist.parts.directory import Directory, Pointer
 from notchhoist.parts.placement import Candidate, most_free, two_choices
+from notchhoist.parts.recovery import combine, entry_of, take_in
 from notchhoist.parts.rendezvous import flow_hash_key, rank_nodes
 from notchhoist.parts.retry_budget import RetryBudget
 from notchhoist.parts.revisions import Difference, RevisionStore
 from notchhoist.parts.tenure import PauseDetector, Tenure
 from notchhoist.parts.witness import (
     WITNESSES,
-    Claim,
     Claimant,
     Decision,
-    Tally,
+    Record,
     Witness,
     majority_of,
     witnesses_of,
@@ -32,15 +33,19 @@
     "PauseDetector",
     "Pointer",
     "Ramp",
+    "Record",
     "RetryBudget",
     "RevisionStore",
     "Tally",
     "Tenure",
     "Witness",
+    "combine",
+    "entry_of",
     "flow_hash_key",
     "majority_of",
     "most_free",
     "rank_nodes",
+    "take_in",
     "two_choices",
     "witnesses_of",
 ]
--- a/notchhoist/parts/tests/test_witness.py
+++ b/notchhoist/parts/tests/test_witness.py
@@ -6,12 +6,13 @@
 
 ONE = parts.Claimant(model.Endpoint("10.0.0.1", 1), claim=1)
 TWO = parts.Claimant(model.Endpoint("10.0.0.2", 1), claim=2)
+OWN = model.Endpoint("10.0.0.3", 1)
 VERDICT = model.Verdict
 
 
 @pytest.fixture
 def witness():
-    return parts.Witness(lifetime_s=10.0, started_at=-100.0)
+    return parts.Witness(OWN, lifetime_s=10.0, started_at=-100.0)
 
 
 def test_an_identity_is_granted_once(witness):
@@ -51,7 +52,7 @@
 
 
 def test_a_young_witness_abstains():
-    witness = parts.Witness(lifetime_s=10.0, started_at=0.0)
+    witness = parts.Witness(OWN, lifetime_s=10.0, started_at=0.0)
     assert witness.grant(b"i", b"a", ONE, 5.0).verdict is VERDICT.ABSTAINED
     assert witness.fence(b"i", b"a", ONE, 5.0).verdict is VERDICT.ABSTAINED
     assert witness.grant(b"i", b"a", ONE, 10.5).verdict is VERDICT.GRANTED
--- a/notchhoist/parts/witness.py
+++ b/notchhoist/parts/witness.py
@@ -7,7 +7,6 @@
 an attempt that was called "not run" is never run.
 """
 
-import enum
 from collections import OrderedDict
 from collections.abc import Sequence
 
@@ -62,12 +61,15 @@
         holder: Claimant that holds the grant, or None.
         granted_attempt: Attempt that the grant was given for.
         fenced: Attempts that will never be granted.
+        sealed: It may have been granted to somebody, nobody knows whom; it
+            is neither granted nor fenced again.
     """
 
     at: float
     holder: Claimant | None = None
     granted_attempt: bytes = b""
     fenced: set[bytes] = attrs.Factory(set)
+    sealed: bool = False
 
 
 @attrs.frozen
@@ -82,11 +84,13 @@
 class Witness:
     """The memory of one witness, kept for a lifetime and in memory only.
 
-    A witness that has just started abstains for a lifetime: an earlier
-    incarnation may have granted what this one does not remember.
+    A witness that has just started abstains: an earlier incarnation may have
+    granted what this one does not remember. After a lifetime, or once all the
+    other witnesses of an identity have told what they remember, it speaks.
 
     Examples:
-        >>> witness = Witness(lifetime_s=60.0, started_at=-100.0)
+        >>> own = model.Endpoint("a", 3)
+        >>> witness = Witness(own, lifetime_s=60.0, started_at=-100.0)
         >>> one = Claimant(model.Endpoint("a", 1), claim=17)
         >>> two = Claimant(model.Endpoint("a", 2), claim=4)
         >>> witness.grant(b"id", b"try 1", one, now=0.0).verdict.name
@@ -97,25 +101,72 @@
         'DENIED'
 
     Attributes:
+        own: Peer endpoint of the witness's agent.
         lifetime_s: How long an identity is remembered, seconds.
         started_at: Runtime clock when the memory began, seconds.
         records: What is remembered, oldest first.
+        vouchers: Agents that have told what they remember; for each the
+            agents whose memory it has itself only been told, or None where
+            its own memory is old enough.
     """
 
+    own: model.Endpoint
     lifetime_s: float
     started_at: float
     records: OrderedDict[bytes, Record] = attrs.Factory(OrderedDict)
+    vouchers: dict[model.Endpoint, frozenset[model.Endpoint] | None] = (
+        attrs.Factory(dict)
+    )
 
-    def abstains(self, now: float) -> bool:
-        """Tells whether the memory is too young to speak from."""
+    def is_young(self, now: float) -> bool:
+        """Tells whether the memory does not span a lifetime."""
         return now - self.started_at <= self.lifetime_s
 
+    def abstains(
+        self,
+        now: float,
+        others: frozenset[model.Endpoint],
+    ) -> bool:
+        """Tells whether the memory is too young to speak from.
+
+        Args:
+            now: Runtime clock, seconds.
+            others: The other witnesses of the identity.
+        """
+        if not self.is_young(now):
+            return False
+        if not others:
+            return True
+        return not all(self._vouches(one, others) for one in others)
+
+    def firm_vouchers(self) -> list[model.Endpoint]:
+        """Returns the agents that told a memory that was old enough.
+
+        What another young witness told does not count: two that were started
+        anew would vouch for each other's emptiness.
+        """
+        return sorted(
+            one for one, told in self.vouchers.items() if told is None
+        )
+
+    def _vouches(
+        self,
+        one: model.Endpoint,
+        others: frozenset[model.Endpoint],
+    ) -> bool:
+        if one not in self.vouchers:
+            return False
+        told = self.vouchers[one]
+        needed = (others | {self.own}) - {one}
+        return told is None or needed <= told
+
     def grant(
         self,
         identity: bytes,
         attempt: bytes,
         asker: Claimant,
         now: float,
+        others: frozenset[model.Endpoint] = frozenset(),
     ) -> Decision:
         """Decides on a request to run.
 
@@ -124,14 +175,16 @@
             attempt: Digest that names one sending of it.
             asker: Claimant that wants to run it.
             now: Runtime clock, seconds.
+            others: The other witnesses of the identity; only a young
+                witness needs them.
 
         Returns:
             The decision; asking again gives the same.
         """
-        record = self._record(identity, now)
+        record = self._record(identity, now, others)
         if record is None:
             return Decision(model.Verdict.ABSTAINED)
-        if attempt in record.fenced:
+        if record.sealed or attempt in record.fenced:
             return Decision(model.Verdict.DENIED, record.holder)
         if record.holder is None:
             record.holder = asker
@@ -146,6 +199,7 @@
         attempt: bytes,
         asker: Claimant,
         now: float,
+        others: frozenset[model.Endpoint] = frozenset(),
     ) -> Decision:
         """Decides on a request that an attempt never run.
 
@@ -157,13 +211,17 @@
             attempt: Digest that names one sending of it.
             asker: Claimant that wants the fence.
             now: Runtime clock, seconds.
+            others: The other witnesses of the identity; only a young
+                witness needs them.
 
         Returns:
             The decision.
         """
-        record = self._record(identity, now)
+        record = self._record(identity, now, others)
         if record is None:
             return Decision(model.Verdict.ABSTAINED)
+        if record.sealed:
+            return Decision(model.Verdict.DENIED, record.holder)
         if record.holder is not None and record.granted_attempt == attempt:
             if record.holder != asker:
                 return Decision(model.Verdict.DENIED, record.holder)
@@ -180,75 +238,14 @@
                 return
             del self.records[identity]
 
-    def _record(self, identity: bytes, now: float) -> Record | None:
+    def _record(
+        self,
+        identity: bytes,
+        now: float,
+        others: frozenset[model.Endpoint],
+    ) -> Record | None:
         record = self.records.get(identity)
-        if record is not None:
-            return record
-        if self.abstains(now):
-            return None
-        record = Record(at=now)
-        self.records[identity] = record
+        if record is None and not self.abstains(now, others):
+            record = Record(at=now)
+            self.records[identity] = record
         return record
-
-
-class Tally(enum.Enum):
-    """How a claim stands."""
-
-    OPEN = "open"
-    WON = "won"
-    LOST = "lost"
-
-
-@attrs.define
-class Claim:
-    """Counts the votes on one grant or fence.
-
-    After a change of the set of agents a claim has to win in the old sets as
-    well as in the new one.
-
-    Examples:
-        >>> a, b, c = (model.Endpoint("w", n) for n in range(3))
-        >>> claim = Claim(sets=((a, b, c),))
-        >>> claim.vote(a, model.Verdict.GRANTED)
-        >>> claim.vote(b, model.Verdict.ABSTAINED)
-        >>> claim.tally().name
-        'OPEN'
-        >>> claim.vote(c, model.Verdict.GRANTED)
-        >>> claim.tally().name
-        'WON'
-
-    Attributes:
-        sets: The witnesses in each set of agents that counts.
-        votes: The verdicts so far.
-    """
-
-    sets: tuple[tuple[model.Endpoint, ...], ...]
-    votes: dict[model.Endpoint, model.Verdict] = attrs.Factory(dict)
-
-    def voters(self) -> list[model.Endpoint]:
-        """Returns every witness once, in order."""
-        return list(
-            dict.fromkeys(node for group in self.sets for node in group)
-        )
-
-    def vote(self, voter: model.Endpoint, verdict: model.Verdict) -> None:
-        """Notes a verdict; of two from one voter the first counts."""
-        if voter in self.voters():
-            self.votes.setdefault(voter, verdict)
-
-    def tally(self) -> Tally:
-        """Tells how the claim stands."""
-        tallies = [self._tally_in(group) for group in self.sets]
-        if any(item is Tally.LOST for item in tallies):
-            return Tally.LOST
-        won = bool(tallies) and all(item is Tally.WON for item in tallies)
-        return Tally.WON if won else Tally.OPEN
-
-    def _tally_in(self, group: tuple[model.Endpoint, ...]) -> Tally:
-        needed = majority_of(len(group))
-        votes = [self.votes.get(node) for node in group]
-        granted = votes.count(model.Verdict.GRANTED)
-        if granted >= needed:
-            return Tally.WON
-        open_votes = votes.count(None)
-        return Tally.OPEN if granted + open_votes >= needed else Tally.LOST
--- a/notchhoist/wire/coap.py
+++ b/notchhoist/wire/coap.py
@@ -189,24 +189,20 @@
     return _header(Code.EMPTY, Type.RST, mid).encode()
 
 
-def readdressed(
-    response: CoapMessage, request: CoapMessage, separate_mid: int | None = None
-) -> bytes:
+def readdressed(response: CoapMessage, request: CoapMessage) -> bytes:
     """Writes a response so that it answers a given request.
 
     Args:
         response: The response of a backend server to any copy.
         request: The request that the caller sent.
-        separate_mid: Message ID of a separate response, where the request
-            has been acknowledged already; otherwise None.
 
     Returns:
         The datagram for the caller.
     """
     answer = _header(
         response.code,
-        _response_type(request, separate_mid),
-        request.mid if separate_mid is None else separate_mid,
+        Type.ACK if request.is_confirmable else Type.NON,
+        request.mid,
         request.token,
         response.payload,
     )
@@ -214,18 +210,11 @@
     return answer.encode()
 
 
-def _response_type(request: CoapMessage, separate_mid: int | None) -> Type:
-    if separate_mid is not None:
-        return Type.CON
-    return Type.ACK if request.is_confirmable else Type.NON
-
-
 def refusal(
     request: CoapMessage,
     kind: Refusal,
     reason: str,
     retry_after_s: int,
-    separate_mid: int | None = None,
 ) -> bytes:
     """Writes the final answer to a request that is given up on.
 
@@ -234,7 +223,6 @@
         kind: Which kind of answer.
         reason: Short name of the cause.
         retry_after_s: When the caller may come back, seconds.
-        separate_mid: As for ``readdressed``.
 
     Returns:
         The datagram for the caller, with Max-Age.
@@ -242,7 +230,7 @@
     text = f"{kind.value}: {reason}".encode()
     answer = Message(code=_REFUSAL_CODES[kind], payload=text)
     answer.opt.max_age = retry_after_s
-    return readdressed(CoapMessage(answer), request, separate_mid)
+    return readdressed(CoapMessage(answer), request)
 
 
 def with_deadline(request: CoapMessage, remaining_s: float) -> bytes:
--- a/notchhoist/wire/peer.py
+++ b/notchhoist/wire/peer.py
@@ -19,6 +19,12 @@
 PROTOCOL_VERSION = 1
 
 _MESSAGE_TYPES = model.Message.__args__
+_PART_TYPES = (
+    model.Endpoint,
+    model.FlowRecord,
+    model.RecordEntry,
+    model.AgentSet,
+)
 _FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
     string_length_limit=16 << 20, container_length_limit=1 << 20
 )
@@ -38,8 +44,7 @@
 
 _FIELD_OF = {kind: _snake(kind.__name__) for kind in _MESSAGE_TYPES}
 _VALUE_CLASSES = {
-    kind.__name__: kind
-    for kind in (*_MESSAGE_TYPES, model.Endpoint, model.FlowRecord)
+    kind.__name__: kind for kind in (*_MESSAGE_TYPES, *_PART_TYPES)
 }
 
 
@@ -92,12 +97,16 @@
             raise ValueError(f"{type(struct).__name__}.{entry[2]} is missing")
         if entry[1] == TType.STRUCT:
             _check_required(value)
+        if entry[1] == TType.LIST and entry[3][0] == TType.STRUCT:
+            for item in value:
+                _check_required(item)
 
 
 _OPTIONAL = {
     "Envelope": frozenset(_FIELD_OF.values()),
     "TellOwner": frozenset(["owner"]),
     "GrantReply": frozenset(["holder"]),
+    "RecordEntry": frozenset(["holder"]),
 }
 
 
@@ -146,8 +155,6 @@
         _check_required(struct)
         body = _only_message(struct)
         _check_required(body)
-        for item in getattr(body, "flows", None) or []:
-            _check_required(item)
         sender = _from_struct(struct.sender)
         return Envelope(sender=sender, message=_from_struct(body))
     except Exception as error:  # The library raises many unrelated types.
--- a/notchhoist/wire/peer.thrift
+++ b/notchhoist/wire/peer.thrift
@@ -23,6 +23,16 @@
   5: i32 verdict, 6: optional Endpoint holder, 7: i64 epoch,
   8: i64 claim
 }
+struct AskRecords { 1: string service_name }
+struct RecordEntry {
+  1: binary identity, 2: i32 age_ms, 3: bool sealed, 4: optional Endpoint holder,
+  5: i64 claim, 6: binary granted_attempt, 7: list<binary> fenced
+}
+struct AgentSet { 1: list<Endpoint> agents }
+struct Records {
+  1: string service_name, 2: bool complete, 3: list<Endpoint> vouchers,
+  4: list<RecordEntry> records, 5: list<AgentSet> sets
+}
 struct RunRequest {
   1: string service_name, 2: i64 run, 3: Endpoint caller, 4: binary datagram,
   5: i32 remaining_ms, 6: bool may_queue
@@ -58,5 +68,6 @@
   20: optional AskOutcome ask_outcome, 21: optional LoadReport load_report,
   22: optional ConfigAsk config_ask, 23: optional ConfigDiff config_diff,
   24: optional Ping ping, 25: optional Pong pong,
-  26: optional LeavingHosts leaving_hosts
+  26: optional LeavingHosts leaving_hosts,
+  27: optional AskRecords ask_records, 28: optional Records records
 }
