Established flows: uploads move whole, restarted homes hear at once

Cause: under planned changes with every packet sprayed, (a) agents restarted in turn lost two streams: a restarted home heard from owners only at the next renewal, a third of the idle timeout later, and an owner restarted meanwhile found nobody who knew its flows; (b) an upload begun at a peer broke when its owner restarted, because only the owner knew which peer had the first blocks.

Ruled out: renewing pointers more often (bytes grow with every flow, all the time); writing the delegate into the pointer (one more state to keep whole); the test callers at first reused message IDs at random, which looked like (b) without any change: they count up now, as RFC 7252 4.4 asks.

Change: an agent that asks for its flows also gets the flows it is home of; an upload that finds no free slot moves its whole flow to the peer; later blocks of a delegated upload wait for that peer's restart. changes.py names the planned changes; baselines.py has plain rendezvous and a modulo table.

--- /dev/null
+++ b/benchmarks/bench_flows.py
@@ -0,0 +1,47 @@
+"""Broken flows by planned change, ours beside two naive versions.
+
+python benchmarks/bench_flows.py [SEEDS]
+"""
+
+import collections
+import sys
+
+from notchhoist.testing import baselines, changes
+
+DEFAULT_SEEDS = 3
+VERSIONS = {
+    "ours": None,
+    "plain rendezvous": baselines.plain_rendezvous,
+    "modulo table": baselines.modulo_table,
+}
+
+
+def measure(change, adapt, seeds):
+    """Returns broken flows by cause over all seeds."""
+    broken = collections.Counter()
+    for seed in range(seeds):
+        site = changes.make_site(seed, adapt)
+        change(site)
+        changes.finish(site)
+        broken.update(site.world.history.broken)
+    return broken
+
+
+def main():
+    """Prints a row for each change."""
+    seeds = int(sys.argv[1]) if len(sys.argv) > 1 else DEFAULT_SEEDS
+    total = changes.flows_of_run() * seeds
+    print(f"{total} streams and uploads each, broken in percent by cause")
+    for name, change in [
+        *changes.PLANNED.items(),
+        ("host killed", changes.Site.kill_host),
+    ]:
+        for version, adapt in VERSIONS.items():
+            broken = measure(change, adapt, seeds)
+            share = sum(broken.values()) / total
+            causes = dict(sorted(broken.items()))
+            print(f"  {name:18} {version:16} {share:6.2%} {causes}")
+
+
+if __name__ == "__main__":
+    main()
--- a/notchhoist/blackboards/agent.py
+++ b/notchhoist/blackboards/agent.py
@@ -86,6 +86,11 @@
         """Tells whether the flow has state at the backend server."""
         return bool(self.streams or self.uploads or self.restored)
 
+    def is_shared(self) -> bool:
+        """Tells whether it holds more than one stream or upload."""
+        held = len(self.streams) + len(self.uploads)
+        return self.restored or held > 1
+
 
 @attrs.frozen
 class LocalOrigin:
--- a/notchhoist/controllers/balancing.py
+++ b/notchhoist/controllers/balancing.py
@@ -42,22 +42,35 @@
         if len(event.datagram) > wire.MAX_DATAGRAM_BYTES:
             board.counters[Count.CALLER_MALFORMED] += 1
             return
-        agent = self._route(service, event.caller)
-        forward = model.Forward(
+        agent = self.route(service, event.caller)
+        self._expect_answer(agent, now)
+        board.outbox.append(model.SendPeer(agent, self.forward(event)))
+
+    def forward(self, event: model.CallerDatagram) -> model.Forward:
+        """Returns the message that carries a caller's datagram."""
+        return model.Forward(
             service=event.service,
             caller=event.caller,
             datagram=event.datagram,
-            revision=board.config.store.revision,
+            revision=self.board.config.store.revision,
             hops=0,
             placed=False,
-            balancer=board.identity.peer,
+            balancer=self.board.identity.peer,
         )
-        self._expect_answer(agent, now)
-        board.outbox.append(model.SendPeer(agent, forward))
 
-    def _route(
+    def route(
         self, service: model.Service, caller: model.Endpoint
     ) -> model.Endpoint:
+        """Returns the agent that a caller's datagram goes to.
+
+        Args:
+            service: The service that was sent to.
+            caller: The caller.
+
+        Returns:
+            The owner as last heard, or the first agent in the flow's order
+            that is not suspected.
+        """
         hint = self.board.hints.get(model.FlowKey(service.name, caller))
         if hint is not None and not self._is_suspected(hint):
             return hint
--- a/notchhoist/controllers/delegating.py
+++ b/notchhoist/controllers/delegating.py
@@ -278,11 +278,14 @@
             if delegation.run.state is RunState.DONE:
                 del self.board.delegations[number]
             elif self._is_lost(delegation, now):
-                del self.board.delegations[number]
-                self._on_lost(delegation, now)
-            elif now - delegation.sent_at > RESEND_S:
-                delegation.sent_at = now
-                self.board.send(delegation.peer, delegation.message)
+                self._on_lost(number, delegation, now)
+            else:
+                self._resend_if_due(delegation, now)
+
+    def _resend_if_due(self, delegation: Delegation, now: float) -> None:
+        if now - delegation.sent_at > RESEND_S:
+            delegation.sent_at = now
+            self.board.send(delegation.peer, delegation.message)
 
     def _is_lost(self, delegation: Delegation, now: float) -> bool:
         if not self.loads.is_alive(delegation.peer, now):
@@ -290,8 +293,14 @@
         current = self.loads.incarnation_of(delegation.peer)
         return current != delegation.incarnation
 
-    def _on_lost(self, delegation: Delegation, now: float) -> None:
+    def _on_lost(self, number: int, delegation: Delegation, now: float) -> None:
         run = delegation.run
+        if self._must_stay(run):
+            current = self.loads.incarnation_of(delegation.peer)
+            delegation.incarnation = current
+            self._resend_if_due(delegation, now)
+            return
+        del self.board.delegations[number]
         run.excluded.add(delegation.peer)
         if run.state is RunState.ASKING:
             self.runs.finish(run, model.RunStatus.UNKNOWN, None, now)
@@ -299,3 +308,9 @@
             self.runs.retry(run, now)
         else:
             self.runs.refuse(run, "peer_lost", now)
+
+    def _must_stay(self, run: Run) -> bool:
+        """Tells whether only this peer's backend server has earlier blocks."""
+        block = run.request.block1
+        waits = run.state is RunState.DELEGATED
+        return waits and block is not None and block[0] > 0
--- a/notchhoist/controllers/flows.py
+++ b/notchhoist/controllers/flows.py
@@ -25,6 +25,9 @@
 RESTART_GRACE_S = 15.0
 """A pinned flow of an agent that fell silent is kept for it, seconds."""
 
+HOMES = 2
+"""How many agents hear who owns a flow: its home and the next in order."""
+
 ANNOUNCE_BATCH = 40
 SWEEP_S = 1.0
 STREAM_IDLE_S = 300.0
@@ -250,7 +253,13 @@
         )
 
     def on_ask_flows(self, sender: model.Endpoint, now: float) -> None:
-        """Tells a restarted agent which flows it owned."""
+        """Tells a restarted agent which flows it owned and is home of."""
+        own_flows = [
+            flow
+            for flow in self.board.flows.values()
+            if sender in self._ranked(flow.caller)[:HOMES]
+        ]
+        self.announce(own_flows)
         records = [
             model.FlowRecord(caller, sender, pointer.pinned)
             for caller, pointer in self.board.directory.pointers.items()
@@ -264,7 +273,7 @@
         own = self.board.identity.peer
         for flow in flows:
             record = model.FlowRecord(flow.caller, own, flow.is_pinned())
-            for home in self._ranked(flow.caller)[:2]:
+            for home in self._ranked(flow.caller)[:HOMES]:
                 if home != own:
                     batches.setdefault(home, []).append(record)
         for home, records in batches.items():
--- a/notchhoist/controllers/running.py
+++ b/notchhoist/controllers/running.py
@@ -15,6 +15,7 @@
     AgentBoard,
     ClaimState,
     Count,
+    Flow,
     Origin,
     Outcome,
     RemoteOrigin,
@@ -110,6 +111,8 @@
         if self._needs_its_flow(run):
             self._dispatch_to_flow(run, now)
             return
+        if self._move_upload(run, now):
+            return
         takes = self.loads.takes_new_work(now)
         if self._own_agent_allowed(run) and takes and self._enter(run, now):
             return
@@ -147,6 +150,36 @@
         if flow is None or flow.is_pinned() or target == self._own():
             self.refuse(run, "server_leaving", now)
             return
+        self._move(run, flow, target, now)
+
+    def _move_upload(self, run: Run, now: float) -> bool:
+        """Begins an upload elsewhere where no slot is free here.
+
+        The whole flow moves, so that later blocks find their way without
+        this agent.
+
+        Returns:
+            False where the upload is not the only thing in its flow, or no
+            other agent has a free slot.
+        """
+        flow = self.board.flows.get(run.caller)
+        block = run.request.block1
+        if flow is None or block is None or flow.is_shared():
+            return False
+        takes = self.loads.takes_new_work(now)
+        if takes and self.board.admission.free() > 0:
+            return False
+        candidates = self.loads.request_candidates(now, run.excluded)
+        chosen = parts.most_free(candidates)
+        if chosen is None:
+            return False
+        self.loads.note_sent(chosen.agent)
+        self._move(run, flow, chosen.agent, now)
+        return True
+
+    def _move(
+        self, run: Run, flow: Flow, target: model.Endpoint, now: float
+    ) -> None:
         forward = model.Forward(
             service=self.board.identity.service,
             caller=run.caller,
--- a/notchhoist/controllers/tests/test_once.py
+++ b/notchhoist/controllers/tests/test_once.py
@@ -17,12 +17,9 @@
 
 
 def make_world(seed=1, adapt=None):
-    world = World(random.Random(seed))
+    world = World(random.Random(seed), adapt=adapt)
     build_world(world, (chaos.PLAN,), memory_s=chaos.MEMORY_S, service_s=1.0)
     chaos.trust_first_start(world)
-    for host in world.hosts.values():
-        if adapt is not None:
-            adapt(host.node)
     world.run(2.0)
     return world
 
--- a/notchhoist/testing/caller.py
+++ b/notchhoist/testing/caller.py
@@ -22,6 +22,8 @@
 MAX_RETRANSMIT = 4
 ANSWER_TIMEOUT_S = 60.0
 STREAM_SILENCE_S = 5.0
+MID_BITS = 16
+MAX_MID = 0xFFFF
 BLOCK_EXPONENT = 4
 BLOCK_BYTES = 2 ** (BLOCK_EXPONENT + 4)
 
@@ -145,7 +147,7 @@
         )
 
     def _send(self, message: Message, now: float) -> list[bytes]:
-        self.mid = self.rng.getrandbits(16)
+        self.mid = (self.mid + 1) & MAX_MID
         self.token = self.rng.getrandbits(32).to_bytes(4, "big")
         message.mtype = Type.CON
         message.mid = self.mid
@@ -227,7 +229,8 @@
         message.opt.uri_path = (task.kind, task.service, task.name)
         message.opt.observe = 1
         message.mtype = Type.NON
-        message.mid = self.rng.getrandbits(16)
+        self.mid = (self.mid + 1) & MAX_MID
+        message.mid = self.mid
         message.token = self.token
         return [*ended, message.encode()]
 
@@ -267,4 +270,5 @@
     tasks: Sequence[Task], history: History, seed: int
 ) -> CallerModel:
     """Makes a caller that works through tasks."""
-    return CallerModel(list(tasks), history, random.Random(seed))
+    rng = random.Random(seed)
+    return CallerModel(list(tasks), history, rng, mid=rng.getrandbits(MID_BITS))
--- a/notchhoist/testing/chaos.py
+++ b/notchhoist/testing/chaos.py
@@ -13,6 +13,7 @@
 from notchhoist import controllers, model
 from notchhoist.testing.caller import Task
 from notchhoist.testing.deployment import (
+    FEED_HUB,
     HALLBOOK,
     ServicePlan,
     add_server,
@@ -44,6 +45,14 @@
     ),
 )
 
+PLAN_FLOWS = attrs.evolve(
+    FEED_HUB,
+    kinds=(
+        *FEED_HUB.kinds,
+        model.Kind("bundle", "PUT", "bundle", 10, True, 8.0),
+    ),
+)
+
 Adapt = Callable[[controllers.Node], None]
 
 
@@ -55,7 +64,6 @@
         world: The fake network.
         configuration: The document as the operator last published it.
         rng: Source of the faults.
-        adapt: Changes each node at its start, as for a naive version.
         gap_s: Mean time between faults, seconds.
         added: How many servers have been attached so far.
         faults: Names of the faults so far.
@@ -64,7 +72,6 @@
     world: World
     configuration: model.Configuration
     rng: random.Random
-    adapt: Adapt | None = None
     gap_s: float = STORM_GAP_S
     added: int = 0
     faults: list[str] = attrs.Factory(list)
@@ -108,12 +115,6 @@
         host = self.world.hosts[peer]
         if host.node is None:
             self.world.start(peer)
-            self._adapt(peer)
-
-    def _adapt(self, peer: model.Endpoint) -> None:
-        node = self.world.hosts[peer].node
-        if self.adapt is not None and node is not None:
-            self.adapt(node)
 
     def kill_host(self) -> None:
         """A backend server host dies with all that runs on it."""
@@ -157,7 +158,6 @@
         self.added += 1
         server = server_of(_wide(place), 0, place)
         add_server(self.world, PLAN.name, server, IDLE_S, SERVICE_S)
-        self._adapt(server.agent)
         service = self.service()
         self.publish(attrs.evolve(service, servers=(*service.servers, server)))
 
@@ -271,16 +271,19 @@
     Returns:
         The run, before its first fault.
     """
-    world = World(random.Random(seed), loss=0.01, duplication=0.05, late_s=3.0)
+    world = World(
+        random.Random(seed),
+        loss=0.01,
+        duplication=0.05,
+        late_s=3.0,
+        adapt=adapt,
+    )
     configuration = build_world(
         world, (PLAN,), memory_s=MEMORY_S, idle_s=IDLE_S, service_s=SERVICE_S
     )
-    chaos = Chaos(
-        world, configuration, random.Random(seed + 1_000_003), adapt, gap_s
-    )
+    rng = random.Random(seed + 1_000_003)
+    chaos = Chaos(world, configuration, rng, gap_s)
     trust_first_start(world)
-    for peer in list(world.hosts):
-        chaos._adapt(peer)
     return chaos
 
 
--- a/notchhoist/testing/world.py
+++ b/notchhoist/testing/world.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from notchhoist import controllers, documents, model, parts
+from notchhoist import controllers, documents, model, parts, wire
 from notchhoist.daemon.sockets import derived_endpoint
 from notchhoist.testing.backend import BackendModel, BackendProfile, Reply
 from notchhoist.testing.caller import CallerModel, Task, make_caller
@@ -42,6 +42,7 @@
         paused: It is stopped and its sockets fill up.
         backlog: What came meanwhile.
         last_tick: Time of its last tick, seconds.
+        held: Effects that a pause came before.
         keeps_backlog: It reads after a pause what came before it, as a
             process would that does not look at its clock.
     """
@@ -71,8 +72,20 @@
         late_s: Longest extra delay of a second copy, seconds.
         now: The clock, seconds.
         messages: Messages between processes so far.
-        bytes_sent: Bytes of those, where ``count_bytes`` is set.
-        keep_stale: Hosts handle what waited in their sockets in a pause.
+        by_type: The same by type of message.
+        adapt: Changes each node at its start, as for a naive version.
+        count_bytes: Encode each message to count its bytes.
+        bytes_by_type: Bytes of messages by type, where counted.
+        hosts: The hosts by peer endpoint.
+        entries: Balancers that the fabric sprays to.
+        backends: The backend server beside each agent.
+        callers: The callers by endpoint.
+        flow_names: Agent and caller of each endpoint at a backend server.
+        wakes: When each backend server has something to do.
+        cuts: Pairs of processes that cannot reach each other.
+        platform: The platform.
+        queue: What happens, by time.
+        numbers: Order of what happens at the same time.
     """
 
     rng: random.Random
@@ -84,6 +97,9 @@
     now: float = 0.0
     messages: int = 0
     by_type: dict[str, int] = attrs.Factory(dict)
+    adapt: Callable[[controllers.Node], None] | None = None
+    count_bytes: bool = False
+    bytes_by_type: dict[str, int] = attrs.Factory(dict)
     hosts: dict[model.Endpoint, Host] = attrs.Factory(dict)
     entries: list[model.Endpoint] = attrs.Factory(list)
     backends: dict[model.Endpoint, BackendModel] = attrs.Factory(dict)
@@ -136,6 +152,8 @@
         host = self.hosts[peer]
         host.generation += 1
         host.node = host.make(self.now, self.rng.getrandbits(30))
+        if self.adapt is not None:
+            self.adapt(host.node)
         host.paused = False
         host.backlog.clear()
         host.held.clear()
@@ -231,6 +249,10 @@
         self.messages += 1
         name = type(effect.message).__name__
         self.by_type[name] = self.by_type.get(name, 0) + 1
+        if self.count_bytes:
+            envelope = wire.Envelope(host.peer, effect.message)
+            size = len(wire.encode_peer(envelope))
+            self.bytes_by_type[name] = self.bytes_by_type.get(name, 0) + size
         if self.rng.random() < self.loss:
             return
         event = model.PeerMessage(host.peer, effect.message)
