Moved and restarted flows, watchers that push what peers told them

A change at 500 nodes took 2.15 s at worst: a watcher that had heard from a peer did not push.

Ruled out: renewing everything again (it hides the faults and costs bytes with every flow); unpinning at each end of an upload (two messages an upload).

Change: only the owner that a pinned pointer names can give the flow away; the former owner keeps a pointer to the new one; own flows are never told as another's; an agent without configuration drops requests; watchers push every revision that they reach. Balancers are pinged once a second, not four times.

--- /dev/null
+++ b/benchmarks/bench_config.py
@@ -0,0 +1,92 @@
+"""Configuration: time to all, platform reads, bytes per daemon, and slopes.
+
+    python benchmarks/bench_config.py [SIZES ...]
+
+Sans-I/O nodes in the fake network at 10, 100 and 500; a line is fitted through
+the sizes and read off at the target of 4,880 nodes.
+"""
+
+import collections
+import statistics
+import sys
+
+from notchhoist import blackboards
+from notchhoist.testing.fleet import make_fleet
+
+DEFAULT_SIZES = (10, 100, 500)
+TARGET = 4880
+CHANGES = 5
+CALM_S = 20.0
+LIMIT_S = 10.0
+CHANGES_A_DAY = 2500
+DAY_S = 86_400
+
+
+def per_daemon(fleet, before, seconds):
+    """Returns bytes a second sent, averaged over all daemons."""
+    sent = collections.Counter(fleet.world.bytes_by_type)
+    sent.subtract(before)
+    return sum(sent.values()) / seconds / len(fleet.world.hosts)
+
+
+def measure(size):
+    """Prints and returns the figures of one size."""
+    fleet = make_fleet(size, seed=3)
+    world = fleet.world
+    at_start = fleet.everywhere_after(LIMIT_S)
+    world.run(5.0)
+    before = collections.Counter(world.bytes_by_type)
+    reads = world.platform.reads
+    world.run(CALM_S)
+    calm = per_daemon(fleet, before, CALM_S)
+    calm_reads = (world.platform.reads - reads) / CALM_S
+    times = []
+    before = collections.Counter(world.bytes_by_type)
+    began = world.now
+    for number in range(CHANGES):
+        fleet.publish_weight(1.0 + number)
+        times.append(fleet.everywhere_after(LIMIT_S))
+        world.run(2.0)
+    busy_s = world.now - began
+    change_bytes = (per_daemon(fleet, before, busy_s) - calm) * busy_s
+    change_bytes /= CHANGES
+    records = sum(
+        len(host.node.board.config.store.services)
+        for host in world.hosts.values()
+        if isinstance(host.node.board, blackboards.BalancerBoard)
+    )
+    print(
+        f"  {len(world.hosts):4} nodes: start {at_start:.2f} s, "
+        f"change {max(times):.2f} s at worst, "
+        f"{calm_reads:.1f} platform reads a second, "
+        f"{calm:.0f} bytes a second a daemon, "
+        f"{change_bytes:.0f} bytes a change a daemon, "
+        f"{records} records at balancers"
+    )
+    return len(world.hosts), max(times), calm_reads, calm, change_bytes
+
+
+def main():
+    """Prints every size and what the slopes imply."""
+    sizes = [int(text) for text in sys.argv[1:]] or DEFAULT_SIZES
+    rows = [measure(size) for size in sizes]
+    if len(rows) < 2:
+        return
+    names = (
+        "worst change, s",
+        "platform reads a second",
+        "bytes a second a daemon",
+        "bytes a change a daemon",
+    )
+    nodes = [row[0] for row in rows]
+    for place, name in enumerate(names, start=1):
+        values = [row[place] for row in rows]
+        slope, base = statistics.linear_regression(nodes, values)
+        print(
+            f"  {name}: slope {slope:.5f} a node, "
+            f"at {TARGET} nodes {base + slope * TARGET:.1f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/notchhoist/blackboards/agent.py
+++ b/notchhoist/blackboards/agent.py
@@ -299,6 +299,7 @@
         counters: Counts since the start.
         latencies: Time from arrival to answer by kind, microseconds.
         next_report_at: When to report the load next.
+        next_ping_at: When to ping a few balancers next.
         next_announce_at: When to announce the flows next.
         next_sweep_at: When to look for what has expired next.
         next_number: Last number drawn for a run.
@@ -343,6 +344,7 @@
     counters: Counters = attrs.Factory(Counters)
     latencies: dict[str, HdrHistogram] = attrs.Factory(dict)
     next_report_at: float = 0.0
+    next_ping_at: float = 0.0
     next_announce_at: float = 0.0
     next_sweep_at: float = 0.0
     next_number: int = 0
--- a/notchhoist/blackboards/common.py
+++ b/notchhoist/blackboards/common.py
@@ -18,6 +18,7 @@
     MISDIRECTED = "misdirected"
     UNKNOWN_SERVICE = "unknown_service"
     STALE_DROPPED = "stale_dropped"
+    NOT_READY = "not_ready"
     HOPS_EXHAUSTED = "hops_exhausted"
     FLOWS_PLACED = "flows_placed"
     FLOWS_ADOPTED = "flows_adopted"
--- a/notchhoist/controllers/configuring.py
+++ b/notchhoist/controllers/configuring.py
@@ -161,9 +161,7 @@
             self._refuse(_conflict(document))
         if not self.board.store.adopt(document):
             return
-        self._note_change(now)
-        if self.is_watcher():
-            self._push(before)
+        self._note_change(before, now)
 
     def _scoped(self, document: model.Configuration) -> model.Configuration:
         if not self.board.service:
@@ -190,13 +188,15 @@
         self.board.refused = refused
         self.counters[Count.CONFIG_REFUSED] += 1
 
-    def _note_change(self, now: float) -> None:
+    def _note_change(self, before: int, now: float) -> None:
         self.counters[Count.CONFIG_ADOPTED] += 1
         self.board.revision_at = now
         refused = self.board.refused
         if refused and refused.revision < self.board.store.revision:
             self.board.refused = None
         self.on_change(now)
+        if self.is_watcher():
+            self._push(before)
 
     def _push(self, before: int) -> None:
         store = self.board.store
@@ -257,8 +257,9 @@
         if message.revision <= self.board.store.revision:
             return
         difference = self._decoded(message)
+        before = self.board.store.revision
         if difference is not None and self.board.store.apply(difference):
-            self._note_change(now)
+            self._note_change(before, now)
 
     def _decoded(self, message: model.ConfigDiff) -> parts.Difference | None:
         services = [documents.parse_service(text) for text in message.changed]
--- a/notchhoist/controllers/flows.py
+++ b/notchhoist/controllers/flows.py
@@ -223,13 +223,11 @@
         self.board.counters[Count.FLOWS_MOVED] += 1
         del self.board.flows[flow.caller]
         self.board.outbox.append(model.FlowClosed(flow.caller))
+        self.board.directory.point(flow.caller, to, now)
         record = model.FlowRecord(flow.caller, to, pinned=False)
-        home = self.home_of(flow.caller, now)
-        if home == self.board.identity.peer:
-            self.board.directory.point(flow.caller, to, now)
-        else:
-            message = model.Announce(self.board.identity.service, [record])
-            self.board.send(home, message)
+        for home in self._ranked(flow.caller)[:HOMES]:
+            if home != self.board.identity.peer:
+                self._announce_to(home, [record])
 
     def on_announce(
         self, sender: model.Endpoint, message: model.Announce, now: float
@@ -238,15 +236,20 @@
         own = self.board.identity.peer
         for record in message.flows:
             if record.owner != own:
-                self._point(record, now)
+                self._point(sender, record, now)
             elif record.caller not in self.board.flows and record.pinned:
                 flow = self.adopt(record.caller, now)
                 flow.restored = True
 
-    def _point(self, record: model.FlowRecord, now: float) -> None:
+    def _point(
+        self, sender: model.Endpoint, record: model.FlowRecord, now: float
+    ) -> None:
+        """Sets a pointer; only its owner gives a pinned flow away."""
+        if record.caller in self.board.flows:
+            return
         old = self.board.directory.find(record.caller, now)
-        keeps = old is not None and old.pinned and not record.pinned
-        if keeps and old is not None and old.owner != record.owner:
+        is_pinned = old is not None and old.pinned and not record.pinned
+        if is_pinned and old is not None and old.owner != sender:
             return
         self.board.directory.point(
             record.caller, record.owner, now, record.pinned
@@ -256,14 +259,14 @@
         """Tells a restarted agent which flows it owned and is home of."""
         own_flows = [
             flow
-            for flow in self.board.flows.values()
+            for flow in self.pinned_flows()
             if sender in self._ranked(flow.caller)[:HOMES]
         ]
         self.announce(own_flows)
         records = [
             model.FlowRecord(caller, sender, pointer.pinned)
             for caller, pointer in self.board.directory.pointers.items()
-            if pointer.owner == sender
+            if pointer.owner == sender and caller not in self.board.flows
         ]
         self._announce_to(sender, records)
 
@@ -287,6 +290,13 @@
             batch = records[start : start + ANNOUNCE_BATCH]
             self.board.send(agent, model.Announce(service, batch))
 
+    def pinned_flows(self) -> list[Flow]:
+        """Returns the flows whose pointers have to be renewed.
+
+        Of the others nothing is lost where they are placed anew.
+        """
+        return [flow for flow in self.board.flows.values() if flow.is_pinned()]
+
     def recover(self) -> None:
         """Asks the peers, after a start, which flows this agent owned."""
         self.board.recovered = True
@@ -302,7 +312,7 @@
         if now >= self.board.next_announce_at:
             idle = self.board.identity.idle_s
             self.board.next_announce_at = now + idle / 3
-            self.announce(self.board.flows.values())
+            self.announce(self.pinned_flows())
         if now >= self.board.next_sweep_at:
             self.board.next_sweep_at = now + SWEEP_S
             self._sweep(now)
--- a/notchhoist/controllers/loads.py
+++ b/notchhoist/controllers/loads.py
@@ -13,7 +13,8 @@
 DEAD_AFTER_S = 1.0
 """A peer that is silent this long is taken for dead, seconds."""
 
-BALANCER_SEEN_S = 2.0
+PING_S = 1.0
+BALANCER_SEEN_S = 2.5
 MILLISECONDS = 1000
 BALANCER_PINGS = 3
 
@@ -54,7 +55,9 @@
             return
         self.board.next_report_at = now + REPORT_S
         self.report(now)
-        self._ping_balancers()
+        if now >= self.board.next_ping_at:
+            self.board.next_ping_at = now + PING_S
+            self._ping_balancers()
 
     def report(self, now: float) -> None:
         """Tells every other agent of the service the own load."""
--- a/notchhoist/controllers/nodes.py
+++ b/notchhoist/controllers/nodes.py
@@ -161,6 +161,9 @@
         if isinstance(message, model.ConfigDiff | model.ConfigAsk):
             self._on_config(sender, message, now)
             return
+        if self.board.service is None:
+            self.board.counters[Count.NOT_READY] += 1
+            return
         self._on_coordination(sender, message, now)
 
     def _on_config(
@@ -282,7 +285,7 @@
             self.flows.recover()
         elif changed:
             board.tenure.restart(now)
-            self.flows.announce(board.flows.values())
+            self.flows.announce(self.flows.pinned_flows())
 
     def _note_sets(self, record: model.Service, now: float) -> None:
         """Sets of agents that were in force count for a lifetime more."""
--- a/notchhoist/controllers/tests/test_flows.py
+++ b/notchhoist/controllers/tests/test_flows.py
@@ -45,6 +45,30 @@
     assert len(node.board.directory.pointers) > 0
 
 
+def test_issue_4_a_restarted_agent_gets_no_flow_that_another_owns():
+    """An owner that was also the home told an old pointer of its own flow."""
+    site = changes.make_site(seed=2)
+    site.restart_agents()
+    assert changes.finish(site)
+    assert dict(site.world.history.broken) == {}
+
+
+def test_issue_4_an_agent_without_configuration_takes_no_request():
+    """It took an upload for a request that must not be repeated."""
+    site = changes.make_site(seed=5)
+    site.restart_agents()
+    assert changes.finish(site)
+    assert dict(site.world.history.broken) == {}
+
+
+def test_issue_4_a_moved_flow_is_not_led_back_to_its_former_owner():
+    """The home kept a pinned pointer, the second block came to the old one."""
+    site = changes.make_site(seed=1)
+    site.drain()
+    assert changes.finish(site)
+    assert dict(site.world.history.broken) == {}
+
+
 def test_two_services_never_share_a_server():
     site = changes.make_site(seed=2)
     world = site.world
