--- a/benchmarks/bench_config.py
+++ b/benchmarks/bench_config.py
@@ -44,7 +44,7 @@
     before = collections.Counter(world.bytes_by_type)
     began = world.now
     for number in range(CHANGES):
-        fleet.publish_weight(1.0 + number)
+        fleet.publish_weight(2.0 + number)
         times.append(fleet.everywhere_after(LIMIT_S))
         world.run(2.0)
     busy_s = world.now - began
--- /dev/null
+++ b/benchmarks/bench_recovery.py
@@ -0,0 +1,103 @@
+"""Recovery: processes replaced one after another and all at once.
+
+    python benchmarks/bench_recovery.py
+
+Bookings go on all the time; for each case the time until nothing is refused
+any more and what was refused meanwhile. The memory of once-only requests is
+67 s; the agents' memory lives only in the agents.
+"""
+
+import collections
+import random
+
+from notchhoist import controllers, model
+from notchhoist.testing import chaos
+from notchhoist.testing.caller import Task
+from notchhoist.testing.deployment import build_world
+from notchhoist.testing.world import World
+
+GAP_S = 0.1
+AFTER_S = 90.0
+TURN_S = 4.0
+AWAY_S = 1.0
+
+
+def make_world(seed):
+    """Returns a deployment that has run for a while."""
+    world = World(random.Random(seed))
+    configuration = build_world(
+        world, (chaos.PLAN,), memory_s=chaos.MEMORY_S, service_s=0.05
+    )
+    chaos.trust_first_start(world)
+    world.run(2.0)
+    return world, configuration.services[0]
+
+
+def replace(world, peers, gap_s):
+    """Replaces hosts, empty-handed, one every so often."""
+    for place, peer in enumerate(peers):
+        world.at(place * gap_s, lambda peer=peer: world.kill(peer))
+        world.at(place * gap_s + AWAY_S, lambda peer=peer: world.start(peer))
+
+
+def book(world, seconds):
+    """Adds a booking every so often."""
+    count = int(seconds / GAP_S)
+    for number in range(count):
+        task = Task("booking", "POST", chaos.PLAN.name, f"b{number:04}")
+        host = f"172.{16 + number // 65_000}.{number // 250}.{number % 250}"
+        endpoint = model.Endpoint(host, 9)
+        world.at(
+            number * GAP_S,
+            lambda endpoint=endpoint, task=task: world.add_caller(
+                endpoint, [task]
+            ),
+        )
+    return count
+
+
+def row(name, peers_of, gap_s):
+    """Prints the figures of one case."""
+    world, service = make_world(11)
+    peers = peers_of(world, service)
+    began = world.now
+    replace(world, peers, gap_s)
+    duration = len(peers) * gap_s + AFTER_S
+    count = book(world, duration)
+    world.run(duration)
+    world.run_until(world.callers_done, 100.0)
+    told = world.history.told
+    results = collections.Counter(item.result.value for item in told)
+    refused = [
+        item.at - item.latency_s
+        for item in told
+        if item.result.value != "answered"
+    ]
+    last = max(refused, default=began) - began
+    whole = sum(
+        not node.board.witness.is_young(world.now)
+        for node in (host.node for host in world.hosts.values())
+        if isinstance(node, controllers.AgentNode)
+    )
+    print(
+        f"  {name:32} {count} bookings, {dict(sorted(results.items()))}, "
+        f"last refusal {last:.1f} s after the first stop, "
+        f"violations {len(world.history.check())}, "
+        f"{whole} witnesses older than a lifetime"
+    )
+
+
+def main():
+    """Prints every case."""
+    agents = lambda world, service: list(service.agents())  # noqa: E731
+    balancers = lambda world, service: list(world.entries)  # noqa: E731
+    one = lambda world, service: [service.agents()[0]]  # noqa: E731
+    row("one agent", one, TURN_S)
+    row("agents one after another", agents, TURN_S)
+    row("all agents at once", agents, 0.0)
+    row("balancers one after another", balancers, TURN_S)
+    row("all balancers at once", balancers, 0.0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/notchhoist/cli/asking.py
@@ -0,0 +1,262 @@
+"""Query statements: rows of what daemons know, and why."""
+
+from collections.abc import Callable, Iterator
+from operator import eq, ge, gt, le, lt, ne
+from typing import Any
+
+from notchhoist.cli import statements
+from notchhoist.cli.fleet_reader import Daemon, FleetReader, Row
+
+Comparison = Callable[[Any, Any], bool]
+
+_COMPARISONS: dict[str, Comparison] = {
+    "=": eq,
+    "!=": ne,
+    ">": gt,
+    "<": lt,
+    ">=": ge,
+    "<=": le,
+}
+
+REASON_COUNTERS = (
+    "busy",
+    "not_run",
+    "unknown",
+    "delegated",
+    "retried",
+    "shed",
+    "grants_lost",
+    "fences_lost",
+    "not_ready",
+    "stale_dropped",
+    "caller_malformed",
+    "misdirected",
+)
+
+
+def show(reader: FleetReader, statement: statements.Show) -> list[Row]:
+    """Returns the rows that a statement asks for."""
+    make = _SUBJECTS[statement.subject]
+    daemons = reader.daemons(statement.host)
+    rows = [row for row in make(reader, daemons) if _holds(row, statement)]
+    if statement.order:
+        rows.sort(
+            key=lambda row: _order_key(row.get(statement.order)),
+            reverse=statement.descending,
+        )
+    return rows[: statement.limit] if statement.limit else rows
+
+
+def _holds(row: Row, statement: statements.Show) -> bool:
+    return all(_compare(row, item) for item in statement.conditions)
+
+
+def _compare(row: Row, condition: statements.Condition) -> bool:
+    value = row.get(condition.field)
+    if condition.operator == "~":
+        return str(condition.value) in str(value)
+    wanted: Any = condition.value
+    if isinstance(wanted, str) or not isinstance(value, int | float):
+        value, wanted = str(value), str(wanted)
+    return _COMPARISONS[condition.operator](value, wanted)
+
+
+def _order_key(value: Any) -> tuple[bool, Any]:
+    is_number = isinstance(value, int | float)
+    return (not is_number, value if is_number else str(value))
+
+
+def _services(reader: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
+    for service in _newest_services(reader, daemons):
+        yield {
+            "service": service["name"],
+            "address": service["address"],
+            "servers": len(service["servers"]),
+            "slots": sum(item["slots"] for item in service["servers"]),
+            "kinds": " ".join(
+                f"{kind['name']}:{kind['weight']}" for kind in service["kinds"]
+            ),
+            "epoch": service["epoch"],
+        }
+
+
+def _newest_services(
+    reader: FleetReader, daemons: list[Daemon]
+) -> Iterator[Row]:
+    """Yields the services at the balancer with the highest revision."""
+    balancers = [item for item in daemons if not item.is_agent]
+    newest = max(
+        balancers, key=lambda item: item.health["revision"], default=None
+    )
+    if newest is None:
+        return
+    for entry in reader.section(newest, "services"):
+        yield entry["value"]
+
+
+def _servers(reader: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
+    agents = {item.host: item for item in daemons if item.is_agent}
+    for service in _newest_services(reader, daemons):
+        for server in service["servers"]:
+            row = {
+                "server": server["name"],
+                "service": service["name"],
+                "zone": server["zone"],
+                "state": server["state"],
+                "slots": server["slots"],
+            }
+            agent = agents.get(server["name"])
+            yield row | (_load_of(reader, agent) if agent else {})
+
+
+def _load_of(reader: FleetReader, agent: Daemon) -> Row:
+    admission: Row = next(iter(reader.section(agent, "admission")), {})
+    flows = sum(1 for _ in reader.section(agent, "flows"))
+    return {
+        "in_flight": admission.get("in_flight"),
+        "limit": int(admission.get("ramp", {}).get("level", 0)),
+        "flows": flows,
+    }
+
+
+def _flows(reader: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
+    for daemon in daemons:
+        if not daemon.is_agent:
+            continue
+        for entry in reader.section(daemon, "flows"):
+            flow = entry["value"]
+            yield {
+                "caller": entry["key"],
+                "server": daemon.host,
+                "streams": len(flow["streams"]),
+                "uploads": len(flow["uploads"]),
+                "restored": flow["restored"],
+                "balancer": flow["balancer"],
+            }
+
+
+def _requests(reader: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
+    for daemon in daemons:
+        if not daemon.is_agent:
+            continue
+        for entry in reader.section(daemon, "runs"):
+            run = entry["value"]
+            yield {
+                "server": daemon.host,
+                "caller": run["caller"],
+                "request": run["request"],
+                "kind": run["kind"],
+                "state": run["state"],
+                "repeatable": run["repeatable"],
+                "tries": run["tries"],
+            }
+
+
+def _revisions(_: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
+    for daemon in daemons:
+        yield {
+            "host": daemon.host,
+            "role": daemon.health["role"],
+            "zone": daemon.health["zone"],
+            "revision": daemon.health["revision"],
+            "refused": daemon.health["refused"],
+        }
+
+
+def _leaving(reader: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
+    for daemon in daemons:
+        for config in reader.section(daemon, "config"):
+            for name in config["leaving"]:
+                yield {"leaving": name, "host": daemon.host, "by": "host list"}
+        if daemon.health["stopping"]:
+            yield {"leaving": daemon.host, "host": daemon.host, "by": "signal"}
+
+
+def _counters(reader: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
+    for daemon in daemons:
+        for entry in reader.section(daemon, "counters"):
+            yield {
+                "host": daemon.host,
+                "counter": entry["key"],
+                "count": entry["value"],
+            }
+
+
+def _peers(reader: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
+    for daemon in daemons:
+        if not daemon.is_agent:
+            continue
+        for entry in reader.section(daemon, "peers"):
+            report = entry["value"]["report"]
+            yield {
+                "host": daemon.host,
+                "peer": report["server"],
+                "free": report["free"],
+                "in_flight": report["in_flight"],
+                "queued": report["queued"],
+                "leaving": report["leaving"],
+                "service_ms": report["service_ms"],
+            }
+
+
+_SUBJECTS: dict[str, Callable[[FleetReader, list[Daemon]], Iterator[Row]]] = {
+    "services": _services,
+    "servers": _servers,
+    "flows": _flows,
+    "requests": _requests,
+    "revisions": _revisions,
+    "leaving": _leaving,
+    "counters": _counters,
+    "peers": _peers,
+}
+
+
+def why_flow(reader: FleetReader, statement: statements.WhyFlow) -> list[Row]:
+    """Tells who owns a flow, who is its home, and at which revision."""
+    rows: list[Row] = []
+    caller = str(statement.caller)
+    for daemon in reader.daemons(statement.host):
+        sections = ("flows", "directory") if daemon.is_agent else ("hints",)
+        for section in sections:
+            rows.extend(_traces(reader, daemon, section, caller))
+    return rows
+
+
+def _traces(
+    reader: FleetReader, daemon: Daemon, section: str, caller: str
+) -> Iterator[Row]:
+    revision = daemon.health["revision"]
+    for entry in reader.section(daemon, section):
+        if section == "directory":
+            pointer = entry["pointers"].get(caller)
+            if pointer:
+                says = f"home's pointer to {pointer['owner']}"
+                says += ", pinned" if pointer["pinned"] else ""
+                yield {"host": daemon.host, "says": says, "revision": revision}
+        elif section == "flows" and entry["key"] == caller:
+            flow = entry["value"]
+            says = f"owner, {len(flow['streams'])} streams"
+            yield {"host": daemon.host, "says": says, "revision": revision}
+        elif section == "hints" and entry["key"].get("caller") == caller:
+            says = f"hint to {entry['value']}"
+            yield {"host": daemon.host, "says": says, "revision": revision}
+
+
+def why_requests(
+    reader: FleetReader, statement: statements.WhyRequests
+) -> list[Row]:
+    """Tells how often requests were refused, delegated or retried, and why."""
+    asked = statements.Show("counters", host=statement.host)
+    return [
+        row
+        for row in show(reader, asked)
+        if row["counter"] in REASON_COUNTERS and row["count"]
+    ]
+
+
+def why_configuration(
+    reader: FleetReader, statement: statements.WhyConfiguration
+) -> list[Row]:
+    """Tells which daemons refused a document, with field and reason."""
+    asked = statements.Show("revisions", host=statement.host)
+    return [row for row in show(reader, asked) if row["refused"]]
--- /dev/null
+++ b/notchhoist/cli/main.py
@@ -0,0 +1,263 @@
+"""``notchhoist``: the operators' command-line tool."""
+
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Annotated
+
+import anyio
+import cappa
+import httpx
+import orjson
+from returns.result import Result, Success
+
+from notchhoist import documents, model
+from notchhoist.cli import asking, changing, statements
+from notchhoist.cli.fleet_reader import (
+    TIMEOUT_S,
+    FleetReader,
+    OperatorSettings,
+    Row,
+    load_operator_settings,
+)
+
+EXIT_OK = 0
+EXIT_BAD_STATEMENT = 2
+EXIT_NO_ANSWER = 3
+EXIT_CONFLICT = 4
+EXIT_NOT_IN_FORCE = 5
+EXIT_REFUSED = 6
+POLL_S = 0.2
+
+HELP = """\
+One statement of the command language; without one, reads them line by line.
+
+  show services | servers | flows | requests | revisions | leaving
+       | counters | peers  [where FIELD OP VALUE [and ...]]
+       [order by FIELD [asc|desc]] [limit N] [at HOST]
+  why flow IP:PORT [at HOST]      who owns a flow and who says so
+  why requests [at HOST]          why requests were refused or retried
+  why configuration [at HOST]     why a document was refused
+  create service NAME on IP:PORT
+  drop service NAME
+  attach server NAME to SERVICE in ZONE agent IP:PORT address IP:PORT slots N
+  detach server NAME from SERVICE
+  drain server NAME of SERVICE    and: undrain
+  weigh kind NAME of SERVICE N
+  wait until revision N [for N s]
+
+Operators: = != > < >= <= and ~ (contains). Change statements print the next
+whole document for you to publish. Exit statuses: 0 done, 2 bad statement or
+settings, 3 no daemon or platform answered, 4 another operator published first
+(--expect), 5 not in force everywhere in time, 6 the change was refused.
+
+Examples:
+  notchhoist -s ops.json "show flows where streams > 0 order by server limit 9"
+  notchhoist -s ops.json "drain server hallbook-3 of hallbook" > next.json
+  notchhoist -s ops.json --expect 7 "weigh kind booking of hallbook 60"
+"""
+
+
+@cappa.command(name="notchhoist", description=HELP)
+class Command:
+    """The tool's command line.
+
+    Attributes:
+        settings: Settings file, JSON with comments.
+        statement: The statement; empty to read them line by line.
+        json: Write JSON instead of a table.
+        document: Published document to change, instead of the platform's.
+        expect: Revision that the published document must have.
+        output: File for the next document, instead of standard output.
+    """
+
+    settings: Annotated[Path, cappa.Arg(short="-s", long=True)]
+    statement: str = ""
+    json: Annotated[bool, cappa.Arg(long=True)] = False
+    document: Annotated[Path | None, cappa.Arg(long=True)] = None
+    expect: Annotated[int | None, cappa.Arg(long=True)] = None
+    output: Annotated[Path | None, cappa.Arg(long=True)] = None
+
+    def __init__(
+        self,
+        settings: Path,
+        statement: str = "",
+        json: bool = False,
+        document: Path | None = None,
+        expect: int | None = None,
+        output: Path | None = None,
+    ) -> None:
+        self.settings = settings
+        self.statement = statement
+        self.json = json
+        self.document = document
+        self.expect = expect
+        self.output = output
+
+
+def execute(command: Command, text: str, reader: FleetReader) -> int:
+    """Carries out one statement; returns the exit status."""
+    result = statements.parse_statement(text)
+    if not isinstance(result, Success):
+        _complain(result.failure())
+        return EXIT_BAD_STATEMENT
+    statement = result.unwrap()
+    match statement:
+        case statements.WaitUntil():
+            return anyio.run(_wait, reader, statement)
+        case statements.Show():
+            rows = asking.show(reader, statement)
+        case statements.WhyFlow():
+            rows = asking.why_flow(reader, statement)
+        case statements.WhyRequests():
+            rows = asking.why_requests(reader, statement)
+        case statements.WhyConfiguration():
+            rows = asking.why_configuration(reader, statement)
+        case _:
+            return _change(command, statement, reader)
+    return _print_rows(command, rows, reader)
+
+
+def _complain(error: model.NotchhoistError) -> None:
+    print(error, file=sys.stderr)
+
+
+def _print_rows(command: Command, rows: list[Row], reader: FleetReader) -> int:
+    for failure in reader.failures:
+        _complain(failure)
+    if command.json:
+        print(orjson.dumps(rows).decode())
+    else:
+        print(table(rows))
+    no_answer = len(reader.failures) >= len(reader.settings.daemons)
+    return EXIT_NO_ANSWER if no_answer else EXIT_OK
+
+
+def table(rows: list[Row]) -> str:
+    """Writes rows as a table for people.
+
+    Examples:
+        >>> print(table([{"server": "a", "flows": 3}]))
+        server  flows
+        a       3
+    """
+    if not rows:
+        return "(nothing)"
+    names = list(dict.fromkeys(name for row in rows for name in row))
+    cells = [names, *([_cell(row.get(name)) for name in names] for row in rows)]
+    widths = [
+        max(len(row[place]) for row in cells) for place in range(len(names))
+    ]
+    lines = [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        )
+        for row in cells
+    ]
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def _cell(value: object) -> str:
+    return "-" if value is None else str(value)
+
+
+def _change(
+    command: Command, change: statements.Change, reader: FleetReader
+) -> int:
+    published = _published(command, reader)
+    if not isinstance(published, Success):
+        _complain(published.failure())
+        return EXIT_NO_ANSWER
+    current = published.unwrap()
+    if command.expect is not None and current.revision != command.expect:
+        expected = f"revision {command.expect}, as --expect says"
+        got = f"revision {current.revision}: another operator published first"
+        _complain(model.StatementError(0, expected, got))
+        return EXIT_CONFLICT
+    result = changing.next_document(current, change)
+    if not isinstance(result, Success):
+        _complain(result.failure())
+        return EXIT_REFUSED
+    _write(command, documents.write_configuration(result.unwrap()))
+    return EXIT_OK
+
+
+def _published(
+    command: Command, reader: FleetReader
+) -> Result[model.Configuration, model.NotchhoistError]:
+    if command.document is None:
+        return reader.published()
+    return documents.parse_configuration(command.document.read_bytes())
+
+
+def _write(command: Command, text: bytes) -> None:
+    if command.output is not None:
+        command.output.write_bytes(text)
+    else:
+        print(text.decode())
+
+
+async def _wait(reader: FleetReader, statement: statements.WaitUntil) -> int:
+    """Waits until a revision is in force everywhere, for a bounded time."""
+    until = anyio.current_time() + statement.seconds
+    while True:
+        daemons = reader.daemons()
+        behind = [
+            f"{item.host} at {item.health['revision']}"
+            for item in daemons
+            if item.health["revision"] < statement.revision
+        ]
+        behind += [str(failure) for failure in reader.failures]
+        if not behind:
+            print(f"revision {statement.revision} in force everywhere")
+            return EXIT_OK
+        if anyio.current_time() >= until:
+            print("\n".join(["lagging:", *behind]))
+            return EXIT_NOT_IN_FORCE
+        await anyio.sleep(POLL_S)
+
+
+def run(command: Command, read_line: Callable[[str], str]) -> int:
+    """Carries out the command; returns the exit status.
+
+    Args:
+        command: The command line.
+        read_line: Reads a statement after a prompt.
+
+    Returns:
+        The exit status; of several statements, the last one's.
+    """
+    loaded = load_operator_settings(command.settings)
+    if not isinstance(loaded, Success):
+        _complain(loaded.failure())
+        return EXIT_BAD_STATEMENT
+    settings: OperatorSettings = loaded.unwrap()
+    with httpx.Client(timeout=TIMEOUT_S, trust_env=False) as client:
+        reader = FleetReader(settings, client)
+        if command.statement:
+            return execute(command, command.statement, reader)
+        return _interact(command, reader, read_line)
+
+
+def _interact(
+    command: Command, reader: FleetReader, read_line: Callable[[str], str]
+) -> int:
+    status = EXIT_OK
+    while True:
+        try:
+            text = read_line("notchhoist> ").strip()
+        except EOFError:
+            return status
+        if text in ("quit", "exit"):
+            return status
+        if text:
+            status = execute(command, text, reader)
+
+
+def main() -> None:
+    """Entry point of ``notchhoist``."""
+    sys.exit(run(cappa.parse(Command), input))
+
+
+if __name__ == "__main__":
+    main()
--- a/notchhoist/cli/statements.py
+++ b/notchhoist/cli/statements.py
@@ -229,9 +229,7 @@
 
 @cache
 def _parser() -> Lark:
-    return Lark(
-        GRAMMAR.read_text(), parser="lalr", maybe_placeholders=True
-    )
+    return Lark(GRAMMAR.read_text(), parser="lalr", maybe_placeholders=True)
 
 
 def parse_statement(text: str) -> Result[Statement, model.StatementError]:
@@ -257,7 +255,8 @@
 
 
 def _error_of(error: UnexpectedInput, text: str) -> model.StatementError:
-    column = error.column if error.column > 0 else len(text) + 1
+    at_end = getattr(getattr(error, "token", None), "type", "") == "$END"
+    column = len(text) + 1 if at_end else error.column
     names = getattr(error, "accepts", None) or getattr(error, "expected", [])
     if isinstance(error, UnexpectedCharacters):
         names = error.allowed or []
--- a/notchhoist/controllers/tests/test_configuring.py
+++ b/notchhoist/controllers/tests/test_configuring.py
@@ -32,7 +32,7 @@
 
 
 def test_issue_4_a_watcher_that_heard_from_a_peer_pushes_too():
-    """It kept quiet, and its zone waited for the next question: 2.15 s."""
+    """It kept quiet, and its zone waited for the next question."""
     fleet = started()
     watcher = next(
         host.node
--- a/notchhoist/daemon/dump.py
+++ b/notchhoist/daemon/dump.py
@@ -11,8 +11,9 @@
 
 from notchhoist import blackboards, model, wire
 
-HIDDEN = frozenset(["outbox", "latencies"])
+HIDDEN = frozenset(["outbox", "latencies", "store"])
 MAX_TEXT = 200
+_STORE_SECTIONS = ("services", "balancers")
 
 
 @attrs.frozen(slots=False)
@@ -51,7 +52,8 @@
 def sections_of(board: Board) -> list[str]:
     """Returns the names of a blackboard's sections."""
     names = [field.name for field in attrs.fields(type(board))]
-    return [name for name in names if name not in HIDDEN]
+    shown = [name for name in names if name not in HIDDEN]
+    return [*shown, *_STORE_SECTIONS]
 
 
 def dump_section(
@@ -74,7 +76,8 @@
     names = sections_of(board)
     if section not in names:
         raise DumpRefusedError(section, " or ".join(names))
-    entries, total = _entries(getattr(board, section))
+    holder = board.config.store if section in _STORE_SECTIONS else board
+    entries, total = _entries(getattr(holder, section))
     chosen = [plain(item) for item in islice(entries, offset, offset + limit)]
     return attrs.asdict(Page(section, total, offset, chosen), recurse=False)
 
@@ -115,6 +118,7 @@
         return {
             field.name: plain(getattr(value, field.name))
             for field in attrs.fields(type(value))
+            if field.name not in HIDDEN
         }
     if isinstance(value, Mapping):
         return {_key(key): plain(item) for key, item in value.items()}
--- a/notchhoist/documents/configuration.py
+++ b/notchhoist/documents/configuration.py
@@ -23,6 +23,7 @@
 MAX_DOCUMENT_BYTES = 1 << 20
 """The platform holds values up to a megabyte."""
 
+MAX_REVISION = 2**53
 MAX_WEIGHT = 100
 MAX_SLOTS = 4096
 MAX_MEMORY_S = 3600.0
@@ -88,8 +89,8 @@
 def _problems(
     configuration: model.Configuration,
 ) -> Iterator[model.ConfigurationProblem]:
-    if configuration.revision < 1:
-        yield _bad("revision", "1 or more", configuration.revision)
+    if not 1 <= configuration.revision <= MAX_REVISION:
+        yield _bad("revision", f"1 to {MAX_REVISION}", configuration.revision)
     services = configuration.services
     yield from _repeated("services", [item.name for item in services])
     addresses = [str(item.address) for item in services]
@@ -111,6 +112,8 @@
 ) -> Iterator[model.ConfigurationProblem]:
     yield from _name_problems(f"{place}.name", service.name)
     yield from _address_problems(f"{place}.address", service.address)
+    if not 0 <= service.epoch <= MAX_REVISION:
+        yield _bad(f"{place}.epoch", f"0 to {MAX_REVISION}", service.epoch)
     if not 0.0 < service.memory_s <= MAX_MEMORY_S:
         yield _bad(f"{place}.memory_s", "0 to 3600 s", service.memory_s)
     yield from _repeated(f"{place}.kinds", [k.name for k in service.kinds])
--- a/notchhoist/documents/structuring.py
+++ b/notchhoist/documents/structuring.py
@@ -99,8 +99,9 @@
         return Success(_CONVERTER.structure(value, wanted))
     except cattrs.BaseValidationError as error:
         return Failure(tuple(_problems_of(error, value)))
-    except (ValueError, TypeError, KeyError) as error:
-        return Failure((_problem("document", str(error), repr(value)),))
+    except (ValueError, TypeError, KeyError, AttributeError):
+        expected = f"a {wanted.__name__}"
+        return Failure((_problem("document", expected, repr(value)),))
 
 
 def _problems_of(
