--- a/notchhoist/blackboards/__init__.py
+++ b/notchhoist/blackboards/__init__.py
@@ -23,9 +23,16 @@
     BalancerIdentity,
     make_balancer_board,
 )
-from notchhoist.blackboards.common import ConfigBoard, Count, Counters
+from notchhoist.blackboards.common import (
+    DECISIONS_KEPT,
+    ConfigBoard,
+    Count,
+    Counters,
+    Decision,
+)
 
 __all__ = [
+    "DECISIONS_KEPT",
     "AgentBoard",
     "AgentHealth",
     "AgentIdentity",
@@ -35,6 +42,7 @@
     "ConfigBoard",
     "Count",
     "Counters",
+    "Decision",
     "Delegation",
     "Exchange",
     "Flow",
--- a/notchhoist/blackboards/agent.py
+++ b/notchhoist/blackboards/agent.py
@@ -1,17 +1,25 @@
 """The blackboard of an agent."""
 
 import enum
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 import attrs
 from hdrh.histogram import HdrHistogram
 
 from notchhoist import model, parts, wire
-from notchhoist.blackboards.common import ConfigBoard, Counters
+from notchhoist.blackboards.common import (
+    DECISIONS_KEPT,
+    ConfigBoard,
+    Counters,
+    Decision,
+)
 
 DEFAULT_IDLE_S = 60.0
 """A flow without a stream is forgotten after this silence, seconds."""
 
+LEASE_PER_IDLE = 3.0
+"""A pointer outlives so many renewals that are lost."""
+
 DIRECTORY_CAPACITY = 200_000
 QUEUE_PER_SLOT = 4
 INITIAL_SLOTS = 1
@@ -297,6 +305,8 @@
         stopping: A planned stop has begun.
         pauses: Detector of gaps in the own clock.
         counters: Counts since the start.
+        decisions: The last decisions about requests, newest last.
+        decided: How many decisions there were.
         latencies: Time from arrival to answer by kind, microseconds.
         next_report_at: When to report the load next.
         next_ping_at: When to ping a few balancers next.
@@ -342,6 +352,10 @@
         lambda: parts.PauseDetector(threshold_s=1.0)
     )
     counters: Counters = attrs.Factory(Counters)
+    decisions: deque[Decision] = attrs.Factory(
+        lambda: deque(maxlen=DECISIONS_KEPT)
+    )
+    decided: int = 0
     latencies: dict[str, HdrHistogram] = attrs.Factory(dict)
     next_report_at: float = 0.0
     next_ping_at: float = 0.0
@@ -358,6 +372,26 @@
         """Puts a message to a peer into the outbox."""
         self.outbox.append(model.SendPeer(to, message))
 
+    def note_decision(
+        self, run: Run, outcome: str, reason: str, now: float
+    ) -> None:
+        """Keeps what was decided about a request, for operators."""
+        self.decided += 1
+        request = run.request
+        path = "/".join(request.path)
+        self.decisions.append(
+            Decision(
+                number=self.decided,
+                at=now,
+                caller=str(run.caller),
+                request=f"{request.method} /{path} mid {request.mid}",
+                kind=run.kind,
+                outcome=outcome,
+                reason=reason,
+                tries=run.tries,
+            )
+        )
+
     def draw_number(self) -> int:
         """Returns a number that no other run of this incarnation has."""
         self.next_number += 1
@@ -396,7 +430,8 @@
         config=config,
         tenure=parts.Tenure(needed_s=identity.idle_s, since=now),
         directory=parts.Directory(
-            lease_s=identity.idle_s, capacity=DIRECTORY_CAPACITY
+            lease_s=LEASE_PER_IDLE * identity.idle_s,
+            capacity=DIRECTORY_CAPACITY,
         ),
         witness=parts.Witness(
             own=identity.peer,
--- a/notchhoist/blackboards/common.py
+++ b/notchhoist/blackboards/common.py
@@ -51,6 +51,33 @@
 
 Counters = collections.Counter[Count]
 
+DECISIONS_KEPT = 500
+
+
+@attrs.frozen
+class Decision:
+    """What was decided about a request, and why.
+
+    Attributes:
+        number: Counts the decisions of this process.
+        at: Runtime clock, seconds.
+        caller: Endpoint of the caller, as text.
+        request: Method, path and message ID.
+        kind: Kind of request.
+        outcome: How it ended, or what was done instead.
+        reason: Short name of the cause; empty for an ordinary answer.
+        tries: How often it was started or delegated.
+    """
+
+    number: int
+    at: float
+    caller: str
+    request: str
+    kind: str
+    outcome: str
+    reason: str
+    tries: int
+
 
 @attrs.define
 class ConfigBoard:
--- a/notchhoist/cli/asking.py
+++ b/notchhoist/cli/asking.py
@@ -245,13 +245,24 @@
 def why_requests(
     reader: FleetReader, statement: statements.WhyRequests
 ) -> list[Row]:
-    """Tells how often requests were refused, delegated or retried, and why."""
+    """Tells the last decisions with a reason, and counts of each cause."""
     asked = statements.Show("counters", host=statement.host)
-    return [
+    counts = [
         row
         for row in show(reader, asked)
         if row["counter"] in REASON_COUNTERS and row["count"]
     ]
+    return counts + _last_decisions(reader, statement.host)
+
+
+def _last_decisions(reader: FleetReader, host: str) -> list[Row]:
+    return [
+        {"host": daemon.host} | decision
+        for daemon in reader.daemons(host)
+        if daemon.is_agent
+        for decision in reader.section(daemon, "decisions")
+        if decision["reason"]
+    ]
 
 
 def why_configuration(
--- a/notchhoist/controllers/flows.py
+++ b/notchhoist/controllers/flows.py
@@ -310,8 +310,7 @@
                 del self.board.asks[caller]
                 self._place(caller, ask.forwards, now)
         if now >= self.board.next_announce_at:
-            idle = self.board.identity.idle_s
-            self.board.next_announce_at = now + idle / 3
+            self.board.next_announce_at = now + self.board.identity.idle_s
             self.announce(self.pinned_flows())
         if now >= self.board.next_sweep_at:
             self.board.next_sweep_at = now + SWEEP_S
--- a/notchhoist/controllers/running.py
+++ b/notchhoist/controllers/running.py
@@ -125,9 +125,13 @@
             return
         if self.delegate(run, False, now):
             return
-        if stays:
+        if stays and not self.board.admission.is_full():
             self._enqueue(run, now)
-        elif not self.delegate(run, True, now):
+        elif self.delegate(run, True, now):
+            return
+        elif stays:
+            self._enqueue(run, now)
+        else:
             self.refuse(run, "no_free_slot", now)
 
     def _own_agent_allowed(self, run: Run) -> bool:
@@ -405,6 +409,7 @@
     def retry(self, run: Run, now: float) -> None:
         """Tries a run elsewhere; only repeatable ones come here."""
         self.board.counters[Count.RETRIED] += 1
+        self.board.note_decision(run, "retried", "faster elsewhere", now)
         run.may_give_up = False
         self._dispatch_again(run, now)
 
@@ -422,6 +427,7 @@
         self._drop(run)
         if response is not None:
             self._record_latency(run, now)
+        self.board.note_decision(run, status.name.lower(), run.refusal, now)
         outcome = Outcome(run.attempt, status, response, now, run.retry_after_s)
         if run.identity:
             self._remember(run.identity, outcome)
@@ -489,6 +495,17 @@
                 return
             self._begin(job, now)
 
+    def _offer_queued(self, now: float) -> None:
+        """Gives requests that wait here to peers that have free slots."""
+        for job in self.board.admission.waiting():
+            if not isinstance(job, Run) or _is_for_peer(job):
+                continue
+            if self._needs_its_flow(job) or job.request.block1 is not None:
+                continue
+            if not self.delegate(job, False, now):
+                return
+            self.board.admission.remove(job)
+
     def tick(self, now: float) -> None:
         """Ends what is past its time, and fills free slots."""
         for run in list(self.board.runs.values()):
@@ -497,6 +514,7 @@
             elif run.state is not RunState.DONE and now >= run.deadline:
                 self._on_deadline(run, now)
         self.pump(now)
+        self._offer_queued(now)
         while self.board.outcomes:
             identity, outcome = next(iter(self.board.outcomes.items()))
             if now - outcome.at <= self.board.witness.lifetime_s:
--- a/notchhoist/controllers/tests/test_load.py
+++ b/notchhoist/controllers/tests/test_load.py
@@ -92,8 +92,22 @@
     site.world.backends[agent].draining = True
 
 
+def by_document_with_a_late_host_list(site, agent):
+    site.world.platform.lag_s = 30.0
+    name = site.world.hosts[agent].name
+    site.world.platform.announce_leaving([name], site.world.now)
+    site.drain()
+
+
 @pytest.mark.parametrize(
-    "word", [by_document, by_host_list, by_signal, by_backend]
+    "word",
+    [
+        by_document,
+        by_host_list,
+        by_signal,
+        by_backend,
+        by_document_with_a_late_host_list,
+    ],
 )
 def test_a_leaving_server_gets_no_new_work(word):
     site, agent = drained_site(4, word)
--- a/notchhoist/daemon/dump.py
+++ b/notchhoist/daemon/dump.py
@@ -86,7 +86,7 @@
     if isinstance(value, Mapping):
         pairs = ({"key": key, "value": item} for key, item in value.items())
         return pairs, len(value)
-    if isinstance(value, list | tuple | set):
+    if isinstance(value, list | tuple | set | collections.deque):
         return value, len(value)
     return [value], 1
 
--- a/notchhoist/daemon/journal.py
+++ b/notchhoist/daemon/journal.py
@@ -6,13 +6,16 @@
 import attrs
 import eliot
 
-from notchhoist.blackboards import Count
+from notchhoist.blackboards import AgentBoard, Count, Decision
 from notchhoist.daemon.runtime import Runtime
 from notchhoist.daemon.settings import Settings
 
 PERIOD_S = 5.0
 """Counters are logged as one line of differences this often, seconds."""
 
+DECISIONS_A_PERIOD = 50
+"""Most decisions logged in one period; refusals go before answers."""
+
 
 def open_journal(file: IO[str]) -> None:
     """Sends all logs to a file, one JSON object a line."""
@@ -27,6 +30,7 @@
 @attrs.define
 class _Seen:
     counters: dict[Count, int] = attrs.Factory(dict)
+    decided: int = 0
     revision: int = 0
     refused: str = ""
 
@@ -42,6 +46,7 @@
     while True:
         _log_configuration(runtime, seen)
         _log_counters(runtime, seen)
+        _log_decisions(runtime, seen)
         await anyio.sleep(PERIOD_S)
 
 
@@ -78,3 +83,32 @@
             host=runtime.settings.name,
             changed=changed,
         )
+
+
+def _log_decisions(runtime: Runtime, seen: _Seen) -> None:
+    """Logs a bounded sample of decisions, those with a reason first."""
+    board = runtime.node.board
+    if not isinstance(board, AgentBoard):
+        return
+    fresh = [item for item in board.decisions if item.number > seen.decided]
+    total = board.decided - seen.decided
+    seen.decided = board.decided
+    sample = choose_decisions(fresh)
+    for decision in sample:
+        eliot.log_message(
+            message_type="request",
+            host=runtime.settings.name,
+            **attrs.asdict(decision),
+        )
+    if total > len(sample):
+        eliot.log_message(
+            message_type="requests_not_logged",
+            host=runtime.settings.name,
+            count=total - len(sample),
+        )
+
+
+def choose_decisions(fresh: list[Decision]) -> list[Decision]:
+    """Returns the decisions to log, at most ``DECISIONS_A_PERIOD``."""
+    by_need = sorted(fresh, key=lambda item: (not item.reason, item.number))
+    return by_need[:DECISIONS_A_PERIOD]
--- a/notchhoist/parts/admission.py
+++ b/notchhoist/parts/admission.py
@@ -118,6 +118,15 @@
         """Returns how many requests wait."""
         return sum(len(queue.jobs) for queue in self.kinds.values())
 
+    def waiting(self) -> list[Job]:
+        """Returns the requests that wait, earliest deadline first."""
+        jobs = [job for queue in self.kinds.values() for job in queue.jobs]
+        return sorted(jobs, key=lambda job: job.deadline)
+
+    def is_full(self) -> bool:
+        """Tells whether no more requests may wait."""
+        return self.queued() >= self.queue_limit
+
     def try_enter(self, job: Job) -> bool:
         """Takes a slot at once, or tells that none is free."""
         if self.free() <= 0:
--- a/notchhoist/testing/backend.py
+++ b/notchhoist/testing/backend.py
@@ -7,7 +7,7 @@
 
 import heapq
 import itertools
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 import attrs
 from aiocoap import Message
@@ -21,6 +21,7 @@
 NOTIFY_S = 0.5
 COLD_FACTOR = 4.0
 QUICK_S = 0.8
+LOAD_PATH = "load"
 ONCE_METHOD = "POST"
 
 
@@ -36,6 +37,8 @@
         cold_s: It is slower for this time after its start, seconds.
         shed_every: It sheds each n-th request although it has a slot; 0 for
             none.
+        load_lag_s: Its load endpoint shows a figure this old, seconds.
+        load_lie: Its load endpoint shows so many times the true figure.
     """
 
     service: str
@@ -44,6 +47,8 @@
     service_s: float = 0.05
     cold_s: float = 0.0
     shed_every: int = 0
+    load_lag_s: float = 5.0
+    load_lie: float = 1.0
 
 
 @attrs.define
@@ -95,6 +100,14 @@
         slow_factor: Times that everything takes longer.
         in_progress: Requests worked on, by source and message ID.
         peak: Most requests worked on at the same time.
+        finished: Requests answered so far.
+        seen: Requests received so far.
+        answers: Answers by source and message ID, for retransmissions.
+        observers: Callers of streams by source and token.
+        uploads: Blocks so far by source and path.
+        loads: What the load endpoint shows, and from when on.
+        due: When work ends, earliest first.
+        numbers: Source of message IDs and of the order of work.
     """
 
     profile: BackendProfile
@@ -113,6 +126,7 @@
         dict
     )
     uploads: dict[tuple[model.Endpoint, str], list[bytes]] = attrs.Factory(dict)
+    loads: deque[tuple[float, int]] = attrs.Factory(deque)
     due: list[tuple[float, int, Work]] = attrs.Factory(list)
     numbers: "itertools.count[int]" = attrs.Factory(lambda: itertools.count(1))
 
@@ -151,6 +165,8 @@
     def _on_request(
         self, request: wire.CoapMessage, source: model.Endpoint, now: float
     ) -> list[Reply]:
+        if request.path[:1] == (LOAD_PATH,):
+            return [self._load_answer(request, source, now)]
         self.seen += 1
         if not self._is_own(request):
             self.history.misdirected.append(name_of(request))
@@ -162,6 +178,23 @@
         self._record_start(request, now)
         return self._start(request, source, now)
 
+    def _load_answer(
+        self, request: wire.CoapMessage, source: model.Endpoint, now: float
+    ) -> Reply:
+        """Answers ``GET /load`` with a figure that lags and may lie."""
+        self._note_load(now)
+        old = [item for item in self.loads if item[0] <= now]
+        shown = int(old[-1][1] * self.profile.load_lie) if old else 0
+        text = f"{shown} of {self.profile.slots}".encode()
+        answer = Message(code=Code.CONTENT, payload=text)
+        return self._answer(request, source, answer)
+
+    def _note_load(self, now: float) -> None:
+        due = now + self.profile.load_lag_s
+        self.loads.append((due, len(self.in_progress)))
+        while len(self.loads) > 1 and self.loads[1][0] <= now:
+            self.loads.popleft()
+
     def _is_own(self, request: wire.CoapMessage) -> bool:
         return len(request.path) > 1 and request.path[1] == self.profile.service
 
@@ -203,6 +236,7 @@
         )
         self.in_progress[source, request.mid] = work
         self.peak = max(self.peak, len(self.in_progress))
+        self._note_load(now)
         heapq.heappush(self.due, (now + takes, work.number, work))
         if work.acknowledged and request.is_confirmable:
             return [Reply(source, wire.empty_ack(request.mid))]
--- a/notchhoist/testing/platform_service.py
+++ b/notchhoist/testing/platform_service.py
@@ -37,6 +37,9 @@
         live: Names of live hosts.
         leaving: Names of leaving hosts.
         reads: Reads so far.
+        lag_s: The host list shows a change this late, seconds.
+        coming: Leaving hosts that the list does not show yet, and when it
+            will.
     """
 
     document: bytes = b""
@@ -46,6 +49,17 @@
     live: list[str] = attrs.Factory(list)
     leaving: list[str] = attrs.Factory(list)
     reads: int = 0
+    lag_s: float = 0.0
+    coming: list[tuple[float, list[str]]] = attrs.Factory(list)
+
+    def announce_leaving(self, names: list[str], now: float) -> None:
+        """Notes which hosts are leaving; the list shows it later."""
+        self.coming.append((now + self.lag_s, names))
+
+    def refresh(self, now: float) -> None:
+        """Lets the list show what is due."""
+        while self.coming and self.coming[0][0] <= now:
+            self.leaving = self.coming.pop(0)[1]
 
     def publish(self, text: bytes) -> bool:
         """Publishes a document; False where its revision is not the next."""
@@ -84,6 +98,7 @@
 
     async def hosts(_: Request) -> Response:
         state.reads += 1
+        state.refresh(anyio.current_time())
         if state.down:
             return Response(status_code=UNAVAILABLE)
         lists = {"live": state.live, "leaving": state.leaving}
@@ -96,7 +111,9 @@
     async def control(request: Request) -> Response:
         wanted = orjson.loads(await request.body())
         state.down = wanted.get("down", state.down)
-        state.leaving = wanted.get("leaving", state.leaving)
+        state.lag_s = wanted.get("lag_s", state.lag_s)
+        if "leaving" in wanted:
+            state.announce_leaving(wanted["leaving"], anyio.current_time())
         if "stale" in wanted:
             state.stale = state.document if wanted["stale"] else None
         return Response()
--- a/notchhoist/testing/rehearsal.py
+++ b/notchhoist/testing/rehearsal.py
@@ -79,7 +79,7 @@
         seconds: How long callers arrive.
         seed: Seed of everything.
         adapt: Changes each node at its start.
-        odd: One server starts cold, one sheds.
+        odd: One server starts cold, one sheds, one lies about its load.
 
     Returns:
         The figures.
@@ -109,6 +109,8 @@
     cold.started_at = world.now
     profile = attrs.evolve(shedding.profile, shed_every=SHED_EVERY)
     shedding.profile = profile
+    lying = backends[2]
+    lying.profile = attrs.evolve(lying.profile, load_lie=0.0)
 
 
 def arrive(
--- a/notchhoist/testing/world.py
+++ b/notchhoist/testing/world.py
@@ -365,6 +365,7 @@
     def _read_hosts(self, host: Host) -> None:
         self.platform.reads += 1
         state = self.platform
+        state.refresh(self.now)
         event = model.HostsRead(
             frozenset(state.live), frozenset(state.leaving), state.down
         )
