--- a/benchmarks/bench_flows.py
+++ b/benchmarks/bench_flows.py
@@ -9,6 +9,7 @@
 from notchhoist.testing import baselines, changes
 
 DEFAULT_SEEDS = 3
+RANDOM_SEEDS = 20
 VERSIONS = {
     "ours": None,
     "plain rendezvous": baselines.plain_rendezvous,
@@ -27,6 +28,22 @@
     return broken
 
 
+def many_at_once(seeds):
+    """Prints how many seeds of random overlapping changes break a flow."""
+    for version, adapt in VERSIONS.items():
+        broken = collections.Counter()
+        bad = 0
+        for seed in range(seeds):
+            site = changes.run_random_changes(seed, adapt)
+            bad += bool(site.world.history.broken)
+            broken.update(site.world.history.broken)
+        print(
+            f"  many at once       {version:16} {bad}/{seeds} seeds, "
+            f"{sum(broken.values()) / changes.flows_of_run() / seeds:6.2%} "
+            f"{dict(sorted(broken.items()))}"
+        )
+
+
 def main():
     """Prints a row for each change."""
     seeds = int(sys.argv[1]) if len(sys.argv) > 1 else DEFAULT_SEEDS
@@ -41,6 +58,7 @@
             share = sum(broken.values()) / total
             causes = dict(sorted(broken.items()))
             print(f"  {name:18} {version:16} {share:6.2%} {causes}")
+    many_at_once(RANDOM_SEEDS)
 
 
 if __name__ == "__main__":
--- a/notchhoist/blackboards/__init__.py
+++ b/notchhoist/blackboards/__init__.py
@@ -3,18 +3,9 @@
 from notchhoist.blackboards.agent import (
     AgentBoard,
     AgentIdentity,
-    ClaimState,
-    Delegation,
-    Exchange,
     Flow,
-    LocalOrigin,
-    Origin,
-    Outcome,
     PeerState,
     PendingAsk,
-    RemoteOrigin,
-    Run,
-    RunState,
     make_agent_board,
 )
 from notchhoist.blackboards.balancer import (
@@ -30,6 +21,17 @@
     Counters,
     Decision,
 )
+from notchhoist.blackboards.requests import (
+    ClaimState,
+    Delegation,
+    Exchange,
+    LocalOrigin,
+    Origin,
+    Outcome,
+    RemoteOrigin,
+    Run,
+    RunState,
+)
 
 __all__ = [
     "DECISIONS_KEPT",
--- a/notchhoist/blackboards/agent.py
+++ b/notchhoist/blackboards/agent.py
@@ -1,18 +1,25 @@
 """The blackboard of an agent."""
 
-import enum
 from collections import OrderedDict, deque
 
 import attrs
 from hdrh.histogram import HdrHistogram
 
-from notchhoist import model, parts, wire
+from notchhoist import model, parts
 from notchhoist.blackboards.common import (
     DECISIONS_KEPT,
     ConfigBoard,
     Counters,
     Decision,
 )
+from notchhoist.blackboards.requests import (
+    ClaimState,
+    Delegation,
+    Exchange,
+    Outcome,
+    RemoteOrigin,
+    Run,
+)
 
 DEFAULT_IDLE_S = 60.0
 """A flow without a stream is forgotten after this silence, seconds."""
@@ -50,21 +57,6 @@
     idle_s: float = DEFAULT_IDLE_S
 
 
-@attrs.define
-class Exchange:
-    """A request of a caller as its flow sees it (RFC 7252, 4.2).
-
-    Attributes:
-        request: The request.
-        at: Runtime clock of its arrival, seconds.
-        reply: The final answer, or None before it.
-    """
-
-    request: wire.CoapMessage
-    at: float
-    reply: bytes | None = None
-
-
 @attrs.define
 class Flow:
     """A flow that this agent owns.
@@ -100,150 +92,6 @@
         return self.restored or held > 1
 
 
-@attrs.frozen
-class LocalOrigin:
-    """The request came from a flow that this agent owns."""
-
-    caller: model.Endpoint
-    mid: int
-
-
-@attrs.frozen
-class RemoteOrigin:
-    """A peer asked for the run, or for its outcome."""
-
-    agent: model.Endpoint
-    run: int
-
-
-Origin = LocalOrigin | RemoteOrigin
-
-
-class RunState(enum.Enum):
-    """Where a run stands."""
-
-    NEW = "new"
-    QUEUED = "queued"
-    CLAIMING = "claiming"
-    STARTED = "started"
-    DELEGATED = "delegated"
-    FENCING = "fencing"
-    ASKING = "asking"
-    DONE = "done"
-
-
-@attrs.define(eq=False)
-class Run:
-    """A request on its way to an outcome.
-
-    Attributes:
-        number: Number of the run at this agent.
-        caller: Endpoint of the caller.
-        request: The request.
-        datagram: The caller's bytes.
-        kind: Name of the kind of request.
-        weight: Weight of the kind.
-        repeatable: The request may run more than once.
-        arrived_at: Runtime clock of its arrival, seconds.
-        deadline: Runtime clock by which it has to be answered, seconds.
-        origins: Who waits for the outcome.
-        identity: Digest that names the request; empty where repeatable.
-        attempt: Digest that names this sending of it; likewise.
-        state: Where the run stands.
-        holds_slot: It has a slot of the local backend server.
-        started_at: Runtime clock when it was given to the backend server.
-        excluded: Agents that could not take it.
-        tries: How often it was started or delegated.
-        may_give_up: It may be tried elsewhere because it is slow here.
-        claim: Number of its claim, once it has one.
-        refusal: Why it is being given up on, once it is.
-        retry_after_s: When the caller may come back, seconds.
-    """
-
-    number: int
-    caller: model.Endpoint
-    request: wire.CoapMessage
-    datagram: bytes
-    kind: str
-    weight: int
-    repeatable: bool
-    arrived_at: float
-    deadline: float
-    origins: list[Origin]
-    identity: bytes = b""
-    attempt: bytes = b""
-    state: RunState = RunState.NEW
-    holds_slot: bool = False
-    started_at: float = 0.0
-    excluded: set[model.Endpoint] = attrs.Factory(set)
-    tries: int = 0
-    may_give_up: bool = True
-    claim: int | None = None
-    refusal: str = ""
-    retry_after_s: int = 1
-
-
-@attrs.define
-class Delegation:
-    """A run that a peer was asked to take.
-
-    Attributes:
-        run: The run.
-        peer: The peer.
-        incarnation: Incarnation of the peer when it was asked.
-        sent_at: Runtime clock of the last sending, seconds.
-        message: The message, for sending it again.
-    """
-
-    run: Run
-    peer: model.Endpoint
-    incarnation: int
-    sent_at: float
-    message: model.RunRequest | model.AskOutcome
-
-
-@attrs.define
-class ClaimState:
-    """A claim under way.
-
-    Attributes:
-        run: Run that it is for.
-        number: Number of the claim.
-        purpose: What it asks for.
-        claim: The count of votes.
-        asked_at: Runtime clock of the first asking, seconds.
-        sent_at: Runtime clock of the last asking, seconds.
-        holder: Agent that stands in the way, if any.
-    """
-
-    run: Run
-    number: int
-    purpose: model.Purpose
-    claim: parts.Claim
-    asked_at: float
-    sent_at: float
-    holder: model.Endpoint | None = None
-
-
-@attrs.define
-class Outcome:
-    """How a request that must not be repeated ended here.
-
-    Attributes:
-        attempt: Digest of the attempt that ended so.
-        status: The outcome.
-        response: The backend server's response, or None.
-        at: Runtime clock, seconds.
-        retry_after_s: When the caller may come back, seconds.
-    """
-
-    attempt: bytes
-    status: model.RunStatus
-    response: wire.CoapMessage | None
-    at: float
-    retry_after_s: int = 1
-
-
 @attrs.define
 class PeerState:
     """What is known of another agent of the service.
@@ -267,11 +115,17 @@
         forwards: Datagrams that wait for the answer.
         awaited: Peers that have not answered.
         until: Runtime clock when the wait ends, seconds.
+        asked: The peers have been asked; before that it is not known whom.
+        heard: The newest answer so far that names an owner.
+        heard_at: Runtime clock when that owner said so, seconds.
     """
 
     forwards: list[model.Forward]
     awaited: set[model.Endpoint]
     until: float
+    asked: bool = True
+    heard: model.Endpoint | None = None
+    heard_at: float = 0.0
 
 
 @attrs.define
@@ -287,6 +141,7 @@
         directory: Pointers to the owners of flows that it is home of.
         tenure: How long it has been home without a break.
         referred: Flows that a newer home asked for: home and time.
+        moved: Flows that were handed on a moment ago: to whom and when.
         asks: Flows whose owner is being asked for.
         peers: The other agents of the service.
         balancers_seen: Runtime clock of the last word from each balancer.
@@ -332,6 +187,9 @@
     referred: dict[model.Endpoint, tuple[model.Endpoint, float]] = (
         attrs.Factory(dict)
     )
+    moved: dict[model.Endpoint, tuple[model.Endpoint, float]] = attrs.Factory(
+        dict
+    )
     asks: dict[model.Endpoint, PendingAsk] = attrs.Factory(dict)
     peers: dict[model.Endpoint, PeerState] = attrs.Factory(dict)
     balancers_seen: dict[model.Endpoint, float] = attrs.Factory(dict)
--- a/notchhoist/controllers/__init__.py
+++ b/notchhoist/controllers/__init__.py
@@ -1,13 +1,8 @@
 """Decisions: controllers that read and write a blackboard, without I/O."""
 
-from notchhoist.controllers.nodes import (
-    TICK_S,
-    AgentNode,
-    BalancerNode,
-    Node,
-    make_agent,
-    make_balancer,
-)
+from notchhoist.controllers.agent_node import AgentNode, make_agent
+from notchhoist.controllers.balancer_node import BalancerNode, make_balancer
+from notchhoist.controllers.node import TICK_S, Node
 
 __all__ = [
     "TICK_S",
--- a/notchhoist/controllers/nodes.py
+++ b/notchhoist/controllers/agent_node.py
@@ -1,12 +1,7 @@
-"""Nodes: the whole decision logic of one process behind one small boundary.
-
-A node takes an event or a tick with the time, and gives back effects. It does
-no I/O and reads no clock, so that any harness can drive it.
-"""
+"""The node of an agent."""
 
 import random
 from collections.abc import Callable
-from typing import Protocol
 
 import attrs
 
@@ -14,113 +9,23 @@
 from notchhoist.blackboards import (
     AgentBoard,
     AgentIdentity,
-    BalancerBoard,
-    BalancerIdentity,
     Count,
     RunState,
     make_agent_board,
-    make_balancer_board,
 )
 from notchhoist.blackboards.agent import QUEUE_PER_SLOT
-from notchhoist.controllers.balancing import FlowForwarder
 from notchhoist.controllers.claims import ClaimKeeper
 from notchhoist.controllers.configuring import ConfigKeeper
 from notchhoist.controllers.delegating import DelegationKeeper
 from notchhoist.controllers.exchanges import ExchangeKeeper
 from notchhoist.controllers.flows import FlowKeeper
 from notchhoist.controllers.loads import LoadKeeper
+from notchhoist.controllers.moving import FlowMover
+from notchhoist.controllers.node import drain
+from notchhoist.controllers.outcomes import OutcomeKeeper
 from notchhoist.controllers.remembering import MemoryKeeper
 from notchhoist.controllers.running import RunKeeper
 
-TICK_S = 0.05
-"""Time between two ticks that a node is meant to get, seconds."""
-
-
-class Node(Protocol):
-    """What a harness drives."""
-
-    @property
-    def board(self) -> AgentBoard | BalancerBoard:
-        """The blackboard, for inspection."""
-
-    def handle(self, event: model.Event, now: float) -> list[model.Effect]:
-        """Takes an event and returns what is to be done."""
-
-    def tick(self, now: float) -> list[model.Effect]:
-        """Does what is due and returns what is to be done."""
-
-    def stop(self, now: float) -> list[model.Effect]:
-        """Begins a planned stop."""
-
-    def is_idle(self) -> bool:
-        """Tells whether a planned stop would cut nothing."""
-
-
-def _drain(outbox: list[model.Effect]) -> list[model.Effect]:
-    effects = list(outbox)
-    outbox.clear()
-    return effects
-
-
-@attrs.define
-class BalancerNode:
-    """The decisions of a balancer; see ``make_balancer``."""
-
-    board: BalancerBoard
-    config: ConfigKeeper
-    forwarder: FlowForwarder
-
-    def handle(self, event: model.Event, now: float) -> list[model.Effect]:
-        """Takes an event and returns what is to be done."""
-        match event:
-            case model.CallerDatagram():
-                self.forwarder.on_caller(event, now)
-            case model.PeerMessage():
-                self._on_peer(event.sender, event.message, now)
-            case model.ConfigurationRead():
-                self.config.on_read(event, now)
-            case model.HostsRead():
-                self.config.on_hosts(event, now)
-            case _:
-                self.board.counters[Count.MISDIRECTED] += 1
-        return _drain(self.board.outbox)
-
-    def _on_peer(
-        self, sender: model.Endpoint, message: model.Message, now: float
-    ) -> None:
-        match message:
-            case model.Deliver():
-                self.forwarder.on_deliver(sender, message, now)
-            case model.ConfigAsk():
-                self.config.on_ask(sender, message, now)
-            case model.ConfigDiff():
-                self.config.on_difference(message, now)
-            case model.LeavingHosts():
-                self.config.on_leaving(message, now)
-            case model.Ping():
-                self.board.outbox.append(
-                    model.SendPeer(sender, model.Pong(message.nonce))
-                )
-            case model.Pong():
-                self.forwarder.note_alive(sender)
-            case _:
-                self.board.counters[Count.MISDIRECTED] += 1
-
-    def tick(self, now: float) -> list[model.Effect]:
-        """Does what is due and returns what is to be done."""
-        self.config.tick(now)
-        self.forwarder.tick(now)
-        return _drain(self.board.outbox)
-
-    def stop(self, now: float) -> list[model.Effect]:
-        """Begins a planned stop."""
-        self.board.stopping = True
-        return _drain(self.board.outbox)
-
-    def is_idle(self) -> bool:
-        """A balancer keeps nothing that a stop could cut."""
-        return True
-
 
 @attrs.define
 class AgentNode:
@@ -149,7 +54,7 @@
                 self.config.on_hosts(event, now)
             case _:
                 self.board.counters[Count.MISDIRECTED] += 1
-        return _drain(self.board.outbox)
+        return drain(self.board.outbox)
 
     def _on_peer(
         self, sender: model.Endpoint, message: model.Message, now: float
@@ -183,7 +88,7 @@
         match message:
             case model.Forward():
                 self.board.balancers_seen[message.balancer] = now
-                self.flows.on_forward(message, now)
+                self.flows.on_forward(sender, message, now)
             case model.RunRequest():
                 self.delegations.on_run_request(sender, message, now)
             case model.RunReply():
@@ -258,7 +163,7 @@
         for agents, until in list(self.board.sets.items()):
             if now > until:
                 del self.board.sets[agents]
-        return _drain(self.board.outbox)
+        return drain(self.board.outbox)
 
     def _on_pause(self, now: float) -> None:
         """What was known before a pause may be old by now."""
@@ -286,6 +191,7 @@
         elif changed:
             board.tenure.restart(now)
             self.flows.announce(self.flows.pinned_flows())
+            self.flows.hand_over(now)
 
     def _note_sets(self, record: model.Service, now: float) -> None:
         """Sets of agents that were in force count for a lifetime more."""
@@ -309,7 +215,7 @@
         """Begins a planned stop: no new work, and the peers are told."""
         self.board.stopping = True
         self.loads.report(now)
-        return _drain(self.board.outbox)
+        return drain(self.board.outbox)
 
     def is_idle(self) -> bool:
         """Tells whether no request is in progress here."""
@@ -318,38 +224,6 @@
         )
 
 
-def make_balancer(
-    identity: BalancerIdentity,
-    now: float,
-    seed: int,
-    seeds: tuple[model.Endpoint, ...] = (),
-) -> BalancerNode:
-    """Makes the decisions of a balancer that starts now.
-
-    Args:
-        identity: Who it is.
-        now: Runtime clock, seconds.
-        seed: Seed of every draw.
-        seeds: Peers to ask where the platform is down.
-
-    Returns:
-        A node that has heard of nothing yet.
-    """
-    board = make_balancer_board(identity, now, seeds)
-    rng = random.Random(seed)
-    config = ConfigKeeper(
-        board=board.config,
-        counters=board.counters,
-        outbox=board.outbox,
-        peer=identity.peer,
-        host=identity.name,
-        may_watch=True,
-        rng=rng,
-        on_change=lambda _: None,
-    )
-    return BalancerNode(board, config, FlowForwarder(board, rng))
-
-
 def make_agent(
     identity: AgentIdentity,
     now: float,
@@ -373,7 +247,15 @@
     flows = FlowKeeper(board, loads, rng)
     exchanges = ExchangeKeeper(board, loads)
     claims = ClaimKeeper(board, rng)
-    runs = RunKeeper(board, loads, flows, exchanges, claims)
+    runs = RunKeeper(
+        board=board,
+        loads=loads,
+        flows=flows,
+        exchanges=exchanges,
+        claims=claims,
+        moves=FlowMover(board, loads, flows),
+        outcomes=OutcomeKeeper(board, exchanges),
+    )
     delegations = DelegationKeeper(board, loads, exchanges, runs)
     node = AgentNode(
         board=board,
@@ -384,7 +266,7 @@
         claims=claims,
         runs=runs,
         delegations=delegations,
-        memory=MemoryKeeper(board, claims),
+        memory=MemoryKeeper(board, claims, on_new_sets=flows.recover),
     )
     _connect(node)
     return node
@@ -414,4 +296,4 @@
     node.runs.delegate = node.delegations.delegate
     node.runs.delegate_assigned = node.delegations.delegate_assigned
     node.runs.ask_outcome = node.delegations.ask_outcome
-    node.runs.reply = node.delegations.reply
+    node.runs.outcomes.reply = node.delegations.reply
--- a/notchhoist/controllers/configuring.py
+++ b/notchhoist/controllers/configuring.py
@@ -24,6 +24,9 @@
 ASK_S = 1.5
 """Time between two questions to peers, seconds, give or take a half."""
 
+START_ASK_S = 0.2
+"""The same for a process that has no configuration yet, seconds."""
+
 HOSTS_S = 2.0
 LEAVING_REFRESH_S = 5.0
 LEAVING_LEASE_S = 20.0
@@ -62,6 +65,12 @@
     rng: random.Random
     on_change: Callable[[float], None]
 
+    def __attrs_post_init__(self) -> None:
+        """Spreads first reads where peers can be asked meanwhile."""
+        if self.board.seeds:
+            delay = self.rng.uniform(0.0, START_READ_SPREAD_S)
+            self.board.next_read_at = self.board.started_at + delay
+
     def tick(self, now: float) -> None:
         """Does what is due: reads, questions and refreshes."""
         self._expire_leaving(now)
@@ -69,7 +78,8 @@
         if self.is_watcher() and not self.board.hosts_pending:
             self._read_hosts_if_due(now)
         if now >= self.board.next_ask_at:
-            self.board.next_ask_at = now + ASK_S * self.rng.uniform(0.5, 1.5)
+            gap = ASK_S if self.board.store.revision else START_ASK_S
+            self.board.next_ask_at = now + gap * self.rng.uniform(0.5, 1.5)
             self._ask_somebody()
 
     def is_watcher(self) -> bool:
@@ -173,11 +183,7 @@
                 for service in document.services
                 if service.name == self.board.service
             ),
-            balancers=tuple(
-                host
-                for host in document.balancers
-                if host.zone == self.board.zone
-            ),
+            balancers=parts.balancers_for(self.board.zone, document.balancers),
         )
 
     def _differs(self, document: model.Configuration) -> bool:
--- a/notchhoist/controllers/exchanges.py
+++ b/notchhoist/controllers/exchanges.py
@@ -38,7 +38,7 @@
         board: Everything that the agent knows.
         loads: The load of the peers, and the balancers seen.
         on_run: Takes each new run.
-        on_pinned: Called when a flow gets a stream or an upload.
+        on_pinned: Called when a flow gets a stream.
     """
 
     board: AgentBoard
@@ -121,10 +121,7 @@
         if not more:
             flow.uploads.pop(upload, None)
         elif number == 0 or upload in flow.uploads:
-            was_pinned = flow.is_pinned()
             flow.uploads[upload] = now
-            if not was_pinned:
-                self.on_pinned(flow)
 
     def _make_run(
         self, flow: Flow, request: wire.CoapMessage, datagram: bytes, now: float
--- a/notchhoist/controllers/flows.py
+++ b/notchhoist/controllers/flows.py
@@ -28,6 +28,7 @@
 HOMES = 2
 """How many agents hear who owns a flow: its home and the next in order."""
 
+MILLISECONDS = 1000
 ANNOUNCE_BATCH = 40
 SWEEP_S = 1.0
 STREAM_IDLE_S = 300.0
@@ -50,9 +51,15 @@
     rng: random.Random
     on_datagram: Callable[[Flow, bytes, float], None] = attrs.field(init=False)
 
-    def on_forward(self, forward: model.Forward, now: float) -> None:
+    def on_forward(
+        self, sender: model.Endpoint, forward: model.Forward, now: float
+    ) -> None:
         """Takes a caller's datagram from a balancer or another agent."""
         flow = self.board.flows.get(forward.caller)
+        moved_to = self._moved_to(forward.caller, now)
+        if flow is None and moved_to not in (None, sender):
+            self._pass_on(forward, moved_to or sender, True, now)
+            return
         if flow is None and forward.placed:
             flow = self.adopt(forward.caller, now)
         if flow is not None:
@@ -60,6 +67,24 @@
             return
         self._route(forward, now)
 
+    def _moved_to(
+        self, caller: model.Endpoint, now: float
+    ) -> model.Endpoint | None:
+        """Returns to whom a flow was handed on a moment ago.
+
+        Others may still lead its datagrams here, and call it placed here.
+        """
+        moved = self.board.moved.get(caller)
+        if moved is None:
+            return None
+        target, moved_at = moved
+        pointer = self.board.directory.find(caller, now)
+        if pointer is not None and pointer.heard_at > moved_at:
+            target = pointer.owner
+        if target == self.board.identity.peer:
+            return None
+        return target if self.loads.is_alive(target, now) else None
+
     def _process(self, flow: Flow, forward: model.Forward, now: float) -> None:
         flow.balancer = forward.balancer
         flow.last_seen = now
@@ -68,6 +93,7 @@
     def adopt(self, caller: model.Endpoint, now: float) -> Flow:
         """Begins to own a flow."""
         self.board.counters[Count.FLOWS_ADOPTED] += 1
+        self.board.moved.pop(caller, None)
         flow = Flow(caller=caller, last_seen=now)
         self.board.flows[caller] = flow
         self.board.directory.forget(caller)
@@ -117,6 +143,18 @@
         agents = service.agents() if service else ()
         return parts.rank_nodes(parts.flow_hash_key(caller), agents)
 
+    def _homes(self, caller: model.Endpoint) -> list[model.Endpoint]:
+        """Returns the homes of a flow, now and by the former sets.
+
+        A former home that is told nothing would lead a restarted agent to
+        flows that it no longer owns.
+        """
+        key = parts.flow_hash_key(caller)
+        homes = self._ranked(caller)[:HOMES]
+        for agents in self.board.sets:
+            homes.extend(parts.rank_nodes(key, agents)[:HOMES])
+        return list(dict.fromkeys(homes))
+
     def _pass_on(
         self,
         forward: model.Forward,
@@ -148,56 +186,83 @@
             self._ask_peers(forward, now)
 
     def _ask_peers(self, forward: model.Forward, now: float) -> None:
-        awaited = {
+        """Asks for an owner, or waits until it is known whom to ask."""
+        ask = PendingAsk([forward], set(), now + ASK_S, asked=False)
+        self.board.asks[forward.caller] = ask
+        if self.board.sets_known:
+            self._send_questions(forward, ask, now)
+
+    def _send_questions(
+        self, forward: model.Forward, ask: PendingAsk, now: float
+    ) -> None:
+        ask.asked = True
+        ask.until = now + ASK_S
+        ask.awaited = {
             agent
             for agent in self.board.known_agents()
-            if self.loads.is_alive(agent, now)
+            if self.loads.may_be_alive(agent, now)
         }
-        if not awaited:
-            self._place(forward.caller, [forward], now)
+        if not ask.awaited:
+            self._settle_ask(forward.caller, ask, now)
             return
         self.board.counters[Count.OWNER_ASKED] += 1
-        self.board.asks[forward.caller] = PendingAsk(
-            forwards=[forward], awaited=awaited, until=now + ASK_S
-        )
         question = model.AskOwner(
             service=forward.service,
             caller=forward.caller,
             revision=self.board.config.store.revision,
         )
-        for agent in sorted(awaited):
+        for agent in sorted(ask.awaited):
             self.board.send(agent, question)
 
+    def _settle_ask(
+        self, caller: model.Endpoint, ask: PendingAsk, now: float
+    ) -> None:
+        """Passes on what waited to the newest owner, or places the flow."""
+        self.board.asks.pop(caller, None)
+        if ask.heard is None:
+            self._place(caller, ask.forwards, now)
+            return
+        self.board.directory.point(caller, ask.heard, ask.heard_at)
+        for forward in ask.forwards:
+            self._pass_on(forward, ask.heard, True, now)
+
     def on_ask_owner(
         self, sender: model.Endpoint, ask: model.AskOwner, now: float
     ) -> None:
         """Tells a home what this agent knows of a flow."""
         owner = None
+        age_ms = 0
         if ask.caller in self.board.flows:
             owner = self.board.identity.peer
         else:
             owner = self._known_owner(ask.caller, now)
+            age_ms = self._age_ms(ask.caller, now)
         if owner is None and ask.revision >= self.board.config.store.revision:
             self.board.referred[ask.caller] = (sender, now)
-        self.board.send(sender, model.TellOwner(ask.service, ask.caller, owner))
+        answer = model.TellOwner(ask.service, ask.caller, owner, age_ms)
+        self.board.send(sender, answer)
+
+    def _age_ms(self, caller: model.Endpoint, now: float) -> int:
+        pointer = self.board.directory.find(caller, now)
+        if pointer is None:
+            return 0
+        return int((now - pointer.heard_at) * MILLISECONDS)
 
     def on_tell_owner(
         self, sender: model.Endpoint, tell: model.TellOwner, now: float
     ) -> None:
         """Takes a peer's answer about a flow."""
         ask = self.board.asks.get(tell.caller)
-        if ask is None:
-            return
-        if tell.owner is not None:
-            del self.board.asks[tell.caller]
-            self.board.directory.point(tell.caller, tell.owner, now)
-            for forward in ask.forwards:
-                self._pass_on(forward, tell.owner, True, now)
+        if ask is None or not ask.asked:
             return
+        heard_at = now - tell.age_ms / MILLISECONDS
+        is_newer = ask.heard is None or heard_at > ask.heard_at
+        if tell.owner is not None and is_newer:
+            ask.heard = tell.owner
+            ask.heard_at = heard_at
         ask.awaited.discard(sender)
-        if not ask.awaited:
-            del self.board.asks[tell.caller]
-            self._place(tell.caller, ask.forwards, now)
+        if tell.owner == sender or not ask.awaited:
+            self._settle_ask(tell.caller, ask, now)
 
     def _place(
         self,
@@ -223,9 +288,10 @@
         self.board.counters[Count.FLOWS_MOVED] += 1
         del self.board.flows[flow.caller]
         self.board.outbox.append(model.FlowClosed(flow.caller))
+        self.board.moved[flow.caller] = (to, now)
         self.board.directory.point(flow.caller, to, now)
         record = model.FlowRecord(flow.caller, to, pinned=False)
-        for home in self._ranked(flow.caller)[:HOMES]:
+        for home in self._homes(flow.caller):
             if home != self.board.identity.peer:
                 self._announce_to(home, [record])
 
@@ -247,12 +313,13 @@
         """Sets a pointer; only its owner gives a pinned flow away."""
         if record.caller in self.board.flows:
             return
+        heard_at = now - record.age_ms / MILLISECONDS
         old = self.board.directory.find(record.caller, now)
         is_pinned = old is not None and old.pinned and not record.pinned
         if is_pinned and old is not None and old.owner != sender:
             return
         self.board.directory.point(
-            record.caller, record.owner, now, record.pinned
+            record.caller, record.owner, heard_at, record.pinned
         )
 
     def on_ask_flows(self, sender: model.Endpoint, now: float) -> None:
@@ -260,11 +327,11 @@
         own_flows = [
             flow
             for flow in self.pinned_flows()
-            if sender in self._ranked(flow.caller)[:HOMES]
+            if sender in self._homes(flow.caller)
         ]
         self.announce(own_flows)
         records = [
-            model.FlowRecord(caller, sender, pointer.pinned)
+            self._record_of(caller, pointer, now)
             for caller, pointer in self.board.directory.pointers.items()
             if pointer.owner == sender and caller not in self.board.flows
         ]
@@ -276,7 +343,7 @@
         own = self.board.identity.peer
         for flow in flows:
             record = model.FlowRecord(flow.caller, own, flow.is_pinned())
-            for home in self._ranked(flow.caller)[:HOMES]:
+            for home in self._homes(flow.caller):
                 if home != own:
                     batches.setdefault(home, []).append(record)
         for home, records in batches.items():
@@ -297,18 +364,42 @@
         """
         return [flow for flow in self.board.flows.values() if flow.is_pinned()]
 
+    def _record_of(
+        self, caller: model.Endpoint, pointer: parts.Pointer, now: float
+    ) -> model.FlowRecord:
+        age_ms = int((now - pointer.heard_at) * MILLISECONDS)
+        return model.FlowRecord(caller, pointer.owner, pointer.pinned, age_ms)
+
+    def hand_over(self, now: float) -> None:
+        """Gives pointers of pinned flows to their new homes.
+
+        Their owners tell it too, but one of them may be down just now.
+        """
+        batches: dict[model.Endpoint, list[model.FlowRecord]] = {}
+        own = self.board.identity.peer
+        for caller, pointer in self.board.directory.pointers.items():
+            if not pointer.pinned or caller in self.board.flows:
+                continue
+            record = self._record_of(caller, pointer, now)
+            for home in self._homes(caller):
+                if home != own:
+                    batches.setdefault(home, []).append(record)
+        for home, records in batches.items():
+            self._announce_to(home, records)
+
     def recover(self) -> None:
         """Asks the peers, after a start, which flows this agent owned."""
         self.board.recovered = True
-        for agent in self.board.other_agents():
+        for agent in self.board.known_agents():
             self.board.send(agent, model.AskFlows(self.board.identity.service))
 
     def tick(self, now: float) -> None:
         """Ends old questions, announces flows, forgets what expired."""
         for caller, ask in list(self.board.asks.items()):
-            if now > ask.until:
-                del self.board.asks[caller]
-                self._place(caller, ask.forwards, now)
+            if not ask.asked and self.board.sets_known:
+                self._send_questions(ask.forwards[0], ask, now)
+            elif ask.asked and now > ask.until:
+                self._settle_ask(caller, ask, now)
         if now >= self.board.next_announce_at:
             self.board.next_announce_at = now + self.board.identity.idle_s
             self.announce(self.pinned_flows())
@@ -322,6 +413,9 @@
         for caller, (_, at) in list(board.referred.items()):
             if now - at > REFERRED_S:
                 del board.referred[caller]
+        for caller, (_, at) in list(board.moved.items()):
+            if now - at > board.directory.lease_s:
+                del board.moved[caller]
         for flow in list(board.flows.values()):
             self._sweep_flow(flow, now)
         for caller, at in list(board.guests.items()):
--- a/notchhoist/controllers/loads.py
+++ b/notchhoist/controllers/loads.py
@@ -107,6 +107,10 @@
             return now - self.board.config.started_at < DEAD_AFTER_S
         return now - state.heard_at < DEAD_AFTER_S
 
+    def may_be_alive(self, agent: model.Endpoint, now: float) -> bool:
+        """Tells whether an agent is alive, or was never heard of."""
+        return agent not in self.board.peers or self.is_alive(agent, now)
+
     def incarnation_of(self, agent: model.Endpoint) -> int:
         """Returns the last known incarnation of a peer, 0 for none."""
         state = self.board.peers.get(agent)
--- /dev/null
+++ b/notchhoist/controllers/moving.py
@@ -0,0 +1,78 @@
+"""Moves: flows that begin something which another agent had better take."""
+
+import attrs
+
+from notchhoist import model, parts
+from notchhoist.blackboards import AgentBoard, Flow, Run
+from notchhoist.controllers.flows import FlowKeeper
+from notchhoist.controllers.loads import LoadKeeper
+
+
+@attrs.define
+class FlowMover:
+    """Moves a whole flow, with the request that it begins with.
+
+    Attributes:
+        board: Everything that the agent knows.
+        loads: The load of the peers.
+        flows: The flows.
+    """
+
+    board: AgentBoard
+    loads: LoadKeeper
+    flows: FlowKeeper
+
+    def move_stream(self, run: Run, now: float) -> bool:
+        """Opens a stream elsewhere, because this server is leaving.
+
+        Returns:
+            False where the flow has to stay or nobody can take it.
+        """
+        flow = self.board.flows.get(run.caller)
+        target = self.flows.choose_owner(now)
+        if flow is None or flow.is_pinned():
+            return False
+        if target == self.board.identity.peer:
+            return False
+        self._move(run, flow, target, now)
+        return True
+
+    def move_upload(self, run: Run, now: float) -> bool:
+        """Begins an upload elsewhere where no slot is free here.
+
+        The whole flow moves, so that later blocks find their way without
+        this agent.
+
+        Returns:
+            False where the upload is not the only thing in its flow, or no
+            other agent has a free slot.
+        """
+        flow = self.board.flows.get(run.caller)
+        block = run.request.block1
+        if flow is None or block is None or flow.is_shared():
+            return False
+        takes = self.loads.takes_new_work(now)
+        if takes and self.board.admission.free() > 0:
+            return False
+        candidates = self.loads.request_candidates(now, run.excluded)
+        chosen = parts.most_free(candidates)
+        if chosen is None:
+            return False
+        self.loads.note_sent(chosen.agent)
+        self._move(run, flow, chosen.agent, now)
+        return True
+
+    def _move(
+        self, run: Run, flow: Flow, target: model.Endpoint, now: float
+    ) -> None:
+        forward = model.Forward(
+            service=self.board.identity.service,
+            caller=run.caller,
+            datagram=run.datagram,
+            revision=self.board.config.store.revision,
+            hops=1,
+            placed=True,
+            balancer=flow.balancer or self.board.identity.peer,
+        )
+        self.flows.move(flow, target, now)
+        self.board.send(target, forward)
--- a/notchhoist/controllers/remembering.py
+++ b/notchhoist/controllers/remembering.py
@@ -1,5 +1,7 @@
 """Memory of a restarted agent: asked back from its peers."""
 
+from collections.abc import Callable
+
 import attrs
 
 from notchhoist import model, parts
@@ -20,10 +22,12 @@
     Attributes:
         board: Everything that the agent knows.
         claims: Which witnesses an identity has.
+        on_new_sets: Called when a peer told sets that were not known.
     """
 
     board: AgentBoard
     claims: ClaimKeeper
+    on_new_sets: Callable[[], None]
 
     def tick(self, now: float) -> None:
         """Asks the peers that have not told everything."""
@@ -71,14 +75,22 @@
         if not board.witness.is_young(now) or board.service is None:
             return
         parts.take_in(board.witness, sender, message, now)
-        until = now + board.witness.lifetime_s
-        for former in message.sets:
-            agents = tuple(former.agents)
-            if set(agents) != set(board.service.agents()):
-                board.sets.setdefault(agents, until)
+        self._take_sets(message.sets, board.service, now)
         board.told_sets.add(sender)
         self._note_sets_known()
 
+    def _take_sets(
+        self, sets: list[model.AgentSet], service: model.Service, now: float
+    ) -> None:
+        until = now + self.board.witness.lifetime_s
+        known = len(self.board.sets)
+        for former in sets:
+            agents = tuple(former.agents)
+            if set(agents) != set(service.agents()):
+                self.board.sets.setdefault(agents, until)
+        if len(self.board.sets) > known:
+            self.on_new_sets()
+
     def _note_sets_known(self) -> None:
         others = self.board.other_agents()
         told = sum(agent in self.board.told_sets for agent in others)
--- a/notchhoist/controllers/running.py
+++ b/notchhoist/controllers/running.py
@@ -9,16 +9,12 @@
 from collections.abc import Callable
 
 import attrs
-from hdrh.histogram import HdrHistogram
 
 from notchhoist import model, parts, wire
 from notchhoist.blackboards import (
     AgentBoard,
     ClaimState,
     Count,
-    Flow,
-    Origin,
-    Outcome,
     RemoteOrigin,
     Run,
     RunState,
@@ -27,6 +23,8 @@
 from notchhoist.controllers.exchanges import ExchangeKeeper
 from notchhoist.controllers.flows import FlowKeeper
 from notchhoist.controllers.loads import LoadKeeper
+from notchhoist.controllers.moving import FlowMover
+from notchhoist.controllers.outcomes import OutcomeKeeper
 
 GRANT_LEASE_S = 1.0
 """A grant is used within this time of asking for it, seconds, or not."""
@@ -41,13 +39,12 @@
 """So many times the peer's usual time must be left until the deadline."""
 
 MIN_TRY_S = 0.2
+FIRST_OF_MANY = (0, True)
 
 DRAINING_S = 3.0
 """How long a backend server's word that it is draining counts, seconds."""
 
 DRAINING_PAYLOAD = b"draining"
-OUTCOME_CAPACITY = 100_000
-MAX_LATENCY_US = 600_000_000
 SHED_CODE = "5.03"
 
 
@@ -61,11 +58,12 @@
         flows: The flows.
         exchanges: The message layer.
         claims: Grants and fences.
+        moves: Moves of whole flows.
+        outcomes: Who is told how a run ended.
         delegate: Gives a run to a peer; False where none can take it.
         delegate_assigned: Gives a later block of an upload to the peer that
             has the earlier ones; False where there is none.
         ask_outcome: Asks the holder of a grant how a run ended.
-        reply: Tells a peer how its run ended.
     """
 
     board: AgentBoard
@@ -73,18 +71,17 @@
     flows: FlowKeeper
     exchanges: ExchangeKeeper
     claims: ClaimKeeper
+    moves: FlowMover
+    outcomes: OutcomeKeeper
     delegate: Callable[[Run, bool, float], bool] = attrs.field(init=False)
     delegate_assigned: Callable[[Run, float], bool] = attrs.field(init=False)
     ask_outcome: Callable[[Run, model.Endpoint, float], None] = attrs.field(
         init=False
     )
-    reply: Callable[
-        [RemoteOrigin, model.RunStatus, wire.CoapMessage | None, int], None
-    ] = attrs.field(init=False)
 
     def submit(self, run: Run, now: float) -> None:
         """Takes a new run."""
-        if not run.repeatable and self._is_known(run, now):
+        if not run.repeatable and self.outcomes.is_known(run, now):
             return
         self._register(run)
         self.dispatch(run, now)
@@ -94,22 +91,6 @@
         if run.identity:
             self.board.by_identity[run.identity] = run
 
-    def _is_known(self, run: Run, now: float) -> bool:
-        """Joins a run or repeats an outcome of the same identity."""
-        running = self.board.by_identity.get(run.identity)
-        if running is not None:
-            running.origins.extend(run.origins)
-            return True
-        outcome = self.board.outcomes.get(run.identity)
-        if outcome is None:
-            return False
-        is_new_try = outcome.attempt != run.attempt
-        if is_new_try and outcome.status is model.RunStatus.NOT_RUN:
-            return False
-        for origin in run.origins:
-            self._tell(origin, outcome, now, run.kind, "repeated")
-        return True
-
     def dispatch(self, run: Run, now: float) -> None:
         """Finds a run its place: here, at a peer, in the queue, or none."""
         if self.delegate_assigned(run, now):
@@ -117,8 +98,10 @@
         if self._needs_its_flow(run):
             self._dispatch_to_flow(run, now)
             return
-        if self._move_upload(run, now):
+        if self.moves.move_upload(run, now):
+            self._drop(run)
             return
+        self._announce_upload(run)
         takes = self.loads.takes_new_work(now)
         stays = self._own_agent_allowed(run) and takes
         if stays and self._enter(run, now):
@@ -134,6 +117,12 @@
         else:
             self.refuse(run, "no_free_slot", now)
 
+    def _announce_upload(self, run: Run) -> None:
+        """Tells the homes of a flow that an upload begins here."""
+        flow = self.board.flows.get(run.caller)
+        if flow is not None and run.request.block1 == FIRST_OF_MANY:
+            self.flows.announce([flow])
+
     def _own_agent_allowed(self, run: Run) -> bool:
         return self.board.identity.peer not in run.excluded
 
@@ -155,54 +144,10 @@
             self._enqueue(run, now)
 
     def _move_stream(self, run: Run, now: float) -> None:
-        """Opens a stream elsewhere, because this server is leaving."""
-        flow = self.board.flows.get(run.caller)
-        target = self.flows.choose_owner(now)
-        if flow is None or flow.is_pinned() or target == self._own():
+        if self.moves.move_stream(run, now):
+            self._drop(run)
+        else:
             self.refuse(run, "server_leaving", now)
-            return
-        self._move(run, flow, target, now)
-
-    def _move_upload(self, run: Run, now: float) -> bool:
-        """Begins an upload elsewhere where no slot is free here.
-
-        The whole flow moves, so that later blocks find their way without
-        this agent.
-
-        Returns:
-            False where the upload is not the only thing in its flow, or no
-            other agent has a free slot.
-        """
-        flow = self.board.flows.get(run.caller)
-        block = run.request.block1
-        if flow is None or block is None or flow.is_shared():
-            return False
-        takes = self.loads.takes_new_work(now)
-        if takes and self.board.admission.free() > 0:
-            return False
-        candidates = self.loads.request_candidates(now, run.excluded)
-        chosen = parts.most_free(candidates)
-        if chosen is None:
-            return False
-        self.loads.note_sent(chosen.agent)
-        self._move(run, flow, chosen.agent, now)
-        return True
-
-    def _move(
-        self, run: Run, flow: Flow, target: model.Endpoint, now: float
-    ) -> None:
-        forward = model.Forward(
-            service=self.board.identity.service,
-            caller=run.caller,
-            datagram=run.datagram,
-            revision=self.board.config.store.revision,
-            hops=1,
-            placed=True,
-            balancer=flow.balancer or self._own(),
-        )
-        self._drop(run)
-        self.flows.move(flow, target, now)
-        self.board.send(target, forward)
 
     def _own(self) -> model.Endpoint:
         return self.board.identity.peer
@@ -230,7 +175,8 @@
 
     def enter_or_queue(self, run: Run, may_queue: bool, now: float) -> bool:
         """Takes a run for a peer; False where there is no slot for it."""
-        if not self.loads.takes_new_work(now):
+        is_begun = wire.is_block_continuation(run.request)
+        if not is_begun and not self.loads.takes_new_work(now):
             return False
         if self.board.admission.free() <= 0 and not may_queue:
             return False
@@ -396,16 +342,10 @@
         run.state = RunState.NEW
         if _is_for_peer(run):
             self._drop(run)
-            self._tell_no_slot(run)
+            self.outcomes.hand_back(run, now)
         else:
             self.dispatch(run, now)
 
-    def _tell_no_slot(self, run: Run) -> None:
-        """Tells the peers that the run was not started here."""
-        for origin in run.origins:
-            if isinstance(origin, RemoteOrigin):
-                self.reply(origin, model.RunStatus.NO_SLOT, None, 1)
-
     def retry(self, run: Run, now: float) -> None:
         """Tries a run elsewhere; only repeatable ones come here."""
         self.board.counters[Count.RETRIED] += 1
@@ -425,57 +365,7 @@
             return
         self._release(run, None)
         self._drop(run)
-        if response is not None:
-            self._record_latency(run, now)
-        self.board.note_decision(run, status.name.lower(), run.refusal, now)
-        outcome = Outcome(run.attempt, status, response, now, run.retry_after_s)
-        if run.identity:
-            self._remember(run.identity, outcome)
-        for origin in run.origins:
-            self._tell(origin, outcome, now, run.kind, run.refusal)
-
-    def _remember(self, identity: bytes, outcome: Outcome) -> None:
-        self.board.outcomes[identity] = outcome
-        if len(self.board.outcomes) > OUTCOME_CAPACITY:
-            self.board.outcomes.popitem(last=False)
-
-    def _record_latency(self, run: Run, now: float) -> None:
-        histogram = self.board.latencies.get(run.kind)
-        if histogram is None:
-            histogram = HdrHistogram(1, MAX_LATENCY_US, 2)
-            self.board.latencies[run.kind] = histogram
-        histogram.record_value(max(1, int((now - run.arrived_at) * 1e6)))
-
-    def _tell(
-        self,
-        origin: Origin,
-        outcome: Outcome,
-        now: float,
-        kind: str,
-        reason: str,
-    ) -> None:
-        if isinstance(origin, RemoteOrigin):
-            self.reply(
-                origin, outcome.status, outcome.response, outcome.retry_after_s
-            )
-            return
-        self.board.counters[_COUNT_OF[outcome.status]] += 1
-        if outcome.response is not None:
-            response = outcome.response
-            self.exchanges.answer(
-                origin,
-                lambda request: wire.readdressed(response, request),
-                now,
-            )
-            return
-        refusal = _REFUSAL_OF[outcome.status]
-        self.exchanges.answer(
-            origin,
-            lambda request: wire.refusal(
-                request, refusal, reason, outcome.retry_after_s
-            ),
-            now,
-        )
+        self.outcomes.settle(run, status, response, now)
 
     def _release(self, run: Run, service_s: float | None) -> None:
         self.board.started.pop((run.caller, run.request.token), None)
@@ -515,11 +405,7 @@
                 self._on_deadline(run, now)
         self.pump(now)
         self._offer_queued(now)
-        while self.board.outcomes:
-            identity, outcome = next(iter(self.board.outcomes.items()))
-            if now - outcome.at <= self.board.witness.lifetime_s:
-                break
-            del self.board.outcomes[identity]
+        self.outcomes.expire(now)
         self.board.witness.expire(now)
 
     def _on_deadline(self, run: Run, now: float) -> None:
@@ -573,19 +459,3 @@
 
 def _is_for_peer(run: Run) -> bool:
     return isinstance(run.origins[0], RemoteOrigin)
-
-
-_COUNT_OF = {
-    model.RunStatus.ANSWERED: Count.ANSWERED,
-    model.RunStatus.NO_SLOT: Count.BUSY,
-    model.RunStatus.NOT_RUN: Count.NOT_RUN,
-    model.RunStatus.UNKNOWN: Count.UNKNOWN,
-    model.RunStatus.TIMED_OUT: Count.UNKNOWN,
-}
-
-_REFUSAL_OF = {
-    model.RunStatus.NO_SLOT: wire.Refusal.BUSY,
-    model.RunStatus.NOT_RUN: wire.Refusal.NOT_RUN,
-    model.RunStatus.UNKNOWN: wire.Refusal.UNKNOWN,
-    model.RunStatus.TIMED_OUT: wire.Refusal.UNKNOWN,
-}
--- a/notchhoist/controllers/tests/test_flows.py
+++ b/notchhoist/controllers/tests/test_flows.py
@@ -89,3 +89,17 @@
     effects = node.handle(model.PeerMessage(peer, forward), site.world.now)
     assert effects == []
     assert node.board.counters["misdirected"] == 1
+
+
+@pytest.mark.parametrize("seed", [12, 14, 15, 25, 40])
+def test_issue_4_many_planned_changes_at_once_break_nothing(seed):
+    """Moves twice in a row, restarts while detached, old news of owners."""
+    site = changes.run_random_changes(seed)
+    assert site.world.callers_done()
+    assert dict(site.world.history.broken) == {}
+    assert site.world.history.check() == []
+
+
+def test_many_planned_changes_at_once_break_the_naive_version():
+    site = changes.run_random_changes(7, baselines.plain_rendezvous)
+    assert sum(site.world.history.broken.values()) > 0
--- a/notchhoist/model/messages.py
+++ b/notchhoist/model/messages.py
@@ -93,11 +93,19 @@
 
 @attrs.frozen(slots=True)
 class TellOwner:
-    """Answers ``AskOwner``; no owner where the peer knows none."""
+    """Answers ``AskOwner``; no owner where the peer knows none.
+
+    Attributes:
+        service: Service of both agents.
+        caller: Endpoint of the caller.
+        owner: Agent that owns the flow, or None.
+        age_ms: As for ``FlowRecord``.
+    """
 
     service: str
     caller: Endpoint
     owner: Endpoint | None
+    age_ms: int
 
 
 @attrs.frozen(slots=True)
@@ -108,11 +116,14 @@
         caller: Endpoint of the caller.
         owner: Agent that owns the flow.
         pinned: The flow has a stream or an upload at that agent.
+        age_ms: Time since the owner itself, or who made it the owner, said
+            so, milliseconds.
     """
 
     caller: Endpoint
     owner: Endpoint
     pinned: bool
+    age_ms: int = 0
 
 
 @attrs.frozen(slots=True)
--- a/notchhoist/parts/__init__.py
+++ b/notchhoist/parts/__init__.py
@@ -6,7 +6,11 @@
 from notchhoist.parts.placement import Candidate, most_free, two_choices
 from notchhoist.parts.recovery import combine, entry_of, take_in
 from notchhoist.parts.rendezvous import flow_hash_key, rank_nodes
-from notchhoist.parts.revisions import Difference, RevisionStore
+from notchhoist.parts.revisions import (
+    Difference,
+    RevisionStore,
+    balancers_for,
+)
 from notchhoist.parts.tenure import PauseDetector, Tenure
 from notchhoist.parts.witness import (
     WITNESSES,
@@ -37,6 +41,7 @@
     "Tally",
     "Tenure",
     "Witness",
+    "balancers_for",
     "combine",
     "entry_of",
     "flow_hash_key",
--- a/notchhoist/parts/directory.py
+++ b/notchhoist/parts/directory.py
@@ -14,7 +14,8 @@
 
     Attributes:
         owner: Agent that owns the flow.
-        heard_at: Runtime clock, seconds.
+        heard_at: Runtime clock when the owner, or who made it the owner,
+            said so, seconds.
         pinned: The flow has a stream or an upload there.
     """
 
@@ -27,6 +28,9 @@
 class Directory:
     """Maps callers to the agents that own their flows.
 
+    News carry their age, so the newest word of an owner wins in whatever order
+    they come, without clocks that agree.
+
     Examples:
         >>> directory = Directory(lease_s=10.0, capacity=100)
         >>> caller, agent = model.Endpoint("c", 1), model.Endpoint("a", 2)
@@ -53,7 +57,10 @@
         now: float,
         pinned: bool = False,
     ) -> None:
-        """Sets or renews the pointer of a caller."""
+        """Sets or renews the pointer of a caller, unless it is older news."""
+        known = self.pointers.get(caller)
+        if known is not None and known.heard_at > now:
+            return
         self.pointers[caller] = Pointer(owner, now, pinned)
         self.pointers.move_to_end(caller)
         if len(self.pointers) > self.capacity:
--- a/notchhoist/parts/revisions.py
+++ b/notchhoist/parts/revisions.py
@@ -5,6 +5,10 @@
 import attrs
 
 from notchhoist import model
+from notchhoist.parts.rendezvous import rank_nodes
+
+FEW_BALANCERS = 4
+"""Entry hosts that an agent knows at the least, where there are that many."""
 
 
 @attrs.frozen
@@ -26,6 +30,36 @@
     balancers: tuple[model.BalancerHost, ...] | None = None
 
 
+def balancers_for(
+    zone: str, hosts: Sequence[model.BalancerHost]
+) -> tuple[model.BalancerHost, ...]:
+    """Returns the entry hosts that an agent of a zone gets to know.
+
+    Those of its own zone, and others, the same for the whole zone, until there
+    are a few.
+
+    Examples:
+        >>> hosts = [
+        ...     model.BalancerHost(f"e{n}", f"z{n}", model.Endpoint("e", n))
+        ...     for n in range(9)
+        ... ]
+        >>> known = balancers_for("z3", hosts)
+        >>> known[0].name, len(known)
+        ('e3', 4)
+
+    Args:
+        zone: Availability zone; empty for all hosts.
+        hosts: All entry hosts.
+    """
+    if not zone:
+        return tuple(hosts)
+    near = [host for host in hosts if host.zone == zone]
+    by_peer = {host.peer: host for host in hosts if host.zone != zone}
+    ranked = rank_nodes(zone.encode(), list(by_peer))
+    missing = max(0, FEW_BALANCERS - len(near))
+    return (*near, *(by_peer[peer] for peer in ranked[:missing]))
+
+
 @attrs.define
 class RevisionStore:
     """The configuration in force at one process.
@@ -119,15 +153,16 @@
             if changed > revision and service in ("", name)
         ]
         present = [name for name in names if name in self.services]
-        listed = tuple(
-            host for host in self.balancers if zone in ("", host.zone)
-        )
         return Difference(
             revision=self.revision,
             base=min(revision, self.revision),
             services=tuple(self.services[name] for name in present),
             removed=tuple(name for name in names if name not in self.services),
-            balancers=listed if self.balancers_at > revision else None,
+            balancers=(
+                balancers_for(zone, self.balancers)
+                if self.balancers_at > revision
+                else None
+            ),
         )
 
     def document(self) -> model.Configuration:
--- /dev/null
+++ b/notchhoist/platform/tests/test_http_client.py
@@ -0,0 +1,70 @@
+"""The platform's client: answers, and every way to fail, as typed results."""
+
+import anyio
+import httpx
+import pytest
+
+from notchhoist import platform
+
+
+def read(handler, operation="configuration"):
+    async def run():
+        transport = httpx.MockTransport(handler)
+        base = "http://127.0.0.1:1"
+        async with httpx.AsyncClient(
+            transport=transport, base_url=base
+        ) as client:
+            source = platform.HttpPlatform(client)
+            if operation == "hosts":
+                return await source.read_hosts()
+            return await source.read_configuration(after=3, wait_s=1.0)
+
+    return anyio.run(run)
+
+
+def test_a_document():
+    result = read(lambda request: httpx.Response(200, content=b"{}"))
+    event = platform.to_events(result)
+    assert (event.document, event.failed) == (b"{}", False)
+
+
+def test_nothing_newer():
+    event = platform.to_events(read(lambda request: httpx.Response(204)))
+    assert (event.document, event.failed) == (b"", False)
+
+
+def test_the_query_says_what_is_known():
+    asked = []
+
+    def handler(request):
+        asked.append(dict(request.url.params))
+        return httpx.Response(204)
+
+    read(handler)
+    assert asked == [{"after": "3", "wait": "1.0"}]
+
+
+def broken(request):
+    raise httpx.ConnectError("refused")
+
+
+@pytest.mark.parametrize(
+    "handler", [broken, lambda request: httpx.Response(503)]
+)
+@pytest.mark.parametrize("operation", ["configuration", "hosts"])
+def test_failures_are_typed(handler, operation):
+    result = read(handler, operation)
+    assert result.failure().operation == operation
+    assert platform.to_events(result).failed
+
+
+def test_a_host_list():
+    text = b'{"live": ["a", "b"], "leaving": ["b"]}'
+    result = read(lambda request: httpx.Response(200, content=text), "hosts")
+    event = platform.to_events(result)
+    assert event.leaving == {"b"}
+
+
+def test_a_host_list_that_is_none():
+    result = read(lambda request: httpx.Response(200, content=b"[]"), "hosts")
+    assert platform.to_events(result).failed
--- a/notchhoist/testing/baselines.py
+++ b/notchhoist/testing/baselines.py
@@ -188,7 +188,15 @@
     if not isinstance(node, controllers.AgentNode):
         raise TypeError("only agents run requests")
     old = node.runs
-    runs = kind(node.board, old.loads, old.flows, old.exchanges, old.claims)
+    runs = kind(
+        board=node.board,
+        loads=old.loads,
+        flows=old.flows,
+        exchanges=old.exchanges,
+        claims=old.claims,
+        moves=old.moves,
+        outcomes=old.outcomes,
+    )
     delegations = node.delegations
     delegations.runs = runs
     node.runs = runs
@@ -197,7 +205,6 @@
     runs.delegate = delegations.delegate
     runs.delegate_assigned = delegations.delegate_assigned
     runs.ask_outcome = delegations.ask_outcome
-    runs.reply = delegations.reply
     if isinstance(runs, BlindPlacement):
         runs.give = lambda run, agent, now: delegations.give(
             run, agent, True, now
--- a/notchhoist/testing/changes.py
+++ b/notchhoist/testing/changes.py
@@ -86,18 +86,19 @@
     def replace_balancers(self) -> None:
         """Replaces all balancers, one after another."""
         for place, peer in enumerate(list(self.world.entries)):
-            self._replace(peer, place * REPLACE_EVERY_S)
+            self.replace(peer, place * REPLACE_EVERY_S)
 
     def restart_agent(self) -> None:
         """Restarts the first agent beside its living backend server."""
-        self._replace(self.service.servers[0].agent, 0.0)
+        self.replace(self.service.servers[0].agent, 0.0)
 
     def restart_agents(self) -> None:
         """Restarts all agents, one after another."""
         for place, agent in enumerate(self.service.agents()):
-            self._replace(agent, place * REPLACE_EVERY_S)
+            self.replace(agent, place * REPLACE_EVERY_S)
 
-    def _replace(self, peer: model.Endpoint, delay: float) -> None:
+    def replace(self, peer: model.Endpoint, delay: float = 0.0) -> None:
+        """Replaces the node of a host."""
         world = self.world
         is_entry = peer in world.entries
 
@@ -201,3 +202,120 @@
 def finish(site: Site) -> bool:
     """Lets every caller finish; False at the limit."""
     return site.world.run_until(site.world.callers_done, LIMIT_S)
+
+
+CHANGES_S = 12.0
+CHANGE_GAP_S = 0.8
+RESTART_GAP_S = 6.0
+FEWEST_ACTIVE = 3
+
+
+@attrs.define
+class Operator:
+    """Somebody who changes a site at random, several things at once.
+
+    No two agents are away at the same moment.
+
+    Attributes:
+        site: The site.
+        rng: Source of the changes.
+        done: Names of the changes so far.
+        restart_after: No agent is restarted before this time, seconds.
+        attached: How many servers have been attached.
+    """
+
+    site: Site
+    rng: random.Random
+    done: list[str] = attrs.Factory(list)
+    restart_after: float = 0.0
+    attached: int = 0
+
+    def attach(self) -> None:
+        """Attaches one more backend server."""
+        place = len(PLAN_FLOWS.slots) + self.attached
+        self.attached += 1
+        plan = attrs.evolve(PLAN_FLOWS, slots=(4,) * (place + 1))
+        server = server_of(plan, 0, place)
+        add_server(self.site.world, plan.name, server, IDLE_S, SERVICE_S)
+        self.site.publish(*self.site.service.servers, server)
+
+    def detach(self) -> None:
+        """Detaches a backend server while enough are left."""
+        servers = self.site.service.servers
+        if len(servers) <= FEWEST_ACTIVE + 1:
+            return
+        gone = self.rng.choice(servers)
+        self.site.publish(*[item for item in servers if item != gone])
+
+    def drain(self) -> None:
+        """Drains a backend server, or ends that."""
+        servers = self.site.service.servers
+        chosen = self.rng.choice(servers)
+        active = [s for s in servers if s.state is model.ServerState.ACTIVE]
+        state = model.ServerState.ACTIVE
+        if chosen in active:
+            if len(active) <= FEWEST_ACTIVE:
+                return
+            state = model.ServerState.DRAINING
+        self._change(chosen, attrs.evolve(chosen, state=state))
+
+    def weigh(self) -> None:
+        """Gives a backend server another weight."""
+        chosen = self.rng.choice(self.site.service.servers)
+        weight = self.rng.uniform(0.5, 5.0)
+        self._change(chosen, attrs.evolve(chosen, weight=weight))
+
+    def _change(
+        self, old: model.BackendServer, new: model.BackendServer
+    ) -> None:
+        servers = self.site.service.servers
+        self.site.publish(*[new if item == old else item for item in servers])
+
+    def restart_agent(self) -> None:
+        """Restarts an agent beside its living backend server."""
+        now = self.site.world.now
+        if now < self.restart_after:
+            return
+        self.restart_after = now + RESTART_GAP_S
+        self.site.replace(self.rng.choice(self.site.service.agents()))
+
+    def replace_balancer(self) -> None:
+        """Replaces a balancer while another is left."""
+        entries = self.site.world.entries
+        if len(entries) > 1:
+            self.site.replace(self.rng.choice(entries))
+
+    def work(self) -> None:
+        """Plans changes at random for a while."""
+        at = 0.0
+        while at < CHANGES_S:
+            at += self.rng.expovariate(1.0 / CHANGE_GAP_S)
+            change = self.rng.choice(
+                [
+                    self.attach,
+                    self.detach,
+                    self.detach,
+                    self.drain,
+                    self.weigh,
+                    self.restart_agent,
+                    self.replace_balancer,
+                ]
+            )
+            self.site.world.at(at, self._noted(change))
+
+    def _noted(self, change: Callable[[], None]) -> Callable[[], None]:
+        def run() -> None:
+            self.done.append(change.__name__)
+            change()
+
+        return run
+
+
+def run_random_changes(
+    seed: int, adapt: Callable[[controllers.Node], None] | None = None
+) -> Site:
+    """Runs a site under random planned changes to its end."""
+    site = make_site(seed, adapt)
+    Operator(site, random.Random(seed * 7 + 1)).work()
+    finish(site)
+    return site
--- a/notchhoist/wire/peer.thrift
+++ b/notchhoist/wire/peer.thrift
@@ -10,8 +10,10 @@
   1: string service_name, 2: Endpoint caller, 3: binary datagram, 4: Endpoint owner
 }
 struct AskOwner { 1: string service_name, 2: Endpoint caller, 3: i64 revision }
-struct TellOwner { 1: string service_name, 2: Endpoint caller, 3: optional Endpoint owner }
-struct FlowRecord { 1: Endpoint caller, 2: Endpoint owner, 3: bool pinned }
+struct TellOwner { 1: string service_name, 2: Endpoint caller, 3: optional Endpoint owner,
+  4: i32 age_ms }
+struct FlowRecord { 1: Endpoint caller, 2: Endpoint owner, 3: bool pinned,
+  4: i32 age_ms }
 struct Announce { 1: string service_name, 2: list<FlowRecord> flows }
 struct AskFlows { 1: string service_name }
 struct GrantRequest {
--- a/notchhoist/wire/tests/test_wire.py
+++ b/notchhoist/wire/tests/test_wire.py
@@ -16,9 +16,9 @@
     model.Forward("s", THERE, b"\x00\xff", 3, 1, True, HERE),
     model.Deliver("s", THERE, b"", HERE),
     model.AskOwner("s", THERE, 7),
-    model.TellOwner("s", THERE, None),
-    model.TellOwner("s", THERE, HERE),
-    model.Announce("s", [model.FlowRecord(THERE, HERE, True)]),
+    model.TellOwner("s", THERE, None, 0),
+    model.TellOwner("s", THERE, HERE, 7),
+    model.Announce("s", [model.FlowRecord(THERE, HERE, True, 9)]),
     model.AskFlows("s"),
     model.GrantRequest("s", b"i", b"a", model.Purpose.FENCE, 2, 1 << 61),
     model.GrantReply(
