Pointers in a module of their own; a flow given away is not taken back

Ruled out: restoring flows only in the first seconds after a start (a restarted agent may hear of its flows later, when the former sets become known).

Change: a flow that was given away is taken back only on word that is younger than that. Pointers (telling, taking, handing over, asking) are controllers/ pointers.py; what stood twice there stands once.

--- a/notchhoist/controllers/agent_node.py
+++ b/notchhoist/controllers/agent_node.py
@@ -23,6 +23,7 @@
 from notchhoist.controllers.moving import FlowMover
 from notchhoist.controllers.node import drain
 from notchhoist.controllers.outcomes import OutcomeKeeper
+from notchhoist.controllers.pointers import PointerKeeper
 from notchhoist.controllers.remembering import MemoryKeeper
 from notchhoist.controllers.running import RunKeeper
 
@@ -34,6 +35,7 @@
     board: AgentBoard
     config: ConfigKeeper
     loads: LoadKeeper
+    pointers: PointerKeeper
     flows: FlowKeeper
     exchanges: ExchangeKeeper
     claims: ClaimKeeper
@@ -117,9 +119,9 @@
             case model.TellOwner():
                 self.flows.on_tell_owner(sender, message, now)
             case model.Announce():
-                self.flows.on_announce(sender, message, now)
+                self.pointers.on_announce(sender, message, now)
             case model.AskFlows():
-                self.flows.on_ask_flows(sender, now)
+                self.pointers.on_ask_flows(sender, now)
             case model.LeavingHosts():
                 self.config.on_leaving(message, now)
             case model.Ping():
@@ -187,11 +189,11 @@
             record.memory_s, board.witness.lifetime_s if not changed else 0.0
         )
         if not board.recovered:
-            self.flows.recover()
+            self.pointers.recover()
         elif changed:
             board.tenure.restart(now)
-            self.flows.announce(self.flows.pinned_flows())
-            self.flows.hand_over(now)
+            self.pointers.announce(self.pointers.pinned_flows())
+            self.pointers.hand_over(now)
 
     def _note_sets(self, record: model.Service, now: float) -> None:
         """Sets of agents that were in force count for a lifetime more."""
@@ -244,7 +246,9 @@
     board = make_agent_board(identity, now, seeds)
     rng = random.Random(seed)
     loads = LoadKeeper(board)
-    flows = FlowKeeper(board, loads, rng)
+    pointers = PointerKeeper(board)
+    flows = FlowKeeper(board, loads, pointers, rng)
+    pointers.adopt = flows.adopt
     exchanges = ExchangeKeeper(board, loads)
     claims = ClaimKeeper(board, rng)
     runs = RunKeeper(
@@ -261,12 +265,13 @@
         board=board,
         config=_agent_config(board, rng),
         loads=loads,
+        pointers=pointers,
         flows=flows,
         exchanges=exchanges,
         claims=claims,
         runs=runs,
         delegations=delegations,
-        memory=MemoryKeeper(board, claims, on_new_sets=flows.recover),
+        memory=MemoryKeeper(board, claims, on_new_sets=pointers.recover),
     )
     _connect(node)
     return node
@@ -291,7 +296,7 @@
     node.config.on_change = node.on_config_change
     node.flows.on_datagram = node.exchanges.on_datagram
     node.exchanges.on_run = node.runs.submit
-    node.exchanges.on_pinned = lambda flow: node.flows.announce([flow])
+    node.exchanges.on_pinned = lambda flow: node.pointers.announce([flow])
     node.claims.on_settled = node.runs.on_claim
     node.runs.delegate = node.delegations.delegate
     node.runs.delegate_assigned = node.delegations.delegate_assigned
--- a/notchhoist/controllers/flows.py
+++ b/notchhoist/controllers/flows.py
@@ -7,13 +7,14 @@
 """
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import attrs
 
 from notchhoist import model, parts
 from notchhoist.blackboards import AgentBoard, Count, Flow, PendingAsk
 from notchhoist.controllers.loads import LoadKeeper
+from notchhoist.controllers.pointers import MILLISECONDS, PointerKeeper
 
 MAX_HOPS = 4
 ASK_S = 0.15
@@ -25,11 +26,6 @@
 RESTART_GRACE_S = 15.0
 """A pinned flow of an agent that fell silent is kept for it, seconds."""
 
-HOMES = 2
-"""How many agents hear who owns a flow: its home and the next in order."""
-
-MILLISECONDS = 1000
-ANNOUNCE_BATCH = 40
 SWEEP_S = 1.0
 STREAM_IDLE_S = 300.0
 UPLOAD_IDLE_S = 30.0
@@ -42,12 +38,14 @@
     Attributes:
         board: Everything that the agent knows.
         loads: The load of the peers.
+        pointers: How the homes hear of owners.
         rng: Source of every draw.
         on_datagram: Takes a datagram of a flow that this agent owns.
     """
 
     board: AgentBoard
     loads: LoadKeeper
+    pointers: PointerKeeper
     rng: random.Random
     on_datagram: Callable[[Flow, bytes, float], None] = attrs.field(init=False)
 
@@ -131,30 +129,13 @@
 
     def home_of(self, caller: model.Endpoint, now: float) -> model.Endpoint:
         """Returns the first agent of a flow's order that is alive."""
-        ranked = self._ranked(caller)
+        ranked = self.pointers.ranked(caller)
         alive = (agent for agent in ranked if self.loads.is_alive(agent, now))
         return next(alive, self.board.identity.peer)
 
     def _is_home(self, caller: model.Endpoint, now: float) -> bool:
         return self.home_of(caller, now) == self.board.identity.peer
 
-    def _ranked(self, caller: model.Endpoint) -> list[model.Endpoint]:
-        service = self.board.service
-        agents = service.agents() if service else ()
-        return parts.rank_nodes(parts.flow_hash_key(caller), agents)
-
-    def _homes(self, caller: model.Endpoint) -> list[model.Endpoint]:
-        """Returns the homes of a flow, now and by the former sets.
-
-        A former home that is told nothing would lead a restarted agent to
-        flows that it no longer owns.
-        """
-        key = parts.flow_hash_key(caller)
-        homes = self._ranked(caller)[:HOMES]
-        for agents in self.board.sets:
-            homes.extend(parts.rank_nodes(key, agents)[:HOMES])
-        return list(dict.fromkeys(homes))
-
     def _pass_on(
         self,
         forward: model.Forward,
@@ -290,108 +271,7 @@
         self.board.outbox.append(model.FlowClosed(flow.caller))
         self.board.moved[flow.caller] = (to, now)
         self.board.directory.point(flow.caller, to, now)
-        record = model.FlowRecord(flow.caller, to, pinned=False)
-        for home in self._homes(flow.caller):
-            if home != self.board.identity.peer:
-                self._announce_to(home, [record])
-
-    def on_announce(
-        self, sender: model.Endpoint, message: model.Announce, now: float
-    ) -> None:
-        """Takes pointers from an owner, or back from a home."""
-        own = self.board.identity.peer
-        for record in message.flows:
-            if record.owner != own:
-                self._point(sender, record, now)
-            elif record.caller not in self.board.flows and record.pinned:
-                flow = self.adopt(record.caller, now)
-                flow.restored = True
-
-    def _point(
-        self, sender: model.Endpoint, record: model.FlowRecord, now: float
-    ) -> None:
-        """Sets a pointer; only its owner gives a pinned flow away."""
-        if record.caller in self.board.flows:
-            return
-        heard_at = now - record.age_ms / MILLISECONDS
-        old = self.board.directory.find(record.caller, now)
-        is_pinned = old is not None and old.pinned and not record.pinned
-        if is_pinned and old is not None and old.owner != sender:
-            return
-        self.board.directory.point(
-            record.caller, record.owner, heard_at, record.pinned
-        )
-
-    def on_ask_flows(self, sender: model.Endpoint, now: float) -> None:
-        """Tells a restarted agent which flows it owned and is home of."""
-        own_flows = [
-            flow
-            for flow in self.pinned_flows()
-            if sender in self._homes(flow.caller)
-        ]
-        self.announce(own_flows)
-        records = [
-            self._record_of(caller, pointer, now)
-            for caller, pointer in self.board.directory.pointers.items()
-            if pointer.owner == sender and caller not in self.board.flows
-        ]
-        self._announce_to(sender, records)
-
-    def announce(self, flows: Iterable[Flow]) -> None:
-        """Tells the homes, first and second, that this agent owns flows."""
-        batches: dict[model.Endpoint, list[model.FlowRecord]] = {}
-        own = self.board.identity.peer
-        for flow in flows:
-            record = model.FlowRecord(flow.caller, own, flow.is_pinned())
-            for home in self._homes(flow.caller):
-                if home != own:
-                    batches.setdefault(home, []).append(record)
-        for home, records in batches.items():
-            self._announce_to(home, records)
-
-    def _announce_to(
-        self, agent: model.Endpoint, records: list[model.FlowRecord]
-    ) -> None:
-        service = self.board.identity.service
-        for start in range(0, len(records), ANNOUNCE_BATCH):
-            batch = records[start : start + ANNOUNCE_BATCH]
-            self.board.send(agent, model.Announce(service, batch))
-
-    def pinned_flows(self) -> list[Flow]:
-        """Returns the flows whose pointers have to be renewed.
-
-        Of the others nothing is lost where they are placed anew.
-        """
-        return [flow for flow in self.board.flows.values() if flow.is_pinned()]
-
-    def _record_of(
-        self, caller: model.Endpoint, pointer: parts.Pointer, now: float
-    ) -> model.FlowRecord:
-        age_ms = int((now - pointer.heard_at) * MILLISECONDS)
-        return model.FlowRecord(caller, pointer.owner, pointer.pinned, age_ms)
-
-    def hand_over(self, now: float) -> None:
-        """Gives pointers of pinned flows to their new homes.
-
-        Their owners tell it too, but one of them may be down just now.
-        """
-        batches: dict[model.Endpoint, list[model.FlowRecord]] = {}
-        own = self.board.identity.peer
-        for caller, pointer in self.board.directory.pointers.items():
-            if not pointer.pinned or caller in self.board.flows:
-                continue
-            record = self._record_of(caller, pointer, now)
-            for home in self._homes(caller):
-                if home != own:
-                    batches.setdefault(home, []).append(record)
-        for home, records in batches.items():
-            self._announce_to(home, records)
-
-    def recover(self) -> None:
-        """Asks the peers, after a start, which flows this agent owned."""
-        self.board.recovered = True
-        for agent in self.board.known_agents():
-            self.board.send(agent, model.AskFlows(self.board.identity.service))
+        self.pointers.announce_move(flow, to)
 
     def tick(self, now: float) -> None:
         """Ends old questions, announces flows, forgets what expired."""
@@ -402,7 +282,7 @@
                 self._settle_ask(caller, ask, now)
         if now >= self.board.next_announce_at:
             self.board.next_announce_at = now + self.board.identity.idle_s
-            self.announce(self.pinned_flows())
+            self.pointers.announce(self.pointers.pinned_flows())
         if now >= self.board.next_sweep_at:
             self.board.next_sweep_at = now + SWEEP_S
             self._sweep(now)
--- a/notchhoist/controllers/running.py
+++ b/notchhoist/controllers/running.py
@@ -121,7 +121,7 @@
         """Tells the homes of a flow that an upload begins here."""
         flow = self.board.flows.get(run.caller)
         if flow is not None and run.request.block1 == FIRST_OF_MANY:
-            self.flows.announce([flow])
+            self.flows.pointers.announce([flow])
 
     def _own_agent_allowed(self, run: Run) -> bool:
         return self.board.identity.peer not in run.excluded
