A memory told by every other agent is complete

Cause: agents replaced one after another were slow to be whole: the seventh of seven spoke on once-only requests after 61.5 s, because only memories older than a lifetime vouched, and its peers had just been replaced too.

Ruled out: sending each voucher's own vouchers along, to be judged request by request (grows with every restart); waiting longer between replacements (67 s each).

Change: an agent that every other agent, now or formerly of the service, has told from a complete memory is complete itself. Two lost together never get there and wait a lifetime: test_two_lost_together_do_not_call_themselves_whole. The recovery benchmark times configuration, load, flows and memory.

--- a/benchmarks/bench_recovery.py
+++ b/benchmarks/bench_recovery.py
@@ -11,7 +11,7 @@
 import random
 
 from notchhoist import controllers, model
-from notchhoist.testing import chaos
+from notchhoist.testing import changes, chaos
 from notchhoist.testing.caller import Task
 from notchhoist.testing.deployment import build_world
 from notchhoist.testing.world import World
@@ -20,6 +20,9 @@
 AFTER_S = 90.0
 TURN_S = 4.0
 AWAY_S = 1.0
+STEP_S = 0.05
+WHOLE_LIMIT_S = 80.0
+WHOLE = ("configuration", "load", "flows", "memory")
 
 
 def make_world(seed):
@@ -87,8 +90,67 @@
     )
 
 
+def wholeness(site, agent, pinned):
+    """Returns which kinds of knowledge a restarted agent has again."""
+    node = site.world.hosts[agent].node
+    if not isinstance(node, controllers.AgentNode):
+        return set()
+    board = node.board
+    others = frozenset(board.other_agents())
+    reached = board.config.store.revision == site.configuration.revision
+    found = {
+        "configuration": reached,
+        "load": reached and others <= set(board.peers),
+        "flows": pinned <= set(board.flows),
+        "memory": reached
+        and not board.witness.abstains(site.world.now, others),
+    }
+    return {name for name, holds in found.items() if holds}
+
+
+def streams_of(site, agent):
+    """Returns the callers of an agent's streams."""
+    flows = site.world.hosts[agent].node.board.flows.values()
+    return {flow.caller for flow in flows if flow.streams}
+
+
+def whole_row(name, count, at_once):
+    """Prints how long restarted agents take until they know all again."""
+    site = changes.make_site(5)
+    agents = site.service.agents()[:count]
+    pinned = {}
+    worst = dict.fromkeys(WHOLE, 0.0)
+    groups = [agents] if at_once else [[agent] for agent in agents]
+    for group in groups:
+        for agent in group:
+            pinned[agent] = streams_of(site, agent)
+        for agent in group:
+            site.replace(agent)
+        site.world.run(changes.AWAY_S + 0.001)
+        began = site.world.now
+        missing = {(agent, what) for agent in group for what in WHOLE}
+        while missing and site.world.now - began < WHOLE_LIMIT_S:
+            known = {
+                (agent, what)
+                for agent in group
+                for what in wholeness(site, agent, pinned[agent])
+            }
+            for _, what in missing & known:
+                worst[what] = max(worst[what], site.world.now - began)
+            missing -= known
+            site.world.run(STEP_S)
+        for _, what in missing:
+            worst[what] = float("inf")
+    shown = ", ".join(f"{what} {worst[what]:.2f} s" for what in WHOLE)
+    print(f"  {name:32} whole again after the start: {shown}")
+
+
 def main():
     """Prints every case."""
+    whole_row("one agent of seven", 1, False)
+    whole_row("seven agents one after another", 7, False)
+    whole_row("two agents at once", 2, True)
+    whole_row("seven agents at once", 7, True)
     agents = lambda world, service: list(service.agents())  # noqa: E731
     balancers = lambda world, service: list(world.entries)  # noqa: E731
     one = lambda world, service: [service.agents()[0]]  # noqa: E731
--- a/notchhoist/blackboards/agent.py
+++ b/notchhoist/blackboards/agent.py
@@ -31,7 +31,6 @@
 QUEUE_PER_SLOT = 4
 INITIAL_SLOTS = 1
 
-INCARNATION_BITS = 40
 RUN_BITS = 20
 """A run's number is the incarnation and a count of so many bits."""
 
--- a/notchhoist/controllers/configuring.py
+++ b/notchhoist/controllers/configuring.py
@@ -28,7 +28,6 @@
 """The same for a process that has no configuration yet, seconds."""
 
 HOSTS_S = 2.0
-LEAVING_REFRESH_S = 5.0
 LEAVING_LEASE_S = 20.0
 """Word that a host is leaving is void when nobody repeats it this long."""
 
--- a/notchhoist/controllers/remembering.py
+++ b/notchhoist/controllers/remembering.py
@@ -56,13 +56,27 @@
         ]
         message = model.Records(
             service=self.board.identity.service,
-            complete=not witness.is_young(now),
+            complete=self.is_complete(now),
             vouchers=witness.firm_vouchers(),
             records=records,
             sets=[model.AgentSet(list(agents)) for agents in self.board.sets],
         )
         self.board.send(sender, message)
 
+    def is_complete(self, now: float) -> bool:
+        """Tells whether nothing that counted can be missing here.
+
+        A young memory is complete once every other agent, each with a complete
+        memory itself, has told what it remembers. Two that were lost together
+        wait for each other in vain, and a lifetime makes them whole.
+        """
+        witness = self.board.witness
+        if not witness.is_young(now):
+            return True
+        others = self.board.known_agents()
+        firm = set(witness.firm_vouchers())
+        return self.board.sets_known and bool(others) and firm >= set(others)
+
     def _is_witness(self, agent: model.Endpoint, identity: bytes) -> bool:
         sets = self.claims.witness_sets(identity)
         return any(agent in group for group in sets)
--- a/notchhoist/controllers/tests/test_once.py
+++ b/notchhoist/controllers/tests/test_once.py
@@ -176,6 +176,38 @@
     assert len(world.history.started) == 1
 
 
+def test_agents_replaced_one_after_another_lose_no_memory():
+    """Each is whole again before the next, by word of all the others."""
+    world = make_world()
+    run_until_started(world)
+    assert finish(world) is Result.ANSWERED
+    datagram = world.callers[CALLER].datagram
+    for agent in world_service(world).agents():
+        world.kill(agent)
+        world.start(agent)
+        world.run(3.0)
+    for host in world.hosts.values():
+        if hasattr(host.node, "memory"):
+            assert host.node.memory.is_complete(world.now)
+    for _ in range(5):
+        world.spray(chaos.PLAN.name, CALLER, [datagram])
+        world.run(1.0)
+    assert world.history.check() == []
+    assert len(world.history.started) == 1
+
+
+def test_two_lost_together_do_not_call_themselves_whole():
+    world = make_world()
+    first, second, *_ = world_service(world).agents()
+    for agent in (first, second):
+        world.kill(agent)
+    for agent in (first, second):
+        world.start(agent)
+    world.run(10.0)
+    for agent in (first, second):
+        assert not world.hosts[agent].node.memory.is_complete(world.now)
+
+
 def test_not_run_is_said_at_once_and_stays_true():
     world = make_world()
     for peer, backend in world.backends.items():
--- a/notchhoist/model/messages.py
+++ b/notchhoist/model/messages.py
@@ -230,9 +230,10 @@
 
     Attributes:
         service: Service of both agents.
-        complete: The sender is older than a lifetime.
-        vouchers: Where it is not, the agents older than a lifetime whose
-            memory it has taken in.
+        complete: The sender is older than a lifetime, or has taken in the
+            complete memory of every other agent.
+        vouchers: Where it has not, the agents whose complete memory it has
+            taken in.
         records: What the receiver is a witness of.
         sets: Sets of agents that still count.
     """
