Watchers push to agents of zones that have no balancer

Cause: at 10 nodes (two balancers, eight zones) a change took 1.85 s at worst: agents whose zone has no balancer were pushed to by nobody and waited for their next question.

Ruled out: asking more often (every daemon pays for it at every size).

Change: watchers also push to the agents of changed services in zones without a balancer.

--- a/notchhoist/controllers/configuring.py
+++ b/notchhoist/controllers/configuring.py
@@ -213,10 +213,10 @@
             self._push_service(service, before)
 
     def _push_service(self, service: model.Service, before: int) -> None:
-        zone = self.board.zone
-        message = self._difference(before, service.name, zone)
+        watched = {host.zone for host in self.board.store.balancers}
         for server in service.servers:
-            if server.zone == zone:
+            if server.zone == self.board.zone or server.zone not in watched:
+                message = self._difference(before, service.name, server.zone)
                 self.outbox.append(model.SendPeer(server.agent, message))
 
     def _difference(
--- a/notchhoist/controllers/tests/test_configuring.py
+++ b/notchhoist/controllers/tests/test_configuring.py
@@ -48,6 +48,14 @@
     assert any(isinstance(item, model.ConfigDiff) for item in pushed)
 
 
+def test_issue_4_a_zone_without_a_balancer_is_pushed_to():
+    """Its agents waited for their next question, up to 2.25 s."""
+    fleet = started(nodes=10)
+    fleet.publish_weight(2.0)
+    fleet.world.run(0.2)
+    assert fleet.behind() == 0
+
+
 def test_a_third_of_lost_messages_does_not_stop_it():
     fleet = started()
     fleet.world.loss = 0.3
