--- a/benchmarks/bench_flows.py
+++ b/benchmarks/bench_flows.py
@@ -50,6 +50,7 @@
     total = changes.flows_of_run() * seeds
     print(f"{total} streams and uploads each, broken in percent by cause")
     for name, change in [
+        ("no change", lambda site: None),
         *changes.PLANNED.items(),
         ("host killed", changes.Site.kill_host),
     ]:
--- a/notchhoist/testing/baselines.py
+++ b/notchhoist/testing/baselines.py
@@ -9,6 +9,7 @@
 from notchhoist.blackboards import ClaimState, Run
 from notchhoist.controllers.balancing import FlowForwarder
 from notchhoist.controllers.claims import ClaimKeeper
+from notchhoist.controllers.moving import FlowMover
 from notchhoist.controllers.running import RunKeeper
 from notchhoist.testing.retry_budget import RetryBudget
 
@@ -84,10 +85,25 @@
         return agents[digest % len(agents)]
 
 
+@attrs.define
+class StayingMover(FlowMover):
+    """Moves no flow: without a directory nobody would find it."""
+
+    def move_stream(self, run: Run, now: float) -> bool:
+        """Lets the stream stay or be refused."""
+        return False
+
+    def move_upload(self, run: Run, now: float) -> bool:
+        """Lets the upload stay."""
+        return False
+
+
 def use_forwarder(node: controllers.Node, kind: type[FlowForwarder]) -> None:
-    """Gives a balancer another way to route."""
+    """Gives a balancer another way to route, and lets agents move nothing."""
     if isinstance(node, controllers.BalancerNode):
         node.forwarder = kind(node.board, node.forwarder.rng)
+    elif isinstance(node, controllers.AgentNode):
+        node.runs.moves = StayingMover(node.board, node.loads, node.flows)
 
 
 def plain_rendezvous(node: controllers.Node) -> None:
