--- a/notchhoist/base/errors.py
+++ b/notchhoist/base/errors.py
@@ -1,30 +1,32 @@
-"""Typed errors: every failure of the system has one of these types."""
+"""Typed errors: every failure of the system has one of these types.
 
-import attrs
+Plain classes: small processes load them before anything else, and a class
+generator would cost them more than all errors together.
+"""
 
 
 class NotchhoistError(Exception):
     """Base of all errors of the package."""
 
 
-@attrs.frozen(slots=False)
 class CodecError(NotchhoistError):
     """Bytes that do not decode.
 
     Attributes:
-        codec: Name of the codec, ``coap`` or ``thrift``.
+        codec: Name of the codec, such as ``coap`` or ``thrift``.
         reason: What the codec's library said.
     """
 
-    codec: str
-    reason: str
+    def __init__(self, codec: str, reason: str) -> None:
+        super().__init__(codec, reason)
+        self.codec = codec
+        self.reason = reason
 
     def __str__(self) -> str:
         """Returns one line for people."""
         return f"{self.codec}: {self.reason}"
 
 
-@attrs.frozen(slots=False)
 class MisdirectedError(NotchhoistError):
     """A message for another service than the receiver's.
 
@@ -33,15 +35,16 @@
         got: Service that the message names.
     """
 
-    expected: str
-    got: str
+    def __init__(self, expected: str, got: str) -> None:
+        super().__init__(expected, got)
+        self.expected = expected
+        self.got = got
 
     def __str__(self) -> str:
         """Returns one line for people."""
         return f"message for service {self.got!r} at {self.expected!r}"
 
 
-@attrs.frozen
 class ConfigurationProblem:
     """One thing that is wrong in a document or a settings file.
 
@@ -51,16 +54,32 @@
         got: What stood there, shortened.
     """
 
-    place: str
-    expected: str
-    got: str
+    __slots__ = ("expected", "got", "place")
+
+    def __init__(self, place: str, expected: str, got: str) -> None:
+        self.place = place
+        self.expected = expected
+        self.got = got
+
+    def _key(self) -> tuple[str, str, str]:
+        return (self.place, self.expected, self.got)
+
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, ConfigurationProblem):
+            return NotImplemented
+        return self._key() == other._key()
+
+    def __hash__(self) -> int:
+        return hash(self._key())
+
+    def __repr__(self) -> str:
+        return f"ConfigurationProblem{self._key()}"
 
     def __str__(self) -> str:
         """Returns one line for people."""
         return f"{self.place}: expected {self.expected}, got {self.got}"
 
 
-@attrs.frozen(slots=False)
 class ConfigurationRefusedError(NotchhoistError):
     """A published document that is not put in force.
 
@@ -69,15 +88,18 @@
         problems: Everything that is wrong with it.
     """
 
-    revision: int
-    problems: tuple[ConfigurationProblem, ...]
+    def __init__(
+        self, revision: int, problems: tuple[ConfigurationProblem, ...]
+    ) -> None:
+        super().__init__(revision, problems)
+        self.revision = revision
+        self.problems = problems
 
     def __str__(self) -> str:
         """Returns one line for people."""
         return "; ".join(str(problem) for problem in self.problems)
 
 
-@attrs.frozen(slots=False)
 class SettingsRefusedError(NotchhoistError):
     """A settings file that a process does not start from.
 
@@ -86,15 +108,18 @@
         problems: Everything that is wrong with it.
     """
 
-    path: str
-    problems: tuple[ConfigurationProblem, ...]
+    def __init__(
+        self, path: str, problems: tuple[ConfigurationProblem, ...]
+    ) -> None:
+        super().__init__(path, problems)
+        self.path = path
+        self.problems = problems
 
     def __str__(self) -> str:
         """Returns a line for each problem."""
         return "\n".join(f"{self.path}: {item}" for item in self.problems)
 
 
-@attrs.frozen(slots=False)
 class PlatformError(NotchhoistError):
     """The platform's service did not give a usable answer.
 
@@ -103,15 +128,16 @@
         reason: Why, from the HTTP client.
     """
 
-    operation: str
-    reason: str
+    def __init__(self, operation: str, reason: str) -> None:
+        super().__init__(operation, reason)
+        self.operation = operation
+        self.reason = reason
 
     def __str__(self) -> str:
         """Returns one line for people."""
         return f"platform {self.operation}: {self.reason}"
 
 
-@attrs.frozen(slots=False)
 class StatementError(NotchhoistError):
     """A statement of the command language that cannot be carried out.
 
@@ -121,9 +147,11 @@
         got: What stood there.
     """
 
-    column: int
-    expected: str
-    got: str
+    def __init__(self, column: int, expected: str, got: str) -> None:
+        super().__init__(column, expected, got)
+        self.column = column
+        self.expected = expected
+        self.got = got
 
     def __str__(self) -> str:
         """Returns one line for people."""
--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -4,14 +4,15 @@
 restarted process serves as early as it can.
 """
 
-import random
+import os
 import signal
 import socket
 from collections.abc import Iterable
 
-import attrs
+from msgspec import Struct, field
 
 from notchhoist.base import datagrams
+from notchhoist.base.draws import make_draw
 from notchhoist.base.errors import CodecError, PlatformError
 from notchhoist.daemon.flow_journal import FlowJournal, flow_text
 from notchhoist.daemon.http_call import HttpCaller
@@ -48,8 +49,7 @@
 """Least time between two ticks; a wake-up costs processor time."""
 
 
-@attrs.define(eq=False)
-class FlowDaemon:
+class FlowDaemon(Struct, eq=False):
     """One process: sockets, timers and a node.
 
     Attributes:
@@ -73,7 +73,7 @@
     packets: socket.socket
     peers: socket.socket
     control: socket.socket
-    tick_timer: Timer = attrs.Factory(lambda: Timer(float("inf"), None))
+    tick_timer: Timer = field(default_factory=lambda: Timer(float("inf"), None))
 
     def start(self) -> None:
         """Begins to serve."""
@@ -228,8 +228,7 @@
             self.loop.call_later(LEAVE_S, self.loop.stop)
 
 
-@attrs.define(eq=False)
-class StoreFeed:
+class StoreFeed(Struct, eq=False):
     """Feeds a balancer with what the platform's store holds.
 
     Attributes:
@@ -292,7 +291,7 @@
             case store.TablePublished():
                 fleet.on_table(event.table)
             case store.ServersListed():
-                fleet.on_listing(event.entries, now)
+                fleet.on_listing(event.entries, now, event.kept)
             case store.ServerPublished():
                 fleet.on_entry(event.entry, now)
             case store.ServerRemoved():
@@ -328,7 +327,7 @@
         OSError: An address cannot be bound.
     """
     codec = PacketCodec()
-    seed = random.SystemRandom().getrandbits(60)
+    seed = os.urandom(8).hex()
     node: BalancerNode | AgentNode
     if settings.balances:
         packets = settings.packets
@@ -367,7 +366,7 @@
     daemon = make_daemon(settings, loop, journal)
     daemon.start()
     if settings.balances:
-        reader = store.StoreReader(random.Random(settings.name))
+        reader = store.StoreReader(make_draw(settings.name))
         StoreFeed(daemon, reader, HttpCaller(loop, settings.store)).call()
     loop.run()
     journal.log("stopped")
--- a/notchhoist/daemon/flow_journal.py
+++ b/notchhoist/daemon/flow_journal.py
@@ -4,12 +4,12 @@
 takes 0.08 s and 4 MB to load, too much for the platform's hosts.
 """
 
-import json
 import os
 from collections import Counter
 from collections.abc import Callable
 
-import attrs
+import msgspec
+from msgspec import Struct, field
 
 from notchhoist.daemon.loop import Clock
 
@@ -20,8 +20,7 @@
 Write = Callable[[bytes], None]
 
 
-@attrs.define(eq=False)
-class FlowJournal:
+class FlowJournal(Struct, eq=False):
     """Writes log lines within a budget.
 
     Attributes:
@@ -40,7 +39,7 @@
     write: Write
     second: float = 0.0
     lines: int = 0
-    dropped: Counter[str] = attrs.Factory(Counter)
+    dropped: Counter[str] = field(default_factory=Counter)
 
     def log(self, event: str, **fields: object) -> None:
         """Writes one line, or counts it where the budget is used up."""
@@ -71,7 +70,7 @@
             **fields,
         }
         try:
-            self.write(json.dumps(line, default=str).encode() + b"\n")
+            self.write(msgspec.json.encode(line, enc_hook=str) + b"\n")
         except OSError:
             # The reader does not keep up; the next line that gets through
             # tells how many were lost.
--- a/notchhoist/daemon/http_call.py
+++ b/notchhoist/daemon/http_call.py
@@ -4,8 +4,8 @@
 import socket
 from collections.abc import Callable
 
-import attrs
 import httptools
+from msgspec import Struct, field
 
 from notchhoist.daemon.loop import Loop, Timer
 
@@ -23,11 +23,10 @@
 OnFailed = Callable[[str], None]
 
 
-@attrs.define(eq=False)
-class _Answer:
+class _Answer(Struct, eq=False):
     """Collects an answer; the parser calls the ``on_`` methods."""
 
-    body: bytearray = attrs.Factory(bytearray)
+    body: bytearray = field(default_factory=bytearray)
     complete: bool = False
 
     def on_body(self, data: bytes) -> None:
@@ -37,8 +36,7 @@
         self.complete = True
 
 
-@attrs.define(eq=False)
-class HttpCaller:
+class HttpCaller(Struct, eq=False):
     """Calls one server; a connection is kept until something goes wrong.
 
     Attributes:
@@ -59,7 +57,7 @@
     sock: socket.socket | None = None
     connected: bool = False
     request: bytes = b""
-    answer: _Answer = attrs.Factory(_Answer)
+    answer: _Answer = field(default_factory=_Answer)
     parser: httptools.HttpResponseParser | None = None
     timer: Timer | None = None
     on_done: OnDone | None = None
--- a/notchhoist/daemon/http_port.py
+++ b/notchhoist/daemon/http_port.py
@@ -3,8 +3,8 @@
 import socket
 from collections.abc import Callable
 
-import attrs
 import httptools
+from msgspec import Struct, field
 
 from notchhoist.daemon.loop import Loop
 
@@ -17,8 +17,7 @@
 REASONS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
 
 
-@attrs.frozen
-class Reply:
+class Reply(Struct, frozen=True):
     """An answer.
 
     Attributes:
@@ -46,15 +45,14 @@
     return head.encode() + b"\r\n\r\n" + body
 
 
-@attrs.define(eq=False)
-class _Connection:
+class _Connection(Struct, eq=False):
     """One connection; the parser calls the ``on_`` methods."""
 
     sock: socket.socket
     last_at: float
     received: int = 0
     path: bytes = b""
-    paths: list[str] = attrs.Factory(list)
+    paths: list[str] = field(default_factory=list)
 
     def on_message_begin(self) -> None:
         self.path = b""
@@ -67,8 +65,7 @@
         self.paths.append(self.path.decode("ascii", "replace"))
 
 
-@attrs.define(eq=False)
-class HttpPort:
+class HttpPort(Struct, eq=False):
     """Answers requests at one address.
 
     Attributes:
@@ -81,7 +78,9 @@
     loop: Loop
     listener: socket.socket
     handler: Handler
-    open: dict[_Connection, httptools.HttpRequestParser] = attrs.Factory(dict)
+    open: dict[_Connection, httptools.HttpRequestParser] = field(
+        default_factory=dict
+    )
 
     def accept(self) -> None:
         """Takes a new connection."""
--- a/notchhoist/daemon/loop.py
+++ b/notchhoist/daemon/loop.py
@@ -12,7 +12,7 @@
 import socket
 from collections.abc import Callable
 
-import attrs
+from msgspec import Struct, field
 
 Clock = Callable[[], float]
 Callback = Callable[[], None]
@@ -21,8 +21,7 @@
 _WRITE = selectors.EVENT_WRITE
 
 
-@attrs.define(eq=False)
-class Timer:
+class Timer(Struct, eq=False):
     """Something that is to happen.
 
     Attributes:
@@ -38,8 +37,7 @@
         self.callback = None
 
 
-@attrs.define(eq=False)
-class Loop:
+class Loop(Struct, eq=False):
     """Calls back when sockets are ready and when time has come.
 
     Attributes:
@@ -51,9 +49,11 @@
     """
 
     clock: Clock
-    selector: selectors.BaseSelector = attrs.Factory(selectors.DefaultSelector)
-    timers: list[tuple[float, int, Timer]] = attrs.Factory(list)
-    numbers: "itertools.count[int]" = attrs.Factory(itertools.count)
+    selector: selectors.BaseSelector = field(
+        default_factory=selectors.DefaultSelector
+    )
+    timers: list[tuple[float, int, Timer]] = field(default_factory=list)
+    numbers: "itertools.count[int]" = field(default_factory=itertools.count)
     running: bool = True
 
     def on_readable(self, sock: socket.socket, callback: Callback) -> None:
--- /dev/null
+++ b/notchhoist/daemon/tests/test_flow_journal.py
@@ -0,0 +1,59 @@
+"""Logs of the opaque-flow daemons: bounded, and never blocking."""
+
+import json
+
+from notchhoist.daemon.flow_journal import LINES_A_SECOND, FlowJournal
+
+
+class Reader:
+    """Takes lines, or refuses them like a full pipe."""
+
+    def __init__(self):
+        self.lines = []
+        self.stuck = False
+
+    def write(self, line):
+        if self.stuck:
+            raise BlockingIOError
+        self.lines.append(json.loads(line))
+
+
+def journal(reader, now):
+    return FlowJournal("h", lambda: now[0], lambda: 0.0, reader.write)
+
+
+def test_a_line_is_one_json_object():
+    reader = Reader()
+    journal(reader, [1.5]).log("place", flow="f", load_age_s=0.2)
+    [line] = reader.lines
+    assert (line["message_type"], line["host"]) == ("place", "h")
+    assert (line["clock"], line["flow"]) == (1.5, "f")
+
+
+def test_a_storm_is_cut_and_what_is_dropped_is_counted_by_kind():
+    reader, now = Reader(), [10.0]
+    made = journal(reader, now)
+    for _ in range(LINES_A_SECOND + 30):
+        made.log("reset")
+    assert len(reader.lines) == LINES_A_SECOND
+    now[0] += 1.0
+    made.log("place")
+    assert reader.lines[-2]["dropped"] == {"reset": 30}
+
+
+def test_a_reader_that_stops_costs_lines_and_never_waits():
+    reader, now = Reader(), [10.0]
+    made = journal(reader, now)
+    reader.stuck = True
+    for _ in range(5):
+        made.log("reset")
+    reader.stuck = False
+    now[0] += 1.0
+    made.log("place")
+    assert reader.lines[0]["dropped"] == {"reset": 5}
+
+
+def test_values_that_json_does_not_know_are_written_as_text():
+    reader = Reader()
+    journal(reader, [0.0]).log("reset", reason=ValueError("x"))
+    assert reader.lines[0]["reason"] == "x"
--- a/notchhoist/flows/__init__.py
+++ b/notchhoist/flows/__init__.py
@@ -14,7 +14,8 @@
 * ``placing``: pure functions that choose a backend server.
 * ``held``: the flows of one backend server, as its agent sees them.
 * ``boards``: the blackboard of each role.
-* ``opening``, ``finding``, ``health``: the balancer's controllers.
+* ``opening``, ``finding``, ``health``, ``resetting``, ``fleet_keeper``: the
+  balancer's controllers; ``admitting``: the agent's.
 * ``balancer``, ``agent``: the two nodes.
 
 Modules are imported by name; see ``notchhoist.base`` for the reason.
--- a/notchhoist/flows/agent.py
+++ b/notchhoist/flows/agent.py
@@ -1,8 +1,9 @@
 """The node of an agent on the opaque-flow path."""
 
-import attrs
+from msgspec import Struct, field
 
 from notchhoist.flows import notes
+from notchhoist.flows.admitting import RequestGate
 from notchhoist.flows.boards import AgentBoard, Count
 from notchhoist.flows.effects import (
     CheckBackend,
@@ -14,14 +15,12 @@
 )
 from notchhoist.flows.held import (
     CLOSED_KEPT_S,
-    PACE_GAIN,
-    STUCK_S,
     HeldFlow,
     Phase,
 )
 from notchhoist.flows.messages import LoadAsk, LoadTell, PeerMessage
 from notchhoist.flows.notes import Load, NoteKind
-from notchhoist.flows.segments import Segment, SegmentCodec, is_after
+from notchhoist.flows.segments import Segment, SegmentCodec
 
 ACCEPT_WAIT_S = 0.025
 """A backend server has this long to accept a flow, seconds; it takes 0.3 ms."""
@@ -49,13 +48,13 @@
 _MINE = (Phase.OPEN, Phase.CLOSED, Phase.TRIED)
 
 
-@attrs.define(eq=False)
-class AgentNode:
+class AgentNode(Struct, eq=False):
     """The decisions of an agent; see ``make_agent``.
 
     Attributes:
         board: What it knows.
         codec: Codec of the packets.
+        gate: Shares out the slots.
         sweep_due: When old knowledge is next forgotten, seconds.
         offered: Flows that the backend server has not accepted yet.
         counted: The load when it was last counted.
@@ -64,9 +63,10 @@
 
     board: AgentBoard
     codec: SegmentCodec
+    gate: RequestGate
     sweep_due: float = 0.0
-    offered: dict[bytes, HeldFlow] = attrs.Factory(dict)
-    counted: Load = attrs.Factory(Load)
+    offered: dict[bytes, HeldFlow] = field(default_factory=dict)
+    counted: Load = field(default_factory=Load)
     counted_at: float = float("-inf")
 
     @property
@@ -87,8 +87,9 @@
             if held.phase in (Phase.ACCEPTED, Phase.OPEN):
                 flows += 1
             since = held.running_since
-            if since is not None and now - since < STUCK_S:
+            if since is not None and now - since < self.gate.stuck_s():
                 running += 1
+        running += len(self.board.waiting)
         return Load(flows, running, int(self.board.pace_s * 1000))
 
     def on_balancer(
@@ -142,15 +143,20 @@
     def _give_back(
         self, host: str, segment: Segment, reason: str, now: float
     ) -> None:
-        """Sends a packet back whose flow is not, or will not be, here."""
+        """Sends a packet back whose flow is not, or will not be, here.
+
+        Without a reason it is not logged: the balancer that tries one agent
+        after the other logs the outcome.
+        """
         kind = NoteKind.REFUSED if segment.opens else NoteKind.RETURNED
         note = notes.to_balancer(kind, self.load(now))
         datagram = self.codec.with_note(segment, note)
         self.board.outbox.append(SendBalancer(host, datagram))
         self.board.records.counters[Count.RETURNED] += 1
-        self.board.records.decide(
-            "give back", segment.flow, kind.name.lower(), reason=reason
-        )
+        if reason:
+            self.board.records.decide(
+                "give back", segment.flow, kind.name.lower(), reason=reason
+            )
 
     def _offer(self, host: str, segment: Segment, now: float) -> None:
         board = self.board
@@ -177,8 +183,15 @@
                 return
             held = HeldFlow(Phase.TRIED, host, now, now)
             board.flows[segment.flow] = held
+        if held.phase is Phase.TRIED:
+            # Only the backend server can tell whether the flow is here.
+            self._note_use(held, host, segment, now)
+            board.outbox.append(SendBackend(self.codec.with_note(segment, 0)))
+            return
+        opening = held.phase is Phase.ACCEPTED
         self._note_use(held, host, segment, now)
-        board.outbox.append(SendBackend(self.codec.with_note(segment, 0)))
+        wish = notes.wish_of(segment.note)
+        self.gate.take(held, segment, wish, opening, now)
 
     def _note_use(
         self, held: HeldFlow, host: str, segment: Segment, now: float
@@ -190,15 +203,11 @@
             held.phase = Phase.OPEN
             held.since = now
             held.opening = None
+        if segment.size and not held.is_new(segment):
+            # A copy: the backend server may not have had the first one.
+            self._check_soon(now)
         if segment.resets:
             held.phase = Phase.CLOSED
-            held.running_since = None
-        if segment.size and held.phase is not Phase.CLOSED:
-            end = segment.seq + segment.size
-            known = held.request_end
-            if known is not None and not is_after(end, known):
-                self._check_soon(now)
-            held.note_request(segment, now)
 
     def _check_soon(self, now: float) -> None:
         board = self.board
@@ -217,15 +226,16 @@
             # The agent has restarted; the server's answer shows the flow.
             held = HeldFlow(Phase.OPEN, "", now, now)
             board.flows[segment.flow] = held
+        held.note_received(segment)
         if segment.accepts:
             self._on_accepted(held, segment, now)
         elif held.phase is Phase.TRIED:
             held.phase = Phase.OPEN
         if segment.size:
-            self._note_answer(held, now)
+            self.gate.on_answer(segment.flow, held, now)
         if segment.closes or segment.resets:
             held.phase = Phase.CLOSED
-            held.running_since = None
+            self.gate.forget(segment.flow, now)
         held.last_at = now
         board.outbox.append(
             SendCaller(segment.caller, self.codec.with_note(segment, 0))
@@ -243,23 +253,17 @@
         if held.balancer and held.opening is not None:
             self._tell(held.balancer, NoteKind.TAKEN, held.opening, now)
 
-    def _note_answer(self, held: HeldFlow, now: float) -> None:
-        elapsed = held.note_answer(now)
-        if elapsed is None:
-            return
-        board = self.board
-        if board.pace_s:
-            board.pace_s += PACE_GAIN * (elapsed - board.pace_s)
-        else:
-            board.pace_s = elapsed
-
     def _on_returned(self, segment: Segment, now: float) -> None:
         """Passes on what the backend server does not take or hold."""
         held = self.board.flows.pop(segment.flow, None)
         self.offered.pop(segment.flow, None)
+        self.gate.forget(segment.flow, now)
         if held is None or not held.balancer:
             return
-        self._give_back(held.balancer, segment, "server returned it", now)
+        tried = held.phase is Phase.TRIED
+        self._give_back(
+            held.balancer, segment, "" if tried else "server returned it", now
+        )
 
     def on_checked(self, listens: bool, now: float) -> list[Effect]:
         """Takes the outcome of ``CheckBackend``."""
@@ -289,6 +293,8 @@
             board.records.counters[Count.RESETS] += 1
             board.records.decide("reset", flow, "backend server gone")
         board.flows.clear()
+        board.active.clear()
+        board.waiting.clear()
         self.offered.clear()
 
     def on_peer(
@@ -297,6 +303,7 @@
         """Takes a control message."""
         self.board.balancers[host] = now
         if isinstance(message, LoadAsk):
+            self.board.slots = message.slots
             self._tell_load(host, now)
         return self._drain()
 
@@ -317,6 +324,7 @@
         ]
         for held in late:
             self._on_silent(held, now)
+        self.gate.tick(now)
         if now >= board.check_due and not board.checking:
             board.checking = True
             board.outbox.append(CheckBackend())
@@ -345,6 +353,8 @@
         ]
         for flow in old:
             del flows[flow]
+            self.gate.forget(flow, now)
+        self.gate.sweep(now)
 
     def stop(self, now: float) -> list[Effect]:
         """Begins a planned stop and tells the balancers of it."""
@@ -362,7 +372,9 @@
         )
         board = self.board
         check = float("inf") if board.checking else board.check_due
-        return min(offered + ACCEPT_WAIT_S, check, self.sweep_due)
+        return min(
+            offered + ACCEPT_WAIT_S, check, self.sweep_due, self.gate.due()
+        )
 
     def _drain(self) -> list[Effect]:
         effects = list(self.board.outbox)
@@ -379,4 +391,4 @@
         now: Runtime clock, seconds.
     """
     board = AgentBoard(service, notes.service_tag(service), now)
-    return AgentNode(board, codec)
+    return AgentNode(board, codec, RequestGate(board, codec))
--- a/notchhoist/flows/balancer.py
+++ b/notchhoist/flows/balancer.py
@@ -1,18 +1,19 @@
 """The node of a balancer on the opaque-flow path."""
 
-import random
-
-import attrs
+from msgspec import Struct
 
+from notchhoist.base.draws import make_draw
 from notchhoist.flows import notes
 from notchhoist.flows.boards import BalancerBoard, Count
-from notchhoist.flows.effects import Effect, SendAgent, SendCaller
+from notchhoist.flows.effects import Effect, SendAgent
 from notchhoist.flows.finding import FlowFinder
+from notchhoist.flows.fleet import Route
 from notchhoist.flows.fleet_keeper import FleetKeeper
 from notchhoist.flows.health import HealthKeeper
 from notchhoist.flows.messages import LoadTell, PeerMessage
 from notchhoist.flows.notes import NoteKind
 from notchhoist.flows.opening import FlowOpener
+from notchhoist.flows.resetting import FlowResetter
 from notchhoist.flows.segments import Segment, SegmentCodec
 
 SWEEP_S = 1.0
@@ -21,14 +22,14 @@
 packets, seconds; above the longest pause between two copies, 1.6 s."""
 
 
-@attrs.define(eq=False)
-class BalancerNode:
+class BalancerNode(Struct, eq=False):
     """The decisions of a balancer; see ``make_balancer``.
 
     Attributes:
         board: What it knows.
         codec: Codec of the packets.
         fleet: Keeps what the platform publishes.
+        resetter: Ends flows.
         health: Watches over the agents.
         opener: Places new flows.
         finder: Finds flows that are not known here.
@@ -38,6 +39,7 @@
     board: BalancerBoard
     codec: SegmentCodec
     fleet: FleetKeeper
+    resetter: FlowResetter
     health: HealthKeeper
     opener: FlowOpener
     finder: FlowFinder
@@ -60,27 +62,24 @@
             return []
         route = board.table.routes.get(segment.service_key)
         if route is None:
-            self._refuse_route(segment, board.table.version)
+            self._refuse_route(segment, board.table.version, now)
         elif segment.opens:
             self.opener.on_opening(route, segment, now)
         else:
-            self._forward(route.service_for(segment.flow), segment, now)
+            self._forward(route, segment, now)
         return self._drain()
 
-    def _refuse_route(self, segment: Segment, version: int) -> None:
+    def _refuse_route(self, segment: Segment, version: int, now: float) -> None:
         if segment.resets:
             return
         self.board.records.counters[Count.NO_ROUTE] += 1
-        self.board.records.decide(
-            "refuse", segment.flow, "no route", version=version
-        )
         self.board.flows.pop(segment.flow, None)
-        reset = self.codec.make_reset(segment)
-        self.board.outbox.append(SendCaller(segment.caller, reset))
+        self.resetter.reset(segment, "no route", now, version=version)
 
-    def _forward(self, service: str, segment: Segment, now: float) -> None:
+    def _forward(self, route: Route, segment: Segment, now: float) -> None:
         placement = self.board.flows.get(segment.flow)
         if placement is None:
+            service = route.service_for(segment.flow)
             self.finder.on_unknown(service, segment, now)
             return
         self.board.flows.move_to_end(segment.flow)
@@ -88,7 +87,11 @@
         placement.last = segment
         placement.closing = placement.closing or segment.closes
         server = placement.server
-        note = notes.to_agent(NoteKind.HELD, server.tag)
+        age_s = 0.0
+        if segment.size and placement.asked_since is not None:
+            age_s = now - placement.asked_since
+            placement.asked_since = None
+        note = notes.to_agent(NoteKind.HELD, server.tag, route.wish(age_s))
         datagram = self.codec.with_note(segment, note)
         self.board.outbox.append(SendAgent(server.entry.host, datagram))
         self.health.expect(server, now)
@@ -135,6 +138,7 @@
 
     def _sweep(self, now: float) -> None:
         self.fleet.sweep(now)
+        self.resetter.sweep(now)
         flows = self.board.flows
         idle_s = self.board.table.idle_s if self.board.table else 0.0
         old = [
@@ -165,7 +169,7 @@
         return effects
 
 
-def make_balancer(zone: str, codec: SegmentCodec, seed: int) -> BalancerNode:
+def make_balancer(zone: str, codec: SegmentCodec, seed: str) -> BalancerNode:
     """Makes the decisions of a balancer that knows nothing yet.
 
     Args:
@@ -174,13 +178,15 @@
         seed: Seed of every draw.
     """
     board = BalancerBoard(zone)
-    health = HealthKeeper(board, codec)
-    draw = random.Random(seed).random
+    resetter = FlowResetter(board, codec)
+    health = HealthKeeper(board, resetter)
+    draw = make_draw(seed)
     return BalancerNode(
         board=board,
         codec=codec,
         fleet=FleetKeeper(board),
+        resetter=resetter,
         health=health,
-        opener=FlowOpener(board, codec, health, draw),
-        finder=FlowFinder(board, codec, health),
+        opener=FlowOpener(board, codec, health, resetter, draw),
+        finder=FlowFinder(board, codec, health, resetter),
     )
--- a/notchhoist/flows/boards.py
+++ b/notchhoist/flows/boards.py
@@ -3,11 +3,12 @@
 import collections
 import enum
 
-import attrs
+from msgspec import Struct, field
 
 from notchhoist.flows.effects import Effect
-from notchhoist.flows.fleet import RouteTable, Server
+from notchhoist.flows.fleet import Route, RouteTable, Server
 from notchhoist.flows.held import HeldFlow
+from notchhoist.flows.holding import HeldRequest
 from notchhoist.flows.segments import Segment
 
 DECISIONS_KEPT = 1000
@@ -35,14 +36,15 @@
     SUSPECTED = "suspected"
     LOST = "lost"
     RETURNED = "returned"
+    HELD = "held"
+    HELD_TOO_LONG = "held_too_long"
     WRONG_SERVICE = "wrong_service"
     BACKEND_SILENT = "backend_silent"
     BACKEND_GONE = "backend_gone"
     DECISIONS_DROPPED = "decisions_dropped"
 
 
-@attrs.frozen
-class Decision:
+class Decision(Struct, frozen=True):
     """One decision, for the log.
 
     Attributes:
@@ -58,8 +60,7 @@
     outcome: str
 
 
-@attrs.define(eq=False)
-class Records:
+class Records(Struct, eq=False):
     """What both roles keep for their operators.
 
     Attributes:
@@ -67,8 +68,12 @@
         decisions: Decisions that the log has not taken yet.
     """
 
-    counters: collections.Counter[Count] = attrs.Factory(collections.Counter)
-    decisions: collections.deque[Decision] = attrs.Factory(collections.deque)
+    counters: collections.Counter[Count] = field(
+        default_factory=collections.Counter
+    )
+    decisions: collections.deque[Decision] = field(
+        default_factory=collections.deque
+    )
 
     def decide(
         self, event: str, flow: bytes, outcome: str, **inputs: object
@@ -80,8 +85,7 @@
         self.decisions.append(Decision(event, flow, inputs, outcome))
 
 
-@attrs.define(eq=False)
-class Placement:
+class Placement(Struct, eq=False):
     """Where a balancer believes a flow to be.
 
     Attributes:
@@ -90,6 +94,8 @@
         last_at: When the flow was last used, seconds.
         last: The caller's newest packet, to reset the flow by.
         closing: The caller has ended it.
+        asked_since: When the caller began to wait for its first request, or
+            None once that has gone to the server.
     """
 
     server: Server
@@ -97,29 +103,30 @@
     last_at: float
     last: Segment
     closing: bool = False
+    asked_since: float | None = None
 
 
-@attrs.define(eq=False)
-class Opening:
+class Opening(Struct, eq=False):
     """A new flow that no backend server has accepted yet.
 
     Attributes:
+        asked_since: When its caller began to wait, seconds.
         segment: Its opening packet.
         service: Its service.
-        long_lived: It will carry many requests.
+        route: Its route.
         sent_at: When it was last offered, seconds.
         tried: Ids of the servers that it was offered to.
     """
 
+    asked_since: float
     segment: Segment
     service: str
-    long_lived: bool
+    route: Route
     sent_at: float
     tried: list[str]
 
 
-@attrs.define(eq=False)
-class Search:
+class Search(Struct, eq=False):
     """A flow that is being looked for.
 
     Attributes:
@@ -142,8 +149,7 @@
     rounds: int = 0
 
 
-@attrs.define(eq=False)
-class BalancerBoard:
+class BalancerBoard(Struct, eq=False):
     """What a balancer knows.
 
     Attributes:
@@ -163,22 +169,21 @@
 
     zone: str
     table: RouteTable | None = None
-    servers: dict[str, Server] = attrs.Factory(dict)
-    by_service: dict[str, list[Server]] = attrs.Factory(dict)
-    by_host: dict[str, Server] = attrs.Factory(dict)
+    servers: dict[str, Server] = field(default_factory=dict)
+    by_service: dict[str, list[Server]] = field(default_factory=dict)
+    by_host: dict[str, Server] = field(default_factory=dict)
     fleet_known: bool = False
-    flows: collections.OrderedDict[bytes, Placement] = attrs.Factory(
-        collections.OrderedDict
+    flows: collections.OrderedDict[bytes, Placement] = field(
+        default_factory=collections.OrderedDict
     )
-    openings: dict[bytes, Opening] = attrs.Factory(dict)
-    searches: dict[bytes, Search] = attrs.Factory(dict)
-    records: Records = attrs.Factory(Records)
-    outbox: list[Effect] = attrs.Factory(list)
+    openings: dict[bytes, Opening] = field(default_factory=dict)
+    searches: dict[bytes, Search] = field(default_factory=dict)
+    records: Records = field(default_factory=Records)
+    outbox: list[Effect] = field(default_factory=list)
     stopping: bool = False
 
 
-@attrs.define(eq=False)
-class AgentBoard:
+class AgentBoard(Struct, eq=False):
     """What an agent knows.
 
     Attributes:
@@ -186,6 +191,10 @@
         tag: Tag of that service.
         started_at: When the agent started, seconds.
         flows: Flows of the backend server.
+        slots: Requests that the backend server works on at once; 0 while
+            nobody has told.
+        active: Flows whose request holds a slot.
+        waiting: Requests that wait for a slot, by flow.
         pace_s: Smoothed service time, seconds; 0 if unknown.
         backend_gone: The backend server does not listen any more.
         check_due: When to look at a silent backend server, or ``inf``.
@@ -200,13 +209,16 @@
     service: str
     tag: int
     started_at: float
-    flows: dict[bytes, HeldFlow] = attrs.Factory(dict)
+    flows: dict[bytes, HeldFlow] = field(default_factory=dict)
+    slots: int = 0
+    active: set[bytes] = field(default_factory=set)
+    waiting: dict[bytes, HeldRequest] = field(default_factory=dict)
     pace_s: float = 0.0
     backend_gone: bool = False
     check_due: float = float("inf")
     checking: bool = False
     checked_at: float = float("-inf")
-    balancers: dict[str, float] = attrs.Factory(dict)
-    records: Records = attrs.Factory(Records)
-    outbox: list[Effect] = attrs.Factory(list)
+    balancers: dict[str, float] = field(default_factory=dict)
+    records: Records = field(default_factory=Records)
+    outbox: list[Effect] = field(default_factory=list)
     stopping: bool = False
--- a/notchhoist/flows/effects.py
+++ b/notchhoist/flows/effects.py
@@ -1,51 +1,45 @@
 """What a node of the opaque-flow path asks its runtime to do."""
 
-import attrs
+from msgspec import Struct
 
 from notchhoist.flows.messages import PeerMessage
 
 
-@attrs.frozen
-class SendAgent:
+class SendAgent(Struct, frozen=True):
     """A packet to the agent on a host."""
 
     host: str
     datagram: bytes
 
 
-@attrs.frozen
-class SendBalancer:
+class SendBalancer(Struct, frozen=True):
     """A packet to the balancer on a host."""
 
     host: str
     datagram: bytes
 
 
-@attrs.frozen
-class SendCaller:
+class SendCaller(Struct, frozen=True):
     """A packet to a caller."""
 
     host: str
     datagram: bytes
 
 
-@attrs.frozen
-class SendBackend:
+class SendBackend(Struct, frozen=True):
     """A packet to the backend server on this host."""
 
     datagram: bytes
 
 
-@attrs.frozen
-class SendPeer:
+class SendPeer(Struct, frozen=True):
     """A control message to the process on a host."""
 
     host: str
     message: PeerMessage
 
 
-@attrs.frozen
-class CheckBackend:
+class CheckBackend(Struct, frozen=True):
     """Finds out whether the backend server on this host still listens."""
 
 
--- a/notchhoist/flows/finding.py
+++ b/notchhoist/flows/finding.py
@@ -5,14 +5,15 @@
 every one of them has denied is the flow reset.
 """
 
-import attrs
+from msgspec import Struct
 
 from notchhoist.flows import notes
 from notchhoist.flows.boards import BalancerBoard, Count, Placement, Search
-from notchhoist.flows.effects import SendAgent, SendCaller
+from notchhoist.flows.effects import SendAgent
 from notchhoist.flows.fleet import Server
 from notchhoist.flows.health import LOST_AFTER_S, HealthKeeper
 from notchhoist.flows.notes import NoteKind
+from notchhoist.flows.resetting import FlowResetter
 from notchhoist.flows.segments import Segment, SegmentCodec
 
 WAITING_MAX = 16
@@ -32,19 +33,20 @@
 """Searches at one time; more are left to the caller's next copy."""
 
 
-@attrs.define(eq=False)
-class FlowFinder:
+class FlowFinder(Struct, eq=False):
     """Finds flows by asking.
 
     Attributes:
         board: What the balancer knows.
         codec: Codec of the packets.
         health: Watches over the agents.
+        resetter: Ends flows.
     """
 
     board: BalancerBoard
     codec: SegmentCodec
     health: HealthKeeper
+    resetter: FlowResetter
 
     def on_unknown(
         self, service: str, segment: Segment, now: float, absent_at: str = ""
@@ -137,13 +139,17 @@
         )
         last = search.waiting[-1]
         self.board.flows[flow] = Placement(server, True, now, last)
-        self._hand_over(search, server, NoteKind.HELD, now)
+        self._hand_over(search.waiting, server, NoteKind.HELD, now)
 
     def _hand_over(
-        self, search: Search, server: Server, kind: NoteKind, now: float
+        self,
+        segments: list[Segment],
+        server: Server,
+        kind: NoteKind,
+        now: float,
     ) -> None:
         note = notes.to_agent(kind, server.tag)
-        for segment in search.waiting:
+        for segment in segments:
             datagram = self.codec.with_note(segment, note)
             self.board.outbox.append(SendAgent(server.entry.host, datagram))
         self.health.expect(server, now)
@@ -157,21 +163,18 @@
                 continue
             search.trying = host
             search.sent_at = now
-            self._hand_over(search, server, NoteKind.TRY, now)
+            # One packet is enough to find out.
+            self._hand_over(search.waiting[-1:], server, NoteKind.TRY, now)
             return
         del self.board.searches[flow]
         self.board.records.counters[Count.FOUND_NOWHERE] += 1
-        last = search.waiting[-1]
-        self.board.records.decide(
-            "reset",
-            flow,
+        self.resetter.reset(
+            search.waiting[-1],
             "found nowhere",
+            now,
             service=search.service,
             rounds=search.rounds,
         )
-        self.board.records.counters[Count.RESETS] += 1
-        reset = self.codec.make_reset(last)
-        self.board.outbox.append(SendCaller(last.caller, reset))
 
     def tick(self, now: float) -> None:
         """Asks again, and decides where an agent keeps silent."""
--- a/notchhoist/flows/fleet.py
+++ b/notchhoist/flows/fleet.py
@@ -4,7 +4,9 @@
 import zlib
 from collections.abc import Mapping
 
-import attrs
+from msgspec import Struct
+
+from notchhoist.flows.holding import Wish
 
 FOREVER = float("inf")
 
@@ -23,8 +25,7 @@
     UPLOAD = "upload"
 
 
-@attrs.frozen
-class Route:
+class Route(Struct, frozen=True):
     """Where the new flows to one service address go.
 
     Attributes:
@@ -45,6 +46,24 @@
     objective_ms: float = 0.0
     timeout_ms: float = 0.0
 
+    @property
+    def long_lived(self) -> bool:
+        """Whether a flow carries many requests."""
+        return self.kind is RequestKind.IDEMPOTENT
+
+    def wish(self, age_s: float = 0.0) -> Wish:
+        """Returns what agents are told of its requests.
+
+        Args:
+            age_s: How long the caller has been waiting, seconds.
+        """
+        return Wish(
+            objective_s=self.objective_ms / 1000,
+            age_s=age_s,
+            priority=self.priority,
+            upload=self.kind is RequestKind.UPLOAD,
+        )
+
     def service_for(self, flow: bytes) -> str:
         """Returns the service of a new flow; the same one for each copy.
 
@@ -63,8 +82,7 @@
         return self.targets[-1][0]
 
 
-@attrs.frozen
-class RouteTable:
+class RouteTable(Struct, frozen=True):
     """One version of the published configuration.
 
     Attributes:
@@ -78,8 +96,7 @@
     idle_s: float
 
 
-@attrs.frozen
-class ServerEntry:
+class ServerEntry(Struct, frozen=True):
     """A backend server as it announces itself.
 
     Attributes:
@@ -90,6 +107,7 @@
         slots: Requests that it works on at once.
         draining: It takes no new work.
         warm_in_s: How long it stays slow after its start, seconds.
+        created: Grows with the order in which entries were created.
     """
 
     server_id: str
@@ -99,10 +117,10 @@
     slots: int
     draining: bool
     warm_in_s: float = 0.0
+    created: int = 0
 
 
-@attrs.define(eq=False)
-class Server:
+class Server(Struct, eq=False):
     """What a balancer knows of a backend server.
 
     Attributes:
--- a/notchhoist/flows/fleet_keeper.py
+++ b/notchhoist/flows/fleet_keeper.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-import attrs
+from msgspec import Struct
 
 from notchhoist.flows.boards import BalancerBoard
 from notchhoist.flows.fleet import (
@@ -18,8 +18,7 @@
 platform promises nothing to flows that are older."""
 
 
-@attrs.define(eq=False)
-class FleetKeeper:
+class FleetKeeper(Struct, eq=False):
     """Keeps routes and servers as published; a version never goes back.
 
     Attributes:
@@ -44,11 +43,22 @@
             routes=len(table.routes),
         )
 
-    def on_listing(self, entries: Sequence[ServerEntry], now: float) -> None:
-        """Takes the whole list of backend servers."""
+    def on_listing(
+        self,
+        entries: Sequence[ServerEntry],
+        now: float,
+        kept: frozenset[str] = frozenset(),
+    ) -> None:
+        """Takes the whole list of backend servers.
+
+        Args:
+            entries: Their entries.
+            now: Runtime clock, seconds.
+            kept: Ids of servers that are listed with a wrong entry.
+        """
         for entry in entries:
             self.on_entry(entry, now)
-        listed = {entry.server_id for entry in entries}
+        listed = {entry.server_id for entry in entries} | kept
         for server_id, server in list(self.board.servers.items()):
             if server.listed and server_id not in listed:
                 self.on_removed(server_id, now)
@@ -65,6 +75,10 @@
             return
         server.entry = entry
         server.unlisted_at = FOREVER
+        if self._is_superseded(server):
+            # An entry outlives its server by three heartbeats.
+            self._forget(server.entry.server_id)
+            return
         server.warm_at = now + entry.warm_in_s
         board.records.decide(
             "server",
@@ -77,6 +91,31 @@
         )
         self._index()
 
+    def _is_superseded(self, server: Server) -> bool:
+        """Tells whether a newer server runs on the same host.
+
+        Older ones there are replaced: their processes have ended.
+        """
+        for other in list(self.board.servers.values()):
+            if other is server or other.entry.host != server.entry.host:
+                continue
+            if other.entry.created > server.entry.created:
+                return True
+            self._replace(other, server)
+        return False
+
+    def _replace(self, old: Server, new: Server) -> None:
+        self._forget(old.entry.server_id)
+        new.heard_at = old.heard_at
+        for placement in self.board.flows.values():
+            if placement.server is old:
+                # Its agent will say that the flow is gone.
+                placement.server = new
+
+    def _forget(self, server_id: str) -> None:
+        del self.board.servers[server_id]
+        self._index()
+
     def on_removed(self, server_id: str, now: float) -> None:
         """Takes word that an entry has vanished."""
         server = self.board.servers.get(server_id)
--- a/notchhoist/flows/health.py
+++ b/notchhoist/flows/health.py
@@ -1,13 +1,13 @@
 """A balancer's controller for the health of agents, by what they answer."""
 
-import attrs
+from msgspec import Struct, field
 
 from notchhoist.flows.boards import BalancerBoard, Count
-from notchhoist.flows.effects import SendCaller, SendPeer
+from notchhoist.flows.effects import SendPeer
 from notchhoist.flows.fleet import Server
 from notchhoist.flows.messages import LoadAsk, LoadTell
 from notchhoist.flows.notes import Load
-from notchhoist.flows.segments import SegmentCodec
+from notchhoist.flows.resetting import FlowResetter
 
 FRESH_S = 0.5
 """An agent that was heard within this time is not asked for its load."""
@@ -26,8 +26,7 @@
 """How long an agent that announced a restart is waited for, seconds."""
 
 
-@attrs.define(eq=False)
-class HealthKeeper:
+class HealthKeeper(Struct, eq=False):
     """Keeps loads fresh and notices agents that have gone silent.
 
     An agent is asked only while packets go to it, so an idle fleet costs
@@ -35,13 +34,13 @@
 
     Attributes:
         board: What the balancer knows.
-        codec: Codec of the packets.
+        resetter: Ends flows.
         waiting: Servers whose agents owe an answer, by id.
     """
 
     board: BalancerBoard
-    codec: SegmentCodec
-    waiting: dict[str, Server] = attrs.Factory(dict)
+    resetter: FlowResetter
+    waiting: dict[str, Server] = field(default_factory=dict)
 
     def expect(self, server: Server, now: float) -> None:
         """Notes that a packet went to a server; asks if its load is old."""
@@ -53,8 +52,8 @@
             server.probed_at = now
         server.probe_sent_at = now
         self.waiting[server.entry.server_id] = server
-        message = SendPeer(server.entry.host, LoadAsk())
-        self.board.outbox.append(message)
+        message = LoadAsk(server.entry.slots)
+        self.board.outbox.append(SendPeer(server.entry.host, message))
 
     def on_heard(self, host: str, load: Load, now: float) -> None:
         """Takes a sign of life with the load."""
@@ -102,7 +101,10 @@
 
     def tick(self, now: float) -> None:
         """Probes again, suspects, and gives up."""
-        for server in list(self.waiting.values()):
+        for server_id, server in list(self.waiting.items()):
+            if self.board.servers.get(server_id) is not server:
+                del self.waiting[server_id]
+                continue
             if server.probed_at is None:
                 continue
             silent = now - server.probed_at
@@ -127,13 +129,10 @@
             del self.board.flows[flow]
             if placement.closing or not placement.accepted:
                 continue
-            self.board.records.counters[Count.RESETS] += 1
-            reset = self.codec.make_reset(placement.last)
-            self.board.outbox.append(SendCaller(placement.last.caller, reset))
-            self.board.records.decide(
-                "reset",
-                flow,
+            self.resetter.reset(
+                placement.last,
                 "agent lost",
+                now,
                 server=server.entry.server_id,
                 silent_s=round(now - server.heard_at, 3),
             )
--- a/notchhoist/flows/held.py
+++ b/notchhoist/flows/held.py
@@ -2,9 +2,14 @@
 
 import enum
 
-import attrs
+from msgspec import Struct
 
-from notchhoist.flows.segments import Segment, is_after, is_within
+from notchhoist.flows.segments import (
+    SEQUENCE_MODULUS,
+    Segment,
+    is_after,
+    is_within,
+)
 
 ANSWER_WINDOW = 1 << 20
 """How far a caller's acknowledgement may lie behind a server's first number
@@ -18,8 +23,12 @@
 """How long a closed flow is kept for stray copies, seconds; above the longest
 pause between two copies, 1.6 s."""
 
-STUCK_S = 10.0
-"""A request that got no answer for so long is no longer counted as running."""
+STUCK_S = 1.5
+"""A request that got no answer for so long, and for ``STUCK_PACES`` service
+times, no longer counts as holding a slot. Work takes up to six times the mean;
+one request too many at a backend server only waits there."""
+
+STUCK_PACES = 8.0
 
 
 class Phase(enum.Enum):
@@ -40,8 +49,7 @@
     CLOSED = "closed"
 
 
-@attrs.define(eq=False)
-class HeldFlow:
+class HeldFlow(Struct, eq=False):
     """One flow at the backend server.
 
     Attributes:
@@ -53,9 +61,6 @@
         server_seq: The backend server's first sequence number.
         request_end: Sequence number after the newest request data.
         running_since: When the unanswered request arrived, or None.
-        last_ack: The caller's newest acknowledgement.
-        unanswered_since: When the oldest packet came to which the backend
-            server has shown no reaction, or None.
         sample: The newest packet from the caller, to reset it by.
     """
 
@@ -67,7 +72,6 @@
     server_seq: int | None = None
     request_end: int | None = None
     running_since: float | None = None
-    unanswered_since: float | None = None
     sample: Segment | None = None
 
     def chosen_by(self, segment: Segment) -> bool:
@@ -76,15 +80,25 @@
             return False
         return is_within(segment.ack, self.server_seq, ANSWER_WINDOW)
 
-    def note_request(self, segment: Segment, now: float) -> None:
-        """Takes account of data from the caller."""
+    def is_new(self, segment: Segment) -> bool:
+        """Tells whether a caller's data was not seen before."""
         end = segment.seq + segment.size
-        if self.request_end is not None and not is_after(end, self.request_end):
-            return
-        self.request_end = end
+        return self.request_end is None or is_after(end, self.request_end)
+
+    def note_request(self, segment: Segment, now: float) -> None:
+        """Takes account of data from the caller that is new."""
+        self.request_end = (segment.seq + segment.size) % SEQUENCE_MODULUS
         if self.running_since is None:
             self.running_since = now
 
+    def note_received(self, segment: Segment) -> None:
+        """Takes account of what the server says it has received.
+
+        An agent that has restarted learns by it which data is a copy.
+        """
+        if self.request_end is None or is_after(segment.ack, self.request_end):
+            self.request_end = segment.ack
+
     def note_answer(self, now: float) -> float | None:
         """Takes account of data from the server.
 
--- a/notchhoist/flows/message_codec.py
+++ b/notchhoist/flows/message_codec.py
@@ -26,7 +26,7 @@
     struct = ttypes.FlowMessage(version=PROTOCOL_VERSION)
     match message:
         case LoadAsk():
-            struct.load_ask = ttypes.LoadAsk()
+            struct.load_ask = ttypes.LoadAsk(message.slots)
         case LoadTell():
             struct.load_tell = ttypes.LoadTell(
                 message.flows,
@@ -61,8 +61,11 @@
 def _message_of(struct: Any) -> PeerMessage:
     if struct.version != PROTOCOL_VERSION:
         raise ValueError(f"protocol version {struct.version}")
-    if struct.load_ask is not None:
-        return LoadAsk()
+    asked = struct.load_ask
+    if asked is not None:
+        if asked.slots is None:
+            raise ValueError("LoadAsk.slots is missing")
+        return LoadAsk(asked.slots)
     told = struct.load_tell
     if told is None:
         raise ValueError("no known message")
--- a/notchhoist/flows/messages.py
+++ b/notchhoist/flows/messages.py
@@ -1,15 +1,20 @@
 """Control messages between the processes of the opaque-flow path."""
 
-import attrs
+from msgspec import Struct
 
 
-@attrs.frozen
-class LoadAsk:
-    """Asks an agent for its load; any answer shows that it is alive."""
+class LoadAsk(Struct, frozen=True):
+    """Asks an agent for its load; any answer shows that it is alive.
+
+    Attributes:
+        slots: Requests that its backend server works on at once, as published;
+            0 if unknown.
+    """
+
+    slots: int = 0
 
 
-@attrs.frozen
-class LoadTell:
+class LoadTell(Struct, frozen=True):
     """An agent's load.
 
     Attributes:
--- a/notchhoist/flows/notes.py
+++ b/notchhoist/flows/notes.py
@@ -7,8 +7,9 @@
 import enum
 import zlib
 
-import attrs
+from msgspec import Struct
 
+from notchhoist.flows.holding import Wish
 from notchhoist.flows.segments import Segment
 
 _KIND_SHIFT = 28
@@ -17,6 +18,19 @@
 _FLOWS_MAX = 0xFFF
 _BYTE_MAX = 0xFF
 _TAG_MASK = 0xFFFF
+_HINT_SHIFT = 16
+_SIX_BITS = 0x3F
+_THREE_BITS = 0x7
+_TWO_BITS = 0x3
+NO_WISH = Wish()
+
+OBJECTIVE_STEP_S = 0.025
+"""Resolution of a latency objective in a note, seconds; 63 steps are 1.6 s,
+and a request with a longer objective is never in a hurry."""
+
+AGE_STEP_S = 0.1
+"""Resolution of a caller's waiting time in a note; 7 steps are 0.7 s, and the
+last copy of an opening packet comes after 0.6 s."""
 PACE_STEP_MS = 8
 """Resolution of a reported service time, ms; 255 steps reach 2 s."""
 
@@ -54,8 +68,7 @@
 _KINDS = tuple(NoteKind)
 
 
-@attrs.frozen
-class Load:
+class Load(Struct, frozen=True):
     """How busy a backend server is, as its agent counts it.
 
     Attributes:
@@ -82,9 +95,30 @@
     return zlib.crc32(service.encode()) & _TAG_MASK
 
 
-def to_agent(kind: NoteKind, tag: int) -> int:
-    """Returns a note for an agent of the service with a tag."""
-    return kind << _KIND_SHIFT | tag
+def to_agent(kind: NoteKind, tag: int, wish: Wish = NO_WISH) -> int:
+    """Returns a note for an agent of the service with a tag.
+
+    Examples:
+        >>> wish = Wish(objective_s=0.225, age_s=0.2, priority=1)
+        >>> wish_of(to_agent(NoteKind.HELD, 7, wish)) == wish
+        True
+    """
+    objective = min(round(wish.objective_s / OBJECTIVE_STEP_S), _SIX_BITS)
+    age = min(round(wish.age_s / AGE_STEP_S), _THREE_BITS)
+    priority = min(wish.priority, _TWO_BITS)
+    hint = objective << 6 | age << 3 | priority << 1 | wish.upload
+    return kind << _KIND_SHIFT | hint << _HINT_SHIFT | tag
+
+
+def wish_of(note: int) -> Wish:
+    """Returns what a note for an agent says of a flow's requests."""
+    hint = note >> _HINT_SHIFT
+    return Wish(
+        objective_s=round((hint >> 6 & _SIX_BITS) * OBJECTIVE_STEP_S, 3),
+        age_s=round((hint >> 3 & _THREE_BITS) * AGE_STEP_S, 3),
+        priority=hint >> 1 & _TWO_BITS,
+        upload=bool(hint & 1),
+    )
 
 
 def to_balancer(kind: NoteKind, load: Load) -> int:
--- a/notchhoist/flows/opening.py
+++ b/notchhoist/flows/opening.py
@@ -1,15 +1,15 @@
 """A balancer's controller for new flows."""
 
-from collections.abc import Callable
-
-import attrs
+from msgspec import Struct
 
+from notchhoist.base.draws import Draw
 from notchhoist.flows import notes, placing
 from notchhoist.flows.boards import BalancerBoard, Count, Opening, Placement
-from notchhoist.flows.effects import SendAgent, SendCaller
-from notchhoist.flows.fleet import RequestKind, Route, Server
+from notchhoist.flows.effects import SendAgent
+from notchhoist.flows.fleet import Route, Server
 from notchhoist.flows.health import HealthKeeper
 from notchhoist.flows.notes import NoteKind
+from notchhoist.flows.resetting import FlowResetter
 from notchhoist.flows.segments import Segment, SegmentCodec
 
 ACCEPT_WAIT_S = 0.06
@@ -21,21 +21,22 @@
 much for a host of 128 MB, but 14 million flows over 580 hosts are 24,000."""
 
 
-@attrs.define(eq=False)
-class FlowOpener:
+class FlowOpener(Struct, eq=False):
     """Places new flows and offers them elsewhere where a server says no.
 
     Attributes:
         board: What the balancer knows.
         codec: Codec of the packets.
         health: Watches over the agents.
+        resetter: Ends flows.
         draw: Random numbers in [0, 1).
     """
 
     board: BalancerBoard
     codec: SegmentCodec
     health: HealthKeeper
-    draw: Callable[[], float]
+    resetter: FlowResetter
+    draw: Draw
 
     def on_opening(self, route: Route, segment: Segment, now: float) -> None:
         """Takes an opening packet or a copy of one."""
@@ -43,14 +44,15 @@
         placement = self.board.flows.get(flow)
         if placement is not None and placement.accepted:
             # The server's acceptance may have been lost: it repeats it.
-            self._send(placement.server, segment, now)
+            self._send(placement.server, segment, route, now)
             return
         opening = self.board.openings.get(flow)
         if opening is None:
             opening = Opening(
+                asked_since=now - self.resetter.waited_s(segment, now),
                 segment=segment,
                 service=route.service_for(flow),
-                long_lived=route.kind is RequestKind.IDEMPOTENT,
+                route=route,
                 sent_at=now,
                 tried=[],
             )
@@ -67,10 +69,10 @@
             if server.entry.server_id not in opening.tried
         ]
         server = placing.choose(
-            fresh, opening.long_lived, board.zone, now, self.draw
+            fresh, opening.route.long_lived, board.zone, now, self.draw
         )
         if server is None:
-            self._refuse(opening, len(servers))
+            self._refuse(opening, len(servers), now)
             return
         again = len(opening.tried)
         opening.tried.append(server.entry.server_id)
@@ -91,40 +93,44 @@
             again=again,
         )
         server.flows += 1
-        if not opening.long_lived:
+        if not opening.route.long_lived:
             server.running += 1
-        self._remember(opening.segment, server, now)
-        self._send(server, opening.segment, now)
+        self._remember(opening, server, now)
+        self._send(server, opening.segment, opening.route, now)
 
-    def _remember(self, segment: Segment, server: Server, now: float) -> None:
+    def _remember(self, opening: Opening, server: Server, now: float) -> None:
         flows = self.board.flows
-        flows[segment.flow] = Placement(server, False, now, segment)
+        segment = opening.segment
+        flows[segment.flow] = Placement(
+            server, False, now, segment, asked_since=opening.asked_since
+        )
         if len(flows) > FLOWS_KEPT:
             flows.popitem(last=False)
 
-    def _send(self, server: Server, segment: Segment, now: float) -> None:
-        note = notes.to_agent(NoteKind.PLACE, server.tag)
+    def _send(
+        self, server: Server, segment: Segment, route: Route, now: float
+    ) -> None:
+        wish = route.wish(segment.waited_s)
+        note = notes.to_agent(NoteKind.PLACE, server.tag, wish)
         datagram = self.codec.with_note(segment, note)
         self.board.outbox.append(SendAgent(server.entry.host, datagram))
         self.health.expect(server, now)
 
-    def _refuse(self, opening: Opening, willing: int) -> None:
+    def _refuse(self, opening: Opening, willing: int, now: float) -> None:
         """Gives a flow up at once: nothing has run, the caller may retry."""
         board = self.board
         flow = opening.segment.flow
         board.openings.pop(flow, None)
         board.flows.pop(flow, None)
         board.records.counters[Count.REFUSED] += 1
-        board.records.decide(
-            "refuse",
-            flow,
-            "reset",
+        self.resetter.reset(
+            opening.segment,
+            "no server takes it",
+            now,
             service=opening.service,
             willing=willing,
             tried=len(opening.tried),
         )
-        reset = self.codec.make_reset(opening.segment)
-        board.outbox.append(SendCaller(opening.segment.caller, reset))
 
     def on_accepted(self, host: str, segment: Segment, now: float) -> None:
         """Takes word that a backend server accepted a flow."""
@@ -143,11 +149,14 @@
     def on_refused(self, host: str, segment: Segment, now: float) -> None:
         """Takes a flow back that a backend server did not take."""
         opening = self.board.openings.get(segment.flow)
-        if opening is None:
-            return
         placement = self.board.flows.get(segment.flow)
-        if placement is None or placement.server.entry.host == host:
+        here = placement is None or placement.server.entry.host == host
+        if opening is not None and here:
             self.offer(opening, now)
+        elif placement is not None and here:
+            # It was accepted, but never got a slot; nothing has run.
+            del self.board.flows[segment.flow]
+            self.resetter.reset(segment, "no slot in time", now, host=host)
 
     def tick(self, now: float) -> None:
         """Offers flows elsewhere whose agent has kept silent."""
--- a/notchhoist/flows/placing.py
+++ b/notchhoist/flows/placing.py
@@ -1,7 +1,8 @@
 """Which backend server gets a new flow; pure functions."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
+from notchhoist.base.draws import Draw
 from notchhoist.flows.fleet import Server
 
 COLD_SLOWDOWN = 2.0
@@ -72,7 +73,7 @@
     long_lived: bool,
     zone: str,
     now: float,
-    draw: Callable[[], float],
+    draw: Draw,
 ) -> Server | None:
     """Returns the server for a new flow, or None where there is none.
 
--- a/notchhoist/flows/segments.py
+++ b/notchhoist/flows/segments.py
@@ -2,14 +2,13 @@
 
 from typing import Protocol
 
-import attrs
+from msgspec import Struct
 
 SEQUENCE_MODULUS = 1 << 32
 """Sequence numbers wrap here; from the width of the field on the wire."""
 
 
-@attrs.define(eq=False)
-class Segment:
+class Segment(Struct, eq=False):
     """One packet, decoded.
 
     Attributes:
@@ -24,7 +23,8 @@
         size: Bytes of data in it.
         seq: Sequence number.
         ack: Next sequence number expected from the other end.
-        attempt: For an opening packet, how many copies went before it.
+        waited_s: For an opening packet, how long its sender has been sending
+            copies of it, seconds.
         note: What another process of ours wrote into it; 0 for nothing.
         raw: The packet as it came.
     """
@@ -40,7 +40,7 @@
     size: int
     seq: int
     ack: int
-    attempt: int
+    waited_s: float
     note: int
     raw: bytes
 
--- /dev/null
+++ b/notchhoist/flows/tests/test_balancer.py
@@ -0,0 +1,240 @@
+"""A balancer: placing, finding, resetting, and what it must never do."""
+
+import pytest
+
+from notchhoist.flows import notes
+from notchhoist.flows.balancer import make_balancer
+from notchhoist.flows.effects import SendAgent, SendCaller, SendPeer
+from notchhoist.flows.messages import LoadTell
+from notchhoist.flows.notes import Load, NoteKind
+from notchhoist.flows.tests import crafting
+from notchhoist.flows.tests.crafting import ACK, CODEC, SYN, entry, request
+
+
+def balancer(servers=3, now=0.0, **fields):
+    node = make_balancer("a", CODEC, "seed")
+    node.fleet.on_table(crafting.table(**fields))
+    node.fleet.on_listing([entry(n) for n in range(1, servers + 1)], now)
+    return node
+
+
+def packets(effects):
+    """Returns the agents' packets as (host, segment)."""
+    return [
+        (effect.host, CODEC.decode_request(effect.datagram))
+        for effect in effects
+        if isinstance(effect, SendAgent)
+    ]
+
+
+def resets(effects):
+    return [effect for effect in effects if isinstance(effect, SendCaller)]
+
+
+def tell(node, host, segment, kind, now, load=None):
+    note = notes.to_balancer(kind, load or Load())
+    return node.on_agent(host, crafting.head(segment, note), now)
+
+
+def open_flow(node, now=0.0, **fields):
+    syn = request(flags=SYN, **fields)
+    [(host, _)] = packets(node.on_caller(syn, now))
+    load = Load(flows=node.board.by_host[host].flows)
+    tell(node, host, syn, NoteKind.TAKEN, now + 0.001, load)
+    return host
+
+
+def test_a_new_flow_goes_to_one_server_and_stays():
+    node = balancer()
+    host = open_flow(node)
+    effects = node.on_caller(request(data=b"x"), 0.01)
+    [(same, segment)] = packets(effects)
+    assert same == host
+    assert notes.kind_of(segment.note) is NoteKind.HELD
+
+
+def test_new_flows_go_where_the_fewest_are():
+    node = balancer()
+    hosts = [open_flow(node, port=40000 + n) for n in range(9)]
+    assert sorted(hosts.count(host) for host in set(hosts)) == [3, 3, 3]
+
+
+def test_a_draining_server_gets_no_new_flow():
+    node = balancer(servers=2)
+    node.fleet.on_entry(entry(1, draining=True), 1.0)
+    hosts = {open_flow(node, 1.0, port=40000 + n) for n in range(6)}
+    assert hosts == {"10.0.0.2"}
+
+
+def test_a_refused_flow_is_offered_to_the_next_server():
+    node = balancer(servers=2)
+    syn = request(flags=SYN)
+    [(first, _)] = packets(node.on_caller(syn, 0.0))
+    note = notes.to_balancer(NoteKind.REFUSED, Load())
+    effects = node.on_agent(first, crafting.with_note(syn, note), 0.002)
+    [(second, _)] = packets(effects)
+    assert second != first
+
+
+def test_a_flow_that_nobody_takes_is_reset_at_once():
+    node = balancer(servers=1)
+    syn = request(flags=SYN)
+    [(host, _)] = packets(node.on_caller(syn, 0.0))
+    note = notes.to_balancer(NoteKind.REFUSED, Load())
+    effects = node.on_agent(host, crafting.with_note(syn, note), 0.002)
+    assert len(resets(effects)) == 1
+
+
+def test_a_silent_agent_costs_one_wait_and_is_suspected():
+    node = balancer(servers=2)
+    [(first, _)] = packets(node.on_caller(request(flags=SYN), 0.0))
+    [(second, _)] = packets(node.tick(0.07))
+    assert second != first
+    assert node.board.by_host[first].suspected
+
+
+def test_an_unknown_flow_is_asked_for_everywhere_and_found():
+    node = balancer()
+    lost = request(data=b"x", ack=77)
+    asked = packets(node.on_caller(lost, 0.0))
+    assert {host for host, _ in asked} == {"10.0.0.1", "10.0.0.2", "10.0.0.3"}
+    tell(node, "10.0.0.1", lost, NoteKind.ABSENT, 0.002)
+    effects = tell(node, "10.0.0.3", lost, NoteKind.PRESENT, 0.003)
+    [(host, segment)] = packets(effects)
+    assert (host, segment.size) == ("10.0.0.3", 1)
+
+
+def test_a_flow_that_every_agent_denies_is_reset():
+    node = balancer(servers=2)
+    lost = request(data=b"x", ack=77)
+    node.on_caller(lost, 0.0)
+    assert not resets(tell(node, "10.0.0.1", lost, NoteKind.ABSENT, 0.002))
+    [effect] = resets(tell(node, "10.0.0.2", lost, NoteKind.ABSENT, 0.003))
+    assert CODEC.decode_answer(effect.datagram).seq == 77
+
+
+def test_no_reset_while_an_agent_is_silent_and_may_come_back():
+    node = balancer(servers=2)
+    lost = request(data=b"x")
+    node.on_caller(lost, 0.0)
+    tell(node, "10.0.0.1", lost, NoteKind.ABSENT, 0.002)
+    stopping = LoadTell(0, 0, 0, True)
+    effects = node.on_peer("10.0.0.2", stopping, 0.003)
+    for step in range(1, 20):
+        effects += node.tick(0.1 * step)
+    assert not resets(effects)
+
+
+def test_an_unsure_agent_gets_one_packet_to_find_out():
+    node = balancer(servers=2)
+    lost = request(data=b"x")
+    node.on_caller(lost, 0.0)
+    node.on_caller(request(data=b"y", seq=1), 0.001)
+    tell(node, "10.0.0.1", lost, NoteKind.ABSENT, 0.002)
+    [(host, segment)] = packets(
+        tell(node, "10.0.0.2", lost, NoteKind.UNSURE, 0.003)
+    )
+    assert (host, notes.kind_of(segment.note)) == ("10.0.0.2", NoteKind.TRY)
+
+
+def test_a_returned_packet_starts_a_search_elsewhere():
+    node = balancer()
+    host = open_flow(node)
+    data = request(data=b"x")
+    node.on_caller(data, 0.01)
+    note = notes.to_balancer(NoteKind.RETURNED, Load())
+    effects = node.on_agent(host, crafting.with_note(data, note), 0.012)
+    assert host not in {asked for asked, _ in packets(effects)}
+
+
+def test_no_route_is_answered_at_once():
+    node = balancer(routes=[])
+    assert len(resets(node.on_caller(request(flags=SYN), 0.0))) == 1
+
+
+def test_nothing_is_decided_before_the_configuration_is_known():
+    node = make_balancer("a", CODEC, "seed")
+    assert not node.on_caller(request(flags=SYN), 0.0)
+    assert not node.is_ready
+
+
+def test_a_configuration_never_goes_back():
+    node = balancer(version=5)
+    node.fleet.on_table(crafting.table(version=4, routes=[]))
+    assert node.board.table.version == 5
+
+
+def test_flows_of_a_dead_host_are_reset_and_the_others_kept():
+    node = balancer(servers=2)
+    open_flow(node, port=40001)
+    open_flow(node, port=40002)
+    assert len({item.server for item in node.board.flows.values()}) == 2
+    # Only the first host answers from now on.
+    gone = []
+    for step in range(1, 40):
+        now = 0.05 * step
+        for port in (40001, 40002):
+            data = request(data=b"x", port=port, seq=step)
+            for effect in node.on_caller(data, now):
+                if isinstance(effect, SendPeer) and effect.host == "10.0.0.1":
+                    node.on_peer("10.0.0.1", LoadTell(1, 0, 0, False), now)
+        gone += resets(node.tick(now))
+    assert len(gone) == 1
+
+
+def test_a_host_whose_server_was_replaced_is_not_given_up():
+    """An entry outlives its server by three heartbeats.
+
+    Flows were placed on the old entry, whose agent was never heard again
+    because its answers counted for the new one, and then reset.
+    """
+    node = balancer(servers=1)
+    newer = entry(1, server_id="s1-new", created=9)
+    node.fleet.on_entry(newer, 0.0)
+    node.fleet.on_entry(entry(1), 0.0)
+    assert set(node.board.servers) == {"s1-new"}
+    open_flow(node)
+    effects = []
+    for step in range(1, 40):
+        now = 0.05 * step
+        for effect in node.on_caller(request(data=b"x", seq=step), now):
+            if isinstance(effect, SendPeer):
+                node.on_peer(effect.host, LoadTell(1, 0, 0, False), now)
+        effects += node.tick(now)
+    assert not resets(effects)
+
+
+def test_a_retry_after_a_reset_counts_as_late():
+    node = balancer(servers=1)
+    lost = request(data=b"x")
+    node.on_caller(lost, 0.0)
+    tell(node, "10.0.0.1", lost, NoteKind.ABSENT, 0.001)
+    open_flow(node, 0.01, port=40002)
+    [(_, segment)] = packets(
+        node.on_caller(request(data=b"x", port=40002), 0.02)
+    )
+    assert notes.wish_of(segment.note).age_s > 0.5
+
+
+def test_a_flow_without_a_slot_is_reset_not_offered_again():
+    node = balancer(servers=2)
+    host = open_flow(node)
+    data = request(data=b"x")
+    effects = tell(node, host, data, NoteKind.REFUSED, 0.9)
+    assert len(resets(effects)) == 1
+    assert not packets(effects)
+
+
+def test_packets_of_strangers_are_dropped():
+    node = balancer()
+    data = request(data=b"x")
+    assert not tell(node, "10.9.9.9", data, NoteKind.PRESENT, 0.0)
+
+
+@pytest.mark.parametrize("flags", [SYN, ACK])
+def test_a_stopping_balancer_goes_on_forwarding(flags):
+    node = balancer()
+    open_flow(node)
+    node.stop()
+    assert not node.is_ready
+    assert packets(node.on_caller(request(flags=flags, data=b""), 0.1))
--- a/notchhoist/platform/documents.py
+++ b/notchhoist/platform/documents.py
@@ -1,8 +1,8 @@
 """The platform's published documents, decoded into the product's types."""
 
-import base64
 import binascii
-import json
+
+import msgspec
 
 from notchhoist.base.errors import ConfigurationRefusedError
 from notchhoist.flows.fleet import (
@@ -32,8 +32,8 @@
         FieldError: It is none.
     """
     try:
-        return json.loads(text)
-    except (ValueError, RecursionError) as error:
+        return msgspec.json.decode(text)
+    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
         raise FieldError(place, "JSON", str(error)) from error
 
 
@@ -44,7 +44,7 @@
         FieldError: It is none.
     """
     try:
-        return base64.b64decode(text, validate=True)
+        return binascii.a2b_base64(text, strict_mode=True)
     except (binascii.Error, ValueError) as error:
         raise FieldError(place, "base64", text) from error
 
@@ -102,7 +102,7 @@
     return targets
 
 
-def decode_entry(server_id: str, text: bytes) -> ServerEntry:
+def decode_entry(server_id: str, text: bytes, created: int = 0) -> ServerEntry:
     """Decodes what a backend server announces of itself.
 
     Raises:
@@ -121,4 +121,5 @@
         draining=state == "draining",
         warm_in_s=fields.number("cold_remaining_ms", 0, MAX_MS, default=0)
         / 1000,
+        created=created,
     )
--- a/notchhoist/platform/packets.py
+++ b/notchhoist/platform/packets.py
@@ -17,6 +17,10 @@
 MAX_DATA_BYTES = 1200
 """Most data in a packet, bytes; from the platform's page on packets."""
 
+COPY_AGES_S = (0.0, 0.2, 0.6)
+"""When the copies of a SYN are sent, seconds after the first; a SYN counts
+them in ``ack``, where other packets acknowledge."""
+
 _SYN = 1
 _RST = 2
 _FIN = 4
@@ -89,6 +93,11 @@
         )
 
 
+def _waited_s(copies: int) -> float:
+    """Returns how long a caller has waited that sends a copy of its SYN."""
+    return COPY_AGES_S[min(copies, len(COPY_AGES_S) - 1)]
+
+
 def _decode(raw: bytes, from_caller: bool) -> Segment:
     if len(raw) < HEAD_BYTES:
         raise CodecError("packet", f"{len(raw)} bytes, {HEAD_BYTES} expected")
@@ -115,7 +124,7 @@
         size=size,
         seq=seq,
         ack=ack,
-        attempt=ack if opens else 0,
+        waited_s=_waited_s(ack) if opens else 0.0,
         note=note,
         raw=raw,
     )
--- a/notchhoist/platform/settings.py
+++ b/notchhoist/platform/settings.py
@@ -2,9 +2,8 @@
 
 import os
 from collections.abc import Mapping
-from pathlib import Path
 
-import attrs
+from msgspec import Struct
 
 from notchhoist.base.errors import ConfigurationProblem, SettingsRefusedError
 from notchhoist.platform.checking import FieldError, Fields, split_address
@@ -16,8 +15,7 @@
 """IP number and port, as sockets take them."""
 
 
-@attrs.frozen
-class HostSettings:
+class HostSettings(Struct, frozen=True):
     """What a process on the platform's machines is told.
 
     Attributes:
@@ -55,27 +53,27 @@
     grace_s: float
 
 
-def settings_path(environment: Mapping[str, str] = os.environ) -> Path | None:
+def settings_path(environment: Mapping[str, str] = os.environ) -> str | None:
     """Returns the settings file, or None outside the platform."""
-    path = environment.get(PATH_VARIABLE)
-    return Path(path) if path else None
+    return environment.get(PATH_VARIABLE) or None
 
 
-def load_host_settings(path: Path) -> HostSettings:
+def load_host_settings(path: str) -> HostSettings:
     """Reads and checks the settings file.
 
     Raises:
         SettingsRefusedError: It cannot be read, or a field is wrong.
     """
     try:
-        return decode_host_settings(path.read_bytes())
+        with open(path, "rb") as file:
+            return decode_host_settings(file.read())
     except OSError as error:
         problem = ConfigurationProblem(
             "file", "a readable file", str(error.strerror)
         )
-        raise SettingsRefusedError(str(path), (problem,)) from error
+        raise SettingsRefusedError(path, (problem,)) from error
     except FieldError as error:
-        raise SettingsRefusedError(str(path), (error.problem,)) from error
+        raise SettingsRefusedError(path, (error.problem,)) from error
 
 
 def decode_host_settings(text: bytes) -> HostSettings:
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -5,11 +5,11 @@
 """
 
 import enum
-import random
 from collections.abc import Sequence
 
-import attrs
+from msgspec import Struct, field
 
+from notchhoist.base.draws import Draw
 from notchhoist.base.errors import ConfigurationRefusedError, PlatformError
 from notchhoist.flows.fleet import RouteTable, ServerEntry
 from notchhoist.platform.checking import FieldError, Fields
@@ -47,8 +47,7 @@
     CHANGES = "changes"
 
 
-@attrs.frozen
-class StoreCall:
+class StoreCall(Struct, frozen=True):
     """A call to be made.
 
     Attributes:
@@ -60,45 +59,46 @@
     timeout_s: float
 
 
-@attrs.frozen
-class TablePublished:
+class TablePublished(Struct, frozen=True):
     """A configuration."""
 
     table: RouteTable
 
 
-@attrs.frozen
-class TableRefused:
+class TableRefused(Struct, frozen=True):
     """A configuration that is wrong; the last good one stays."""
 
     error: ConfigurationRefusedError
 
 
-@attrs.frozen
-class ServersListed:
-    """All backend servers."""
+class ServersListed(Struct, frozen=True):
+    """All backend servers.
+
+    Attributes:
+        entries: Their entries.
+        kept: Ids of servers whose entries are wrong; they are still there.
+    """
 
     entries: tuple[ServerEntry, ...]
+    kept: frozenset[str] = frozenset()
 
 
-@attrs.frozen
-class ServerPublished:
+class ServerPublished(Struct, frozen=True):
     """One backend server that is new or has changed."""
 
     entry: ServerEntry
 
 
-@attrs.frozen
-class ServerRemoved:
+class ServerRemoved(Struct, frozen=True):
     """A backend server whose entry has vanished."""
 
     server_id: str
 
 
-@attrs.frozen
-class EntryRefused:
+class EntryRefused(Struct, frozen=True):
     """An entry that is wrong; what was known of the server stays."""
 
+    server_id: str
     error: FieldError
 
 
@@ -112,12 +112,11 @@
 )
 
 
-@attrs.define(eq=False)
-class StoreReader:
+class StoreReader(Struct, eq=False):
     """Decides the next call and reads the answers.
 
     Attributes:
-        rng: Source of the jitter.
+        draw: Source of the jitter.
         want: What the next call reads.
         revision: Everything up to this revision of the store is known.
         due: When to make the next call, seconds.
@@ -125,18 +124,20 @@
         calls: Calls so far.
         answered_at: When the store last answered, seconds.
         listed: Entries of the pages read so far.
+        refused: Ids of servers on them whose entries are wrong.
         page_after: Where the next page starts, or empty.
         page_revision: Revision of the first page.
     """
 
-    rng: random.Random
+    draw: Draw
     want: Want = Want.LISTING
     revision: int = 0
     due: float = 0.0
     failures: int = 0
     calls: int = 0
     answered_at: float = float("-inf")
-    listed: list[ServerEntry] = attrs.Factory(list)
+    listed: list[ServerEntry] = field(default_factory=list)
+    refused: set[str] = field(default_factory=set)
     page_after: str = ""
     page_revision: int = 0
 
@@ -158,11 +159,12 @@
         """Takes account of a call without a usable answer."""
         pause = min(PAUSE_MAX_S, PAUSE_FIRST_S * 2**self.failures)
         self.failures += 1
-        self.due = now + pause * self.rng.uniform(0.5, 1.0)
+        self.due = now + pause * (0.5 + 0.5 * self.draw())
         self._forget_pages()
 
     def _forget_pages(self) -> None:
         self.listed = []
+        self.refused = set()
         self.page_after = ""
 
     def on_answer(
@@ -215,13 +217,17 @@
             event = _event(last_key, item)
             if isinstance(event, ServerPublished):
                 self.listed.append(event.entry)
-            elif event is not None:
+                continue
+            if isinstance(event, EntryRefused):
+                self.refused.add(event.server_id)
+            if event is not None:
                 events.append(event)
         self.due = now
         if fields.boolean("more_pages", default=False) and last_key:
             self.page_after = last_key
             return events
-        events.append(ServersListed(tuple(self.listed)))
+        listed = ServersListed(tuple(self.listed), frozenset(self.refused))
+        events.append(listed)
         self._forget_pages()
         self.revision = self.page_revision
         self.want = Want.CHANGES
@@ -265,10 +271,15 @@
         except ConfigurationRefusedError as error:
             return TableRefused(error)
     if key.startswith(SERVERS_PREFIX):
-        value = decode_value(item.text("value"), key)
+        server_id = key.removeprefix(SERVERS_PREFIX)
         try:
-            entry = decode_entry(key.removeprefix(SERVERS_PREFIX), value)
+            value = decode_value(item.text("value"), key)
+            entry = decode_entry(
+                server_id,
+                value,
+                item.integer("created", 0, 1 << 62, default=0),
+            )
         except FieldError as error:
-            return EntryRefused(error)
+            return EntryRefused(server_id, error)
         return ServerPublished(entry)
     return None
--- /dev/null
+++ b/notchhoist/platform/tests/test_documents.py
@@ -0,0 +1,151 @@
+"""Published documents: decoded whole, or refused by name and place."""
+
+import copy
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from notchhoist.base.errors import ConfigurationRefusedError
+from notchhoist.flows.fleet import RequestKind
+from notchhoist.platform.checking import FieldError
+from notchhoist.platform.documents import (
+    decode_configuration,
+    decode_entry,
+    decode_value,
+)
+from notchhoist.platform.packets import service_key
+
+ROUTE = {
+    "name": "r-1",
+    "host": "198.18.0.1",
+    "path_prefix": "/8443/",
+    "kind": "unsafe",
+    "timeout_ms": 2500,
+    "target_latency_ms": 283,
+    "priority": 1,
+    "service": "hallbook",
+    "max_attempts": 2,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "hallbook"}],
+    "limits": {"idle_timeout_ms": 15000},
+}
+ENTRY = {
+    "service": "hallbook",
+    "address": "10.128.0.9:8080",
+    "zone": "war-memorial",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "cold_remaining_ms": 500,
+    "seq": 4,
+}
+json_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+def changed(document, path, value):
+    """Returns a copy with one field replaced."""
+    document = copy.deepcopy(document)
+    place = document
+    for name in path[:-1]:
+        place = place[name]
+    place[path[-1]] = value
+    return json.dumps(document).encode()
+
+
+def test_a_configuration():
+    table = decode_configuration(json.dumps(CONFIGURATION).encode())
+    route = table.routes[service_key("198.18.0.1", 8443)]
+    assert (table.version, table.idle_s) == (7, 15.0)
+    assert route.kind is RequestKind.ONCE_ONLY
+    assert route.targets == (("hallbook", 1),)
+    assert route.wish().objective_s == 0.283
+
+
+def test_a_split_route_sends_each_flow_to_one_service():
+    split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    text = changed(CONFIGURATION, ["routes", 0, "split"], split)
+    [route] = decode_configuration(text).routes.values()
+    chosen = [route.service_for(number.to_bytes(12)) for number in range(500)]
+    assert 20 < chosen.count("b") < 100
+    assert chosen[7] == route.service_for((7).to_bytes(12))
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "place"),
+    [
+        (["version"], "7", "version"),
+        (["routes"], {}, "routes"),
+        (["routes", 0], 4, "routes[0]"),
+        (["routes", 0, "host"], "somewhere", "routes[0].host"),
+        (["routes", 0, "path_prefix"], "/x/", "routes[0].host"),
+        (["routes", 0, "kind"], "odd", "routes[0].kind"),
+        (["routes", 0, "priority"], -1, "routes[0].priority"),
+        (["routes", 0, "split"], [{"service": "a"}], "routes[0].split[0]"),
+        (["limits"], None, "limits"),
+        (["limits", "idle_timeout_ms"], True, "limits.idle_timeout_ms"),
+    ],
+)
+def test_what_is_wrong_is_named(path, value, place):
+    with pytest.raises(ConfigurationRefusedError) as caught:
+        decode_configuration(changed(CONFIGURATION, path, value))
+    assert caught.value.problems[0].place.startswith(place)
+
+
+def test_an_entry():
+    entry = decode_entry("i-7", json.dumps(ENTRY).encode(), created=3)
+    assert (entry.server_id, entry.host) == ("i-7", "10.128.0.9")
+    assert (entry.slots, entry.draining, entry.warm_in_s) == (3, False, 0.5)
+
+
+@pytest.mark.parametrize(
+    "field", ["service", "address", "zone", "slots", "state"]
+)
+def test_an_entry_without_a_field_is_refused(field):
+    with pytest.raises(FieldError, match=f"servers/i-7.{field}"):
+        decode_entry("i-7", changed(ENTRY, [field], None))
+
+
+@pytest.mark.parametrize("text", ["a", "@@@@", "YQ", "é"])
+def test_bad_base64_is_refused(text):
+    with pytest.raises(FieldError):
+        decode_value(text, "op/config")
+
+
+@given(json_values)
+def test_any_json_is_decoded_or_refused(value):
+    text = json.dumps(value).encode()
+    with pytest.raises(ConfigurationRefusedError):
+        decode_configuration(text)
+    with pytest.raises(FieldError):
+        decode_entry("i-1", text)
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_are_refused(text):
+    with pytest.raises(ConfigurationRefusedError):
+        decode_configuration(text)
+
+
+@given(
+    st.sampled_from([*ROUTE]),
+    json_values,
+)
+def test_any_field_of_a_route_is_decoded_or_refused(field, value):
+    text = changed(CONFIGURATION, ["routes", 0, field], value)
+    try:
+        decode_configuration(text)
+    except ConfigurationRefusedError as error:
+        assert error.problems[0].place.startswith("routes[0]")
--- /dev/null
+++ b/notchhoist/platform/tests/test_settings.py
@@ -0,0 +1,87 @@
+"""The settings file: both roles, and every wrong field by name."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from notchhoist.base.errors import SettingsRefusedError
+from notchhoist.platform.checking import FieldError
+from notchhoist.platform.settings import (
+    decode_host_settings,
+    load_host_settings,
+    settings_path,
+)
+
+FRONT = {
+    "node": "front-1",
+    "serves": ["front", "control"],
+    "ip": "10.1.0.10",
+    "zone": "war-memorial",
+    "listen": {"datagram_addr": "10.1.0.10:8172", "ready": "10.1.0.10:8167"},
+    "internal_ports": [7720, 7735],
+    "seeds": ["10.1.0.10:8166", "10.2.0.40:8166"],
+    "bounds": {"drain_ms": 3000, "config_apply_ms": 2000, "grace_s": 6},
+    "platform": {"address": "10.200.1.7:8169"},
+    "unknown": "ignored",
+}
+SIDE = {
+    **FRONT,
+    "serves": ["side"],
+    "listen": {**FRONT["listen"], "outbound": "10.1.0.10:8162"},
+    "app": "10.1.0.10:8165",
+    "service": "hallbook",
+}
+
+
+def text(settings, **changes):
+    return json.dumps({**settings, **changes}).encode()
+
+
+def test_a_balancer():
+    settings = decode_host_settings(text(FRONT))
+    assert settings.balances
+    assert settings.packets == ("10.1.0.10", 8172)
+    assert settings.peers == ("10.1.0.10", "10.2.0.40")
+    assert settings.apply_s == 2.0
+
+
+def test_an_agent():
+    settings = decode_host_settings(text(SIDE))
+    assert not settings.balances
+    assert settings.backend == ("10.1.0.10", 8165)
+    assert settings.service == "hallbook"
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("node", None),
+        ("serves", ["nobody"]),
+        ("listen", {}),
+        ("internal_ports", [9, 3]),
+        ("seeds", ["here"]),
+        ("platform", {"address": "10.1.0.10"}),
+        ("bounds", None),
+        ("app", "10.1.0.10:99999"),
+    ],
+)
+def test_what_is_wrong_is_named(field, value):
+    with pytest.raises(FieldError, match=field):
+        decode_host_settings(text(SIDE, **{field: value}))
+
+
+def test_a_file_that_cannot_be_read(tmp_path):
+    with pytest.raises(SettingsRefusedError, match="a readable file"):
+        load_host_settings(str(tmp_path / "none"))
+
+
+def test_outside_the_platform_there_is_no_file():
+    assert settings_path({}) is None
+
+
+@given(st.binary(max_size=100))
+def test_any_bytes_are_refused(raw):
+    with pytest.raises(FieldError):
+        decode_host_settings(raw)
--- /dev/null
+++ b/notchhoist/platform/tests/test_store.py
@@ -0,0 +1,142 @@
+"""Reading the store: what is called next after each kind of answer."""
+
+import base64
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from notchhoist.base.draws import make_draw
+from notchhoist.base.errors import PlatformError
+from notchhoist.platform import store
+from notchhoist.platform.tests.test_documents import CONFIGURATION, ENTRY
+
+
+def item(key, value, revision=1):
+    text = base64.b64encode(json.dumps(value).encode()).decode()
+    return {
+        "key": key,
+        "value": text,
+        "revision": revision,
+        "created": revision,
+        "lease": 0,
+    }
+
+
+def page(*items, more=False, as_of=50):
+    body = {"items": list(items), "more_pages": more, "as_of": as_of}
+    return json.dumps(body).encode()
+
+
+def changes(*events, as_of=51):
+    return json.dumps({"events": list(events), "as_of": as_of}).encode()
+
+
+def reader():
+    return store.StoreReader(make_draw("x"))
+
+
+def listed():
+    """A reader that has read the first listing."""
+    made = reader()
+    made.next_call()
+    made.on_answer(200, page(item("servers/i-1", ENTRY)), 0.0)
+    return made
+
+
+def test_one_call_reads_everything_and_a_watch_follows():
+    made = reader()
+    assert made.next_call().target == "/kv-range?path_prefix="
+    events = made.on_answer(
+        200, page(item("op/config", CONFIGURATION), item("servers/i", ENTRY)), 0
+    )
+    kinds = [type(event) for event in events]
+    assert kinds == [store.TablePublished, store.ServersListed]
+    assert "/kv-watch?path_prefix=&after=50&" in made.next_call().target
+
+
+def test_pages_are_read_to_the_end_and_watched_from_the_first():
+    made = reader()
+    made.next_call()
+    first = page(item("servers/a b", ENTRY), more=True, as_of=50)
+    assert not made.on_answer(200, first, 0.0)
+    assert made.next_call().target.endswith("&after=servers%2Fa%20b")
+    second = page(item("servers/c", ENTRY), as_of=60)
+    [event] = made.on_answer(200, second, 0.0)
+    assert [entry.server_id for entry in event.entries] == ["a b", "c"]
+    assert made.revision == 50
+
+
+def test_changes_are_told_and_gathered():
+    made = listed()
+    gone = {"key": "servers/i-1", "revision": 51, "removed": True}
+    [event] = made.on_answer(200, changes(gone), 1.0)
+    assert event == store.ServerRemoved("i-1")
+    assert (made.revision, made.due) == (51, 1.0 + store.GATHER_S)
+
+
+def test_a_watch_without_news_is_renewed_at_once():
+    made = listed()
+    made.on_answer(200, changes(as_of=50), 3.0)
+    assert made.due == 3.0
+
+
+def test_history_that_is_gone_is_listed_anew():
+    made = listed()
+    made.on_answer(410, b"", 1.0)
+    assert made.next_call().target.startswith("/kv-range")
+
+
+@pytest.mark.parametrize("status", [429, 500, 503])
+def test_refused_calls_are_repeated_after_growing_pauses(status):
+    made = listed()
+    pauses = []
+    for _ in range(8):
+        with pytest.raises(PlatformError, match=str(status)):
+            made.on_answer(status, b"", 0.0)
+        pauses.append(made.due)
+    assert pauses[0] <= store.PAUSE_FIRST_S
+    assert store.PAUSE_MAX_S / 2 <= pauses[-1] <= store.PAUSE_MAX_S
+
+
+def test_a_malformed_answer_leads_to_a_new_listing():
+    made = listed()
+    with pytest.raises(PlatformError, match="as_of"):
+        made.on_answer(200, b'{"events": []}', 1.0)
+    assert made.next_call().target.startswith("/kv-range")
+
+
+def test_a_bad_document_is_told_and_the_rest_is_read():
+    made = listed()
+    bad = item("op/config", {"version": "x"})
+    good = item("servers/i-2", ENTRY)
+    events = made.on_answer(200, changes(bad, good), 1.0)
+    kinds = [type(event) for event in events]
+    assert kinds == [store.TableRefused, store.ServerPublished]
+
+
+def test_a_bad_entry_in_a_listing_does_not_remove_its_server():
+    """It did: what was known of the server was lost with the entry."""
+    made = reader()
+    made.next_call()
+    body = page(item("servers/i-1", {"service": 4}), item("servers/i-2", ENTRY))
+    events = made.on_answer(200, body, 0.0)
+    refused, whole = events
+    assert isinstance(refused, store.EntryRefused)
+    assert whole.kept == frozenset({"i-1"})
+
+
+def test_keys_of_no_concern_are_passed_over():
+    made = listed()
+    events = made.on_answer(200, changes(item("other/key", {})), 1.0)
+    assert not events
+
+
+@given(st.binary(max_size=80))
+def test_any_body_is_read_or_refused(body):
+    made = listed()
+    try:
+        made.on_answer(200, body, 1.0)
+    except PlatformError:
+        assert made.due > 1.0
