A stand-in of the platform for opaque flows, with an experiment tool

It drives the real nodes and the real codecs on a simulated clock.

Conclusion: kept; it is the start of our own emulator.

--- /dev/null
+++ b/notchhoist/testing/opaque/__init__.py
@@ -0,0 +1,17 @@
+"""A stand-in of the platform that carries opaque flows, on its own clock.
+
+The real nodes of ``notchhoist.flows`` and the real codecs of
+``notchhoist.platform`` run in it; everything around them is small and ours:
+
+* ``frames``: packets as the ends of flows make and check them.
+* ``streams``: one end of a flow: window, acknowledgements, copies.
+* ``traffic``: what callers ask for.
+* ``servers``: backend servers with slots, a queue and announcements.
+* ``callers``: callers with retries by the platform's rules.
+* ``store``: the store, and each way in which it misbehaves.
+* ``judge``: what must hold, from what callers and backend servers saw.
+* ``world``: hosts, routers, delays, losses, cuts, kills and restarts.
+* ``scenarios``: troubles by name.
+* ``report``: the outcome of a run, as text.
+* ``experiment``: the command line.
+"""
--- /dev/null
+++ b/notchhoist/testing/opaque/callers.py
@@ -0,0 +1,243 @@
+"""Callers that keep flows or open one a request, and retry by the rules."""
+
+import random
+from collections.abc import Callable
+from functools import partial
+
+import attrs
+
+from notchhoist.testing.opaque.frames import RST, SYN, Address, Frame
+from notchhoist.testing.opaque.judge import Judge
+from notchhoist.testing.opaque.streams import StreamEnd
+from notchhoist.testing.opaque.traffic import (
+    Answer,
+    Workload,
+    read_answer,
+    write_request,
+)
+
+COPIES_S = (0.2, 0.6)
+OPENING_S = 1.4
+RETRIES = 2
+FIRST_PORT = 40_000
+SERVICE_HOST = "198.18.0.1"
+USERS = 3
+
+
+@attrs.define(eq=False)
+class Pending:
+    """A request that its caller waits for."""
+
+    number: int
+    workload: Workload
+    started_at: float
+    work_ms: int
+    retries: int = RETRIES
+    over: bool = False
+
+
+@attrs.define(eq=False)
+class Flow:
+    """A flow at the caller; ``end`` is None until it has opened."""
+
+    own: Address
+    service: Address
+    pending: Pending | None
+    first_seq: int
+    opened_at: float
+    end: StreamEnd | None = None
+    data: bytes = b""
+    closed: bool = False
+
+
+@attrs.define(eq=False)
+class CallerModel:
+    """All callers of one availability zone.
+
+    Attributes:
+        zone: Name of the zone.
+        hosts: Their IP numbers.
+        rng: Source of every draw.
+        judge: Sees what they see.
+        send: Sends a packet to the routers.
+        later: Calls back after a delay.
+        register: Makes the workload of a request known to the servers.
+        is_alive: Tells whether some server holds a flow.
+        flows: Flows by the caller's address.
+        idle: Open flows without a request, by host and kind.
+        next_port: The next flow's port.
+    """
+
+    zone: str
+    hosts: list[str]
+    rng: random.Random
+    judge: Judge
+    send: Callable[[Frame], None]
+    later: Callable[[float, Callable[[], None]], None]
+    register: Callable[[Workload], int]
+    is_alive: Callable[[Address, Address], bool]
+    flows: dict[Address, Flow] = attrs.Factory(dict)
+    idle: dict[tuple[str, str], list[Flow]] = attrs.Factory(dict)
+    next_port: int = FIRST_PORT
+
+    def ask(self, workload: Workload, now: float) -> None:
+        """Begins a request."""
+        mean = workload.work_ms
+        work_ms = max(1, int(self.rng.gammavariate(4, mean / 4)))
+        pending = Pending(self.register(workload), workload, now, work_ms)
+        self.judge.tallies[workload.name].asked += 1
+        deadline = workload.deadline_s
+        self.later(deadline, lambda: self._on_deadline(pending, now + deadline))
+        self._try(pending, now)
+
+    def _try(self, pending: Pending, now: float) -> None:
+        host = self.rng.choice(self.hosts)
+        idle = self.idle.get((host, pending.workload.name), [])
+        while idle:
+            flow = idle.pop()
+            if not flow.closed and flow.end is not None:
+                flow.pending = pending
+                self._write(flow, flow.end, now)
+                return
+        self._open(host, pending, now)
+
+    def _open(self, host: str, pending: Pending, now: float) -> None:
+        self.next_port = FIRST_PORT + (self.next_port - FIRST_PORT + 1) % 25_000
+        flow = Flow(
+            own=(host, self.next_port),
+            service=(SERVICE_HOST, pending.workload.port),
+            pending=pending,
+            first_seq=self.rng.getrandbits(32),
+            opened_at=now,
+        )
+        self.flows[flow.own] = flow
+        self._send_opening(flow, 0)
+        for copy, delay in enumerate(COPIES_S, 1):
+            self.later(delay, partial(self._send_opening, flow, copy))
+        self.later(
+            OPENING_S, lambda: self._on_not_opened(flow, now + OPENING_S)
+        )
+
+    def _send_opening(self, flow: Flow, copy: int) -> None:
+        if flow.end is None and not flow.closed:
+            self.send(Frame(flow.own, flow.service, SYN, flow.first_seq, copy))
+
+    def _on_not_opened(self, flow: Flow, now: float) -> None:
+        if flow.end is None and not flow.closed:
+            self._drop(flow)
+            self._retry(flow.pending, "not opened", now)
+
+    def _write(self, flow: Flow, end: StreamEnd, now: float) -> None:
+        pending = flow.pending
+        if pending is not None:
+            workload = pending.workload
+            text = write_request(
+                pending.number, workload.request_bytes, pending.work_ms
+            )
+            end.write(text, now)
+
+    def on_frame(self, frame: Frame, now: float) -> None:
+        """Takes a packet for one of the callers."""
+        flow = self.flows.get(frame.dst)
+        if flow is None or flow.closed:
+            return
+        if frame.flags & RST:
+            self._on_reset(flow, frame, now)
+        elif frame.flags & SYN:
+            self._on_accepted(flow, frame, now)
+        elif flow.end is not None:
+            flow.data += flow.end.on_frame(frame, now)
+            self._read(flow, now)
+
+    def _on_accepted(self, flow: Flow, frame: Frame, now: float) -> None:
+        if flow.end is not None:
+            return  # Another server's acceptance, or a copy.
+        flow.end = StreamEnd(
+            lambda flags, seq, ack, data: self.send(
+                Frame(flow.own, flow.service, flags, seq, ack, data)
+            ),
+            (flow.first_seq + 1) % (1 << 32),
+            (frame.seq + 1) % (1 << 32),
+            max_copies=1000,
+        )
+        self._write(flow, flow.end, now)
+
+    def _on_reset(self, flow: Flow, frame: Frame, now: float) -> None:
+        opened = flow.end is not None
+        if opened:
+            by_server = frame.checksum != 0
+            alive = self.is_alive(flow.own, flow.service)
+            self.judge.on_reset(alive, by_server, now)
+        self._drop(flow)
+        self._retry(flow.pending, "reset" if opened else "not opened", now)
+
+    def _read(self, flow: Flow, now: float) -> None:
+        answer = read_answer(flow.data)
+        if answer is not None:
+            flow.data = flow.data[answer.size :]
+            self._on_answer(flow, answer, now)
+        if flow.end is not None and flow.end.peer_closed:
+            pending = flow.pending
+            flow.end.write(b"", now, closes=True)
+            self._drop(flow)
+            self._retry(pending, "reset", now)
+
+    def _on_answer(self, flow: Flow, answer: Answer, now: float) -> None:
+        pending = flow.pending
+        if pending is None or pending.number != answer.number:
+            self.judge.break_rule("MIXED", f"answer {answer.number}", now)
+            return
+        flow.pending = None
+        if answer.status != 200:
+            self._retry(pending, "rejected", now)
+        elif not pending.over:
+            pending.over = True
+            latency_s = now - pending.started_at
+            self.judge.on_outcome(pending.workload, "answered", latency_s)
+        self._rest(flow, pending.workload, now)
+
+    def _rest(self, flow: Flow, workload: Workload, now: float) -> None:
+        key = (flow.own[0], workload.name)
+        resting = self.idle.setdefault(key, [])
+        if workload.long_flows and len(resting) < USERS:
+            resting.append(flow)
+        elif flow.end is not None:
+            flow.end.write(b"", now, closes=True)
+            self.later(2.0, lambda: self._drop(flow))
+
+    def _retry(self, pending: Pending | None, reason: str, now: float) -> None:
+        if pending is None or pending.over:
+            return
+        safe = pending.workload.kind == "safe"
+        if pending.retries and (safe or reason != "reset"):
+            pending.retries -= 1
+            pending.number = self.register(pending.workload)
+            self._try(pending, now)
+            return
+        pending.over = True
+        outcome = "failed" if reason == "reset" else "refused"
+        self.judge.on_outcome(pending.workload, outcome, 0.0)
+
+    def _on_deadline(self, pending: Pending, now: float) -> None:
+        if pending.over:
+            return
+        pending.over = True
+        self.judge.on_outcome(pending.workload, "failed", 0.0)
+        for flow in list(self.flows.values()):
+            if flow.pending is pending:
+                self._abandon(flow)
+
+    def _abandon(self, flow: Flow) -> None:
+        if flow.end is not None:
+            flow.end.emit(RST, flow.end.next_seq, flow.end.next_in, b"")
+        self._drop(flow)
+
+    def _drop(self, flow: Flow) -> None:
+        flow.closed = True
+        self.flows.pop(flow.own, None)
+
+    def tick(self, now: float) -> None:
+        """Sends copies that are due."""
+        for flow in list(self.flows.values()):
+            if flow.end is not None:
+                flow.end.tick(now)
--- /dev/null
+++ b/notchhoist/testing/opaque/experiment.py
@@ -0,0 +1,129 @@
+"""Plays one scenario on the stand-in and prints what came of it.
+
+python -m notchhoist.testing.opaque.experiment quiet --seconds 60
+"""
+
+import random
+import sys
+from functools import partial
+from typing import Annotated
+
+import attrs
+import cappa
+
+from notchhoist.testing.opaque.report import outcome_text
+from notchhoist.testing.opaque.scenarios import SCENARIOS
+from notchhoist.testing.opaque.traffic import WHANGANUI, Workload
+from notchhoist.testing.opaque.world import OpaqueWorld
+
+ZONES = ("war-memorial", "castlecliff", "aramoho", "gonville")
+SERVERS = {"hallbook": (2, 2, 2, 1), "scoredrop": (1, 1, 1, 1)}
+LEAD_S = 3.0
+TROUBLE_AT_S = 6.0
+
+
+def make_world(
+    seed: int, load: float = 1.0, steady: bool = False
+) -> OpaqueWorld:
+    """Makes the music trust's deployment, before any traffic.
+
+    Args:
+        seed: Seed of every draw.
+        load: Factor on the usual rate of requests.
+        steady: See ``OpaqueWorld``.
+    """
+    workloads = tuple(
+        attrs.evolve(item, per_s=item.per_s * load) for item in WHANGANUI
+    )
+    world = OpaqueWorld(random.Random(seed), ZONES, workloads, steady=steady)
+    world.publish(1)
+    for number, zone in enumerate(ZONES):
+        world.add_host(zone)
+        for service, counts in SERVERS.items():
+            for _ in range(counts[number]):
+                world.add_host(zone, service)
+    return world
+
+
+def start_traffic(world: OpaqueWorld, until: float) -> None:
+    """Lets the callers ask at random moments until a time."""
+
+    def ask(workload: Workload) -> None:
+        if world.now >= until:
+            return
+        zone = world.rng.choice(list(world.zones))
+        world.callers[zone].ask(workload, world.now)
+        world.later(
+            world.rng.expovariate(workload.per_s), lambda: ask(workload)
+        )
+
+    for workload in world.workloads:
+        world.later(LEAD_S, partial(ask, workload))
+
+
+def play(
+    scenario: str,
+    seed: int = 1,
+    seconds: float = 20.0,
+    load: float = 1.0,
+    steady: bool = False,
+) -> OpaqueWorld:
+    """Plays a scenario.
+
+    Args:
+        scenario: Name of the scenario.
+        seed: Seed of every draw.
+        seconds: Length of the traffic, seconds.
+        load: Factor on the usual rate of requests.
+        steady: See ``OpaqueWorld``.
+    """
+    world = make_world(seed, load, steady)
+    start_traffic(world, LEAD_S + seconds)
+    world.later(TROUBLE_AT_S, lambda: SCENARIOS[scenario](world))
+    longest = max(item.deadline_s for item in world.workloads)
+    world.run_until(LEAD_S + seconds + longest)
+    return world
+
+
+@cappa.command(
+    name="experiment", description="Plays one scenario on the stand-in."
+)
+@attrs.define
+class Command:
+    """The command line.
+
+    Attributes:
+        scenario: Name of the scenario.
+        seed: Seed of every draw.
+        seconds: Length of the traffic.
+        load: Factor on the usual rate of requests.
+        steady: Routers move few flows when balancers come and go.
+    """
+
+    scenario: Annotated[str, cappa.Arg(help=", ".join(SCENARIOS))]
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    seconds: Annotated[float, cappa.Arg(long=True)] = 20.0
+    load: Annotated[float, cappa.Arg(long=True)] = 1.0
+    steady: Annotated[bool, cappa.Arg(long=True)] = False
+
+
+def main() -> int:
+    """Entry point; status 1 where something broke that must hold."""
+    command = cappa.parse(Command)
+    if command.scenario not in SCENARIOS:
+        print(f"scenario: one of {', '.join(SCENARIOS)}", file=sys.stderr)
+        return 2
+    world = play(
+        command.scenario,
+        command.seed,
+        command.seconds,
+        command.load,
+        command.steady,
+    )
+    print(f"{command.scenario}, seed {command.seed}")
+    print(outcome_text(world))
+    return 1 if world.judge.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/notchhoist/testing/opaque/judge.py
@@ -0,0 +1,109 @@
+"""What must hold, judged by what callers and backend servers saw."""
+
+import collections
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from notchhoist.testing.opaque.traffic import Workload
+
+HIGHEST_US = 60_000_000
+CONTACT_S = 4.0
+"""A reset of a living flow is excused so long after a disruption."""
+
+
+@attrs.define(eq=False)
+class Tally:
+    """The outcomes of one kind of request."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    latency: HdrHistogram = attrs.Factory(
+        lambda: HdrHistogram(1, HIGHEST_US, 2)
+    )
+
+
+@attrs.define(eq=False)
+class Judge:
+    """Collects what was seen.
+
+    Attributes:
+        tallies: Outcomes by kind of request.
+        broken: What must not happen, with the time.
+        runs: How often each once-only request ran.
+        arrivals: Requests by service and server.
+        resets: Resets of living flows, by excuse.
+        last_disruption: When something was last disturbed, seconds.
+        planned: Whether only planned work has happened so far.
+    """
+
+    tallies: dict[str, Tally] = attrs.Factory(
+        lambda: collections.defaultdict(Tally)
+    )
+    broken: list[str] = attrs.Factory(list)
+    runs: collections.Counter[int] = attrs.Factory(collections.Counter)
+    arrivals: dict[str, collections.Counter[str]] = attrs.Factory(
+        lambda: collections.defaultdict(collections.Counter)
+    )
+    resets: collections.Counter[str] = attrs.Factory(collections.Counter)
+    last_disruption: float = float("-inf")
+
+    def disturb(self, now: float) -> None:
+        """Notes a disruption that is not planned."""
+        self.last_disruption = max(self.last_disruption, now)
+
+    def break_rule(self, rule: str, detail: str, now: float) -> None:
+        """Notes that something happened that must not."""
+        self.broken.append(f"{now:.3f} {rule}: {detail}")
+
+    def on_run(
+        self, number: int, kind: str, expected: str, service: str, now: float
+    ) -> None:
+        """Notes that a backend server begins to work on a request."""
+        if expected != service:
+            self.break_rule("ROUTE", f"{number} ran at {service}", now)
+        if kind == "safe":
+            return
+        self.runs[number] += 1
+        if self.runs[number] > 1:
+            self.break_rule("TWICE", f"{number} at {service}", now)
+
+    def on_reset(self, alive: bool, by_server: bool, now: float) -> None:
+        """Notes a reset that a caller got on a flow that was open."""
+        if by_server:
+            self.resets["by the server"] += 1
+        elif not alive:
+            self.resets["server gone"] += 1
+        elif now - self.last_disruption < CONTACT_S:
+            self.resets["during a disruption"] += 1
+        else:
+            self.resets["unexcused"] += 1
+            self.break_rule("FLOW", "a living flow was reset", now)
+
+    def on_outcome(
+        self, workload: Workload, outcome: str, latency_s: float
+    ) -> None:
+        """Notes how a request ended for its caller."""
+        tally = self.tallies[workload.name]
+        if outcome == "answered":
+            outcome = "in_time" if latency_s <= workload.aim_s else "late"
+            tally.latency.record_value(max(1, int(latency_s * 1e6)))
+        setattr(tally, outcome, getattr(tally, outcome) + 1)
+
+    def worth(self, workloads: tuple[Workload, ...]) -> float:
+        """Returns the credit earned as a share of the credit owed."""
+        earned = owed = 0.0
+        for workload in workloads:
+            tally = self.tallies[workload.name]
+            owed += tally.asked * workload.worth
+            earned += tally.in_time * workload.worth
+            earned += tally.late * workload.late_worth
+        return earned / owed if owed else 1.0
+
+    def imbalance(self, service: str) -> float:
+        """Returns the busiest server's arrivals over the mean."""
+        counts = list(self.arrivals[service].values())
+        return max(counts) * len(counts) / sum(counts) if counts else 1.0
--- /dev/null
+++ b/notchhoist/testing/opaque/scenarios.py
@@ -0,0 +1,120 @@
+"""Troubles by name, for experiments and tests."""
+
+from collections.abc import Callable
+from functools import partial
+
+from notchhoist.testing.opaque.world import Host, OpaqueWorld
+
+SPACING_S = 1.3
+
+
+def _entries(world: OpaqueWorld) -> list[Host]:
+    return [host for host in world.hosts.values() if not host.service]
+
+
+def _backends(world: OpaqueWorld) -> list[Host]:
+    return [host for host in world.hosts.values() if host.service]
+
+
+def quiet(_: OpaqueWorld) -> None:
+    """Nothing happens."""
+
+
+def roll_balancers(world: OpaqueWorld) -> None:
+    """Stops the balancers one after the other, as planned."""
+    for number, host in enumerate(_entries(world)):
+        world.later(number * SPACING_S * 2, partial(world.stop_balancer, host))
+
+
+def release(world: OpaqueWorld) -> None:
+    """Replaces half of the backend servers; the new one starts first."""
+    for number, host in enumerate(_backends(world)[::2]):
+
+        def replace(host: Host = host) -> None:
+            slots = host.server.slots if host.server else 3
+            world.add_host(host.zone, host.service, slots)
+            world.retire(host)
+
+        world.later(number * SPACING_S, replace)
+
+
+def kill_balancers(world: OpaqueWorld) -> None:
+    """Kills half of the balancers at once."""
+    for host in _entries(world)[::2]:
+        world.kill(host)
+
+
+def kill_agents(world: OpaqueWorld) -> None:
+    """Kills half of the agents at once."""
+    for host in _backends(world)[::2]:
+        world.kill(host)
+
+
+def kill_all(world: OpaqueWorld) -> None:
+    """Kills every process of ours at once; backend servers live on."""
+    for host in list(world.hosts.values()):
+        world.kill(host, 0.8)
+
+
+def power_off(world: OpaqueWorld) -> None:
+    """Takes the power from every host at once."""
+    for host in list(world.hosts.values()):
+        world.power_off(host, 1.2)
+
+
+def lose_host(world: OpaqueWorld) -> None:
+    """Takes the power from one backend server's host for long."""
+    world.power_off(_backends(world)[0], 30.0)
+
+
+def crash_servers(world: OpaqueWorld) -> None:
+    """Crashes two backend servers for good; their agents live on."""
+    for host in _backends(world)[:2]:
+        world.judge.disturb(world.now)
+        world.crash_server(host)
+
+
+def slow_server(world: OpaqueWorld) -> None:
+    """Makes one backend server four times as slow for a while."""
+    server = _backends(world)[0].server
+    if server is not None:
+        server.slowness = 4.0
+        world.later(6.0, lambda: setattr(server, "slowness", 1.0))
+
+
+def store_silent(world: OpaqueWorld) -> None:
+    """Silences the store while the servers are replaced."""
+    world.judge.disturb(world.now)
+    world.store.down = "silent"
+    release(world)
+    world.later(4.0, lambda: setattr(world.store, "down", ""))
+
+
+def cut_host(world: OpaqueWorld) -> None:
+    """Cuts one backend server's host off from the balancers."""
+    host = _backends(world)[0]
+    for entry in _entries(world):
+        world.cut(host.ip, entry.ip, 5.0)
+
+
+def freeze_agents(world: OpaqueWorld) -> None:
+    """Freezes two agents for a while."""
+    for host in _backends(world)[:2]:
+        world.freeze(host, 3.0)
+
+
+SCENARIOS: dict[str, Callable[[OpaqueWorld], None]] = {
+    "quiet": quiet,
+    "roll-balancers": roll_balancers,
+    "release": release,
+    "kill-balancers": kill_balancers,
+    "kill-agents": kill_agents,
+    "kill-all": kill_all,
+    "power-off": power_off,
+    "lose-host": lose_host,
+    "crash-servers": crash_servers,
+    "slow-server": slow_server,
+    "store-silent": store_silent,
+    "cut-host": cut_host,
+    "freeze-agents": freeze_agents,
+}
--- /dev/null
+++ b/notchhoist/testing/opaque/servers.py
@@ -0,0 +1,184 @@
+"""Backend servers with slots, a queue, and announcements."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from notchhoist.testing.opaque.frames import (
+    ACK,
+    BOUNCED,
+    RST,
+    SYN,
+    Address,
+    Frame,
+)
+from notchhoist.testing.opaque.judge import Judge
+from notchhoist.testing.opaque.streams import StreamEnd
+from notchhoist.testing.opaque.traffic import (
+    Request,
+    Workload,
+    read_request,
+    write_answer,
+)
+
+COLD_S = 2.0
+COLD_SLOWDOWN = 1.6
+ENDED_KEPT_S = 10.0
+REJECTED = 503
+
+FlowEnds = tuple[Address, Address]
+
+
+@attrs.define(eq=False)
+class _Held:
+    """A flow at the server; ``end`` is None until the handshake is over."""
+
+    first_seq: int
+    caller_seq: int
+    end: StreamEnd | None = None
+    data: bytes = b""
+    waiting: int = 0
+    ended_at: float = float("inf")
+
+
+@attrs.define(eq=False)
+class ServerModel:
+    """One incarnation of a backend server.
+
+    Attributes:
+        server_id: Its id.
+        service: Its service.
+        rng: Source of every draw.
+        judge: Sees what it sees.
+        send: Sends a packet to the agent beside it.
+        later: Calls back after a delay.
+        workloads: Kinds of request by number of the request.
+        slots: Requests that it works on at once.
+        queue_length: Requests that wait at the most.
+        started_at: When it started, seconds.
+        draining: It closes each flow after its next answer.
+        slowness: Factor on all work.
+        alive: It has not crashed.
+        flows: Its flows.
+        running: Requests that it works on.
+        queue: Requests that wait.
+    """
+
+    server_id: str
+    service: str
+    rng: random.Random
+    judge: Judge
+    send: Callable[[Frame], None]
+    later: Callable[[float, Callable[[], None]], None]
+    workloads: dict[int, Workload]
+    slots: int
+    queue_length: int = 10
+    started_at: float = 0.0
+    draining: bool = False
+    slowness: float = 1.0
+    alive: bool = True
+    flows: dict[FlowEnds, _Held] = attrs.Factory(dict)
+    running: int = 0
+    queue: list[tuple[FlowEnds, Request]] = attrs.Factory(list)
+
+    def on_frame(self, frame: Frame, now: float) -> None:
+        """Takes a packet from the agent."""
+        ends = (frame.src, frame.dst)
+        held = self.flows.get(ends)
+        if frame.flags & SYN:
+            self._on_opening(ends, frame)
+        elif held is None:
+            self.send(attrs.evolve(frame, flags=frame.flags | BOUNCED))
+        elif frame.flags & RST:
+            del self.flows[ends]
+        elif held.ended_at < now and frame.data:
+            self._emit(ends, RST, held.first_seq, 0, b"")
+        else:
+            self._on_packet(ends, held, frame, now)
+
+    def _on_opening(self, ends: FlowEnds, frame: Frame) -> None:
+        held = self.flows.get(ends)
+        if held is None:
+            held = _Held(self.rng.getrandbits(32), frame.seq + 1)
+            self.flows[ends] = held
+        self._emit(ends, SYN | ACK, held.first_seq, held.caller_seq, b"")
+
+    def _emit(
+        self, ends: FlowEnds, flags: int, seq: int, ack: int, data: bytes
+    ) -> None:
+        caller, service = ends
+        self.send(Frame(service, caller, flags, seq % (1 << 32), ack, data))
+
+    def _on_packet(
+        self, ends: FlowEnds, held: _Held, frame: Frame, now: float
+    ) -> None:
+        if held.end is None:
+            if frame.ack != (held.first_seq + 1) % (1 << 32):
+                bounced = attrs.evolve(frame, flags=frame.flags | BOUNCED)
+                self.send(bounced)
+                return
+            held.end = StreamEnd(
+                lambda *packet: self._emit(ends, *packet),
+                (held.first_seq + 1) % (1 << 32),
+                held.caller_seq,
+            )
+        held.data += held.end.on_frame(frame, now)
+        if held.end.peer_closed and held.ended_at == float("inf"):
+            held.ended_at = now
+            held.end.write(b"", now, closes=True)
+        while (request := read_request(held.data)) is not None:
+            held.data = held.data[request.size :]
+            self._on_request(ends, request, now)
+
+    def _on_request(self, ends: FlowEnds, request: Request, now: float) -> None:
+        self.judge.arrivals[self.service][self.server_id] += 1
+        if self.running < self.slots:
+            self._run(ends, request, now)
+        elif len(self.queue) < self.queue_length:
+            self.queue.append((ends, request))
+        else:
+            self._answer(ends, request, REJECTED, now)
+
+    def _run(self, ends: FlowEnds, request: Request, now: float) -> None:
+        self.running += 1
+        workload = self.workloads[request.number]
+        self.judge.on_run(
+            request.number, workload.kind, workload.service, self.service, now
+        )
+        cold = COLD_SLOWDOWN if now - self.started_at < COLD_S else 1.0
+        work_s = request.work_ms / 1000 * cold * self.slowness
+        self.later(work_s, lambda: self._done(ends, request, now + work_s))
+
+    def _done(self, ends: FlowEnds, request: Request, now: float) -> None:
+        if not self.alive:
+            return
+        self.running -= 1
+        self._answer(ends, request, 200, now)
+        if self.queue:
+            self._run(*self.queue.pop(0), now)
+
+    def _answer(
+        self, ends: FlowEnds, request: Request, status: int, now: float
+    ) -> None:
+        held = self.flows.get(ends)
+        if held is None or held.end is None:
+            return
+        size = self.workloads[request.number].answer_bytes
+        text = write_answer(request.number, status, self.server_id, size)
+        held.end.write(text, now, closes=self.draining)
+
+    def tick(self, now: float) -> None:
+        """Sends copies that are due and forgets ended flows."""
+        for ends, held in list(self.flows.items()):
+            if now - held.ended_at > ENDED_KEPT_S:
+                del self.flows[ends]
+            elif held.end is not None:
+                held.end.tick(now)
+                if held.end.failed:
+                    del self.flows[ends]
+
+    def holds(self, ends: FlowEnds) -> bool:
+        """Tells whether a flow is open here."""
+        held = self.flows.get(ends)
+        return self.alive and held is not None and held.end is not None
--- /dev/null
+++ b/notchhoist/testing/opaque/store.py
@@ -0,0 +1,116 @@
+"""The platform's store, read only, and each way in which it misbehaves."""
+
+import base64
+import json
+import random
+
+import attrs
+
+
+@attrs.frozen
+class Change:
+    """One change of an item."""
+
+    revision: int
+    key: str
+    item: dict[str, object]
+
+
+@attrs.define(eq=False)
+class StoreModel:
+    """Items, their history, and disturbances.
+
+    Attributes:
+        rng: Source of every draw.
+        items: The items by key.
+        revision: Counts the changes.
+        history: The changes that watches may still ask for.
+        compacted_to: Changes up to here are forgotten.
+        page_size: Items of one page.
+        calls: Calls so far, refused ones too.
+        answer_s: Time to an answer, seconds.
+        down: ``""``, ``silent``, ``busy`` (503), ``many`` (429) or ``reset``.
+        down_for: Hosts that it is down for; all of them where this is empty.
+        lost_share: Share of the answers that are lost.
+    """
+
+    rng: random.Random
+    items: dict[str, dict[str, object]] = attrs.Factory(dict)
+    revision: int = 0
+    history: list[Change] = attrs.Factory(list)
+    compacted_to: int = 0
+    page_size: int = 500
+    calls: int = 0
+    answer_s: float = 0.004
+    down: str = ""
+    down_for: frozenset[str] = frozenset()
+    lost_share: float = 0.0
+
+    def put(self, key: str, value: object) -> None:
+        """Writes an item."""
+        self.revision += 1
+        known = self.items.get(key)
+        text = json.dumps(value).encode()
+        self.items[key] = {
+            "key": key,
+            "value": base64.b64encode(text).decode(),
+            "revision": self.revision,
+            "created": known["created"] if known else self.revision,
+            "lease": 0,
+        }
+        self.history.append(Change(self.revision, key, self.items[key]))
+
+    def remove(self, key: str) -> None:
+        """Removes an item."""
+        if self.items.pop(key, None) is None:
+            return
+        self.revision += 1
+        item = {"key": key, "revision": self.revision, "removed": True}
+        self.history.append(Change(self.revision, key, item))
+
+    def compact(self) -> None:
+        """Forgets the history."""
+        self.compacted_to = self.revision
+        self.history.clear()
+
+    def trouble_for(self, host: str) -> str:
+        """Returns how it fails a host, or an empty text."""
+        if self.down and (not self.down_for or host in self.down_for):
+            return self.down
+        return "silent" if self.rng.random() < self.lost_share else ""
+
+    def read_range(self, query: dict[str, str]) -> bytes:
+        """Answers ``/kv-range``."""
+        prefix, after = query.get("path_prefix", ""), query.get("after", "")
+        keys = sorted(
+            key for key in self.items if key.startswith(prefix) and key > after
+        )
+        page = [self.items[key] for key in keys[: self.page_size]]
+        body = {
+            "items": page,
+            "more_pages": len(keys) > self.page_size,
+            "as_of": self.revision,
+        }
+        return json.dumps(body).encode()
+
+    def read_changes(self, query: dict[str, str]) -> tuple[int, bytes | None]:
+        """Answers ``/kv-watch``; no body while there is nothing to tell."""
+        after = int(query["after"])
+        if after < self.compacted_to:
+            return 410, b""
+        events = [
+            change.item
+            for change in self.history
+            if change.revision > after
+            and change.key.startswith(query.get("path_prefix", ""))
+        ]
+        if not events:
+            return 200, None
+        return 200, self.no_changes(events)
+
+    def no_changes(
+        self, events: list[dict[str, object]] | None = None
+    ) -> bytes:
+        """Returns the body of a watch that ends now."""
+        body = {"events": events or [], "as_of": self.revision}
+        return json.dumps(body).encode()
--- /dev/null
+++ b/notchhoist/testing/opaque/streams.py
@@ -0,0 +1,138 @@
+"""One end of an open flow: a window, acknowledgements and copies."""
+
+from collections.abc import Callable
+
+import attrs
+
+from notchhoist.testing.opaque.frames import ACK, FIN, MAX_DATA, Frame
+
+MODULUS = 1 << 32
+WINDOW = 16
+FIRST_COPY_S = 0.2
+LAST_COPY_S = 1.6
+DELAYED_ACK_S = 0.04
+
+Emit = Callable[[int, int, int, bytes], None]
+"""Sends flags, sequence number, acknowledgement and data."""
+
+
+@attrs.define
+class _Sent:
+    data: bytes
+    flags: int
+    due: float
+    pause: float = FIRST_COPY_S
+    copies: int = 0
+
+
+@attrs.define(eq=False)
+class StreamEnd:
+    """Sends and receives the bytes of one flow.
+
+    Attributes:
+        emit: Sends a packet.
+        next_seq: Number of the next byte to be sent.
+        next_in: Number of the next byte expected.
+        max_copies: Copies of a packet before the flow is given up.
+        sent: Packets under way, by number.
+        unsent: Packets that wait for the window.
+        early: Packets that came before others, by number.
+        unacknowledged: Packets received since the last acknowledgement.
+        ack_due: When to acknowledge at the latest.
+        peer_closed: The other end has sent its last byte.
+        failed: A packet was sent too often.
+    """
+
+    emit: Emit
+    next_seq: int
+    next_in: int
+    max_copies: int = 8
+    sent: dict[int, _Sent] = attrs.Factory(dict)
+    unsent: list[tuple[bytes, int]] = attrs.Factory(list)
+    early: dict[int, tuple[bytes, bool]] = attrs.Factory(dict)
+    unacknowledged: int = 0
+    ack_due: float = float("inf")
+    peer_closed: bool = False
+    failed: bool = False
+
+    def write(self, data: bytes, now: float, closes: bool = False) -> None:
+        """Sends data, and the end of the stream."""
+        pieces = [
+            data[start : start + MAX_DATA]
+            for start in range(0, len(data), MAX_DATA)
+        ]
+        self.unsent.extend((piece, 0) for piece in pieces)
+        if closes:
+            self.unsent.append((b"", FIN))
+        self._fill(now)
+
+    def _fill(self, now: float) -> None:
+        while self.unsent and len(self.sent) < WINDOW:
+            data, flags = self.unsent.pop(0)
+            self.sent[self.next_seq] = _Sent(data, flags, now + FIRST_COPY_S)
+            self._send(self.next_seq, flags, data)
+            length = len(data) + (1 if flags & FIN else 0)
+            self.next_seq = (self.next_seq + length) % MODULUS
+
+    def _send(self, seq: int, flags: int, data: bytes) -> None:
+        self.unacknowledged = 0
+        self.ack_due = float("inf")
+        self.emit(flags | ACK, seq, self.next_in, data)
+
+    def acknowledge(self) -> None:
+        """Sends an acknowledgement alone."""
+        self._send(self.next_seq, 0, b"")
+
+    def on_frame(self, frame: Frame, now: float) -> bytes:
+        """Takes a packet; returns the bytes that are now in order."""
+        self._take_ack(frame.ack, now)
+        if not frame.data and not frame.flags & FIN:
+            return b""
+        if (frame.seq - self.next_in) % MODULUS >= MODULUS // 2:
+            self.acknowledge()  # A copy: the other end missed an answer.
+            return b""
+        self.early[frame.seq] = (frame.data, bool(frame.flags & FIN))
+        received = self._in_order()
+        self.unacknowledged += 1
+        if self.unacknowledged >= 2 or self.peer_closed:
+            self.acknowledge()
+        else:
+            self.ack_due = now + DELAYED_ACK_S
+        return received
+
+    def _in_order(self) -> bytes:
+        received = b""
+        while self.next_in in self.early:
+            data, closes = self.early.pop(self.next_in)
+            received += data
+            self.peer_closed = self.peer_closed or closes
+            self.next_in = (self.next_in + len(data) + closes) % MODULUS
+        return received
+
+    def _take_ack(self, ack: int, now: float) -> None:
+        for seq in list(self.sent):
+            item = self.sent[seq]
+            end = seq + len(item.data) + (1 if item.flags & FIN else 0)
+            if (ack - end) % MODULUS < MODULUS // 2:
+                del self.sent[seq]
+        self._fill(now)
+
+    def tick(self, now: float) -> None:
+        """Sends copies and late acknowledgements that are due."""
+        for seq, item in self.sent.items():
+            if now < item.due:
+                continue
+            if item.copies >= self.max_copies:
+                self.failed = True
+                return
+            item.copies += 1
+            item.pause = min(LAST_COPY_S, item.pause * 2)
+            item.due = now + item.pause
+            self._send(seq, item.flags, item.data)
+        if now >= self.ack_due:
+            self.acknowledge()
+
+    def due(self) -> float:
+        """Returns when ``tick`` is next needed, seconds."""
+        copies = min((item.due for item in self.sent.values()), default=9e9)
+        return min(copies, self.ack_due)
