--- a/notchhoist/flows/placing.py
+++ b/notchhoist/flows/placing.py
@@ -14,11 +14,11 @@
 Service times of equal servers differ by less than that with the spread of
 0.5 that the workloads have and the smoothing of the agents."""
 
-FAR_FLOWS = 0.12
+FAR_FLOWS = 0.35
 """How much fuller than the mean a server of the own zone may be before one of
 another zone is taken, as a share of the mean of open flows."""
 
-FAR_WAIT = 0.25
+FAR_WAIT = 0.5
 """The same for requests: share of a service time that the own zone is worth,
 about two crossings of 1.5 ms in 50 ms of work and the price of the bytes."""
 
