Two balancers read the store and tell the others

Ruled out: a watch held longer (a lost answer must be noticed within the bound of 3 s); mirrors over HTTP (a second protocol between processes).

Change: flows/view keeps what is published by revision and gives differences; flows/sharing chooses the readers alike everywhere from those alive, asks twice a second, pushes changes, splits views into datagrams; platform/feeding leaves the store alone while what is known was confirmed within 2.7 s. One entry of a state never replaces a newer one, wherever it comes from.

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -13,7 +13,7 @@
 
 from notchhoist.base import datagrams
 from notchhoist.base.draws import make_draw
-from notchhoist.base.errors import CodecError, PlatformError
+from notchhoist.base.errors import CodecError
 from notchhoist.daemon.flow_journal import FlowJournal, flow_text
 from notchhoist.daemon.http_call import HttpCaller
 from notchhoist.daemon.http_port import Reply, open_http_port
@@ -30,10 +30,11 @@
     SendCaller,
     SendPeer,
 )
-from notchhoist.platform import store
+from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.platform.readiness import status_for
 from notchhoist.platform.settings import HostSettings
+from notchhoist.platform.store import StoreReader
 
 LEAVE_S = 1.8
 """After a request to stop a balancer forwards for this long, seconds: routers
@@ -228,76 +229,44 @@
             self.loop.call_later(LEAVE_S, self.loop.stop)
 
 
-class StoreFeed(Struct, eq=False):
-    """Feeds a balancer with what the platform's store holds.
+class StoreCalls(Struct, eq=False):
+    """Makes a balancer's calls to the platform's store.
 
     Attributes:
         daemon: The process.
-        reader: Decides the calls.
+        feeder: Decides the calls.
         caller: Makes them.
-        lost: The store has not answered since the last answer.
     """
 
     daemon: FlowDaemon
-    reader: store.StoreReader
+    feeder: StoreFeeder
     caller: HttpCaller
-    lost: bool = False
 
     def call(self) -> None:
-        """Makes the next call."""
-        call = self.reader.next_call()
+        """Makes the next call, if one is needed."""
+        call = self.feeder.next_call(self.daemon.loop.clock())
+        if call is None:
+            self._schedule()
+            return
         self.caller.get(
             call.target, call.timeout_s, self._on_done, self._on_failed
         )
 
     def _on_done(self, status: int, body: bytes) -> None:
-        now = self.daemon.loop.clock()
-        try:
-            events = self.reader.on_answer(status, body, now)
-        except PlatformError as error:
-            self._note_lost(str(error))
-        else:
-            if self.lost:
-                self.daemon.journal.log("store regained")
-            self.lost = False
-            for event in events:
-                self._apply(event, now)
-            self.daemon.perform(())
+        self.feeder.on_answer(status, body, self.daemon.loop.clock())
         self._schedule()
 
     def _on_failed(self, reason: str) -> None:
-        self.reader.on_failed(self.daemon.loop.clock())
-        self._note_lost(reason)
+        self.feeder.on_failed(reason, self.daemon.loop.clock())
         self._schedule()
 
-    def _note_lost(self, reason: str) -> None:
-        if not self.lost:
-            self.daemon.journal.log("store lost", reason=reason)
-        self.lost = True
-
     def _schedule(self) -> None:
-        now = self.daemon.loop.clock()
-        if self.reader.due <= now:
+        self.daemon.perform(self.feeder.node.take_effects())
+        due = self.feeder.reader.due
+        if due <= self.daemon.loop.clock():
             self.call()
         else:
-            self.daemon.loop.call_at(self.reader.due, self.call)
-
-    def _apply(self, event: store.StoreEvent, now: float) -> None:
-        node = self.daemon.node
-        if not isinstance(node, BalancerNode):
-            return
-        fleet = node.fleet
-        match event:
-            case store.TablePublished():
-                fleet.on_table(event.table)
-            case store.ServersListed():
-                fleet.on_listing(event.entries, now, event.kept)
-            case store.ServerPublished():
-                fleet.on_entry(event.entry, now)
-            case store.ServerRemoved():
-                fleet.on_removed(event.server_id, now)
-            case store.TableRefused() | store.EntryRefused():
-                self.daemon.journal.log("refused", reason=str(event.error))
+            self.daemon.loop.call_at(due, self.call)
 
 
 def _watch_signals(loop: Loop, on_signal: object) -> None:
@@ -331,7 +300,9 @@
     node: BalancerNode | AgentNode
     if settings.balances:
         packets = settings.packets
-        node = make_balancer(settings.zone, codec, seed)
+        node = make_balancer(
+            settings.zone, codec, seed, settings.ip, settings.peers
+        )
     else:
         packets = settings.outbound or settings.packets
         node = make_agent(settings.service, codec, loop.clock())
@@ -365,8 +336,9 @@
     journal = FlowJournal(settings.name, clock, wall, write_to_stdout)
     daemon = make_daemon(settings, loop, journal)
     daemon.start()
-    if settings.balances:
-        reader = store.StoreReader(make_draw(settings.name))
-        StoreFeed(daemon, reader, HttpCaller(loop, settings.store)).call()
+    if isinstance(daemon.node, BalancerNode):
+        reader = StoreReader(make_draw(settings.name))
+        feeder = StoreFeeder(daemon.node, reader)
+        StoreCalls(daemon, feeder, HttpCaller(loop, settings.store)).call()
     loop.run()
     journal.log("stopped")
--- a/notchhoist/flows/balancer.py
+++ b/notchhoist/flows/balancer.py
@@ -10,11 +10,17 @@
 from notchhoist.flows.fleet import Route
 from notchhoist.flows.fleet_keeper import FleetKeeper
 from notchhoist.flows.health import HealthKeeper
-from notchhoist.flows.messages import LoadTell, PeerMessage
+from notchhoist.flows.messages import (
+    LoadTell,
+    PeerMessage,
+    ViewAsk,
+    ViewTell,
+)
 from notchhoist.flows.notes import NoteKind
 from notchhoist.flows.opening import FlowOpener
 from notchhoist.flows.resetting import FlowResetter
 from notchhoist.flows.segments import Segment, SegmentCodec
+from notchhoist.flows.sharing import ViewSharer
 
 SWEEP_S = 1.0
 CLOSED_KEPT_S = 3.0
@@ -33,6 +39,7 @@
         health: Watches over the agents.
         opener: Places new flows.
         finder: Finds flows that are not known here.
+        sharer: Shares with other balancers what is published.
         sweep_due: When old knowledge is next forgotten, seconds.
     """
 
@@ -43,6 +50,7 @@
     health: HealthKeeper
     opener: FlowOpener
     finder: FlowFinder
+    sharer: ViewSharer
     sweep_due: float = 0.0
 
     @property
@@ -67,7 +75,7 @@
             self.opener.on_opening(route, segment, now)
         else:
             self._forward(route, segment, now)
-        return self._drain()
+        return self.take_effects()
 
     def _refuse_route(self, segment: Segment, version: int, now: float) -> None:
         if segment.resets:
@@ -116,25 +124,31 @@
                 self.finder.on_answer(host, kind, segment, now)
             case _:
                 self.board.records.counters[Count.MALFORMED] += 1
-        return self._drain()
+        return self.take_effects()
 
     def on_peer(
         self, host: str, message: PeerMessage, now: float
     ) -> list[Effect]:
         """Takes a control message."""
-        if isinstance(message, LoadTell):
-            self.health.on_told(host, message, now)
-        return self._drain()
+        match message:
+            case LoadTell():
+                self.health.on_told(host, message, now)
+            case ViewAsk():
+                self.sharer.on_ask(host, message, now)
+            case ViewTell():
+                self.sharer.on_tell(host, message, now)
+        return self.take_effects()
 
     def tick(self, now: float) -> list[Effect]:
         """Does what is due."""
         self.opener.tick(now)
         self.finder.tick(now)
         self.health.tick(now)
+        self.sharer.tick(now)
         if now >= self.sweep_due:
             self.sweep_due = now + SWEEP_S
             self._sweep(now)
-        return self._drain()
+        return self.take_effects()
 
     def _sweep(self, now: float) -> None:
         self.fleet.sweep(now)
@@ -160,33 +174,44 @@
             self.opener.due(),
             self.finder.due(),
             self.health.due(),
+            self.sharer.due(),
             self.sweep_due,
         )
 
-    def _drain(self) -> list[Effect]:
+    def take_effects(self) -> list[Effect]:
+        """Returns what is to be done and forgets it."""
         effects = list(self.board.outbox)
         self.board.outbox.clear()
         return effects
 
 
-def make_balancer(zone: str, codec: SegmentCodec, seed: str) -> BalancerNode:
+def make_balancer(
+    zone: str,
+    codec: SegmentCodec,
+    seed: str,
+    host: str = "",
+    seeds: tuple[str, ...] = (),
+) -> BalancerNode:
     """Makes the decisions of a balancer that knows nothing yet.
 
     Args:
         zone: Its availability zone.
         codec: Codec of the packets.
         seed: Seed of every draw.
+        host: IP number of its host.
+        seeds: Hosts of some balancers.
     """
-    board = BalancerBoard(zone)
+    board = BalancerBoard(zone, host)
     resetter = FlowResetter(board, codec)
     health = HealthKeeper(board, resetter)
-    draw = make_draw(seed)
+    fleet = FleetKeeper(board)
     return BalancerNode(
         board=board,
         codec=codec,
-        fleet=FleetKeeper(board),
+        fleet=fleet,
         resetter=resetter,
         health=health,
-        opener=FlowOpener(board, codec, health, resetter, draw),
+        opener=FlowOpener(board, codec, health, resetter, make_draw(seed)),
         finder=FlowFinder(board, codec, health, resetter),
+        sharer=ViewSharer(board, fleet, seeds),
     )
--- a/notchhoist/flows/boards.py
+++ b/notchhoist/flows/boards.py
@@ -10,6 +10,7 @@
 from notchhoist.flows.held import HeldFlow
 from notchhoist.flows.holding import HeldRequest
 from notchhoist.flows.segments import Segment
+from notchhoist.flows.view import FleetView
 
 DECISIONS_KEPT = 1000
 """Decisions that wait for the log at the most."""
@@ -38,6 +39,7 @@
     RETURNED = "returned"
     HELD = "held"
     HELD_TOO_LONG = "held_too_long"
+    VIEWS_TOLD = "views_told"
     WRONG_SERVICE = "wrong_service"
     BACKEND_SILENT = "backend_silent"
     BACKEND_GONE = "backend_gone"
@@ -154,6 +156,8 @@
 
     Attributes:
         zone: Its availability zone.
+        host: IP number of its host.
+        view: What the platform publishes, by revision.
         table: The configuration in force, or None before the first.
         servers: Backend servers by id, gone ones too for a while.
         by_service: The same by service.
@@ -168,6 +172,8 @@
     """
 
     zone: str
+    host: str
+    view: FleetView = field(default_factory=FleetView)
     table: RouteTable | None = None
     servers: dict[str, Server] = field(default_factory=dict)
     by_service: dict[str, list[Server]] = field(default_factory=dict)
--- a/notchhoist/flows/fleet_keeper.py
+++ b/notchhoist/flows/fleet_keeper.py
@@ -5,13 +5,9 @@
 from msgspec import Struct
 
 from notchhoist.flows.boards import BalancerBoard
-from notchhoist.flows.fleet import (
-    FOREVER,
-    RouteTable,
-    Server,
-    ServerEntry,
-)
+from notchhoist.flows.fleet import FOREVER, RouteTable, Server, ServerEntry
 from notchhoist.flows.notes import service_tag
+from notchhoist.flows.view import ViewChange
 
 UNLISTED_KEPT_S = 60.0
 """How long a server whose entry vanished is still asked for its flows; the
@@ -19,7 +15,7 @@
 
 
 class FleetKeeper(Struct, eq=False):
-    """Keeps routes and servers as published; a version never goes back.
+    """Keeps routes and servers as published; nothing goes back.
 
     Attributes:
         board: What the balancer knows.
@@ -27,11 +23,11 @@
 
     board: BalancerBoard
 
-    def on_table(self, table: RouteTable) -> None:
+    def on_table(self, table: RouteTable, revision: int) -> None:
         """Puts a configuration in force if it is newer."""
         board = self.board
         old = board.table.version if board.table else 0
-        if table.version <= old:
+        if not board.view.put_table(table, revision):
             return
         board.table = table
         board.records.decide(
@@ -40,39 +36,42 @@
             "in force",
             version=table.version,
             before=old,
+            revision=revision,
             routes=len(table.routes),
         )
 
     def on_listing(
         self,
-        entries: Sequence[ServerEntry],
+        entries: Sequence[tuple[ServerEntry, int]],
+        revision: int,
         now: float,
         kept: frozenset[str] = frozenset(),
     ) -> None:
         """Takes the whole list of backend servers.
 
         Args:
-            entries: Their entries.
+            entries: Their entries, with the revision of each.
+            revision: Revision of the list.
             now: Runtime clock, seconds.
             kept: Ids of servers that are listed with a wrong entry.
         """
-        for entry in entries:
-            self.on_entry(entry, now)
-        listed = {entry.server_id for entry in entries} | kept
-        for server_id, server in list(self.board.servers.items()):
-            if server.listed and server_id not in listed:
-                self.on_removed(server_id, now)
+        for entry, changed_at in entries:
+            self.on_entry(entry, changed_at, now)
+        listed = {entry.server_id for entry, _ in entries} | kept
+        for server_id in list(self.board.view.servers):
+            if server_id not in listed:
+                self.on_removed(server_id, revision, now)
         self.board.fleet_known = True
 
-    def on_entry(self, entry: ServerEntry, now: float) -> None:
+    def on_entry(self, entry: ServerEntry, revision: int, now: float) -> None:
         """Takes an entry that is new or has changed."""
         board = self.board
+        if not board.view.put_server(entry, revision):
+            return
         server = board.servers.get(entry.server_id)
         if server is None:
             server = Server(entry, service_tag(entry.service), 0.0)
             board.servers[entry.server_id] = server
-        elif server.entry == entry and server.listed:
-            return
         server.entry = entry
         server.unlisted_at = FOREVER
         if self._is_superseded(server):
@@ -88,6 +87,7 @@
             service=entry.service,
             host=entry.host,
             zone=entry.zone,
+            revision=revision,
         )
         self._index()
 
@@ -116,13 +116,41 @@
         del self.board.servers[server_id]
         self._index()
 
-    def on_removed(self, server_id: str, now: float) -> None:
+    def on_removed(self, server_id: str, revision: int, now: float) -> None:
         """Takes word that an entry has vanished."""
+        if not self.board.view.remove_server(server_id, revision):
+            return
         server = self.board.servers.get(server_id)
-        if server is None or not server.listed:
+        if server is not None:
+            server.unlisted_at = now
+        self.board.records.decide(
+            "server", b"", "unlisted", server=server_id, revision=revision
+        )
+
+    def on_change(self, change: ViewChange, now: float) -> None:
+        """Takes what another balancer knows beyond this one."""
+        board = self.board
+        if change.base > board.view.revision:
+            return  # Something between is missing; it is asked for again.
+        if change.version:
+            known = board.table.routes if board.table and change.base else {}
+            routes = {
+                key: route
+                for key, route in known.items()
+                if key not in change.removed_routes
+            }
+            for route in change.routes:
+                routes[route.service_key] = route
+            table = RouteTable(change.version, routes, change.idle_s)
+            self.on_table(table, change.revision)
+        if change.base == 0:
+            self.on_listing(change.servers, change.revision, now)
             return
-        server.unlisted_at = now
-        self.board.records.decide("server", b"", "unlisted", server=server_id)
+        for entry, revision in change.servers:
+            self.on_entry(entry, revision, now)
+        for server_id in change.removed_servers:
+            self.on_removed(server_id, change.revision, now)
+        board.view.reach(change.revision)
 
     def sweep(self, now: float) -> None:
         """Forgets servers whose entries vanished long ago."""
--- a/notchhoist/flows/flow.thrift
+++ b/notchhoist/flows/flow.thrift
@@ -3,7 +3,26 @@
 struct LoadAsk { 1: i32 slots }
 struct LoadTell { 1: i32 flows, 2: i32 running, 3: i32 pace_ms, 4: bool stopping }
 
+struct Target { 1: string service_name, 2: i32 weight }
+struct Route {
+  1: string name, 2: binary service_key, 3: string kind, 4: list<Target> targets,
+  5: i32 priority, 6: double objective_ms, 7: double timeout_ms
+}
+struct Server {
+  1: string server_id, 2: string service_name, 3: string host, 4: string zone,
+  5: i32 slots, 6: bool draining, 7: double warm_in_s, 8: i64 created,
+  9: i64 revision
+}
+struct ViewAsk { 1: i64 revision }
+struct ViewTell {
+  1: i64 revision, 2: i64 base, 3: i32 age_ms, 4: list<string> members,
+  5: i32 part, 6: i32 parts, 7: i64 version, 8: double idle_s,
+  9: list<Route> routes, 10: list<binary> removed_routes,
+  11: list<Server> servers, 12: list<string> removed_servers
+}
+
 struct FlowMessage {
   1: i32 version,
-  10: optional LoadAsk load_ask, 11: optional LoadTell load_tell
+  10: optional LoadAsk load_ask, 11: optional LoadTell load_tell,
+  12: optional ViewAsk view_ask, 13: optional ViewTell view_tell
 }
--- a/notchhoist/flows/message_codec.py
+++ b/notchhoist/flows/message_codec.py
@@ -10,14 +10,24 @@
 from thrift.transport import TTransport
 
 from notchhoist.base.errors import CodecError
+from notchhoist.flows.fleet import RequestKind, Route, ServerEntry
 from notchhoist.flows.generated import ttypes
-from notchhoist.flows.messages import LoadAsk, LoadTell, PeerMessage
+from notchhoist.flows.messages import (
+    LoadAsk,
+    LoadTell,
+    PeerMessage,
+    ViewAsk,
+    ViewTell,
+)
+from notchhoist.flows.view import ViewChange
 
 PROTOCOL_VERSION = 1
-MAX_BYTES = 4 << 20
+MAX_BYTES = 65_535
+MAX_RECORDS = 10_000
+AGE_MAX_S = 1e6
 
 _FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
-    string_length_limit=MAX_BYTES, container_length_limit=1 << 16
+    string_length_limit=MAX_BYTES, container_length_limit=MAX_RECORDS
 )
 
 
@@ -34,11 +44,59 @@
                 message.pace_ms,
                 message.stopping,
             )
+        case ViewAsk():
+            struct.view_ask = ttypes.ViewAsk(message.revision)
+        case ViewTell():
+            struct.view_tell = _view_struct(message)
     buffer = TTransport.TMemoryBuffer()
     struct.write(_FACTORY.getProtocol(buffer))
     return buffer.getvalue()
 
 
+def _view_struct(tell: ViewTell) -> Any:
+    change = tell.change
+    return ttypes.ViewTell(
+        revision=change.revision,
+        base=change.base,
+        age_ms=int(min(tell.age_s, AGE_MAX_S) * 1000),
+        members=list(tell.members),
+        part=tell.part,
+        parts=tell.parts,
+        version=change.version,
+        idle_s=change.idle_s,
+        routes=[_route_struct(route) for route in change.routes],
+        removed_routes=list(change.removed_routes),
+        servers=[_server_struct(*item) for item in change.servers],
+        removed_servers=list(change.removed_servers),
+    )
+
+
+def _route_struct(route: Route) -> Any:
+    return ttypes.Route(
+        name=route.name,
+        service_key=route.service_key,
+        kind=route.kind.value,
+        targets=[ttypes.Target(*target) for target in route.targets],
+        priority=route.priority,
+        objective_ms=route.objective_ms,
+        timeout_ms=route.timeout_ms,
+    )
+
+
+def _server_struct(entry: ServerEntry, revision: int) -> Any:
+    return ttypes.Server(
+        server_id=entry.server_id,
+        service_name=entry.service,
+        host=entry.host,
+        zone=entry.zone,
+        slots=entry.slots,
+        draining=entry.draining,
+        warm_in_s=entry.warm_in_s,
+        created=entry.created,
+        revision=revision,
+    )
+
+
 def decode_message(data: bytes) -> PeerMessage:
     """Decodes a control message.
 
@@ -61,15 +119,74 @@
 def _message_of(struct: Any) -> PeerMessage:
     if struct.version != PROTOCOL_VERSION:
         raise ValueError(f"protocol version {struct.version}")
-    asked = struct.load_ask
-    if asked is not None:
-        if asked.slots is None:
-            raise ValueError("LoadAsk.slots is missing")
-        return LoadAsk(asked.slots)
-    told = struct.load_tell
-    if told is None:
-        raise ValueError("no known message")
-    fields = (told.flows, told.running, told.pace_ms, told.stopping)
-    if None in fields:
-        raise ValueError("a field of LoadTell is missing")
-    return LoadTell(*fields)
+    for body in (struct.load_ask, struct.load_tell, struct.view_ask):
+        if body is not None:
+            _check_whole(body)
+    if struct.load_ask is not None:
+        return LoadAsk(struct.load_ask.slots)
+    if struct.load_tell is not None:
+        told = struct.load_tell
+        return LoadTell(told.flows, told.running, told.pace_ms, told.stopping)
+    if struct.view_ask is not None:
+        return ViewAsk(struct.view_ask.revision)
+    if struct.view_tell is not None:
+        return _view_of(struct.view_tell)
+    raise ValueError("no known message")
+
+
+def _check_whole(struct: Any) -> None:
+    """Raises ValueError where a field is missing."""
+    for entry in struct.thrift_spec:
+        if entry and getattr(struct, entry[2]) is None:
+            raise ValueError(f"{type(struct).__name__}.{entry[2]} is missing")
+
+
+def _view_of(struct: Any) -> ViewTell:
+    _check_whole(struct)
+    if not 0 <= struct.part < struct.parts <= MAX_RECORDS:
+        raise ValueError(f"part {struct.part} of {struct.parts}")
+    change = ViewChange(
+        revision=struct.revision,
+        base=struct.base,
+        version=struct.version,
+        idle_s=struct.idle_s,
+        routes=tuple(_route_of(item) for item in struct.routes),
+        removed_routes=tuple(struct.removed_routes),
+        servers=tuple(_server_of(item) for item in struct.servers),
+        removed_servers=tuple(struct.removed_servers),
+    )
+    age_s = struct.age_ms / 1000
+    members = tuple(struct.members)
+    return ViewTell(change, age_s, members, struct.part, struct.parts)
+
+
+def _route_of(struct: Any) -> Route:
+    _check_whole(struct)
+    for target in struct.targets:
+        _check_whole(target)
+    if sum(target.weight for target in struct.targets) <= 0:
+        raise ValueError(f"route {struct.name} leads nowhere")
+    return Route(
+        name=struct.name,
+        service_key=struct.service_key,
+        kind=RequestKind(struct.kind),
+        targets=tuple((t.service_name, t.weight) for t in struct.targets),
+        priority=struct.priority,
+        objective_ms=struct.objective_ms,
+        timeout_ms=struct.timeout_ms,
+    )
+
+
+def _server_of(struct: Any) -> tuple[ServerEntry, int]:
+    _check_whole(struct)
+    entry = ServerEntry(
+        server_id=struct.server_id,
+        service=struct.service_name,
+        host=struct.host,
+        zone=struct.zone,
+        slots=struct.slots,
+        draining=struct.draining,
+        warm_in_s=struct.warm_in_s,
+        created=struct.created,
+    )
+    return entry, struct.revision
--- a/notchhoist/flows/messages.py
+++ b/notchhoist/flows/messages.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from notchhoist.flows.view import ViewChange
+
 
 class LoadAsk(Struct, frozen=True):
     """Asks an agent for its load; any answer shows that it is alive.
@@ -30,4 +32,32 @@
     stopping: bool
 
 
-PeerMessage = LoadAsk | LoadTell
+class ViewAsk(Struct, frozen=True):
+    """Asks another balancer for what the platform has published.
+
+    Attributes:
+        revision: Everything up to this revision is known.
+    """
+
+    revision: int
+
+
+class ViewTell(Struct, frozen=True):
+    """What a balancer knows of what the platform has published.
+
+    Attributes:
+        change: What changed after the asker's revision, or a part of it.
+        age_s: Time since the platform confirmed it, seconds.
+        members: Hosts of balancers that were heard lately.
+        part: Number of this part, from 0.
+        parts: How many parts there are.
+    """
+
+    change: ViewChange
+    age_s: float
+    members: tuple[str, ...]
+    part: int = 0
+    parts: int = 1
+
+
+PeerMessage = LoadAsk | LoadTell | ViewAsk | ViewTell
--- /dev/null
+++ b/notchhoist/flows/sharing.py
@@ -0,0 +1,246 @@
+"""A balancer's controller for what balancers tell each other.
+
+A few of them read the platform's store, chosen alike by all from those that
+are alive; the others hear of changes from these. Nobody publishes who they
+are: a process knows a few from its settings and hears of more by asking.
+"""
+
+import zlib
+
+from msgspec import Struct, field
+
+from notchhoist.flows.boards import BalancerBoard, Count
+from notchhoist.flows.effects import SendPeer
+from notchhoist.flows.fleet_keeper import FleetKeeper
+from notchhoist.flows.messages import ViewAsk, ViewTell
+from notchhoist.flows.view import ViewChange
+
+READERS = 2
+"""Balancers that read the store, so that one may be lost unnoticed."""
+
+MEMBERS_A_READER = 64
+"""One more reader for each so many balancers: each asks twice a second, and
+130 questions a second take a reader 1% of a core."""
+
+ASK_S = 0.5
+"""Time between two questions, to the first two readers in turn, seconds."""
+
+ALIVE_S = 2.2
+"""A balancer that was heard within this time is alive: each reader is asked
+once a second, and one answer may be lost."""
+
+FRESH_S = 2.7
+"""What was confirmed within this time need not be read again, seconds: below
+the bound of 3 s for a change, above the 2 s that a reader's watch may last
+and the second until it is asked."""
+
+MEMBERS_TOLD = 16
+RECORDS_A_PART = 12
+"""Routes and servers in one message: about 1,100 bytes at 90 bytes each."""
+
+PARTS_KEPT_S = 1.0
+
+
+class _Parts(Struct, eq=False):
+    """The parts of one view that have come so far."""
+
+    total: int
+    since: float
+    by_number: dict[int, ViewChange] = field(default_factory=dict)
+
+
+class ViewSharer(Struct, eq=False):
+    """Asks, answers and pushes what the platform has published.
+
+    Attributes:
+        board: What the balancer knows.
+        fleet: Takes what is new.
+        seeds: Hosts of some balancers, from the settings.
+        members: When each balancer was last heard, by host.
+        askers: When each balancer last asked, and the revision it has.
+        confirmed_at: When the platform last confirmed what is known, seconds.
+        pushed: Revision that the askers were last told.
+        ask_due: When to ask next, seconds.
+        turn: Counts the questions.
+        incoming: Parts of views, by sender and revision.
+    """
+
+    board: BalancerBoard
+    fleet: FleetKeeper
+    seeds: tuple[str, ...]
+    members: dict[str, float] = field(default_factory=dict)
+    askers: dict[str, tuple[float, int]] = field(default_factory=dict)
+    confirmed_at: float = float("-inf")
+    pushed: int = 0
+    ask_due: float = 0.0
+    turn: int = 0
+    incoming: dict[tuple[str, int], _Parts] = field(default_factory=dict)
+
+    def alive(self, now: float) -> list[str]:
+        """Returns the balancers that are alive, the readers first."""
+        hosts = {
+            host for host, at in self.members.items() if now - at < ALIVE_S
+        }
+        hosts.add(self.board.host)
+        return sorted(hosts, key=_rank)
+
+    def is_reader(self, now: float) -> bool:
+        """Tells whether this balancer is one of those that read the store."""
+        alive = self.alive(now)
+        count = READERS + len(alive) // MEMBERS_A_READER
+        return self.board.host in alive[:count]
+
+    def must_read(self, now: float) -> bool:
+        """Tells whether to read the store now."""
+        fresh = now - self.confirmed_at < FRESH_S
+        return not fresh or not self.board.fleet_known or self.is_reader(now)
+
+    def on_confirmed(self, now: float) -> None:
+        """Notes that the platform has just confirmed what is known."""
+        self.confirmed_at = now
+        self._push(now)
+
+    def on_ask(self, host: str, ask: ViewAsk, now: float) -> None:
+        """Answers another balancer."""
+        self.members[host] = now
+        self.askers[host] = (now, ask.revision)
+        self._tell(host, ask.revision, now)
+
+    def _tell(self, host: str, revision: int, now: float) -> None:
+        members = tuple(self.alive(now)[:MEMBERS_TOLD])
+        age_s = now - self.confirmed_at
+        if not self.board.fleet_known:
+            return
+        pieces = split(self.board.view.since(revision))
+        for number, piece in enumerate(pieces):
+            tell = ViewTell(piece, age_s, members, number, len(pieces))
+            self.board.outbox.append(SendPeer(host, tell))
+
+    def _push(self, now: float) -> None:
+        """Tells the askers of a change before they ask again."""
+        if self.board.view.revision == self.pushed:
+            return
+        self.pushed = self.board.view.revision
+        for host, (asked_at, revision) in list(self.askers.items()):
+            if now - asked_at < ALIVE_S:
+                self._tell(host, revision, now)
+                self.askers[host] = (asked_at, self.pushed)
+            else:
+                del self.askers[host]
+
+    def on_tell(self, host: str, tell: ViewTell, now: float) -> None:
+        """Takes what another balancer knows."""
+        self.members[host] = now
+        for member in tell.members:
+            # Somebody else heard it, not long ago.
+            known = self.members.get(member, float("-inf"))
+            self.members[member] = max(known, now - ALIVE_S / 2)
+        change = self._whole(host, tell, now)
+        if change is None:
+            return
+        before = self.board.view.revision
+        self.fleet.on_change(change, now)
+        if change.base <= before:
+            at = now - tell.age_s
+            self.confirmed_at = max(self.confirmed_at, at)
+        self.board.records.counters[Count.VIEWS_TOLD] += 1
+        self._push(now)
+
+    def _whole(
+        self, host: str, tell: ViewTell, now: float
+    ) -> ViewChange | None:
+        """Returns a view once all its parts have come."""
+        if tell.parts == 1:
+            return tell.change
+        key = (host, tell.change.revision)
+        parts = self.incoming.setdefault(key, _Parts(tell.parts, now))
+        parts.by_number[tell.part] = tell.change
+        if len(parts.by_number) < parts.total:
+            return None
+        del self.incoming[key]
+        return join([parts.by_number[n] for n in range(parts.total)])
+
+    def tick(self, now: float) -> None:
+        """Asks one of the readers; forgets what is old."""
+        if now < self.ask_due:
+            return
+        self.ask_due = now + ASK_S
+        self.turn += 1
+        alive = [host for host in self.alive(now) if host != self.board.host]
+        # Before anybody was heard, the settings name some.
+        unheard = [host for host in self.seeds if host not in alive]
+        seeds = [host for host in unheard if host != self.board.host]
+        asked = alive[:READERS] or seeds
+        hosts = [asked[self.turn % len(asked)]] if asked else []
+        if seeds and self.turn % 4 == 0:
+            # Parts of the fleet that have lost each other meet there again.
+            hosts.append(seeds[self.turn // 4 % len(seeds)])
+        if not self.board.fleet_known:
+            hosts = [*asked, *seeds]
+        for host in dict.fromkeys(hosts):
+            message = ViewAsk(self.board.view.revision)
+            self.board.outbox.append(SendPeer(host, message))
+        for key, parts in list(self.incoming.items()):
+            if now - parts.since > PARTS_KEPT_S:
+                del self.incoming[key]
+
+    def due(self) -> float:
+        """Returns when ``tick`` is next needed, seconds."""
+        return self.ask_due
+
+
+def _rank(host: str) -> tuple[int, str]:
+    return (zlib.crc32(host.encode()), host)
+
+
+def split(change: ViewChange) -> list[ViewChange]:
+    """Cuts a change into parts that fit a datagram each.
+
+    Examples:
+        >>> [part.removed_servers for part in split(
+        ...     ViewChange(9, removed_servers=("a", "b"))
+        ... )]
+        [('a', 'b')]
+    """
+    routes, servers = list(change.routes), list(change.servers)
+    keys, ids = list(change.removed_routes), list(change.removed_servers)
+    parts: list[ViewChange] = []
+    while routes or servers or keys or ids or not parts:
+        taken: list[list] = []
+        room = RECORDS_A_PART
+        for records in (routes, servers, keys, ids):
+            taken.append(records[:room])
+            del records[: len(taken[-1])]
+            room -= len(taken[-1])
+        parts.append(
+            ViewChange(
+                revision=change.revision,
+                base=change.base,
+                version=change.version,
+                idle_s=change.idle_s,
+                routes=tuple(taken[0]),
+                servers=tuple(taken[1]),
+                removed_routes=tuple(taken[2]),
+                removed_servers=tuple(taken[3]),
+            )
+        )
+    return parts
+
+
+def join(parts: list[ViewChange]) -> ViewChange:
+    """Puts the parts of a change together again."""
+    first = parts[0]
+    return ViewChange(
+        revision=first.revision,
+        base=first.base,
+        version=first.version,
+        idle_s=first.idle_s,
+        routes=tuple(item for part in parts for item in part.routes),
+        removed_routes=tuple(
+            item for part in parts for item in part.removed_routes
+        ),
+        servers=tuple(item for part in parts for item in part.servers),
+        removed_servers=tuple(
+            item for part in parts for item in part.removed_servers
+        ),
+    )
--- a/notchhoist/flows/tests/test_balancer.py
+++ b/notchhoist/flows/tests/test_balancer.py
@@ -13,8 +13,9 @@
 
 def balancer(servers=3, now=0.0, **fields):
     node = make_balancer("a", CODEC, "seed")
-    node.fleet.on_table(crafting.table(**fields))
-    node.fleet.on_listing([entry(n) for n in range(1, servers + 1)], now)
+    node.fleet.on_table(crafting.table(**fields), 1)
+    entries = [(entry(n), 1) for n in range(1, servers + 1)]
+    node.fleet.on_listing(entries, 1, now)
     return node
 
 
@@ -61,7 +62,7 @@
 
 def test_a_draining_server_gets_no_new_flow():
     node = balancer(servers=2)
-    node.fleet.on_entry(entry(1, draining=True), 1.0)
+    node.fleet.on_entry(entry(1, draining=True), 2, 1.0)
     hosts = {open_flow(node, 1.0, port=40000 + n) for n in range(6)}
     assert hosts == {"10.0.0.2"}
 
@@ -160,7 +161,7 @@
 
 def test_a_configuration_never_goes_back():
     node = balancer(version=5)
-    node.fleet.on_table(crafting.table(version=4, routes=[]))
+    node.fleet.on_table(crafting.table(version=4, routes=[]), 9)
     assert node.board.table.version == 5
 
 
@@ -190,8 +191,8 @@
     """
     node = balancer(servers=1)
     newer = entry(1, server_id="s1-new", created=9)
-    node.fleet.on_entry(newer, 0.0)
-    node.fleet.on_entry(entry(1), 0.0)
+    node.fleet.on_entry(newer, 2, 0.0)
+    node.fleet.on_entry(entry(1), 3, 0.0)
     assert set(node.board.servers) == {"s1-new"}
     open_flow(node)
     effects = []
--- /dev/null
+++ b/notchhoist/flows/view.py
@@ -0,0 +1,134 @@
+"""What the platform publishes, by revision, so that differences can travel."""
+
+from collections.abc import Mapping
+
+from msgspec import Struct, field
+
+from notchhoist.flows.fleet import Route, RouteTable, ServerEntry
+
+REMOVED_KEPT = 1000
+"""Removals remembered at the most; who is further behind is told everything."""
+
+
+class ViewChange(Struct, frozen=True):
+    """What changed between two revisions, as whole records.
+
+    Attributes:
+        revision: Revision that the receiver reaches.
+        base: Revision that it must have; 0 for a whole view.
+        version: Version of the configuration, or 0 where it did not change.
+        idle_s: A flow may be forgotten after this much silence, seconds.
+        routes: Routes that changed.
+        removed_routes: Keys of routes that were dropped.
+        servers: Entries that changed, with the revision of each.
+        removed_servers: Ids of servers whose entries vanished.
+    """
+
+    revision: int
+    base: int = 0
+    version: int = 0
+    idle_s: float = 0.0
+    routes: tuple[Route, ...] = ()
+    removed_routes: tuple[bytes, ...] = ()
+    servers: tuple[tuple[ServerEntry, int], ...] = ()
+    removed_servers: tuple[str, ...] = ()
+
+
+class FleetView(Struct, eq=False):
+    """The published state at one process; it never goes back.
+
+    Attributes:
+        revision: Everything up to this revision of the platform is known.
+        table: The configuration, or None before the first.
+        servers: Entries by id.
+        changed_at: Revision of the last change of each server, route key and
+            the table's version (under ``None``), removals too.
+        forgotten_to: Removals up to this revision are no longer known.
+    """
+
+    revision: int = 0
+    table: RouteTable | None = None
+    servers: dict[str, ServerEntry] = field(default_factory=dict)
+    changed_at: dict[str | bytes | None, int] = field(default_factory=dict)
+    forgotten_to: int = 0
+
+    def put_table(self, table: RouteTable, revision: int) -> bool:
+        """Puts a configuration in force if it is newer."""
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        old: Mapping[bytes, Route] = self.table.routes if self.table else {}
+        for key in {*old, *table.routes}:
+            if old.get(key) != table.routes.get(key):
+                self.changed_at[key] = revision
+        self.changed_at[None] = revision
+        self.table = table
+        self.reach(revision)
+        return True
+
+    def put_server(self, entry: ServerEntry, revision: int) -> bool:
+        """Takes an entry if it is newer than what is known."""
+        self.reach(revision)
+        if revision <= self.changed_at.get(entry.server_id, 0):
+            return False
+        self.changed_at[entry.server_id] = revision
+        self.servers[entry.server_id] = entry
+        return True
+
+    def remove_server(self, server_id: str, revision: int) -> bool:
+        """Takes word that an entry vanished, if that is news."""
+        self.reach(revision)
+        if revision <= self.changed_at.get(server_id, 0):
+            return False
+        self.changed_at[server_id] = revision
+        self._forget_removals()
+        return self.servers.pop(server_id, None) is not None
+
+    def reach(self, revision: int) -> None:
+        """Notes that everything up to a revision is known."""
+        self.revision = max(self.revision, revision)
+
+    def _forget_removals(self) -> None:
+        gone = [
+            key
+            for key in self.changed_at
+            if isinstance(key, str) and key not in self.servers
+        ]
+        if len(gone) <= REMOVED_KEPT:
+            return
+        gone.sort(key=lambda key: self.changed_at[key])
+        for key in gone[: len(gone) // 2]:
+            self.forgotten_to = max(self.forgotten_to, self.changed_at[key])
+            del self.changed_at[key]
+
+    def since(self, revision: int) -> ViewChange:
+        """Returns what changed after a revision.
+
+        Examples:
+            >>> view = FleetView()
+            >>> entry = ServerEntry("s", "hallbook", "10.0.0.1", "a", 3, False)
+            >>> view.put_server(entry, 7), view.since(7).servers
+            (True, ())
+            >>> view.since(6).servers[0][1]
+            7
+        """
+        base = revision if revision >= self.forgotten_to else 0
+        changed = {key for key, at in self.changed_at.items() if at > base}
+        routes: Mapping[bytes, Route] = self.table.routes if self.table else {}
+        keys = [key for key in changed if isinstance(key, bytes)]
+        ids = [key for key in changed if isinstance(key, str)]
+        return ViewChange(
+            revision=self.revision,
+            base=base,
+            version=self.table.version if self.table and None in changed else 0,
+            idle_s=self.table.idle_s if self.table else 0.0,
+            routes=tuple(routes[key] for key in keys if key in routes),
+            removed_routes=tuple(key for key in keys if key not in routes),
+            servers=tuple(
+                (self.servers[key], self.changed_at[key])
+                for key in ids
+                if key in self.servers
+            ),
+            removed_servers=tuple(
+                key for key in ids if key not in self.servers
+            ),
+        )
--- a/notchhoist/platform/__init__.py
+++ b/notchhoist/platform/__init__.py
@@ -8,6 +8,7 @@
 * ``settings``: the settings file of a process.
 * ``store``: which call to make next to the platform's store, and what its
   answers mean.
+* ``feeding``: when a balancer calls it, and what it then learns.
 * ``readiness``: the question whether a process is ready.
 
 What the rest of the package gets are the types of ``notchhoist.flows``.
--- /dev/null
+++ b/notchhoist/platform/feeding.py
@@ -0,0 +1,86 @@
+"""Feeds a balancer with what the store holds; no I/O."""
+
+from msgspec import Struct
+
+from notchhoist.base.errors import PlatformError
+from notchhoist.flows.balancer import BalancerNode
+from notchhoist.platform import store
+from notchhoist.platform.store import StoreCall, StoreEvent, StoreReader
+
+RECONSIDER_S = 0.2
+"""How often a balancer that is told enough looks whether it still is, seconds;
+a fifteenth of the bound of a change."""
+
+
+class StoreFeeder(Struct, eq=False):
+    """Decides when to call the store and hands over what it tells.
+
+    Attributes:
+        node: The balancer.
+        reader: Decides which call is next.
+        lost: The last call had no usable answer.
+    """
+
+    node: BalancerNode
+    reader: StoreReader
+    lost: bool = False
+
+    def next_call(self, now: float) -> StoreCall | None:
+        """Returns the call to make now.
+
+        Returns:
+            None where another balancer tells enough; ``reader.due`` then says
+            when to ask again.
+        """
+        if not self.node.sharer.must_read(now):
+            self.reader.due = now + RECONSIDER_S
+            return None
+        if self.node.board.fleet_known:
+            self.reader.resume(self.node.board.view.revision)
+        return self.reader.next_call()
+
+    def on_answer(self, status: int, body: bytes, now: float) -> None:
+        """Takes an answer of the store."""
+        try:
+            events = self.reader.on_answer(status, body, now)
+        except PlatformError as error:
+            self._note_lost(str(error))
+            return
+        if self.lost:
+            self.lost = False
+            self._decide("store regained", "reading")
+        for event in events:
+            self._apply(event, now)
+        board = self.node.board
+        if board.fleet_known:
+            board.view.reach(self.reader.revision)
+            self.node.sharer.on_confirmed(now)
+
+    def on_failed(self, reason: str, now: float) -> None:
+        """Takes account of a call without an answer."""
+        self.reader.on_failed(now)
+        self._note_lost(reason)
+
+    def _note_lost(self, reason: str) -> None:
+        if not self.lost:
+            self.lost = True
+            self._decide("store lost", reason)
+
+    def _decide(self, event: str, outcome: str) -> None:
+        records = self.node.board.records
+        revision = self.node.board.view.revision
+        records.decide(event, b"", outcome, revision=revision)
+
+    def _apply(self, event: StoreEvent, now: float) -> None:
+        fleet = self.node.fleet
+        match event:
+            case store.TablePublished():
+                fleet.on_table(event.table, event.revision)
+            case store.ServersListed():
+                fleet.on_listing(event.entries, event.revision, now, event.kept)
+            case store.ServerPublished():
+                fleet.on_entry(event.entry, event.revision, now)
+            case store.ServerRemoved():
+                fleet.on_removed(event.server_id, event.revision, now)
+            case store.TableRefused() | store.EntryRefused():
+                self._decide("refused", str(event.error))
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -23,9 +23,9 @@
 CONFIGURATION_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
 
-WATCH_S = 2.5
+WATCH_S = 2.0
 """How long the store may hold a watch, seconds. A watch whose answer is lost
-says nothing more, and a process must catch up within 4 s of a disruption."""
+says nothing more, and a change must be in force within 3 s."""
 
 ANSWER_S = 1.0
 """The store answers in 4 ms; when slow in a hundred times that, seconds."""
@@ -60,9 +60,10 @@
 
 
 class TablePublished(Struct, frozen=True):
-    """A configuration."""
+    """A configuration, and the revision of its change."""
 
     table: RouteTable
+    revision: int
 
 
 class TableRefused(Struct, frozen=True):
@@ -75,24 +76,28 @@
     """All backend servers.
 
     Attributes:
-        entries: Their entries.
+        entries: Their entries, with the revision of each.
+        revision: Revision of the list.
         kept: Ids of servers whose entries are wrong; they are still there.
     """
 
-    entries: tuple[ServerEntry, ...]
+    entries: tuple[tuple[ServerEntry, int], ...]
+    revision: int
     kept: frozenset[str] = frozenset()
 
 
 class ServerPublished(Struct, frozen=True):
-    """One backend server that is new or has changed."""
+    """One backend server that is new or has changed, and when."""
 
     entry: ServerEntry
+    revision: int
 
 
 class ServerRemoved(Struct, frozen=True):
-    """A backend server whose entry has vanished."""
+    """A backend server whose entry has vanished, and when."""
 
     server_id: str
+    revision: int
 
 
 class EntryRefused(Struct, frozen=True):
@@ -136,7 +141,7 @@
     failures: int = 0
     calls: int = 0
     answered_at: float = float("-inf")
-    listed: list[ServerEntry] = field(default_factory=list)
+    listed: list[tuple[ServerEntry, int]] = field(default_factory=list)
     refused: set[str] = field(default_factory=set)
     page_after: str = ""
     page_revision: int = 0
@@ -155,6 +160,13 @@
         )
         return StoreCall(target, WATCH_S + ANSWER_S)
 
+    def resume(self, revision: int) -> None:
+        """Notes that everything up to a revision is known from elsewhere."""
+        if revision > self.revision:
+            self.revision = revision
+            self.want = Want.CHANGES
+            self._forget_pages()
+
     def on_failed(self, now: float) -> None:
         """Takes account of a call without a usable answer."""
         pause = min(PAUSE_MAX_S, PAUSE_FIRST_S * 2**self.failures)
@@ -216,7 +228,7 @@
             last_key = item.text("key")
             event = _event(last_key, item)
             if isinstance(event, ServerPublished):
-                self.listed.append(event.entry)
+                self.listed.append((event.entry, event.revision))
                 continue
             if isinstance(event, EntryRefused):
                 self.refused.add(event.server_id)
@@ -226,7 +238,9 @@
         if fields.boolean("more_pages", default=False) and last_key:
             self.page_after = last_key
             return events
-        listed = ServersListed(tuple(self.listed), frozenset(self.refused))
+        listed = ServersListed(
+            tuple(self.listed), self.page_revision, frozenset(self.refused)
+        )
         events.append(listed)
         self._forget_pages()
         self.revision = self.page_revision
@@ -260,14 +274,15 @@
 
 def _event(key: str, item: Fields) -> StoreEvent | None:
     """Returns what an item tells, or None for one of no concern."""
+    revision = item.integer("revision", 0, 1 << 62, default=0)
     if item.boolean("removed", default=False):
         if key.startswith(SERVERS_PREFIX):
-            return ServerRemoved(key.removeprefix(SERVERS_PREFIX))
+            return ServerRemoved(key.removeprefix(SERVERS_PREFIX), revision)
         return None
     if key == CONFIGURATION_KEY:
         value = decode_value(item.text("value"), key)
         try:
-            return TablePublished(decode_configuration(value))
+            return TablePublished(decode_configuration(value), revision)
         except ConfigurationRefusedError as error:
             return TableRefused(error)
     if key.startswith(SERVERS_PREFIX):
@@ -281,5 +296,5 @@
             )
         except FieldError as error:
             return EntryRefused(server_id, error)
-        return ServerPublished(entry)
+        return ServerPublished(entry, revision)
     return None
--- a/notchhoist/platform/tests/test_store.py
+++ b/notchhoist/platform/tests/test_store.py
@@ -64,7 +64,7 @@
     assert made.next_call().target.endswith("&after=servers%2Fa%20b")
     second = page(item("servers/c", ENTRY), as_of=60)
     [event] = made.on_answer(200, second, 0.0)
-    assert [entry.server_id for entry in event.entries] == ["a b", "c"]
+    assert [entry.server_id for entry, _ in event.entries] == ["a b", "c"]
     assert made.revision == 50
 
 
@@ -72,7 +72,7 @@
     made = listed()
     gone = {"key": "servers/i-1", "revision": 51, "removed": True}
     [event] = made.on_answer(200, changes(gone), 1.0)
-    assert event == store.ServerRemoved("i-1")
+    assert event == store.ServerRemoved("i-1", 51)
     assert (made.revision, made.due) == (51, 1.0 + store.GATHER_S)
 
 
--- a/notchhoist/testing/opaque/world.py
+++ b/notchhoist/testing/opaque/world.py
@@ -9,12 +9,13 @@
 import attrs
 
 from notchhoist.base.draws import make_draw
-from notchhoist.base.errors import PlatformError
 from notchhoist.flows import effects
 from notchhoist.flows.agent import AgentNode, make_agent
 from notchhoist.flows.balancer import BalancerNode, make_balancer
-from notchhoist.platform import store as store_reader
+from notchhoist.flows.message_codec import decode_message, encode_message
+from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.platform.packets import PacketCodec
+from notchhoist.platform.store import StoreCall, StoreReader
 from notchhoist.testing.opaque.callers import SERVICE_HOST, CallerModel
 from notchhoist.testing.opaque.frames import (
     Address,
@@ -38,6 +39,7 @@
 HEARTBEAT_S = 1.2
 HEARTBEATS_MISSED = 3
 HEADERS_BYTES = 28
+SEEDS = 3
 START_S = 0.3
 """From power to serving, seconds; about what a thin entry host takes."""
 
@@ -57,7 +59,7 @@
         waiting: What came meanwhile.
         generation: Counts the starts of the process.
         misses: Unanswered questions of the routers in a row.
-        reader: A balancer's reader of the store.
+        feeder: A balancer's feeder from the store.
         calling: Number of its call to the store that is under way.
     """
 
@@ -71,7 +73,7 @@
     waiting: list[Callable[[], None]] = attrs.Factory(list)
     generation: int = 0
     misses: int = MISSES
-    reader: store_reader.StoreReader | None = None
+    feeder: StoreFeeder | None = None
     calling: int = 0
 
 
@@ -197,11 +199,19 @@
             host.node = make_agent(host.service, self.codec, self.now)
         else:
             name = f"{host.name}/{host.generation}"
-            host.node = make_balancer(host.zone, self.codec, name)
-            host.reader = store_reader.StoreReader(make_draw(name))
+            node = make_balancer(
+                host.zone, self.codec, name, host.ip, self._seeds()
+            )
+            host.node = node
+            host.feeder = StoreFeeder(node, StoreReader(make_draw(name)))
             self._call_store(host, host.generation)
         self._tick_node(host, host.generation)
 
+    def _seeds(self) -> tuple[str, ...]:
+        """Returns the balancers that settings name: the first three."""
+        entries = [host for host in self.hosts.values() if not host.service]
+        return tuple(host.ip for host in entries[:SEEDS])
+
     def start_server(self, host: Host, slots: int = 3) -> None:
         """Starts a new incarnation of a backend server."""
         server_id = f"i{self.rng.getrandbits(24):06x}"
@@ -362,11 +372,12 @@
         host = self.hosts.get(effect.host)
         if host is None:
             return
-        delay = self._carry(source.ip, effect.host, host.zone, 20)
+        message = decode_message(encode_message(effect.message))
+        size = len(encode_message(message))
+        delay = self._carry(source.ip, effect.host, host.zone, size)
 
         def take() -> None:
             if host.node is not None:
-                message = effect.message
                 self._perform(
                     host, host.node.on_peer(source.ip, message, self.now)
                 )
@@ -422,10 +433,12 @@
     # The store.
 
     def _call_store(self, host: Host, generation: int) -> None:
-        reader = host.reader
-        if host.generation != generation or reader is None:
+        if host.generation != generation or host.feeder is None:
+            return
+        call = host.feeder.next_call(self.now)
+        if call is None:
+            self._call_again(host, generation)
             return
-        call = reader.next_call()
         self.store.calls += 1
         host.calling += 1
         number = host.calling
@@ -459,7 +472,7 @@
         host: Host,
         generation: int,
         number: int,
-        call: store_reader.StoreCall,
+        call: StoreCall,
         ends_at: float = 0.0,
     ) -> None:
         parts = urlsplit(call.target)
@@ -489,34 +502,29 @@
     def _on_answer(
         self, host: Host, generation: int, number: int, status: int, body: bytes
     ) -> None:
-        reader = host.reader
-        if not self._is_current(host, generation, number) or reader is None:
+        if not self._is_current(host, generation, number):
             return
         host.calling += 1
-        try:
-            events = reader.on_answer(status, body, self.now)
-        except PlatformError:
-            events = ()
-        node = host.node
-        if isinstance(node, BalancerNode):
-            for event in events:
-                apply_event(node, event, self.now)
+        if host.feeder is not None:
+            host.feeder.on_answer(status, body, self.now)
         self._call_again(host, generation)
 
     def _on_no_answer(
-        self, host: Host, generation: int, number: int, _: str
+        self, host: Host, generation: int, number: int, reason: str
     ) -> None:
         if not self._is_current(host, generation, number):
             return
         host.calling += 1
-        if host.reader is not None:
-            host.reader.on_failed(self.now)
+        if host.feeder is not None:
+            host.feeder.on_failed(reason, self.now)
         self._call_again(host, generation)
 
     def _call_again(self, host: Host, generation: int) -> None:
-        if host.reader is not None:
-            delay = max(0.0, host.reader.due - self.now)
-            self.later(delay, lambda: self._call_store(host, generation))
+        if host.feeder is None:
+            return
+        self._perform(host, host.feeder.node.take_effects())
+        delay = max(0.0, host.feeder.reader.due - self.now)
+        self.later(delay, lambda: self._call_store(host, generation))
 
     # What happens by itself.
 
@@ -622,21 +630,6 @@
         self.later(for_s, heal)
 
 
-def apply_event(
-    node: BalancerNode, event: store_reader.StoreEvent, now: float
-) -> None:
-    """Hands a balancer what the store told."""
-    match event:
-        case store_reader.TablePublished():
-            node.fleet.on_table(event.table)
-        case store_reader.ServersListed():
-            node.fleet.on_listing(event.entries, now, event.kept)
-        case store_reader.ServerPublished():
-            node.fleet.on_entry(event.entry, now)
-        case store_reader.ServerRemoved():
-            node.fleet.on_removed(event.server_id, now)
-
-
 def hash_text(text: str) -> int:
     """Returns a hash that is the same in every run."""
     return random.Random(text).getrandbits(32)
