A flow is reset only after word of new servers had time to arrive

Two causes, both in the logs: a front whose link of 5 Mbit/s was full for a second heard nobody, took every agent for lost and reset its flows (14.68 s); and a flow was opened at a server that the resetting front did not know yet, 0.4 s after another one did (27.72 s).

Ruled out: processor time; a search that missed an agent (all of the known ones had denied).

Change: silence of more than half of the agents asked is taken as one's own; after every agent has denied, 0.7 s pass and servers that became known are asked before a reset; hosts with wide links read the store; ages travel with the names of members, since two balancers kept a dead one alive by telling each other of it (found by test_another_balancer_reads_when_a_reader_dies).

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -301,7 +301,12 @@
     if settings.balances:
         packets = settings.packets
         node = make_balancer(
-            settings.zone, codec, seed, settings.ip, settings.peers
+            settings.zone,
+            codec,
+            seed,
+            settings.ip,
+            settings.peers,
+            settings.link_mbps,
         )
     else:
         packets = settings.outbound or settings.packets
--- a/notchhoist/flows/balancer.py
+++ b/notchhoist/flows/balancer.py
@@ -191,6 +191,7 @@
     seed: str,
     host: str = "",
     seeds: tuple[str, ...] = (),
+    link_mbps: int = 0,
 ) -> BalancerNode:
     """Makes the decisions of a balancer that knows nothing yet.
 
@@ -200,6 +201,7 @@
         seed: Seed of every draw.
         host: IP number of its host.
         seeds: Hosts of some balancers.
+        link_mbps: What the host's link carries, Mbit/s.
     """
     board = BalancerBoard(zone, host)
     resetter = FlowResetter(board, codec)
@@ -213,5 +215,5 @@
         health=health,
         opener=FlowOpener(board, codec, health, resetter, make_draw(seed)),
         finder=FlowFinder(board, codec, health, resetter),
-        sharer=ViewSharer(board, fleet, seeds),
+        sharer=ViewSharer(board, fleet, seeds, link_mbps),
     )
--- a/notchhoist/flows/boards.py
+++ b/notchhoist/flows/boards.py
@@ -140,6 +140,8 @@
             suspicion, or empty.
         sent_at: When it was last asked for, seconds.
         rounds: How many times it was asked for.
+        asked: Hosts of all agents that were asked.
+        denied_at: When every known agent had denied, or None.
     """
 
     service: str
@@ -149,6 +151,8 @@
     trying: str = ""
     sent_at: float = 0.0
     rounds: int = 0
+    asked: set[str] = field(default_factory=set)
+    denied_at: float | None = None
 
 
 class BalancerBoard(Struct, eq=False):
--- a/notchhoist/flows/finding.py
+++ b/notchhoist/flows/finding.py
@@ -29,6 +29,11 @@
 TRY_WAIT_S = 0.1
 """An unsure agent has this long to return a packet, seconds."""
 
+DENIED_WAIT_S = 0.7
+"""Time before a flow that nobody holds is reset, seconds. Another balancer may
+have placed it at a server that is not known here yet: word of it takes 0.25 s
+to be gathered, and 0.4 s where a link of 5 Mbit/s is full."""
+
 SEARCHES_MAX = 20_000
 """Searches at one time; more are left to the caller's next copy."""
 
@@ -67,19 +72,23 @@
             return
         if segment.resets or len(board.searches) >= SEARCHES_MAX:
             return
-        hosts = {
-            server.entry.host
-            for server in board.by_service.get(service, [])
-            if not server.lost
-        }
-        hosts.discard(absent_at)
-        search = Search(service, [segment], hosts, [])
+        hosts = self._hosts_of(service) - {absent_at}
+        asked = hosts | {absent_at}
+        search = Search(service, [segment], hosts, [], asked=asked)
         board.searches[segment.flow] = search
         board.records.counters[Count.FINDS] += 1
         self._ask(segment.flow, search, now)
         if not hosts:
             self._next(segment.flow, search, now)
 
+    def _hosts_of(self, service: str) -> set[str]:
+        """Returns the hosts whose agents may hold a flow of a service."""
+        return {
+            server.entry.host
+            for server in self.board.by_service.get(service, [])
+            if not server.lost
+        }
+
     def _ask(self, flow: bytes, search: Search, now: float) -> None:
         search.sent_at = now
         search.rounds += 1
@@ -166,6 +175,18 @@
             # One packet is enough to find out.
             self._hand_over(search.waiting[-1:], server, NoteKind.TRY, now)
             return
+        if search.denied_at is None:
+            search.denied_at = now
+
+    def _settle(self, flow: bytes, search: Search, now: float) -> None:
+        """Asks servers that have become known meanwhile, or resets."""
+        fresh = self._hosts_of(search.service) - search.asked
+        search.denied_at = None
+        if fresh:
+            search.unanswered = fresh
+            search.asked |= fresh
+            self._ask(flow, search, now)
+            return
         del self.board.searches[flow]
         self.board.records.counters[Count.FOUND_NOWHERE] += 1
         self.resetter.reset(
@@ -174,12 +195,17 @@
             now,
             service=search.service,
             rounds=search.rounds,
+            asked=len(search.asked),
+            revision=self.board.view.revision,
         )
 
     def tick(self, now: float) -> None:
         """Asks again, and decides where an agent keeps silent."""
         for flow, search in list(self.board.searches.items()):
-            if search.trying:
+            if search.denied_at is not None:
+                if now - search.denied_at >= DENIED_WAIT_S:
+                    self._settle(flow, search, now)
+            elif search.trying:
                 if now - search.sent_at >= TRY_WAIT_S:
                     self._found(flow, search, search.trying, now)
             elif now - search.sent_at >= ASK_EVERY_S:
@@ -209,6 +235,13 @@
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
         return min(
-            (search.sent_at for search in self.board.searches.values()),
+            (_due(search) for search in self.board.searches.values()),
             default=float("inf"),
-        ) + min(ASK_EVERY_S, TRY_WAIT_S)
+        )
+
+
+def _due(search: Search) -> float:
+    """Returns when a search next needs attention, seconds."""
+    if search.denied_at is not None:
+        return search.denied_at + DENIED_WAIT_S
+    return search.sent_at + (TRY_WAIT_S if search.trying else ASK_EVERY_S)
--- a/notchhoist/flows/flow.thrift
+++ b/notchhoist/flows/flow.thrift
@@ -13,9 +13,10 @@
   5: i32 slots, 6: bool draining, 7: double warm_in_s, 8: i64 created,
   9: i64 revision
 }
-struct ViewAsk { 1: i64 revision }
+struct ViewAsk { 1: i64 revision, 2: i32 link_mbps }
+struct Member { 1: string host, 2: i32 link_mbps, 3: i32 age_ms }
 struct ViewTell {
-  1: i64 revision, 2: i64 base, 3: i32 age_ms, 4: list<string> members,
+  1: i64 revision, 2: i64 base, 3: i32 age_ms, 4: list<Member> members,
   5: i32 part, 6: i32 parts, 7: i64 version, 8: double idle_s,
   9: list<Route> routes, 10: list<binary> removed_routes,
   11: list<Server> servers, 12: list<string> removed_servers
--- a/notchhoist/flows/health.py
+++ b/notchhoist/flows/health.py
@@ -22,6 +22,10 @@
 """Silence after a probe before an agent's flows are given up: seven probes
 unanswered, which a loss of 3% brings about once in 10**9 times."""
 
+RECENT_S = 2.0
+"""Agents that were asked within this time show whether anybody is heard; each
+that flows go to is asked every ``FRESH_S``."""
+
 RESTART_S = 3.0
 """How long an agent that announced a restart is waited for, seconds."""
 
@@ -99,8 +103,25 @@
             silent_s=round(now - server.heard_at, 3),
         )
 
+    def _hears_others(self, now: float) -> bool:
+        """Tells whether silence is the agents' and not this host's.
+
+        A host whose own link is full or cut hears nobody; it must not give up
+        everybody's flows.
+        """
+        asked = [
+            server
+            for server in self.board.by_host.values()
+            if now - server.probe_sent_at < RECENT_S
+        ]
+        silent = [
+            server for server in asked if server.heard_at < now - LOST_AFTER_S
+        ]
+        return len(silent) * 2 <= len(asked)
+
     def tick(self, now: float) -> None:
         """Probes again, suspects, and gives up."""
+        trusts_silence = self._hears_others(now) if self.waiting else True
         for server_id, server in list(self.waiting.items()):
             if self.board.servers.get(server_id) is not server:
                 del self.waiting[server_id]
@@ -110,7 +131,11 @@
             silent = now - server.probed_at
             if silent >= SUSPECT_AFTER_S:
                 self.suspect(server, now, "no answer to probes")
-            if silent >= LOST_AFTER_S and now > server.restarting_until:
+            if (
+                trusts_silence
+                and silent >= LOST_AFTER_S
+                and now > server.restarting_until
+            ):
                 self._give_up(server, now)
             if now - server.probe_sent_at >= PROBE_EVERY_S:
                 self._probe(server, now)
--- a/notchhoist/flows/message_codec.py
+++ b/notchhoist/flows/message_codec.py
@@ -15,6 +15,7 @@
 from notchhoist.flows.messages import (
     LoadAsk,
     LoadTell,
+    Member,
     PeerMessage,
     ViewAsk,
     ViewTell,
@@ -45,7 +46,9 @@
                 message.stopping,
             )
         case ViewAsk():
-            struct.view_ask = ttypes.ViewAsk(message.revision)
+            struct.view_ask = ttypes.ViewAsk(
+                message.revision, message.link_mbps
+            )
         case ViewTell():
             struct.view_tell = _view_struct(message)
     buffer = TTransport.TMemoryBuffer()
@@ -59,7 +62,9 @@
         revision=change.revision,
         base=change.base,
         age_ms=int(min(tell.age_s, AGE_MAX_S) * 1000),
-        members=list(tell.members),
+        members=[
+            ttypes.Member(m.host, m.link_mbps, m.age_ms) for m in tell.members
+        ],
         part=tell.part,
         parts=tell.parts,
         version=change.version,
@@ -128,7 +133,8 @@
         told = struct.load_tell
         return LoadTell(told.flows, told.running, told.pace_ms, told.stopping)
     if struct.view_ask is not None:
-        return ViewAsk(struct.view_ask.revision)
+        asked = struct.view_ask
+        return ViewAsk(asked.revision, asked.link_mbps)
     if struct.view_tell is not None:
         return _view_of(struct.view_tell)
     raise ValueError("no known message")
@@ -156,7 +162,11 @@
         removed_servers=tuple(struct.removed_servers),
     )
     age_s = struct.age_ms / 1000
-    members = tuple(struct.members)
+    for item in struct.members:
+        _check_whole(item)
+    members = tuple(
+        Member(m.host, m.link_mbps, m.age_ms) for m in struct.members
+    )
     return ViewTell(change, age_s, members, struct.part, struct.parts)
 
 
--- a/notchhoist/flows/messages.py
+++ b/notchhoist/flows/messages.py
@@ -32,14 +32,31 @@
     stopping: bool
 
 
+class Member(Struct, frozen=True):
+    """A balancer.
+
+    Attributes:
+        host: IP number of its host.
+        link_mbps: What its host's link carries, Mbit/s.
+        age_ms: Time since it was heard, ms. Without it two balancers would
+            keep a dead one alive by telling each other of it.
+    """
+
+    host: str
+    link_mbps: int
+    age_ms: int = 0
+
+
 class ViewAsk(Struct, frozen=True):
     """Asks another balancer for what the platform has published.
 
     Attributes:
         revision: Everything up to this revision is known.
+        link_mbps: What the asker's link carries, Mbit/s.
     """
 
     revision: int
+    link_mbps: int = 0
 
 
 class ViewTell(Struct, frozen=True):
@@ -48,14 +65,14 @@
     Attributes:
         change: What changed after the asker's revision, or a part of it.
         age_s: Time since the platform confirmed it, seconds.
-        members: Hosts of balancers that were heard lately.
+        members: Balancers that were heard lately, the sender too.
         part: Number of this part, from 0.
         parts: How many parts there are.
     """
 
     change: ViewChange
     age_s: float
-    members: tuple[str, ...]
+    members: tuple[Member, ...]
     part: int = 0
     parts: int = 1
 
--- a/notchhoist/flows/sharing.py
+++ b/notchhoist/flows/sharing.py
@@ -12,7 +12,7 @@
 from notchhoist.flows.boards import BalancerBoard, Count
 from notchhoist.flows.effects import SendPeer
 from notchhoist.flows.fleet_keeper import FleetKeeper
-from notchhoist.flows.messages import ViewAsk, ViewTell
+from notchhoist.flows.messages import Member, ViewAsk, ViewTell
 from notchhoist.flows.view import ViewChange
 
 READERS = 2
@@ -39,6 +39,8 @@
 """Routes and servers in one message: about 1,100 bytes at 90 bytes each."""
 
 PARTS_KEPT_S = 1.0
+FORGET_S = 60.0
+"""A balancer that was not heard for so long is forgotten."""
 
 
 class _Parts(Struct, eq=False):
@@ -56,7 +58,9 @@
         board: What the balancer knows.
         fleet: Takes what is new.
         seeds: Hosts of some balancers, from the settings.
+        link_mbps: What this host's link carries, Mbit/s.
         members: When each balancer was last heard, by host.
+        links: What their links carry.
         askers: When each balancer last asked, and the revision it has.
         confirmed_at: When the platform last confirmed what is known, seconds.
         pushed: Revision that the askers were last told.
@@ -68,7 +72,9 @@
     board: BalancerBoard
     fleet: FleetKeeper
     seeds: tuple[str, ...]
+    link_mbps: int = 0
     members: dict[str, float] = field(default_factory=dict)
+    links: dict[str, int] = field(default_factory=dict)
     askers: dict[str, tuple[float, int]] = field(default_factory=dict)
     confirmed_at: float = float("-inf")
     pushed: int = 0
@@ -82,7 +88,17 @@
             host for host, at in self.members.items() if now - at < ALIVE_S
         }
         hosts.add(self.board.host)
-        return sorted(hosts, key=_rank)
+        return sorted(hosts, key=self._rank)
+
+    def _rank(self, host: str) -> tuple[int, int, str]:
+        """Orders balancers alike everywhere, those with wide links first.
+
+        A whole configuration takes 0.7 s over a link of 5 Mbit/s, and packets
+        of flows wait behind it.
+        """
+        own = host == self.board.host
+        link = self.link_mbps if own else self.links.get(host, 0)
+        return (-link, zlib.crc32(host.encode()), host)
 
     def is_reader(self, now: float) -> bool:
         """Tells whether this balancer is one of those that read the store."""
@@ -103,11 +119,15 @@
     def on_ask(self, host: str, ask: ViewAsk, now: float) -> None:
         """Answers another balancer."""
         self.members[host] = now
+        self.links[host] = ask.link_mbps
         self.askers[host] = (now, ask.revision)
         self._tell(host, ask.revision, now)
 
     def _tell(self, host: str, revision: int, now: float) -> None:
-        members = tuple(self.alive(now)[:MEMBERS_TOLD])
+        members = tuple(
+            self._member(member, now)
+            for member in self.alive(now)[:MEMBERS_TOLD]
+        )
         age_s = now - self.confirmed_at
         if not self.board.fleet_known:
             return
@@ -116,6 +136,12 @@
             tell = ViewTell(piece, age_s, members, number, len(pieces))
             self.board.outbox.append(SendPeer(host, tell))
 
+    def _member(self, host: str, now: float) -> Member:
+        if host == self.board.host:
+            return Member(host, self.link_mbps)
+        age_ms = int((now - self.members[host]) * 1000)
+        return Member(host, self.links.get(host, 0), age_ms)
+
     def _push(self, now: float) -> None:
         """Tells the askers of a change before they ask again."""
         if self.board.view.revision == self.pushed:
@@ -132,9 +158,10 @@
         """Takes what another balancer knows."""
         self.members[host] = now
         for member in tell.members:
-            # Somebody else heard it, not long ago.
-            known = self.members.get(member, float("-inf"))
-            self.members[member] = max(known, now - ALIVE_S / 2)
+            heard_at = now - member.age_ms / 1000
+            known = self.members.get(member.host, float("-inf"))
+            self.members[member.host] = max(known, heard_at)
+            self.links[member.host] = member.link_mbps
         change = self._whole(host, tell, now)
         if change is None:
             return
@@ -178,8 +205,13 @@
         if not self.board.fleet_known:
             hosts = [*asked, *seeds]
         for host in dict.fromkeys(hosts):
-            message = ViewAsk(self.board.view.revision)
+            message = ViewAsk(self.board.view.revision, self.link_mbps)
             self.board.outbox.append(SendPeer(host, message))
+        for host in [
+            h for h, at in self.members.items() if now - at > FORGET_S
+        ]:
+            del self.members[host]
+            self.links.pop(host, None)
         for key, parts in list(self.incoming.items()):
             if now - parts.since > PARTS_KEPT_S:
                 del self.incoming[key]
@@ -189,10 +221,6 @@
         return self.ask_due
 
 
-def _rank(host: str) -> tuple[int, str]:
-    return (zlib.crc32(host.encode()), host)
-
-
 def split(change: ViewChange) -> list[ViewChange]:
     """Cuts a change into parts that fit a datagram each.
 
--- /dev/null
+++ b/notchhoist/flows/tests/test_sharing.py
@@ -0,0 +1,227 @@
+"""Balancers among themselves: who reads, who is told, and how soon."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from notchhoist.flows.balancer import make_balancer
+from notchhoist.flows.effects import SendPeer
+from notchhoist.flows.message_codec import decode_message, encode_message
+from notchhoist.flows.messages import Member, ViewAsk, ViewTell
+from notchhoist.flows.sharing import ALIVE_S, FRESH_S, join, split
+from notchhoist.flows.tests import crafting
+from notchhoist.flows.tests.crafting import CODEC, entry
+from notchhoist.flows.view import FleetView, ViewChange
+
+HOSTS = ("10.0.0.101", "10.0.0.102", "10.0.0.103", "10.0.0.104")
+
+
+class Fleet:
+    """Some balancers whose messages arrive at once unless they are cut."""
+
+    def __init__(self, links=(100, 100, 100, 100)):
+        self.nodes = {
+            host: make_balancer("a", CODEC, host, host, HOSTS[:3], link)
+            for host, link in zip(HOSTS, links, strict=True)
+        }
+        self.cut = set()
+        self.now = 0.0
+
+    def carry(self, sender, effects):
+        for effect in effects:
+            if not isinstance(effect, SendPeer):
+                continue
+            if effect.host in self.cut or sender in self.cut:
+                continue
+            message = decode_message(encode_message(effect.message))
+            node = self.nodes[effect.host]
+            self.carry(effect.host, node.on_peer(sender, message, self.now))
+
+    def publish(self, host, *entries, revision, version=0):
+        node = self.nodes[host]
+        if version:
+            node.fleet.on_table(crafting.table(version=version), revision)
+        for item in entries:
+            node.fleet.on_entry(item, revision, self.now)
+        node.board.fleet_known = True
+        node.board.view.reach(revision)
+        node.sharer.on_confirmed(self.now)
+        self.carry(host, node.take_effects())
+
+    def run(self, until):
+        while self.now < until:
+            self.now += 0.1
+            for host, node in self.nodes.items():
+                self.carry(host, node.tick(self.now))
+
+    def readers(self):
+        return {
+            host
+            for host, node in self.nodes.items()
+            if node.sharer.must_read(self.now)
+        }
+
+
+def calm_fleet(**fields):
+    fleet = Fleet(**fields)
+    for host in HOSTS:
+        fleet.publish(host, entry(1), revision=1, version=1)
+    fleet.run(3.0)
+    for host in HOSTS:
+        fleet.nodes[host].sharer.on_confirmed(fleet.now)
+    return fleet
+
+
+def test_two_balancers_read_and_all_agree_on_them():
+    fleet = calm_fleet()
+    assert len(fleet.readers()) == 2
+
+
+def test_hosts_with_wide_links_read():
+    fleet = calm_fleet(links=(5, 100, 5, 100))
+    assert fleet.readers() == {HOSTS[1], HOSTS[3]}
+
+
+def test_a_change_is_pushed_to_those_that_do_not_read():
+    fleet = calm_fleet()
+    [reader, *_] = fleet.readers()
+    fleet.publish(reader, entry(2), revision=2, version=2)
+    told = set(HOSTS) - fleet.readers()
+    for host in told:
+        assert fleet.nodes[host].board.table.version == 2
+        assert "s2" in fleet.nodes[host].board.servers
+
+
+def test_a_lost_push_is_made_good_by_the_next_question():
+    fleet = calm_fleet()
+    [reader, *_] = fleet.readers()
+    fleet.cut = set(HOSTS) - {reader}
+    fleet.publish(reader, entry(2), revision=2, version=2)
+    fleet.cut = set()
+    fleet.run(fleet.now + 1.2)
+    for node in fleet.nodes.values():
+        assert node.board.table.version == 2
+
+
+def test_whoever_is_told_nothing_reads_within_the_bound():
+    fleet = calm_fleet()
+    quiet = (set(HOSTS) - fleet.readers()).pop()
+    fleet.cut = {quiet}
+    fleet.run(fleet.now + FRESH_S + 0.1)
+    assert quiet in fleet.readers()
+
+
+def test_another_balancer_reads_when_a_reader_dies():
+    fleet = calm_fleet()
+    dead = fleet.readers().pop()
+    del fleet.nodes[dead]
+    fleet.cut = {dead}
+    for _ in range(int(2 * ALIVE_S)):
+        for host in fleet.readers():
+            fleet.nodes[host].sharer.on_confirmed(fleet.now)
+        fleet.run(fleet.now + 0.5)
+    assert len(fleet.readers()) == 2
+
+
+def test_a_process_that_starts_is_told_everything_by_its_seeds():
+    fleet = calm_fleet()
+    newcomer = make_balancer("a", CODEC, "n", "10.0.0.104", HOSTS[:3])
+    fleet.nodes["10.0.0.104"] = newcomer
+    fleet.carry("10.0.0.104", newcomer.tick(fleet.now))
+    assert newcomer.is_ready
+
+
+def test_an_older_record_never_replaces_a_newer_one():
+    fleet = calm_fleet()
+    node = fleet.nodes[HOSTS[0]]
+    node.fleet.on_entry(entry(1, draining=True), 9, fleet.now)
+    old = ViewChange(20, base=1, servers=((entry(1), 8),))
+    node.fleet.on_change(old, fleet.now)
+    assert node.board.servers["s1"].entry.draining
+
+
+def test_a_change_with_a_gap_before_it_is_not_applied():
+    fleet = calm_fleet()
+    node = fleet.nodes[HOSTS[0]]
+    change = ViewChange(20, base=10, servers=((entry(3), 15),))
+    node.fleet.on_change(change, fleet.now)
+    assert "s3" not in node.board.servers
+    assert node.board.view.revision == 1
+
+
+def test_removals_reach_those_that_are_told():
+    fleet = calm_fleet()
+    [reader, *_] = fleet.readers()
+    fleet.nodes[reader].fleet.on_removed("s1", 5, fleet.now)
+    fleet.publish(reader, revision=5)
+    for node in fleet.nodes.values():
+        assert not node.board.servers["s1"].listed
+
+
+@given(st.integers(0, 60), st.integers(0, 40), st.integers(0, 9))
+def test_parts_of_a_view_fit_a_datagram_and_join_again(routes, servers, gone):
+    change = ViewChange(
+        revision=7,
+        base=3,
+        version=2,
+        idle_s=15.0,
+        routes=tuple(crafting.route(port=1000 + n) for n in range(routes)),
+        servers=tuple((entry(n), n) for n in range(servers)),
+        removed_routes=tuple(bytes([n]) * 6 for n in range(gone)),
+        removed_servers=tuple(f"s{n}" for n in range(gone)),
+    )
+    parts = split(change)
+    for part in parts:
+        tell = ViewTell(part, 0.5, (Member("10.0.0.1", 5),), 0, len(parts))
+        data = encode_message(tell)
+        assert len(data) < 1400
+        assert decode_message(data) == tell
+    assert join(parts) == change
+
+
+@given(st.lists(st.tuples(st.integers(1, 4), st.integers(0, 3)), max_size=30))
+def test_differences_lead_where_the_whole_view_leads(steps):
+    """A follower that applies differences ends with the leader's servers."""
+    leader, follower = FleetView(), FleetView()
+    for revision, (number, action) in enumerate(steps, 1):
+        if action == 0:
+            leader.remove_server(f"s{number}", revision)
+        else:
+            leader.put_server(entry(number, slots=action), revision)
+        if revision % 3 == 0:
+            change = leader.since(follower.revision)
+            for item, at in change.servers:
+                follower.put_server(item, at)
+            for server_id in change.removed_servers:
+                follower.remove_server(server_id, change.revision)
+            follower.reach(change.revision)
+            assert follower.servers == leader.servers
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_a_message_or_refused(data):
+    from notchhoist.base.errors import CodecError
+
+    try:
+        message = decode_message(data)
+    except CodecError:
+        return
+    assert decode_message(encode_message(message)) == message
+
+
+@given(st.integers(0, 400))
+def test_a_truncated_message_is_refused(length):
+    from notchhoist.base.errors import CodecError
+
+    whole = encode_message(
+        ViewTell(
+            ViewChange(3, routes=(crafting.route(),), servers=((entry(1), 2),)),
+            0.1,
+            (Member("10.0.0.1", 5),),
+        )
+    )
+    for data in (whole[:length], encode_message(ViewAsk(5, 6))[:length]):
+        try:
+            decode_message(data)
+        except CodecError:
+            continue
+        assert length >= len(data)
--- a/notchhoist/platform/settings.py
+++ b/notchhoist/platform/settings.py
@@ -30,6 +30,7 @@
         service: Agent only: its service.
         peer_ports: Ports for our own use, first and last.
         peers: Hosts of some balancers, perhaps stale or down.
+        link_mbps: What the host's link carries, Mbit/s.
         store: The platform's store.
         drain_s: A leaving server must get no new work after this, seconds.
         apply_s: A configuration must be in force after this, seconds.
@@ -47,6 +48,7 @@
     service: str
     peer_ports: tuple[int, int]
     peers: tuple[str, ...]
+    link_mbps: int
     store: Address
     drain_s: float
     apply_s: float
@@ -103,6 +105,9 @@
         service="" if balances else fields.text("service"),
         peer_ports=ports,
         peers=_peers(fields),
+        link_mbps=int(
+            fields.inner("limits").number("link_mbps", 0, 1e6, default=0)
+        ),
         store=_address(fields.inner("platform"), "address"),
         drain_s=bounds.number("drain_ms", 1, 1e9, default=3000) / 1000,
         apply_s=bounds.number("config_apply_ms", 1, 1e9, default=3000) / 1000,
