A server whose entry stays away gets no new flow after 2.2 s

Ruled out: dropping them at once (a store that was away loses the entries of servers that live, and these are back within 2 s).

--- a/notchhoist/flows/placing.py
+++ b/notchhoist/flows/placing.py
@@ -26,6 +26,11 @@
 """How much open flows count beside running requests for short flows: they
 foretell requests that have not arrived."""
 
+LAPSED_S = 2.2
+"""How long a server whose entry vanished may still be used, seconds: one that
+lives announces itself again within about 2 s, and what is gone must get nothing
+after 3 s."""
+
 HEALTHY_SHARE = 0.5
 """Servers whose entry vanished are used while fewer than this share of a
 service is listed: a store that was away loses entries of servers that live."""
@@ -50,7 +55,12 @@
         servers: All known servers of a service.
         now: Runtime clock, seconds.
     """
-    willing = [server for server in servers if not server.entry.draining]
+    willing = [
+        server
+        for server in servers
+        if not server.entry.draining
+        and (server.listed or now - server.unlisted_at < LAPSED_S)
+    ]
     listed = [server for server in willing if server.listed]
     if len(listed) >= HEALTHY_SHARE * len(willing):
         willing = listed
--- /dev/null
+++ b/notchhoist/flows/tests/test_placing.py
@@ -0,0 +1,72 @@
+"""Which servers may get a new flow, and which one gets it."""
+
+from notchhoist.flows.fleet import Server
+from notchhoist.flows.placing import LAPSED_S, choose, usable
+from notchhoist.flows.tests.crafting import entry
+
+
+def server(number, zone="a", **fields):
+    made = Server(entry(number, zone), 0, 0.0)
+    for name, value in fields.items():
+        setattr(made, name, value)
+    return made
+
+
+def best(servers, long_lived=True, zone="a", now=10.0):
+    return choose(servers, long_lived, zone, now, lambda: 0.0)
+
+
+def test_no_server_is_no_server():
+    assert best([]) is None
+
+
+def test_many_entries_that_vanish_at_once_are_used_for_a_while():
+    """A store that was away loses the entries of servers that live."""
+    servers = [server(1), *(server(n, unlisted_at=10.0) for n in (2, 3))]
+    assert len(usable(servers, 10.0 + LAPSED_S / 2)) == 3
+
+
+def test_what_stays_unlisted_gets_nothing_within_the_bound():
+    """It got new flows for a minute where most of a service was gone."""
+    servers = [server(n, unlisted_at=10.0) for n in (1, 2, 3)]
+    assert not usable(servers, 10.01 + LAPSED_S)
+
+
+def test_a_single_entry_that_vanishes_gets_nothing_at_once():
+    servers = [server(1), server(2), server(3, unlisted_at=10.0)]
+    assert [item.entry.server_id for item in usable(servers, 10.1)] == [
+        "s1",
+        "s2",
+    ]
+
+
+def test_suspected_servers_come_last():
+    servers = [server(1, suspected=True), server(2)]
+    assert [item.entry.server_id for item in usable(servers, 0.0)] == ["s2"]
+    assert usable([server(1, suspected=True)], 0.0)
+    assert not usable([server(1, suspected=True, lost=True)], 0.0)
+
+
+def test_the_own_zone_wins_until_it_is_clearly_fuller():
+    near, far = server(1, "a", flows=20), server(2, "b", flows=19)
+    assert best([near, far]) is near
+    near.flows = 40
+    assert best([near, far]) is far
+
+
+def test_a_slow_server_counts_as_smaller():
+    slow, other = server(1, pace_ms=400), server(2, pace_ms=60)
+    third = server(3, pace_ms=60)
+    for item in (slow, other, third):
+        item.flows = 10
+    assert best([slow, other, third]) is not slow
+
+
+def test_a_cold_server_counts_as_smaller():
+    cold = server(1, flows=6, warm_at=12.0)
+    assert best([cold, server(2, flows=8)]) is not cold
+
+
+def test_a_single_request_goes_where_it_waits_least():
+    busy, idle = server(1, running=5), server(2, "b", running=1)
+    assert best([busy, idle], long_lived=False) is idle
