--- a/notchhoist/testing/opaque/__init__.py
+++ b/notchhoist/testing/opaque/__init__.py
@@ -10,8 +10,12 @@
 * ``callers``: callers with retries by the platform's rules.
 * ``store``: the store, and each way in which it misbehaves.
 * ``judge``: what must hold, from what callers and backend servers saw.
-* ``world``: hosts, routers, delays, losses, cuts, kills and restarts.
-* ``scenarios``: troubles by name.
+* ``hosts``: a host and what runs on it.
+* ``published``: documents in the store.
+* ``store_link``: calls to the store on their way.
+* ``world``: routers, delays, losses, cuts.
+* ``troubles``: kills, power, freezes, planned stops.
+* ``scenarios``: troubles put together, by name.
 * ``report``: the outcome of a run, as text.
 * ``experiment``: the command line.
 """
--- /dev/null
+++ b/notchhoist/testing/opaque/hosts.py
@@ -0,0 +1,49 @@
+"""Hosts of the stand-in."""
+
+from collections.abc import Callable
+
+import attrs
+
+from notchhoist.flows.agent import AgentNode
+from notchhoist.flows.balancer import BalancerNode
+from notchhoist.platform.feeding import StoreFeeder
+from notchhoist.testing.opaque.servers import ServerModel
+
+MISSES = 2
+"""Unanswered questions after which routers leave a balancer alone."""
+
+START_S = 0.3
+"""From power to serving, seconds; about what a thin entry host takes."""
+
+
+@attrs.define(eq=False)
+class Host:
+    """A host with one process of ours, and perhaps a backend server.
+
+    Attributes:
+        name: Its name.
+        ip: Its IP number.
+        zone: Its availability zone.
+        service: Service of its backend server; empty on entry hosts.
+        node: The process, or None while it is down.
+        server: The backend server, or None.
+        frozen: The process stands still; what comes waits.
+        waiting: What came meanwhile.
+        generation: Counts the starts of the process.
+        misses: Unanswered questions of the routers in a row.
+        feeder: A balancer's feeder from the store.
+        calling: Number of its call to the store that is under way.
+    """
+
+    name: str
+    ip: str
+    zone: str
+    service: str = ""
+    node: BalancerNode | AgentNode | None = None
+    server: ServerModel | None = None
+    frozen: bool = False
+    waiting: list[Callable[[], None]] = attrs.Factory(list)
+    generation: int = 0
+    misses: int = MISSES
+    feeder: StoreFeeder | None = None
+    calling: int = 0
--- a/notchhoist/testing/opaque/scenarios.py
+++ b/notchhoist/testing/opaque/scenarios.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from functools import partial
 
-from notchhoist.testing.opaque.world import Host, OpaqueWorld
+from notchhoist.testing.opaque import troubles
+from notchhoist.testing.opaque.hosts import Host
+from notchhoist.testing.opaque.world import OpaqueWorld
 
 SPACING_S = 1.3
 
@@ -23,7 +25,9 @@
 def roll_balancers(world: OpaqueWorld) -> None:
     """Stops the balancers one after the other, as planned."""
     for number, host in enumerate(_entries(world)):
-        world.later(number * SPACING_S * 2, partial(world.stop_balancer, host))
+        world.later(
+            number * SPACING_S * 2, partial(troubles.stop_balancer, world, host)
+        )
 
 
 def release(world: OpaqueWorld) -> None:
@@ -33,7 +37,7 @@
         def replace(host: Host = host) -> None:
             slots = host.server.slots if host.server else 3
             world.add_host(host.zone, host.service, slots)
-            world.retire(host)
+            troubles.retire(world, host)
 
         world.later(number * SPACING_S, replace)
 
@@ -41,37 +45,37 @@
 def kill_balancers(world: OpaqueWorld) -> None:
     """Kills half of the balancers at once."""
     for host in _entries(world)[::2]:
-        world.kill(host)
+        troubles.kill(world, host)
 
 
 def kill_agents(world: OpaqueWorld) -> None:
     """Kills half of the agents at once."""
     for host in _backends(world)[::2]:
-        world.kill(host)
+        troubles.kill(world, host)
 
 
 def kill_all(world: OpaqueWorld) -> None:
     """Kills every process of ours at once; backend servers live on."""
     for host in list(world.hosts.values()):
-        world.kill(host, 0.8)
+        troubles.kill(world, host, 0.8)
 
 
 def power_off(world: OpaqueWorld) -> None:
     """Takes the power from every host at once."""
     for host in list(world.hosts.values()):
-        world.power_off(host, 1.2)
+        troubles.power_off(world, host, 1.2)
 
 
 def lose_host(world: OpaqueWorld) -> None:
     """Takes the power from one backend server's host for long."""
-    world.power_off(_backends(world)[0], 30.0)
+    troubles.power_off(world, _backends(world)[0], 30.0)
 
 
 def crash_servers(world: OpaqueWorld) -> None:
     """Crashes two backend servers for good; their agents live on."""
     for host in _backends(world)[:2]:
         world.judge.disturb(world.now)
-        world.crash_server(host)
+        troubles.crash_server(world, host)
 
 
 def slow_server(world: OpaqueWorld) -> None:
@@ -94,13 +98,13 @@
     """Cuts one backend server's host off from the balancers."""
     host = _backends(world)[0]
     for entry in _entries(world):
-        world.cut(host.ip, entry.ip, 5.0)
+        troubles.cut(world, host.ip, entry.ip, 5.0)
 
 
 def freeze_agents(world: OpaqueWorld) -> None:
     """Freezes two agents for a while."""
     for host in _backends(world)[:2]:
-        world.freeze(host, 3.0)
+        troubles.freeze(world, host, 3.0)
 
 
 SCENARIOS: dict[str, Callable[[OpaqueWorld], None]] = {
--- /dev/null
+++ b/notchhoist/testing/opaque/store_link.py
@@ -0,0 +1,121 @@
+"""Calls of balancers to the store, with what may go wrong on the way."""
+
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qsl, urlsplit
+
+import attrs
+
+from notchhoist.platform.store import StoreCall
+from notchhoist.testing.opaque.hosts import Host
+
+if TYPE_CHECKING:
+    from notchhoist.testing.opaque.world import OpaqueWorld
+
+POLL_S = 0.02
+"""How often the model looks whether a waiting watch has something to tell."""
+
+
+@attrs.define(eq=False)
+class StoreLink:
+    """Carries calls and answers between balancers and the store.
+
+    Attributes:
+        world: The world that they are in.
+    """
+
+    world: "OpaqueWorld"
+
+    def call(self, host: Host, generation: int) -> None:
+        """Makes the next call of a balancer, if it wants one."""
+        if host.generation != generation or host.feeder is None:
+            return
+        call = host.feeder.next_call(self.world.now)
+        if call is None:
+            self._call_again(host, generation)
+            return
+        self.world.store.calls += 1
+        host.calling += 1
+        number = host.calling
+        self.world.later(
+            call.timeout_s,
+            lambda: self._on_no_answer(host, generation, number, "timeout"),
+        )
+        trouble = self.world.store.trouble_for(host.ip)
+        if trouble == "silent" or self.world.is_cut(host.ip, host.ip):
+            return
+        delay = self.world.store.answer_s + self.world.cross_zone_s
+        if trouble == "reset":
+            self.world.later(
+                delay,
+                lambda: self._on_no_answer(host, generation, number, "reset"),
+            )
+        elif trouble:
+            status = {"busy": 503, "many": 429}[trouble]
+            self.world.later(
+                delay,
+                lambda: self._on_answer(host, generation, number, status, b""),
+            )
+        else:
+            self.world.later(
+                delay,
+                lambda: self._answer_call(host, generation, number, call),
+            )
+
+    def _answer_call(
+        self,
+        host: Host,
+        generation: int,
+        number: int,
+        call: StoreCall,
+        ends_at: float = 0.0,
+    ) -> None:
+        parts = urlsplit(call.target)
+        query = dict(parse_qsl(parts.query, keep_blank_values=True))
+        if parts.path == "/kv-range":
+            body = self.world.store.read_range(query)
+            self._on_answer(host, generation, number, 200, body)
+            return
+        status, changes = self.world.store.read_changes(query)
+        ends_at = ends_at or self.world.now + int(query["wait_ms"]) / 1000
+        if changes is None and self.world.now < ends_at:
+            self.world.later(
+                POLL_S,
+                lambda: self._answer_call(
+                    host, generation, number, call, ends_at
+                ),
+            )
+            return
+        body = self.world.store.no_changes() if changes is None else changes
+        if not self.world.store.trouble_for(host.ip):
+            self._on_answer(host, generation, number, status, body)
+
+    def _is_current(self, host: Host, generation: int, number: int) -> bool:
+        same = host.generation == generation and host.calling == number
+        return same and host.node is not None
+
+    def _on_answer(
+        self, host: Host, generation: int, number: int, status: int, body: bytes
+    ) -> None:
+        if not self._is_current(host, generation, number):
+            return
+        host.calling += 1
+        if host.feeder is not None:
+            host.feeder.on_answer(status, body, self.world.now)
+        self._call_again(host, generation)
+
+    def _on_no_answer(
+        self, host: Host, generation: int, number: int, reason: str
+    ) -> None:
+        if not self._is_current(host, generation, number):
+            return
+        host.calling += 1
+        if host.feeder is not None:
+            host.feeder.on_failed(reason, self.world.now)
+        self._call_again(host, generation)
+
+    def _call_again(self, host: Host, generation: int) -> None:
+        if host.feeder is None:
+            return
+        self.world.perform(host, host.feeder.node.take_effects())
+        delay = max(0.0, host.feeder.reader.due - self.world.now)
+        self.world.later(delay, lambda: self.call(host, generation))
--- a/notchhoist/testing/opaque/tests/test_machine.py
+++ b/notchhoist/testing/opaque/tests/test_machine.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from notchhoist.testing.opaque import troubles
 from notchhoist.testing.opaque.experiment import make_world, start_traffic
 
 STEP_S = 0.4
@@ -35,19 +36,19 @@
     @rule(pick=picks, agent=st.booleans())
     def kill(self, pick, agent):
         if host := self.host(pick, agent):
-            self.world.kill(host)
+            troubles.kill(self.world, host)
         self.step()
 
     @rule(pick=picks)
     def stop_balancer(self, pick):
         if host := self.host(pick, agents=False):
-            self.world.stop_balancer(host)
+            troubles.stop_balancer(self.world, host)
         self.step()
 
     @rule(pick=picks, agent=st.booleans())
     def freeze(self, pick, agent):
         if host := self.host(pick, agent):
-            self.world.freeze(host, 1.5)
+            troubles.freeze(self.world, host, 1.5)
         self.step()
 
     @rule(pick=picks, other=picks)
@@ -55,13 +56,13 @@
         balancer = self.host(pick, agents=False)
         agent = self.host(other, agents=True)
         if balancer and agent:
-            self.world.cut(balancer.ip, agent.ip, 2.0)
+            troubles.cut(self.world, balancer.ip, agent.ip, 2.0)
         self.step()
 
     @rule(pick=picks)
     def cut_store(self, pick):
         if host := self.host(pick, agents=False):
-            self.world.cut(host.ip, host.ip, 3.0)
+            troubles.cut(self.world, host.ip, host.ip, 3.0)
         self.step()
 
     @rule(pick=picks)
@@ -69,13 +70,13 @@
         host = self.host(pick, agents=True)
         if host and host.server and not host.server.draining:
             self.world.add_host(host.zone, host.service)
-            self.world.retire(host)
+            troubles.retire(self.world, host)
         self.step()
 
     @rule(pick=picks)
     def power_off(self, pick):
         if host := self.host(pick, agents=True):
-            self.world.power_off(host, 1.0)
+            troubles.power_off(self.world, host, 1.0)
         self.step()
 
     @rule(down=st.sampled_from(["", "silent", "busy", "many", "reset"]))
--- /dev/null
+++ b/notchhoist/testing/opaque/troubles.py
@@ -0,0 +1,109 @@
+"""What can be done to a world: kills, power, freezes, cuts, planned stops."""
+
+from notchhoist.flows.balancer import BalancerNode
+from notchhoist.testing.opaque.hosts import START_S, Host
+from notchhoist.testing.opaque.world import OpaqueWorld
+
+HEARTBEAT_S = 1.2
+HEARTBEATS_MISSED = 3
+"""An entry lapses after so many heartbeats that a server did not send."""
+
+LEAVE_S = 1.8
+"""How long a balancer forwards after it was told to stop, seconds."""
+
+
+def kill(world: OpaqueWorld, host: Host, for_s: float = START_S) -> None:
+    """Kills a process; it starts again."""
+    world.judge.disturb(world.now)
+    host.node = None
+    host.frozen = False
+    host.generation += 1
+    world.later(for_s, lambda: _revive(world, host))
+
+
+def _revive(world: OpaqueWorld, host: Host) -> None:
+    world.judge.disturb(world.now)
+    if host.node is None and host.ip in world.hosts:
+        world.start(host)
+
+
+def crash_server(world: OpaqueWorld, host: Host) -> None:
+    """Ends a backend server without a word; its entry lapses later."""
+    server = host.server
+    if server is None:
+        return
+    server.alive = False
+    lapse_s = HEARTBEAT_S * HEARTBEATS_MISSED
+    key = f"servers/{server.server_id}"
+    world.later(lapse_s, lambda: world.store.remove(key))
+
+
+def power_off(world: OpaqueWorld, host: Host, for_s: float) -> None:
+    """Takes the power from a host; everything on it starts anew."""
+    kill(world, host, for_s + START_S)
+    if host.server is not None:
+        slots = host.server.slots
+        crash_server(world, host)
+        world.later(for_s, lambda: world.start_server(host, slots))
+
+
+def stop_balancer(
+    world: OpaqueWorld, host: Host, leave_s: float = LEAVE_S
+) -> None:
+    """Stops a balancer as planned; it starts again."""
+    if isinstance(host.node, BalancerNode):
+        host.node.stop()
+    world.later(leave_s, lambda: _restart(world, host))
+
+
+def _restart(world: OpaqueWorld, host: Host) -> None:
+    host.node = None
+    host.generation += 1
+    world.later(START_S, lambda: world.start(host))
+
+
+def freeze(world: OpaqueWorld, host: Host, for_s: float) -> None:
+    """Lets a process stand still for a while."""
+    world.judge.disturb(world.now)
+    host.frozen = True
+    world.later(for_s, lambda: _wake(world, host))
+
+
+def _wake(world: OpaqueWorld, host: Host) -> None:
+    world.judge.disturb(world.now)
+    host.frozen = False
+    waiting = list(host.waiting)
+    host.waiting.clear()
+    for action in waiting:
+        if host.node is not None:
+            action()
+
+
+def retire(world: OpaqueWorld, host: Host, after_s: float = 5.0) -> None:
+    """Drains a backend server and takes its host away."""
+    server = host.server
+    if server is None:
+        return
+    server.draining = True
+    world.announce(host, server)
+
+    def leave() -> None:
+        server.alive = False
+        world.store.remove(f"servers/{server.server_id}")
+        host.node = None
+        world.hosts.pop(host.ip, None)
+
+    world.later(after_s, leave)
+
+
+def cut(world: OpaqueWorld, one: str, other: str, for_s: float) -> None:
+    """Cuts two IP numbers apart; the same twice cuts it from the store."""
+    world.judge.disturb(world.now)
+    pair = frozenset((one, other))
+    world.cuts.add(pair)
+
+    def heal() -> None:
+        world.judge.disturb(world.now)
+        world.cuts.discard(pair)
+
+    world.later(for_s, heal)
--- a/notchhoist/testing/opaque/world.py
+++ b/notchhoist/testing/opaque/world.py
@@ -4,7 +4,6 @@
 import itertools
 import random
 from collections.abc import Callable, Sequence
-from urllib.parse import parse_qsl, urlsplit
 
 import attrs
 
@@ -15,8 +14,9 @@
 from notchhoist.flows.message_codec import decode_message, encode_message
 from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.platform.packets import PacketCodec
-from notchhoist.platform.store import StoreCall, StoreReader
-from notchhoist.testing.opaque.callers import SERVICE_HOST, CallerModel
+from notchhoist.platform.store import StoreReader
+from notchhoist.testing.opaque import published
+from notchhoist.testing.opaque.callers import CallerModel
 from notchhoist.testing.opaque.frames import (
     Address,
     Frame,
@@ -24,9 +24,11 @@
     encode_frame,
     is_genuine,
 )
+from notchhoist.testing.opaque.hosts import MISSES, Host
 from notchhoist.testing.opaque.judge import Judge
 from notchhoist.testing.opaque.servers import ServerModel
 from notchhoist.testing.opaque.store import StoreModel
+from notchhoist.testing.opaque.store_link import StoreLink
 from notchhoist.testing.opaque.traffic import Workload
 
 KEY = b"not told to the system"
@@ -34,47 +36,9 @@
 CALLER_S = 0.001
 LOCAL_S = 0.00002
 PROBE_S = 0.5
-MISSES = 2
 MODEL_TICK_S = 0.02
-HEARTBEAT_S = 1.2
-HEARTBEATS_MISSED = 3
 HEADERS_BYTES = 28
 SEEDS = 3
-START_S = 0.3
-"""From power to serving, seconds; about what a thin entry host takes."""
-
-
-@attrs.define(eq=False)
-class Host:
-    """A host with one process of ours, and perhaps a backend server.
-
-    Attributes:
-        name: Its name.
-        ip: Its IP number.
-        zone: Its availability zone.
-        service: Service of its backend server; empty on entry hosts.
-        node: The process, or None while it is down.
-        server: The backend server, or None.
-        frozen: The process stands still; what comes waits.
-        waiting: What came meanwhile.
-        generation: Counts the starts of the process.
-        misses: Unanswered questions of the routers in a row.
-        feeder: A balancer's feeder from the store.
-        calling: Number of its call to the store that is under way.
-    """
-
-    name: str
-    ip: str
-    zone: str
-    service: str = ""
-    node: BalancerNode | AgentNode | None = None
-    server: ServerModel | None = None
-    frozen: bool = False
-    waiting: list[Callable[[], None]] = attrs.Factory(list)
-    generation: int = 0
-    misses: int = MISSES
-    feeder: StoreFeeder | None = None
-    calling: int = 0
 
 
 @attrs.define(eq=False)
@@ -90,6 +54,7 @@
             or goes move; else nearly all do.
         judge: What was seen.
         store: The platform's store.
+        store_link: Carries calls to it.
         now: The clock, seconds.
         loss: Share of datagrams that are lost.
         cuts: Pairs of IP numbers that cannot reach each other; an IP number
@@ -111,6 +76,7 @@
     steady: bool = False
     judge: Judge = attrs.Factory(Judge)
     store: StoreModel = attrs.field(init=False)
+    store_link: StoreLink = attrs.field(init=False)
     now: float = 0.0
     loss: float = 0.0
     cuts: set[frozenset[str]] = attrs.Factory(set)
@@ -125,6 +91,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.store = StoreModel(random.Random(self.rng.random()))
+        self.store_link = StoreLink(self)
         for zone in self.zones:
             self._add_callers(zone)
         self._every(MODEL_TICK_S, self._tick_models)
@@ -204,7 +171,7 @@
             )
             host.node = node
             host.feeder = StoreFeeder(node, StoreReader(make_draw(name)))
-            self._call_store(host, host.generation)
+            self.store_link.call(host, host.generation)
         self._tick_node(host, host.generation)
 
     def _seeds(self) -> tuple[str, ...]:
@@ -231,54 +198,23 @@
 
     def announce(self, host: Host, server: ServerModel) -> None:
         """Writes a server's entry, as it does itself."""
-        cold_s = max(0.0, server.started_at + 2.0 - self.now)
-        self.store.put(
-            f"servers/{server.server_id}",
-            {
-                "service": server.service,
-                "address": f"{host.ip}:8080",
-                "zone": host.zone,
-                "version": "v1",
-                "slots": server.slots,
-                "state": "draining" if server.draining else "ready",
-                "cold_remaining_ms": int(cold_s * 1000),
-                "seq": 1,
-            },
-        )
+        entry = published.entry_of(host, server, self.now)
+        self.store.put(f"servers/{server.server_id}", entry)
 
     def publish(self, version: int, without: Sequence[str] = ()) -> None:
         """Publishes a configuration with a route for each kind."""
-        routes = [
-            {
-                "name": workload.name,
-                "host": SERVICE_HOST,
-                "path_prefix": f"/{workload.port}/",
-                "kind": workload.kind,
-                "timeout_ms": int(workload.deadline_s * 1000),
-                "target_latency_ms": int(workload.aim_s * 1000),
-                "priority": workload.priority,
-                "service": workload.service,
-                "max_attempts": 2,
-            }
-            for workload in self.workloads
-            if workload.name not in without
-        ]
-        document = {
-            "version": version,
-            "routes": routes,
-            "services": [],
-            "limits": {"idle_timeout_ms": 15000},
-        }
-        self.store.put("op/config", document)
+        kinds = [item for item in self.workloads if item.name not in without]
+        self.store.put("op/config", published.configuration_of(version, kinds))
 
     # Network.
 
-    def _is_cut(self, one: str, other: str) -> bool:
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tells whether two IP numbers are cut apart."""
         return frozenset((one, other)) in self.cuts
 
     def _carry(self, source: str, target: str, zone: str, size: int) -> float:
         """Returns the delay of a datagram, or infinity where it is lost."""
-        if self._is_cut(source, target) or self.rng.random() < self.loss:
+        if self.is_cut(source, target) or self.rng.random() < self.loss:
             return float("inf")
         if self._zone_of(source) == zone:
             return IN_ZONE_S
@@ -330,11 +266,12 @@
         def take() -> None:
             if isinstance(host.node, BalancerNode):
                 segment = self.codec.decode_request(raw)
-                self._perform(host, host.node.on_caller(segment, self.now))
+                self.perform(host, host.node.on_caller(segment, self.now))
 
         self._when_awake(host, take)
 
-    def _perform(self, host: Host, todo: list[effects.Effect]) -> None:
+    def perform(self, host: Host, todo: list[effects.Effect]) -> None:
+        """Carries out what a process asks for."""
         for effect in todo:
             match effect:
                 case effects.SendAgent() | effects.SendBalancer():
@@ -364,7 +301,7 @@
                 todo = host.node.on_balancer(source.ip, segment, self.now)
             else:
                 return
-            self._perform(host, todo)
+            self.perform(host, todo)
 
         self.later(delay, lambda: self._when_awake(host, take))
 
@@ -378,7 +315,7 @@
 
         def take() -> None:
             if host.node is not None:
-                self._perform(
+                self.perform(
                     host, host.node.on_peer(source.ip, message, self.now)
                 )
 
@@ -421,110 +358,14 @@
         def take() -> None:
             if isinstance(host.node, AgentNode):
                 segment = self.codec.decode_answer(raw)
-                self._perform(host, host.node.on_backend(segment, self.now))
+                self.perform(host, host.node.on_backend(segment, self.now))
 
         self.later(LOCAL_S, lambda: self._when_awake(host, take))
 
     def _check(self, host: Host) -> None:
         if isinstance(host.node, AgentNode):
             listens = host.server is not None and host.server.alive
-            self._perform(host, host.node.on_checked(listens, self.now))
-
-    # The store.
-
-    def _call_store(self, host: Host, generation: int) -> None:
-        if host.generation != generation or host.feeder is None:
-            return
-        call = host.feeder.next_call(self.now)
-        if call is None:
-            self._call_again(host, generation)
-            return
-        self.store.calls += 1
-        host.calling += 1
-        number = host.calling
-        self.later(
-            call.timeout_s,
-            lambda: self._on_no_answer(host, generation, number, "timeout"),
-        )
-        trouble = self.store.trouble_for(host.ip)
-        if trouble == "silent" or self._is_cut(host.ip, host.ip):
-            return
-        delay = self.store.answer_s + self.cross_zone_s
-        if trouble == "reset":
-            self.later(
-                delay,
-                lambda: self._on_no_answer(host, generation, number, "reset"),
-            )
-        elif trouble:
-            status = {"busy": 503, "many": 429}[trouble]
-            self.later(
-                delay,
-                lambda: self._on_answer(host, generation, number, status, b""),
-            )
-        else:
-            self.later(
-                delay,
-                lambda: self._answer_call(host, generation, number, call),
-            )
-
-    def _answer_call(
-        self,
-        host: Host,
-        generation: int,
-        number: int,
-        call: StoreCall,
-        ends_at: float = 0.0,
-    ) -> None:
-        parts = urlsplit(call.target)
-        query = dict(parse_qsl(parts.query, keep_blank_values=True))
-        if parts.path == "/kv-range":
-            body = self.store.read_range(query)
-            self._on_answer(host, generation, number, 200, body)
-            return
-        status, changes = self.store.read_changes(query)
-        ends_at = ends_at or self.now + int(query["wait_ms"]) / 1000
-        if changes is None and self.now < ends_at:
-            self.later(
-                MODEL_TICK_S,
-                lambda: self._answer_call(
-                    host, generation, number, call, ends_at
-                ),
-            )
-            return
-        body = self.store.no_changes() if changes is None else changes
-        if not self.store.trouble_for(host.ip):
-            self._on_answer(host, generation, number, status, body)
-
-    def _is_current(self, host: Host, generation: int, number: int) -> bool:
-        same = host.generation == generation and host.calling == number
-        return same and host.node is not None
-
-    def _on_answer(
-        self, host: Host, generation: int, number: int, status: int, body: bytes
-    ) -> None:
-        if not self._is_current(host, generation, number):
-            return
-        host.calling += 1
-        if host.feeder is not None:
-            host.feeder.on_answer(status, body, self.now)
-        self._call_again(host, generation)
-
-    def _on_no_answer(
-        self, host: Host, generation: int, number: int, reason: str
-    ) -> None:
-        if not self._is_current(host, generation, number):
-            return
-        host.calling += 1
-        if host.feeder is not None:
-            host.feeder.on_failed(reason, self.now)
-        self._call_again(host, generation)
-
-    def _call_again(self, host: Host, generation: int) -> None:
-        if host.feeder is None:
-            return
-        self._perform(host, host.feeder.node.take_effects())
-        delay = max(0.0, host.feeder.reader.due - self.now)
-        self.later(delay, lambda: self._call_store(host, generation))
+            self.perform(host, host.node.on_checked(listens, self.now))
 
     # What happens by itself.
 
@@ -532,7 +373,7 @@
         if host.generation != generation or host.node is None:
             return
         if not host.frozen:
-            self._perform(host, host.node.tick(self.now))
+            self.perform(host, host.node.tick(self.now))
         self.later(0.01, lambda: self._tick_node(host, generation))
 
     def _tick_models(self) -> None:
@@ -542,93 +383,6 @@
             if host.server is not None and host.server.alive:
                 host.server.tick(self.now)
 
-    # Troubles.
-
-    def kill(self, host: Host, for_s: float = START_S) -> None:
-        """Kills a process; it starts again."""
-        self.judge.disturb(self.now)
-        host.node = None
-        host.frozen = False
-        host.generation += 1
-        self.later(for_s, lambda: self._revive(host))
-
-    def _revive(self, host: Host) -> None:
-        self.judge.disturb(self.now)
-        if host.node is None and host.ip in self.hosts:
-            self.start(host)
-
-    def crash_server(self, host: Host) -> None:
-        """Ends a backend server without a word; its entry lapses later."""
-        server = host.server
-        if server is None:
-            return
-        server.alive = False
-        lapse_s = HEARTBEAT_S * HEARTBEATS_MISSED
-        key = f"servers/{server.server_id}"
-        self.later(lapse_s, lambda: self.store.remove(key))
-
-    def power_off(self, host: Host, for_s: float) -> None:
-        """Takes the power from a host; everything on it starts anew."""
-        self.kill(host, for_s + START_S)
-        if host.server is not None:
-            slots = host.server.slots
-            self.crash_server(host)
-            self.later(for_s, lambda: self.start_server(host, slots))
-
-    def stop_balancer(self, host: Host, leave_s: float = 1.8) -> None:
-        """Stops a balancer as planned; it starts again."""
-        if isinstance(host.node, BalancerNode):
-            host.node.stop()
-        self.later(leave_s, lambda: self._restart(host))
-
-    def _restart(self, host: Host) -> None:
-        host.node = None
-        host.generation += 1
-        self.later(START_S, lambda: self.start(host))
-
-    def freeze(self, host: Host, for_s: float) -> None:
-        """Lets a process stand still for a while."""
-        self.judge.disturb(self.now)
-        host.frozen = True
-        self.later(for_s, lambda: self._wake(host))
-
-    def _wake(self, host: Host) -> None:
-        self.judge.disturb(self.now)
-        host.frozen = False
-        waiting = list(host.waiting)
-        host.waiting.clear()
-        for action in waiting:
-            if host.node is not None:
-                action()
-
-    def retire(self, host: Host, after_s: float = 5.0) -> None:
-        """Drains a backend server and takes its host away."""
-        server = host.server
-        if server is None:
-            return
-        server.draining = True
-        self.announce(host, server)
-
-        def leave() -> None:
-            server.alive = False
-            self.store.remove(f"servers/{server.server_id}")
-            host.node = None
-            self.hosts.pop(host.ip, None)
-
-        self.later(after_s, leave)
-
-    def cut(self, one: str, other: str, for_s: float) -> None:
-        """Cuts two IP numbers apart; the same twice cuts it from the store."""
-        self.judge.disturb(self.now)
-        pair = frozenset((one, other))
-        self.cuts.add(pair)
-
-        def heal() -> None:
-            self.judge.disturb(self.now)
-            self.cuts.discard(pair)
-
-        self.later(for_s, heal)
-
 
 def hash_text(text: str) -> int:
     """Returns a hash that is the same in every run."""
