A flow is placed among eight servers and asked for there first

Change: rendezvous hashing picks eight servers, four of the own zone; the others are asked where all of these have denied, or one is silent for 0.1 s.

Services of up to eight servers are as before.

--- a/notchhoist/flows/finding.py
+++ b/notchhoist/flows/finding.py
@@ -1,13 +1,14 @@
 """A balancer's controller that finds flows which it does not know.
 
 The backend server knows which flows it holds and its agent sees them, so the
-balancer asks all agents of the service at once, by a packet's head. Only where
-every one of them has denied is the flow reset.
+balancer asks agents by a packet's head: first those beside the servers that the
+flow is placed among, then all others of the service. Only where every one of them
+has denied is the flow reset.
 """
 
 from msgspec import Struct
 
-from notchhoist.flows import notes
+from notchhoist.flows import notes, placing
 from notchhoist.flows.boards import BalancerBoard, Count, Placement, Search
 from notchhoist.flows.effects import SendAgent
 from notchhoist.flows.fleet import Server
@@ -72,7 +73,10 @@
             return
         if segment.resets or len(board.searches) >= SEARCHES_MAX:
             return
-        hosts = self._hosts_of(service) - {absent_at}
+        known = board.by_service.get(service, [])
+        few = placing.candidates(segment.flow, known, board.zone)
+        hosts = {item.entry.host for item in few if not item.lost}
+        hosts.discard(absent_at)
         asked = hosts | {absent_at}
         search = Search(service, [segment], hosts, [], asked=asked)
         board.searches[segment.flow] = search
@@ -175,17 +179,24 @@
             # One packet is enough to find out.
             self._hand_over(search.waiting[-1:], server, NoteKind.TRY, now)
             return
-        if search.denied_at is None:
-            search.denied_at = now
+        if self._widen(flow, search, now):
+            return
+        search.denied_at = now
 
-    def _settle(self, flow: bytes, search: Search, now: float) -> None:
-        """Asks servers that have become known meanwhile, or resets."""
+    def _widen(self, flow: bytes, search: Search, now: float) -> bool:
+        """Asks all agents that were not asked yet; tells whether any are."""
         fresh = self._hosts_of(search.service) - search.asked
+        if not fresh:
+            return False
         search.denied_at = None
-        if fresh:
-            search.unanswered = fresh
-            search.asked |= fresh
-            self._ask(flow, search, now)
+        search.unanswered |= fresh
+        search.asked |= fresh
+        self._ask(flow, search, now)
+        return True
+
+    def _settle(self, flow: bytes, search: Search, now: float) -> None:
+        """Asks servers that have become known meanwhile, or resets."""
+        if self._widen(flow, search, now):
             return
         del self.board.searches[flow]
         self.board.records.counters[Count.FOUND_NOWHERE] += 1
@@ -229,7 +240,7 @@
                 silent=sorted(search.unanswered),
                 lost_after_s=LOST_AFTER_S,
             )
-        else:
+        elif not self._widen(flow, search, now):
             self._ask(flow, search, now)
 
     def due(self) -> float:
--- a/notchhoist/flows/opening.py
+++ b/notchhoist/flows/opening.py
@@ -1,5 +1,7 @@
 """A balancer's controller for new flows."""
 
+from collections.abc import Sequence
+
 from msgspec import Struct
 
 from notchhoist.base.draws import Draw
@@ -62,12 +64,14 @@
     def offer(self, opening: Opening, now: float) -> None:
         """Offers a flow to the best server that it was not offered to."""
         board = self.board
-        servers = placing.usable(board.by_service.get(opening.service, []), now)
-        fresh = [
-            server
-            for server in servers
-            if server.entry.server_id not in opening.tried
-        ]
+        known = board.by_service.get(opening.service, [])
+        flow = opening.segment.flow
+        servers = placing.usable(known, now)
+        few = placing.candidates(flow, known, board.zone)
+        fresh = self._untried(
+            opening, [item for item in servers if item in few]
+        )
+        fresh = fresh or self._untried(opening, servers)
         server = placing.choose(
             fresh, opening.route.long_lived, board.zone, now, self.draw
         )
@@ -82,7 +86,7 @@
         ] += 1
         board.records.decide(
             "place",
-            opening.segment.flow,
+            flow,
             server.entry.server_id,
             service=opening.service,
             flows=server.flows,
@@ -98,6 +102,15 @@
         self._remember(opening, server, now)
         self._send(server, opening.segment, opening.route, now)
 
+    def _untried(
+        self, opening: Opening, servers: Sequence[Server]
+    ) -> list[Server]:
+        return [
+            server
+            for server in servers
+            if server.entry.server_id not in opening.tried
+        ]
+
     def _remember(self, opening: Opening, server: Server, now: float) -> None:
         flows = self.board.flows
         segment = opening.segment
--- a/notchhoist/flows/placing.py
+++ b/notchhoist/flows/placing.py
@@ -1,10 +1,19 @@
 """Which backend server gets a new flow; pure functions."""
 
+import zlib
 from collections.abc import Sequence
 
 from notchhoist.base.draws import Draw
 from notchhoist.flows.fleet import Server
 
+CHOICES = 8
+"""Servers that a flow is placed among. Two give most of the balance there is to
+gain; eight leave room for those that drain, are slow or silent, and cover the
+services of ten servers that the target size has."""
+
+NEAR_CHOICES = 4
+"""How many of them are of the own zone, where it has so many."""
+
 COLD_SLOWDOWN = 2.0
 """Weight of a server that is still slow from its start. A cautious guess: the
 platform tells how long the start lasts, not how slow it is."""
@@ -48,6 +57,34 @@
     return sorted(values)[(len(values) - 1) // 2] if values else 0.0
 
 
+def candidates(
+    flow: bytes, servers: Sequence[Server], zone: str
+) -> list[Server]:
+    """Returns the servers that a flow is placed among, some of the own zone.
+
+    Every balancer of a zone finds the same ones by rendezvous hashing, so one
+    that does not know the flow asks a few agents of a large service, not all.
+
+    Args:
+        flow: Key of the flow.
+        servers: All known servers of its service.
+        zone: Availability zone of the balancer.
+
+    References:
+        Thaler and Ravishankar, "Using name-based mappings to increase hit
+        rates", 1998; Mitzenmacher, "The power of two choices", 2001.
+    """
+    if len(servers) <= CHOICES:
+        return list(servers)
+    ranked = sorted(
+        servers,
+        key=lambda server: zlib.crc32(flow + server.entry.host.encode()),
+    )
+    near = [item for item in ranked if item.entry.zone == zone][:NEAR_CHOICES]
+    far = [item for item in ranked if item not in near]
+    return near + far[: CHOICES - len(near)]
+
+
 def usable(servers: Sequence[Server], now: float) -> list[Server]:
     """Returns the servers that may get a new flow, the best class only.
 
--- a/notchhoist/flows/tests/test_balancer.py
+++ b/notchhoist/flows/tests/test_balancer.py
@@ -9,6 +9,7 @@
 from notchhoist.flows.health import PROBES_PER_S
 from notchhoist.flows.messages import LoadTell
 from notchhoist.flows.notes import Load, NoteKind
+from notchhoist.flows.placing import CHOICES
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.crafting import ACK, CODEC, SYN, entry, request
 
@@ -107,6 +108,34 @@
     assert (host, segment.size) == ("10.0.0.3", 1)
 
 
+def test_a_large_service_is_asked_in_two_steps():
+    """All 44 agents of a service were asked for each flow at each change."""
+    node = balancer(servers=44)
+    lost = request(data=b"x")
+    asked = {host for host, _ in packets(node.on_caller(lost, 0.0))}
+    assert len(asked) == CHOICES
+    rest = []
+    for host in asked:
+        rest += packets(tell(node, host, lost, NoteKind.ABSENT, 0.002))
+    assert len(rest) == 44 - CHOICES
+    assert asked.isdisjoint(host for host, _ in rest)
+
+
+def test_a_silent_agent_does_not_keep_the_others_from_being_asked():
+    node = balancer(servers=44)
+    node.on_caller(request(data=b"x"), 0.0)
+    assert len(packets(node.tick(0.11))) == 44
+
+
+def test_flows_of_a_large_service_are_placed_where_they_are_looked_for():
+    node, other = balancer(servers=44), balancer(servers=44)
+    for port in range(40001, 40060):
+        host = open_flow(node, port=port)
+        lost = request(data=b"x", port=port)
+        asked = {found for found, _ in packets(other.on_caller(lost, 0.0))}
+        assert host in asked
+
+
 def test_a_flow_that_every_agent_denies_is_reset():
     node = balancer(servers=2)
     lost = request(data=b"x", ack=77)
