--- a/notchhoist/flows/finding.py
+++ b/notchhoist/flows/finding.py
@@ -1,9 +1,9 @@
 """A balancer's controller that finds flows which it does not know.
 
 The backend server knows which flows it holds and its agent sees them, so the
-balancer asks agents by a packet's head: first those beside the servers that the
-flow is placed among, then all others of the service. Only where every one of them
-has denied is the flow reset.
+balancer asks agents by a packet's head: first those beside the servers that
+the flow is placed among, then all others of the service. Only where every one
+of them has denied is the flow reset.
 """
 
 from msgspec import Struct
