--- a/notchhoist/testing/world.py
+++ b/notchhoist/testing/world.py
@@ -19,6 +19,7 @@
 from notchhoist.testing.caller import CallerModel, Task, make_caller
 from notchhoist.testing.history import History
 from notchhoist.testing.platform_service import PlatformState
+from notchhoist.testing.world_host import Host, MakeNode
 
 PAUSE_S = 1.0
 BACKEND_DELAY_S = 0.0001
@@ -26,38 +27,6 @@
 PLATFORM_DELAY_S = 0.002
 WATCH_POLL_S = 0.05
 
-MakeNode = Callable[[float, int], controllers.Node]
-
-
-@attrs.define
-class Host:
-    """A host that runs a node.
-
-    Attributes:
-        name: Name of the host.
-        peer: Peer endpoint of its node.
-        make: Makes its node at a start.
-        node: The node, or None while it is dead.
-        generation: Counts its starts.
-        paused: It is stopped and its sockets fill up.
-        backlog: What came meanwhile.
-        last_tick: Time of its last tick, seconds.
-        held: Effects that a pause came before.
-        keeps_backlog: It reads after a pause what came before it, as a
-            process would that does not look at its clock.
-    """
-
-    name: str
-    peer: model.Endpoint
-    make: MakeNode
-    node: controllers.Node | None = None
-    generation: int = 0
-    paused: bool = False
-    backlog: list[model.Event] = attrs.Factory(list)
-    held: list[model.Effect] = attrs.Factory(list)
-    last_tick: float = 0.0
-    keeps_backlog: bool = False
-
 
 @attrs.define
 class World:
