The story of one flow from the logs, and whose line it is

Cause: the first story told on an incident's logs showed lines of a balancer under the address of a backend server's host: the input 'host' hid the process's own.

Ruled out: a wrong tool; the raw lines had it.

Change: inputs never replace the fields of a line; they are named server_host. cli/flow_story gathers a flow's lines and those about its servers.

Figures: test_an_input_never_hides_whose_line_it_is fails before.

--- /dev/null
+++ b/notchhoist/cli/flow_story.py
@@ -0,0 +1,140 @@
+"""Tells the story of one flow from the logs of many processes.
+
+    python -m notchhoist.cli.flow_story 100.64.0.12:1028-198.18.0.1:8443 LOG...
+
+Lines that name the flow, and lines about the backend servers that it was placed
+at, in the order of time.
+"""
+
+import json
+import sys
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Annotated, Any
+
+import attrs
+import cappa
+
+LEFT_OUT = ("timestamp", "clock", "message_type", "host", "flow", "outcome")
+
+
+@attrs.frozen(order=True)
+class StoryLine:
+    """One line of a log.
+
+    Attributes:
+        timestamp: Time of day, seconds.
+        host: Host of the process that wrote it.
+        event: What was decided.
+        outcome: What came of it.
+        details: The inputs of the decision.
+        server: Id of the backend server that it names, or empty.
+    """
+
+    timestamp: float
+    host: str
+    event: str
+    outcome: str
+    details: str
+    server: str = ""
+
+
+def read_line(text: str) -> dict[str, Any] | None:
+    """Returns the JSON object in a line of a log, or None.
+
+    What stands before it, such as a time and a host, is passed over.
+
+    Examples:
+        >>> read_line('1.2 front-1 {"message_type": "place"}')
+        {'message_type': 'place'}
+        >>> read_line("Traceback:") is None
+        True
+    """
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        value = json.loads(text[start:])
+    except ValueError:
+        return None
+    return value if isinstance(value, dict) else None
+
+
+def _to_story(line: dict[str, Any]) -> StoryLine:
+    details = " ".join(
+        f"{name}={value}"
+        for name, value in line.items()
+        if name not in LEFT_OUT
+    )
+    outcome = str(line.get("outcome", ""))
+    event = str(line.get("message_type", ""))
+    placed = event in ("place", "find")
+    return StoryLine(
+        timestamp=float(line.get("timestamp", 0.0)),
+        host=str(line.get("host", "")),
+        event=event,
+        outcome=outcome,
+        details=details,
+        server=outcome if placed else str(line.get("server", "")),
+    )
+
+
+def story_of(flow: str, lines: Iterable[str]) -> list[StoryLine]:
+    """Returns the lines that tell of a flow, in the order of time.
+
+    Args:
+        flow: The flow's id as the logs write it.
+        lines: Lines of the logs of any processes, in any order.
+    """
+    read = [line for line in map(read_line, lines) if line is not None]
+    own = [_to_story(line) for line in read if line.get("flow") == flow]
+    servers = {item.server for item in own if item.server}
+    about = [
+        _to_story(line)
+        for line in read
+        if "flow" not in line and line.get("server") in servers
+    ]
+    return sorted([*own, *about])
+
+
+def tell(story: Iterable[StoryLine]) -> Iterator[str]:
+    """Yields a line of text for each line of a story."""
+    for item in story:
+        head = f"{item.timestamp:.3f} {item.host:<22} {item.event:<14}"
+        yield f"{head} {item.outcome} {item.details}".rstrip()
+
+
+@cappa.command(
+    name="flow-story", description="The story of one flow from the logs."
+)
+@attrs.define
+class Command:
+    """The command line.
+
+    Attributes:
+        flow: Id of the flow.
+        logs: Log files.
+    """
+
+    flow: Annotated[str, cappa.Arg(help="caller:port-address:port")]
+    logs: Annotated[list[Path], cappa.Arg(help="Log files.")]
+
+
+def main() -> int:
+    """Entry point; status 1 where no line tells of the flow."""
+    command = cappa.parse(Command)
+    lines: list[str] = []
+    for path in command.logs:
+        try:
+            lines += path.read_text(errors="replace").splitlines()
+        except OSError as error:
+            print(f"{path}: {error.strerror}", file=sys.stderr)
+            return 2
+    story = story_of(command.flow, lines)
+    for text in tell(story):
+        print(text)
+    return 0 if story else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/notchhoist/cli/tests/test_flow_story.py
@@ -0,0 +1,32 @@
+"""The story of one flow from the logs of many processes."""
+
+import json
+
+from notchhoist.cli.flow_story import story_of, tell
+
+FLOW = "100.64.0.12:1028-198.18.0.1:8443"
+
+
+def line(timestamp, event, **fields):
+    made = {"timestamp": timestamp, "message_type": event, "host": "h"}
+    return json.dumps({**made, **fields})
+
+
+def test_lines_of_the_flow_and_of_its_server_in_the_order_of_time():
+    lines = [
+        line(3.0, "reset", flow=FLOW, outcome="agent lost", server="i-1"),
+        line(1.0, "place", flow=FLOW, outcome="i-1", load_age_s=0.2),
+        "12.5 front-1 " + line(2.0, "suspect", server="i-1", outcome="i-1"),
+        line(2.5, "suspect", server="i-2", outcome="i-2"),
+        line(1.5, "place", flow="another", outcome="i-1"),
+        "no JSON {",
+        "",
+    ]
+    story = story_of(FLOW, lines)
+    assert [item.event for item in story] == ["place", "suspect", "reset"]
+    [first, *_] = tell(story)
+    assert "load_age_s=0.2" in first
+
+
+def test_a_flow_that_no_line_tells_of():
+    assert not story_of(FLOW, [line(1.0, "place", flow="another")])
--- a/notchhoist/daemon/flow_journal.py
+++ b/notchhoist/daemon/flow_journal.py
@@ -62,13 +62,14 @@
         self._write("lines_dropped", {"dropped": dropped})
 
     def _write(self, event: str, fields: dict[str, object]) -> None:
-        line = {
+        line: dict[str, object] = {
             "timestamp": round(self.wall(), 3),
             "clock": round(self.clock(), 4),
             "message_type": event,
             "host": self.host,
-            **fields,
         }
+        for name, value in fields.items():
+            line[f"input_{name}" if name in line else name] = value
         try:
             self.write(msgspec.json.encode(line, enc_hook=str) + b"\n")
         except OSError:
--- a/notchhoist/daemon/tests/test_flow_journal.py
+++ b/notchhoist/daemon/tests/test_flow_journal.py
@@ -57,3 +57,11 @@
     reader = Reader()
     journal(reader, [0.0]).log("reset", reason=ValueError("x"))
     assert reader.lines[0]["reason"] == "x"
+
+
+def test_an_input_never_hides_whose_line_it_is():
+    """Lines about a server named its host as that of the process."""
+    reader = Reader()
+    journal(reader, [0.0]).log("server", host="10.0.0.9")
+    assert reader.lines[0]["host"] == "h"
+    assert reader.lines[0]["input_host"] == "10.0.0.9"
--- a/notchhoist/flows/fleet_keeper.py
+++ b/notchhoist/flows/fleet_keeper.py
@@ -85,7 +85,7 @@
             "draining" if entry.draining else "ready",
             server=entry.server_id,
             service=entry.service,
-            host=entry.host,
+            server_host=entry.host,
             zone=entry.zone,
             revision=revision,
         )
--- a/notchhoist/flows/health.py
+++ b/notchhoist/flows/health.py
@@ -76,7 +76,7 @@
         self.waiting.pop(server.entry.server_id, None)
         if server.suspected:
             self.board.records.decide(
-                "agent regained", b"", server.entry.server_id, host=host
+                "agent regained", b"", server.entry.server_id, server_host=host
             )
         server.heard_at = now
         server.probed_at = None
@@ -107,7 +107,7 @@
             "suspect",
             b"",
             server.entry.server_id,
-            host=server.entry.host,
+            server_host=server.entry.host,
             reason=reason,
             silent_s=round(now - server.heard_at, 3),
         )
--- a/notchhoist/flows/opening.py
+++ b/notchhoist/flows/opening.py
@@ -171,7 +171,9 @@
         elif placement is not None and here:
             # It was accepted, but never got a slot; nothing has run.
             del self.board.flows[segment.flow]
-            self.resetter.reset(segment, "no slot in time", now, host=host)
+            self.resetter.reset(
+                segment, "no slot in time", now, server_host=host
+            )
 
     def tick(self, now: float) -> None:
         """Offers flows elsewhere whose agent has kept silent."""
