Bounds of the settings decide how often the store is read

Cause: read in the code: the deployment's own bounds were decoded and not used; one with a bound below 3 s would have been late, one with 5 s was read too often.

Ruled out: nothing else unused was of weight (three names removed).

Change: watch and freshness are shares of the smaller bound, 1.95 and 2.7 s at 3 s; a planned stop ends well before the kill that the settings announce.

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -36,6 +36,7 @@
     SendCaller,
     SendPeer,
 )
+from notchhoist.flows.sharing import FRESH_SHARE
 from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.platform.readiness import status_for
@@ -44,12 +45,15 @@
     load_host_settings,
     settings_path,
 )
-from notchhoist.platform.store import StoreReader
+from notchhoist.platform.store import WATCH_SHARE, StoreReader
 
 LEAVE_S = 1.8
 """After a request to stop a balancer forwards for this long, seconds: routers
 ask twice a second and leave after two misses, and packets are under way."""
 
+LEAVE_SHARE = 0.6
+"""The same as a share of the time until a kill, where that is short."""
+
 AGENT_LEAVE_S = 0.05
 """An agent only tells the balancers; then a quick restart serves best."""
 
@@ -262,7 +266,8 @@
             self.loop.call_later(AGENT_LEAVE_S, self.loop.stop)
         else:
             self.node.stop()
-            self.loop.call_later(LEAVE_S, self.loop.stop)
+            leave_s = min(LEAVE_S, LEAVE_SHARE * self.settings.grace_s)
+            self.loop.call_later(leave_s, self.loop.stop)
 
 
 class StoreCalls(Struct, eq=False):
@@ -378,7 +383,10 @@
     daemon = make_daemon(settings, loop, journal)
     daemon.start()
     if isinstance(daemon.node, BalancerNode):
-        reader = StoreReader(make_draw(settings.name))
+        bound_s = min(settings.apply_s, settings.drain_s)
+        daemon.node.sharer.fresh_s = FRESH_SHARE * bound_s
+        draw = make_draw(settings.name)
+        reader = StoreReader(draw, WATCH_SHARE * bound_s)
         feeder = StoreFeeder(daemon.node, reader)
         StoreCalls(daemon, feeder, HttpCaller(loop, settings.store)).call()
     loop.run()
--- a/notchhoist/flows/agent.py
+++ b/notchhoist/flows/agent.py
@@ -44,7 +44,6 @@
 """The load is counted anew after this time, seconds: a walk over 3,300 flows
 takes 0.3 ms."""
 
-_HERE = (Phase.ACCEPTED, Phase.OPEN, Phase.CLOSED)
 _MINE = (Phase.OPEN, Phase.CLOSED, Phase.TRIED)
 
 
--- a/notchhoist/flows/sharing.py
+++ b/notchhoist/flows/sharing.py
@@ -30,9 +30,12 @@
 once a second, and one answer may be lost."""
 
 FRESH_S = 2.7
-"""What was confirmed within this time need not be read again, seconds: below
-the bound of 3 s for a change, above the 2 s that a reader's watch may last
-and the second until it is asked."""
+"""What was confirmed within this time need not be read again, seconds, where a
+change must be in force within 3 s: above the 2 s that a reader's watch may
+last and the half second until it is asked."""
+
+FRESH_SHARE = 0.9
+"""The same as a share of the bound."""
 
 MEMBERS_TOLD = 16
 RECORDS_A_PART = 12
@@ -59,6 +62,7 @@
         fleet: Takes what is new.
         seeds: Hosts of some balancers, from the settings.
         link_mbps: What this host's link carries, Mbit/s.
+        fresh_s: What was confirmed within this time need not be read again.
         members: When each balancer was last heard, by host.
         links: What their links carry.
         askers: When each balancer last asked, and the revision it has.
@@ -73,6 +77,7 @@
     fleet: FleetKeeper
     seeds: tuple[str, ...]
     link_mbps: int = 0
+    fresh_s: float = FRESH_S
     members: dict[str, float] = field(default_factory=dict)
     links: dict[str, int] = field(default_factory=dict)
     askers: dict[str, tuple[float, int]] = field(default_factory=dict)
@@ -108,7 +113,7 @@
 
     def must_read(self, now: float) -> bool:
         """Tells whether to read the store now."""
-        fresh = now - self.confirmed_at < FRESH_S
+        fresh = now - self.confirmed_at < self.fresh_s
         return not fresh or not self.board.fleet_known or self.is_reader(now)
 
     def on_confirmed(self, now: float) -> None:
--- a/notchhoist/flows/tests/test_sharing.py
+++ b/notchhoist/flows/tests/test_sharing.py
@@ -110,6 +110,17 @@
     assert quiet in fleet.readers()
 
 
+def test_a_longer_bound_is_used():
+    fleet = calm_fleet()
+    quiet = (set(HOSTS) - fleet.readers()).pop()
+    fleet.nodes[quiet].sharer.fresh_s = 4.5
+    fleet.cut = {quiet}
+    fleet.run(fleet.now + FRESH_S + 0.1)
+    assert not fleet.nodes[quiet].sharer.must_read(fleet.now) or (
+        fleet.nodes[quiet].sharer.is_reader(fleet.now)
+    )
+
+
 def test_another_balancer_reads_when_a_reader_dies():
     fleet = calm_fleet()
     dead = fleet.readers().pop()
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -24,8 +24,11 @@
 SERVERS_PREFIX = "servers/"
 
 WATCH_S = 2.0
-"""How long the store may hold a watch, seconds. A watch whose answer is lost
-says nothing more, and a change must be in force within 3 s."""
+"""How long the store may hold a watch, seconds, where a change must be in force
+within 3 s. A watch whose answer is lost says nothing more."""
+
+WATCH_SHARE = 0.65
+"""The same as a share of the bound; the rest is for noticing and reading."""
 
 ANSWER_S = 1.0
 """The store answers in 4 ms; when slow in a hundred times that, seconds."""
@@ -127,12 +130,12 @@
 
     Attributes:
         draw: Source of the jitter.
+        watch_s: How long the store may hold a watch, seconds.
         want: What the next call reads.
         revision: Everything up to this revision of the store is known.
         due: When to make the next call, seconds.
         failures: Failed calls in a row.
         calls: Calls so far.
-        answered_at: When the store last answered, seconds.
         listed: Entries of the pages read so far.
         refused: Ids of servers on them whose entries are wrong.
         page_after: Where the next page starts, or empty.
@@ -140,12 +143,12 @@
     """
 
     draw: Draw
+    watch_s: float = WATCH_S
     want: Want = Want.LISTING
     revision: int = 0
     due: float = 0.0
     failures: int = 0
     calls: int = 0
-    answered_at: float = float("-inf")
     listed: list[tuple[ServerEntry, int]] = field(default_factory=list)
     refused: set[str] = field(default_factory=set)
     page_after: str = ""
@@ -161,9 +164,9 @@
             return StoreCall(target, self._listing_timeout_s())
         target = (
             f"/kv-watch?path_prefix=&after={self.revision}"
-            f"&wait_ms={int(WATCH_S * 1000)}"
+            f"&wait_ms={int(self.watch_s * 1000)}"
         )
-        return StoreCall(target, WATCH_S + ANSWER_S)
+        return StoreCall(target, self.watch_s + ANSWER_S)
 
     def _listing_timeout_s(self) -> float:
         """Returns how long a listing may take; patience grows with failures.
@@ -212,7 +215,6 @@
         if status == 410 and self.want is Want.CHANGES:
             self.want = Want.LISTING
             self.due = now
-            self.answered_at = now
             return ()
         if status != 200:
             self.on_failed(now)
@@ -228,7 +230,6 @@
             self.on_failed(now)
             raise PlatformError("answer", str(error)) from error
         self.failures = 0
-        self.answered_at = now
         return events
 
     def _on_page(self, fields: Fields, now: float) -> list[StoreEvent]:
--- a/notchhoist/platform/tests/test_store.py
+++ b/notchhoist/platform/tests/test_store.py
@@ -76,6 +76,14 @@
     assert (made.revision, made.due) == (51, 1.0 + store.GATHER_S)
 
 
+def test_a_watch_lasts_as_long_as_the_bound_allows():
+    made = listed()
+    made.watch_s = 3.25
+    call = made.next_call()
+    assert call.target.endswith("wait_ms=3250")
+    assert call.timeout_s > 3.25
+
+
 def test_a_watch_without_news_is_renewed_at_once():
     made = listed()
     made.on_answer(200, changes(as_of=50), 3.0)
--- a/notchhoist/testing/opaque/callers.py
+++ b/notchhoist/testing/opaque/callers.py
@@ -44,7 +44,6 @@
     service: Address
     pending: Pending | None
     first_seq: int
-    opened_at: float
     end: StreamEnd | None = None
     data: bytes = b""
     closed: bool = False
@@ -108,7 +107,6 @@
             service=(SERVICE_HOST, pending.workload.port),
             pending=pending,
             first_seq=self.rng.getrandbits(32),
-            opened_at=now,
         )
         self.flows[flow.own] = flow
         self._send_opening(flow, 0)
