Only a sign of a flow is a find; silence is not

Ruled out: loss and load (it repeats); a wrong denial by the agent that held it.

Change: a flow that was only tried is 'unsure'; the agent says 'present' when the server answers; a search whose tried agents stay silent ends without a reset.

--- a/notchhoist/flows/agent.py
+++ b/notchhoist/flows/agent.py
@@ -114,7 +114,8 @@
 
     def _answer(self, host: str, segment: Segment, now: float) -> None:
         held = self.board.flows.get(segment.flow)
-        if held is not None and self._is_here(held, segment):
+        tried = held is not None and held.phase is Phase.TRIED
+        if held is not None and not tried and self._is_here(held, segment):
             kind = NoteKind.PRESENT
         elif notes.tag_of(segment) != self.board.tag or self._knows_all(now):
             kind = NoteKind.ABSENT
@@ -229,7 +230,7 @@
         if segment.accepts:
             self._on_accepted(held, segment, now)
         elif held.phase is Phase.TRIED:
-            held.phase = Phase.OPEN
+            self._on_confirmed(held, now)
         if segment.size:
             self.gate.on_answer(segment.flow, held, now)
         if segment.closes or segment.resets:
@@ -252,6 +253,12 @@
         if held.balancer and held.opening is not None:
             self._tell(held.balancer, NoteKind.TAKEN, held.opening, now)
 
+    def _on_confirmed(self, held: HeldFlow, now: float) -> None:
+        """Tells the balancer that a flow that was only tried is here."""
+        held.phase = Phase.OPEN
+        if held.balancer and held.sample is not None:
+            self._tell(held.balancer, NoteKind.PRESENT, held.sample, now)
+
     def _on_returned(self, segment: Segment, now: float) -> None:
         """Passes on what the backend server does not take or hold."""
         held = self.board.flows.pop(segment.flow, None)
--- a/notchhoist/flows/boards.py
+++ b/notchhoist/flows/boards.py
@@ -155,6 +155,7 @@
         sent_at: When it was last asked for, seconds.
         rounds: How many times it was asked for.
         asked: Hosts of all agents that were asked.
+        silent: An agent that was tried has shown nothing.
         denied_at: When every known agent had denied, or None.
     """
 
@@ -166,6 +167,7 @@
     sent_at: float = 0.0
     rounds: int = 0
     asked: set[str] = field(default_factory=set)
+    silent: bool = False
     denied_at: float | None = None
 
 
--- a/notchhoist/flows/finding.py
+++ b/notchhoist/flows/finding.py
@@ -12,7 +12,7 @@
 from notchhoist.flows.boards import BalancerBoard, Count, Placement, Search
 from notchhoist.flows.effects import SendAgent
 from notchhoist.flows.fleet import Server
-from notchhoist.flows.health import LOST_AFTER_S, HealthKeeper
+from notchhoist.flows.health import HealthKeeper
 from notchhoist.flows.notes import NoteKind
 from notchhoist.flows.resetting import FlowResetter
 from notchhoist.flows.segments import Segment, SegmentCodec
@@ -111,6 +111,8 @@
         """Takes an agent's answer."""
         search = self.board.searches.get(segment.flow)
         if search is None:
+            if kind is NoteKind.PRESENT:
+                self._learn(host, segment, now)
             return
         if kind is NoteKind.PRESENT:
             self._found(segment.flow, search, host, now)
@@ -123,6 +125,13 @@
         if not search.unanswered:
             self._next(segment.flow, search, now)
 
+    def _learn(self, host: str, segment: Segment, now: float) -> None:
+        """Takes word of a flow after its search has ended."""
+        server = self.board.by_host.get(host)
+        if server is not None and segment.flow not in self.board.flows:
+            placement = Placement(server, True, now, segment)
+            self.board.flows[segment.flow] = placement
+
     def on_returned(self, host: str, segment: Segment, now: float) -> None:
         """Takes a packet back whose flow is not at an agent's server."""
         flow = segment.flow
@@ -181,8 +190,24 @@
             return
         if self._widen(flow, search, now):
             return
+        if search.silent:
+            # Whoever was tried may hold the flow and be slow: leave it alone.
+            self._give_up(flow, search, "tried agents")
+            return
         search.denied_at = now
 
+    def _give_up(self, flow: bytes, search: Search, silent: str) -> None:
+        """Ends a search without a reset; the caller's next copy starts anew."""
+        del self.board.searches[flow]
+        self.board.records.counters[Count.FINDS_GIVEN_UP] += 1
+        self.board.records.decide(
+            "give up finding",
+            flow,
+            silent,
+            silent=sorted(search.unanswered),
+            rounds=search.rounds,
+        )
+
     def _widen(self, flow: bytes, search: Search, now: float) -> bool:
         """Asks all agents that were not asked yet; tells whether any are."""
         fresh = self._hosts_of(search.service) - search.asked
@@ -218,7 +243,9 @@
                     self._settle(flow, search, now)
             elif search.trying:
                 if now - search.sent_at >= TRY_WAIT_S:
-                    self._found(flow, search, search.trying, now)
+                    search.trying = ""
+                    search.silent = True
+                    self._next(flow, search, now)
             elif now - search.sent_at >= ASK_EVERY_S:
                 self._repeat(flow, search, now)
 
@@ -231,15 +258,7 @@
             self._next(flow, search, now)
         elif search.rounds >= ROUNDS_MAX:
             # An agent that restarts may hold the flow: leave it alone.
-            del self.board.searches[flow]
-            self.board.records.counters[Count.FINDS_GIVEN_UP] += 1
-            self.board.records.decide(
-                "give up finding",
-                flow,
-                "silent agents",
-                silent=sorted(search.unanswered),
-                lost_after_s=LOST_AFTER_S,
-            )
+            self._give_up(flow, search, "silent agents")
         elif not self._widen(flow, search, now):
             self._ask(flow, search, now)
 
--- a/notchhoist/flows/tests/test_agent.py
+++ b/notchhoist/flows/tests/test_agent.py
@@ -110,6 +110,17 @@
     assert to_balancer(effects) == [NoteKind.RETURNED]
 
 
+def test_a_flow_that_was_only_tried_is_not_said_to_be_here():
+    """Its server was gone, and the next balancer took the word for it."""
+    node = agent(known=False)
+    lost = request(data=b"x", ack=77)
+    send(node, lost, NoteKind.TRY)
+    assert to_balancer(send(node, lost, NoteKind.ASK)) == [NoteKind.UNSURE]
+    effects = node.on_backend(answer(data=b"y", ack=1), START + 0.05)
+    assert to_balancer(effects) == [NoteKind.PRESENT]
+    assert to_balancer(send(node, lost, NoteKind.ASK)) == [NoteKind.PRESENT]
+
+
 def test_a_returned_packet_is_good_for_another_server():
     node = agent(known=False)
     data = request(data=b"x")
--- a/notchhoist/flows/tests/test_balancer.py
+++ b/notchhoist/flows/tests/test_balancer.py
@@ -184,6 +184,20 @@
     assert (host, notes.kind_of(segment.note)) == ("10.0.0.2", NoteKind.TRY)
 
 
+def test_silence_of_an_agent_that_was_tried_is_no_find():
+    """A living flow was taken to be at a host that was leaving, and reset."""
+    node = balancer(servers=2)
+    lost = request(data=b"x")
+    node.on_caller(lost, 0.0)
+    tell(node, "10.0.0.1", lost, NoteKind.ABSENT, 0.002)
+    tell(node, "10.0.0.2", lost, NoteKind.UNSURE, 0.003)
+    effects = node.tick(0.2)
+    assert lost.flow not in node.board.flows
+    assert not resets(effects)
+    tell(node, "10.0.0.2", lost, NoteKind.PRESENT, 0.3)
+    assert node.board.flows[lost.flow].server.entry.server_id == "s2"
+
+
 def test_a_returned_packet_starts_a_search_elsewhere():
     node = balancer()
     host = open_flow(node)
