A dead flow is reset as soon as the platform has confirmed the list

Cause: after every host lost power, callers whose flows were dead waited 0.7 s after all agents had denied the flow, in case another balancer knew a newer server. Every retry after such a reset counted as 0.7 s old, also of requests that had just been made.

Ruled out: a shorter fixed wait (word of a new server takes up to 0.4 s on a narrow link); trusting the list that a new process has just read (entries of living servers lapse while the store is away and take 2 s to return).

Change: where every agent denies, the balancer reads the store's newest changes at once, beside its watch, at most five times a second. What was published before the packet came is known then, so the flow is reset. The old wait stays where the store failed within 2.2 s or the balancer is younger than that, unless every server of the service has just started. A retry carries its real age.

Tests: the ones added to test_balancer.py; against the code before they fail at import, there being no ConfirmView.

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -7,7 +7,7 @@
 import os
 import signal
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from msgspec import Struct, field
 from msgspec.structs import replace
@@ -29,6 +29,7 @@
 from notchhoist.flows.boards import Count
 from notchhoist.flows.effects import (
     CheckBackend,
+    ConfirmView,
     Effect,
     SendAgent,
     SendBackend,
@@ -78,6 +79,7 @@
         peers: Socket of packets between balancers and agents.
         control: Socket of control messages.
         tick_timer: The next tick.
+        confirm: Reads the store at once; set where the process may call it.
     """
 
     settings: HostSettings
@@ -89,6 +91,7 @@
     peers: socket.socket
     control: socket.socket
     tick_timer: Timer = field(default_factory=lambda: Timer(float("inf"), None))
+    confirm: Callable[[], None] | None = None
 
     def start(self) -> None:
         """Begins to serve."""
@@ -182,6 +185,9 @@
                 self._send_peer(effect)
             case CheckBackend():
                 self._check_backend()
+            case ConfirmView():
+                if self.confirm is not None:
+                    self.confirm()
 
     def _send_peer(self, effect: SendPeer) -> None:
         from notchhoist.flows.message_codec import encode_message
@@ -277,11 +283,13 @@
         daemon: The process.
         feeder: Decides the calls.
         caller: Makes them.
+        confirmer: Makes those that cannot wait for a watch to end.
     """
 
     daemon: FlowDaemon
     feeder: StoreFeeder
     caller: HttpCaller
+    confirmer: HttpCaller
 
     def call(self) -> None:
         """Makes the next call, if one is needed."""
@@ -301,6 +309,21 @@
         self.feeder.on_failed(reason, self.daemon.loop.clock())
         self._schedule()
 
+    def confirm(self) -> None:
+        """Makes a call beside the others; one is under way at the most."""
+        call = self.feeder.confirming_call()
+        clock = self.daemon.loop.clock
+
+        def on_done(status: int, body: bytes) -> None:
+            effects = self.feeder.on_confirmation(status, body, clock())
+            self.daemon.perform(effects)
+
+        def on_failed(reason: str) -> None:
+            effects = self.feeder.on_confirmation_failed(reason, clock())
+            self.daemon.perform(effects)
+
+        self.confirmer.get(call.target, call.timeout_s, on_done, on_failed)
+
     def _schedule(self) -> None:
         self.daemon.perform(self.feeder.node.take_effects())
         due = self.feeder.reader.due
@@ -388,6 +411,13 @@
         draw = make_draw(settings.name)
         reader = StoreReader(draw, WATCH_SHARE * bound_s)
         feeder = StoreFeeder(daemon.node, reader)
-        StoreCalls(daemon, feeder, HttpCaller(loop, settings.store)).call()
+        calls = StoreCalls(
+            daemon,
+            feeder,
+            HttpCaller(loop, settings.store),
+            HttpCaller(loop, settings.store),
+        )
+        daemon.confirm = calls.confirm
+        calls.call()
     loop.run()
     journal.log("stopped")
--- a/notchhoist/flows/__init__.py
+++ b/notchhoist/flows/__init__.py
@@ -14,8 +14,9 @@
 * ``placing``: pure functions that choose a backend server.
 * ``held``: the flows of one backend server, as its agent sees them.
 * ``boards``: the blackboard of each role.
-* ``opening``, ``finding``, ``health``, ``resetting``, ``fleet_keeper``: the
-  balancer's controllers; ``admitting``: the agent's.
+* ``completeness``: a pure function on whether every server is known.
+* ``confirming``, ``opening``, ``finding``, ``health``, ``resetting``,
+  ``fleet_keeper``: the balancer's controllers; ``admitting``: the agent's.
 * ``balancer``, ``agent``: the two nodes.
 
 Modules are imported by name; see ``notchhoist.base`` for the reason.
--- a/notchhoist/flows/balancer.py
+++ b/notchhoist/flows/balancer.py
@@ -5,6 +5,7 @@
 from notchhoist.base.draws import make_draw
 from notchhoist.flows import notes
 from notchhoist.flows.boards import BalancerBoard, Count
+from notchhoist.flows.confirming import ViewConfirmer
 from notchhoist.flows.effects import Effect, SendAgent
 from notchhoist.flows.finding import FlowFinder
 from notchhoist.flows.fleet import Route
@@ -141,6 +142,14 @@
                 self.sharer.on_tell(host, message, now)
         return self.take_effects()
 
+    def on_view_confirmed(self, confirmed: bool, now: float) -> list[Effect]:
+        """Takes the outcome of ``ConfirmView``."""
+        if confirmed:
+            self.finder.on_view_confirmed(now)
+        else:
+            self.finder.confirmer.on_failed(now)
+        return self.take_effects()
+
     def tick(self, now: float) -> list[Effect]:
         """Does what is due."""
         self.opener.tick(now)
@@ -216,6 +225,6 @@
         resetter=resetter,
         health=health,
         opener=FlowOpener(board, codec, health, resetter, make_draw(seed)),
-        finder=FlowFinder(board, codec, health, resetter),
+        finder=FlowFinder(board, codec, health, resetter, ViewConfirmer(board)),
         sharer=ViewSharer(board, fleet, seeds, link_mbps),
     )
--- a/notchhoist/flows/boards.py
+++ b/notchhoist/flows/boards.py
@@ -42,6 +42,7 @@
     FOUND_NOWHERE = "found_nowhere"
     FINDS_GIVEN_UP = "finds_given_up"
     RESETS = "resets"
+    VIEWS_CONFIRMED = "views_confirmed"
     SUSPECTED = "suspected"
     LOST = "lost"
     RETURNED = "returned"
@@ -154,6 +155,7 @@
             suspicion, or empty.
         sent_at: When it was last asked for, seconds.
         rounds: How many times it was asked for.
+        since: When it began, seconds.
         asked: Hosts of all agents that were asked.
         silent: An agent that was tried has shown nothing.
         denied_at: When every known agent had denied, or None.
@@ -166,6 +168,7 @@
     trying: str = ""
     sent_at: float = 0.0
     rounds: int = 0
+    since: float = 0.0
     asked: set[str] = field(default_factory=set)
     silent: bool = False
     denied_at: float | None = None
@@ -183,6 +186,8 @@
         by_service: The same by service.
         by_host: The newest one on each host.
         fleet_known: The list of servers has been read.
+        known_since: When it was first read, seconds.
+        store_failed_at: When the store last failed this process, seconds.
         flows: Where flows are, least recently used first.
         openings: New flows that wait for a server.
         searches: Flows that are being looked for.
@@ -199,6 +204,8 @@
     by_service: dict[str, list[Server]] = field(default_factory=dict)
     by_host: dict[str, Server] = field(default_factory=dict)
     fleet_known: bool = False
+    known_since: float = float("inf")
+    store_failed_at: float = float("-inf")
     flows: collections.OrderedDict[bytes, Placement] = field(
         default_factory=collections.OrderedDict
     )
--- /dev/null
+++ b/notchhoist/flows/completeness.py
@@ -0,0 +1,46 @@
+"""Whether a balancer may miss backend servers that hold flows.
+
+A flow that every known agent denies is dead only if no other agent could hold
+it. Servers that the platform publishes are known once its store has been read
+after the flow's packet came. Two kinds of servers are not published although
+they live: those whose entries lapsed while the store was away, and those that
+a balancer which has just started never saw listed.
+"""
+
+from collections.abc import Sequence
+
+from notchhoist.flows.fleet import Server
+
+RETURN_S = 2.2
+"""An entry that lapsed while the store was away is back within about 2 s of the
+store's return; a tenth more for clocks and delays."""
+
+
+def is_complete(
+    servers: Sequence[Server],
+    known_since: float,
+    store_failed_at: float,
+    now: float,
+) -> bool:
+    """Tells whether every living server of a service is among the known ones.
+
+    Where all of them are still slow from their start, the whole service has
+    started anew, and nothing older than this balancer is left.
+
+    Examples:
+        >>> is_complete([], known_since=0.0, store_failed_at=1.0, now=4.0)
+        True
+        >>> is_complete([], known_since=3.0, store_failed_at=1.0, now=4.0)
+        False
+
+    Args:
+        servers: Known servers of the service.
+        known_since: When this balancer first had the list, seconds.
+        store_failed_at: When the store last failed it, seconds.
+        now: Runtime clock, seconds.
+    """
+    if now - store_failed_at < RETURN_S:
+        return False
+    if now - known_since >= RETURN_S:
+        return True
+    return bool(servers) and all(now < server.warm_at for server in servers)
--- a/notchhoist/flows/effects.py
+++ b/notchhoist/flows/effects.py
@@ -43,6 +43,10 @@
     """Finds out whether the backend server on this host still listens."""
 
 
+class ConfirmView(Struct, frozen=True):
+    """Reads at once what the platform has published since the last time."""
+
+
 Effect = (
     SendAgent
     | SendBalancer
@@ -50,4 +54,5 @@
     | SendBackend
     | SendPeer
     | CheckBackend
+    | ConfirmView
 )
--- a/notchhoist/flows/finding.py
+++ b/notchhoist/flows/finding.py
@@ -10,11 +10,13 @@
 
 from notchhoist.flows import notes, placing
 from notchhoist.flows.boards import BalancerBoard, Count, Placement, Search
+from notchhoist.flows.completeness import is_complete
+from notchhoist.flows.confirming import ViewConfirmer
 from notchhoist.flows.effects import SendAgent
 from notchhoist.flows.fleet import Server
 from notchhoist.flows.health import HealthKeeper
 from notchhoist.flows.notes import NoteKind
-from notchhoist.flows.resetting import FlowResetter
+from notchhoist.flows.resetting import RETRY_AGE_S, FlowResetter
 from notchhoist.flows.segments import Segment, SegmentCodec
 
 WAITING_MAX = 16
@@ -31,9 +33,15 @@
 """An unsure agent has this long to return a packet, seconds."""
 
 DENIED_WAIT_S = 0.7
-"""Time before a flow that nobody holds is reset, seconds. Another balancer may
-have placed it at a server that is not known here yet: word of it takes 0.25 s
-to be gathered, and 0.4 s where a link of 5 Mbit/s is full."""
+"""Time before a flow that nobody holds is reset, seconds, where the platform
+has not confirmed that every server is known. Another balancer may have placed
+the flow at a server that is not known here yet: word of it takes 0.25 s to be
+gathered, and 0.4 s where a link of 5 Mbit/s is full."""
+
+COPY_WITHIN_S = 0.85
+"""A caller's next copy comes within this time while it has sent fewer than
+four, seconds; the pauses are 0.2, 0.4 and 0.8 s. A balancer that has listened
+for longer and meets data for the first time has the original."""
 
 SEARCHES_MAX = 20_000
 """Searches at one time; more are left to the caller's next copy."""
@@ -47,12 +55,14 @@
         codec: Codec of the packets.
         health: Watches over the agents.
         resetter: Ends flows.
+        confirmer: Has the list of servers confirmed.
     """
 
     board: BalancerBoard
     codec: SegmentCodec
     health: HealthKeeper
     resetter: FlowResetter
+    confirmer: ViewConfirmer
 
     def on_unknown(
         self, service: str, segment: Segment, now: float, absent_at: str = ""
@@ -78,7 +88,7 @@
         hosts = {item.entry.host for item in few if not item.lost}
         hosts.discard(absent_at)
         asked = hosts | {absent_at}
-        search = Search(service, [segment], hosts, [], asked=asked)
+        search = Search(service, [segment], hosts, [], since=now, asked=asked)
         board.searches[segment.flow] = search
         board.records.counters[Count.FINDS] += 1
         self._ask(segment.flow, search, now)
@@ -195,6 +205,26 @@
             self._give_up(flow, search, "tried agents")
             return
         search.denied_at = now
+        self._settle_if_known(flow, search, now)
+
+    def _settle_if_known(self, flow: bytes, search: Search, now: float) -> None:
+        """Ends a search that every agent has denied, once it may."""
+        board = self.board
+        known = board.by_service.get(search.service, [])
+        if search.denied_at is None or not is_complete(
+            known, board.known_since, board.store_failed_at, now
+        ):
+            return
+        if self.confirmer.known_at >= search.since:
+            self._settle(flow, search, now)
+        else:
+            self.confirmer.want(now)
+
+    def on_view_confirmed(self, now: float) -> None:
+        """Takes account of a confirmation by the platform."""
+        self.confirmer.on_confirmed()
+        for flow, search in list(self.board.searches.items()):
+            self._settle_if_known(flow, search, now)
 
     def _give_up(self, flow: bytes, search: Search, silent: str) -> None:
         """Ends a search without a reset; the caller's next copy starts anew."""
@@ -229,18 +259,29 @@
             search.waiting[-1],
             "found nowhere",
             now,
+            self._age_s(search, now),
             service=search.service,
+            searched_s=round(now - search.since, 3),
+            confirmed=self.confirmer.known_at >= search.since,
             rounds=search.rounds,
             asked=len(search.asked),
             revision=self.board.view.revision,
         )
 
+    def _age_s(self, search: Search, now: float) -> float:
+        """Returns how long the caller of a lost flow has waited, seconds."""
+        if search.since - self.board.known_since < COPY_WITHIN_S:
+            return RETRY_AGE_S
+        return now - search.since
+
     def tick(self, now: float) -> None:
         """Asks again, and decides where an agent keeps silent."""
         for flow, search in list(self.board.searches.items()):
             if search.denied_at is not None:
                 if now - search.denied_at >= DENIED_WAIT_S:
                     self._settle(flow, search, now)
+                else:
+                    self._settle_if_known(flow, search, now)
             elif search.trying:
                 if now - search.sent_at >= TRY_WAIT_S:
                     search.trying = ""
@@ -264,14 +305,15 @@
 
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
+        next_call = self.confirmer.due()
         return min(
-            (_due(search) for search in self.board.searches.values()),
+            (_due(item, next_call) for item in self.board.searches.values()),
             default=float("inf"),
         )
 
 
-def _due(search: Search) -> float:
+def _due(search: Search, next_call: float) -> float:
     """Returns when a search next needs attention, seconds."""
     if search.denied_at is not None:
-        return search.denied_at + DENIED_WAIT_S
+        return min(search.denied_at + DENIED_WAIT_S, next_call)
     return search.sent_at + (TRY_WAIT_S if search.trying else ASK_EVERY_S)
--- a/notchhoist/flows/fleet_keeper.py
+++ b/notchhoist/flows/fleet_keeper.py
@@ -61,7 +61,9 @@
         for server_id in list(self.board.view.servers):
             if server_id not in listed:
                 self.on_removed(server_id, revision, now)
-        self.board.fleet_known = True
+        if not self.board.fleet_known:
+            self.board.fleet_known = True
+            self.board.known_since = now
 
     def on_entry(self, entry: ServerEntry, revision: int, now: float) -> None:
         """Takes an entry that is new or has changed."""
@@ -87,6 +89,7 @@
             service=entry.service,
             server_host=entry.host,
             zone=entry.zone,
+            warm_in_s=entry.warm_in_s,
             revision=revision,
         )
         self._index()
--- a/notchhoist/flows/resetting.py
+++ b/notchhoist/flows/resetting.py
@@ -11,8 +11,9 @@
 crossings of a few ms, and the caller's own pause."""
 
 RETRY_AGE_S = 0.7
-"""How long the caller of a retried request is taken to have waited, seconds:
-the most that a note can say, so that it counts as late."""
+"""How long the caller of a retried request is taken to have waited where
+nothing is known of it, seconds: the most that a note can say, so that it counts
+as late."""
 
 RETRIES_MAX = 10_000
 
@@ -23,15 +24,23 @@
     Attributes:
         board: What the balancer knows.
         codec: Codec of the packets.
-        expected: When each caller of a service address was last reset.
+        expected: When each caller of a service address began to wait for the
+            request that its last reset ended, and when that reset went out.
     """
 
     board: BalancerBoard
     codec: SegmentCodec
-    expected: dict[tuple[str, bytes], float] = field(default_factory=dict)
+    expected: dict[tuple[str, bytes], tuple[float, float]] = field(
+        default_factory=dict
+    )
 
     def reset(
-        self, segment: Segment, reason: str, now: float, **inputs: object
+        self,
+        segment: Segment,
+        reason: str,
+        now: float,
+        age_s: float = RETRY_AGE_S,
+        **inputs: object,
     ) -> None:
         """Resets the flow of a caller's packet.
 
@@ -39,6 +48,7 @@
             segment: The packet; the reset lies in its window.
             reason: Why, for the log.
             now: Runtime clock, seconds.
+            age_s: How long the caller has been waiting, seconds.
             inputs: What decided it, for the log.
         """
         board = self.board
@@ -47,7 +57,8 @@
         reset = self.codec.make_reset(segment)
         board.outbox.append(SendCaller(segment.caller, reset))
         if len(self.expected) < RETRIES_MAX:
-            self.expected[segment.caller, segment.service_key] = now
+            key = (segment.caller, segment.service_key)
+            self.expected[key] = (now - age_s, now)
 
     def waited_s(self, segment: Segment, now: float) -> float:
         """Returns how long the caller of an opening packet has waited.
@@ -55,18 +66,19 @@
         A flow that begins right after a reset carries a retry of an older
         request.
         """
-        reset_at = self.expected.pop(
-            (segment.caller, segment.service_key), None
-        )
-        if reset_at is not None and now - reset_at < RETRY_WITHIN_S:
-            return RETRY_AGE_S
-        return segment.waited_s
+        retry = self.expected.pop((segment.caller, segment.service_key), None)
+        if retry is None:
+            return segment.waited_s
+        asked_at, reset_at = retry
+        if now - reset_at >= RETRY_WITHIN_S:
+            return segment.waited_s
+        return now - asked_at
 
     def sweep(self, now: float) -> None:
         """Forgets retries that did not come."""
         old = [
             key
-            for key, reset_at in self.expected.items()
+            for key, (_, reset_at) in self.expected.items()
             if now - reset_at >= RETRY_WITHIN_S
         ]
         for key in old:
--- a/notchhoist/flows/tests/test_balancer.py
+++ b/notchhoist/flows/tests/test_balancer.py
@@ -4,7 +4,12 @@
 
 from notchhoist.flows import notes
 from notchhoist.flows.balancer import make_balancer
-from notchhoist.flows.effects import SendAgent, SendCaller, SendPeer
+from notchhoist.flows.effects import (
+    ConfirmView,
+    SendAgent,
+    SendCaller,
+    SendPeer,
+)
 from notchhoist.flows.finding import DENIED_WAIT_S
 from notchhoist.flows.health import PROBES_PER_S
 from notchhoist.flows.messages import LoadTell
@@ -359,3 +364,92 @@
     node.stop()
     assert not node.is_ready
     assert packets(node.on_caller(request(flags=flags, data=b""), 0.1))
+
+
+def deny_everywhere(node, lost, now, servers=2):
+    """Lets every agent deny a flow; returns the last effects."""
+    effects = node.on_caller(lost, now)
+    for number in range(1, servers + 1):
+        host = f"10.0.0.{number}"
+        effects = tell(node, host, lost, NoteKind.ABSENT, now + 0.002)
+    return effects
+
+
+def confirms(effects):
+    return [item for item in effects if isinstance(item, ConfirmView)]
+
+
+def test_a_denied_flow_is_reset_once_the_platform_has_confirmed_the_list():
+    """After a power loss callers waited 0.7 s more for each dead flow."""
+    node = balancer(servers=2)
+    lost = request(data=b"x", ack=77)
+    effects = deny_everywhere(node, lost, 5.0)
+    assert len(confirms(effects)) == 1
+    assert not resets(effects)
+    assert len(resets(node.on_view_confirmed(True, 5.008))) == 1
+
+
+def test_a_server_that_a_confirmation_brings_is_asked_before_a_reset():
+    node = balancer(servers=2)
+    lost = request(data=b"x")
+    deny_everywhere(node, lost, 5.0)
+    node.fleet.on_entry(entry(3), 5, 5.008)
+    effects = node.on_view_confirmed(True, 5.008)
+    assert not resets(effects)
+    assert [host for host, _ in packets(effects)] == ["10.0.0.3"]
+
+
+def test_a_confirmation_asked_for_before_the_packet_came_proves_nothing():
+    node = balancer(servers=2)
+    deny_everywhere(node, request(data=b"x"), 5.0)
+    later = request(data=b"x", port=40002)
+    assert not confirms(deny_everywhere(node, later, 5.004))
+    effects = node.on_view_confirmed(True, 5.008)
+    assert len(resets(effects)) == 1
+    assert later.flow in node.board.searches
+    assert confirms(node.tick(5.21))
+    assert len(resets(node.on_view_confirmed(True, 5.22))) == 1
+
+
+@pytest.mark.parametrize("failed_at", [3.5, 4.9])
+def test_entries_may_have_lapsed_while_the_store_was_away(failed_at):
+    node = balancer(servers=2)
+    node.board.store_failed_at = failed_at
+    lost = request(data=b"x")
+    assert not confirms(deny_everywhere(node, lost, 5.0))
+    assert not resets(node.tick(5.3))
+    assert len(resets(node.tick(5.002 + DENIED_WAIT_S))) == 1
+
+
+def test_a_balancer_that_has_just_started_may_miss_a_lapsed_server():
+    node = balancer(servers=2, now=4.0)
+    assert not confirms(deny_everywhere(node, request(data=b"x"), 5.0))
+
+
+def test_a_service_that_has_started_anew_holds_nothing_old():
+    node = make_balancer("a", CODEC, "seed")
+    node.fleet.on_table(crafting.table(), 1)
+    entries = [(entry(n, warm_in_s=2.0), 1) for n in (1, 2)]
+    node.fleet.on_listing(entries, 1, 4.0)
+    assert confirms(deny_everywhere(node, request(data=b"x"), 5.0))
+
+
+def test_a_confirmation_that_fails_leaves_the_wait():
+    node = balancer(servers=2)
+    lost = request(data=b"x")
+    deny_everywhere(node, lost, 5.0)
+    assert not resets(node.on_view_confirmed(False, 5.5))
+    assert len(resets(node.tick(5.002 + DENIED_WAIT_S))) == 1
+
+
+def test_a_retry_of_a_flow_that_was_lost_just_now_is_not_late():
+    """Every retry counted as 0.7 s old and gave way to all others."""
+    node = balancer(servers=1)
+    lost = request(data=b"x")
+    deny_everywhere(node, lost, 5.0, servers=1)
+    node.on_view_confirmed(True, 5.008)
+    open_flow(node, 5.02, port=40002)
+    [(_, segment)] = packets(
+        node.on_caller(request(data=b"x", port=40002), 5.03)
+    )
+    assert notes.wish_of(segment.note).age_s <= 0.1
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -4,6 +4,7 @@
 
 from notchhoist.base.errors import PlatformError
 from notchhoist.flows.balancer import BalancerNode
+from notchhoist.flows.effects import Effect
 from notchhoist.platform import store
 from notchhoist.platform.store import StoreCall, StoreEvent, StoreReader
 
@@ -44,7 +45,7 @@
         try:
             events = self.reader.on_answer(status, body, now)
         except PlatformError as error:
-            self._note_lost(str(error))
+            self._note_lost(str(error), now)
             return
         if self.lost:
             self.lost = False
@@ -59,9 +60,34 @@
     def on_failed(self, reason: str, now: float) -> None:
         """Takes account of a call without an answer."""
         self.reader.on_failed(now)
-        self._note_lost(reason)
+        self._note_lost(reason, now)
 
-    def _note_lost(self, reason: str) -> None:
+    def confirming_call(self) -> StoreCall:
+        """Returns the call that confirms what is known."""
+        return self.reader.confirming_call(self.node.board.view.revision)
+
+    def on_confirmation(
+        self, status: int, body: bytes, now: float
+    ) -> list[Effect]:
+        """Takes the answer to a ``confirming_call``."""
+        try:
+            changes = store.read_confirmation(status, body)
+        except PlatformError as error:
+            return self.on_confirmation_failed(str(error), now)
+        for event in changes.events:
+            self._apply(event, now)
+        self.node.board.view.reach(changes.revision)
+        self.node.sharer.on_confirmed(now)
+        return self.node.on_view_confirmed(True, now)
+
+    def on_confirmation_failed(self, reason: str, now: float) -> list[Effect]:
+        """Takes account of a ``confirming_call`` without a usable answer."""
+        self.node.board.store_failed_at = now
+        self._decide("confirmation failed", reason)
+        return self.node.on_view_confirmed(False, now)
+
+    def _note_lost(self, reason: str, now: float) -> None:
+        self.node.board.store_failed_at = now
         if not self.lost:
             self.lost = True
             self._decide("store lost", reason)
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -33,6 +33,10 @@
 ANSWER_S = 1.0
 """The store answers in 4 ms; when slow in a hundred times that, seconds."""
 
+CONFIRM_TIMEOUT_S = 0.5
+"""A confirmation that takes longer than this helps nobody, seconds: without it
+the decision falls 0.7 s after the question."""
+
 LISTING_FIRST_S = 0.5
 LISTING_MAX_S = 4.0
 """Bounds of the time for a listing. The store answers in 4 ms, in 0.4 s when
@@ -125,6 +129,20 @@
 )
 
 
+class StoreChanges(Struct, frozen=True):
+    """What a watch has told.
+
+    Attributes:
+        events: What concerns this system.
+        told: There was anything at all.
+        revision: Everything up to this revision is known now.
+    """
+
+    events: list[StoreEvent]
+    told: bool
+    revision: int
+
+
 class StoreReader(Struct, eq=False):
     """Decides the next call and reads the answers.
 
@@ -168,6 +186,15 @@
         )
         return StoreCall(target, self.watch_s + ANSWER_S)
 
+    def confirming_call(self, revision: int) -> StoreCall:
+        """Returns a call for what is newer than a revision, answered at once.
+
+        It goes beside the others and does not change what comes next.
+        """
+        self.calls += 1
+        target = f"/kv-watch?path_prefix=&after={revision}&wait_ms=1"
+        return StoreCall(target, CONFIRM_TIMEOUT_S)
+
     def _listing_timeout_s(self) -> float:
         """Returns how long a listing may take; patience grows with failures.
 
@@ -262,17 +289,34 @@
         return events
 
     def _on_changes(self, fields: Fields, now: float) -> list[StoreEvent]:
-        events = []
-        told = False
-        for item in fields.items("events"):
-            told = True
-            key = item.text("key")
-            event = _event(key, item)
-            if event is not None:
-                events.append(event)
-        self.revision = max(self.revision, fields.integer("as_of", 0, 1 << 62))
-        self.due = now + GATHER_S if told else now
-        return events
+        changes = _changes(fields)
+        self.revision = max(self.revision, changes.revision)
+        self.due = now + GATHER_S if changes.told else now
+        return changes.events
+
+
+def read_confirmation(status: int, body: bytes) -> StoreChanges:
+    """Reads the answer to a ``confirming_call``.
+
+    Raises:
+        PlatformError: The answer is of no use.
+    """
+    if status != 200:
+        raise PlatformError("confirmation", f"status {status}")
+    try:
+        return _changes(Fields(decode_json(body, "answer"), "answer"))
+    except FieldError as error:
+        raise PlatformError("confirmation", str(error)) from error
+
+
+def _changes(fields: Fields) -> StoreChanges:
+    items = list(fields.items("events"))
+    events = [_event(item.text("key"), item) for item in items]
+    return StoreChanges(
+        events=[event for event in events if event is not None],
+        told=bool(items),
+        revision=fields.integer("as_of", 0, 1 << 62),
+    )
 
 
 def _quoted(key: str) -> str:
--- a/notchhoist/testing/opaque/store_link.py
+++ b/notchhoist/testing/opaque/store_link.py
@@ -61,6 +61,33 @@
                 lambda: self._answer_call(host, generation, number, call),
             )
 
+    def confirm(self, host: Host, generation: int) -> None:
+        """Makes a call that is answered at once, beside the others."""
+        if host.feeder is None:
+            return
+        call = host.feeder.confirming_call()
+        self.world.store.calls += 1
+        trouble = self.world.store.trouble_for(host.ip)
+        cut = self.world.is_cut(host.ip, host.ip)
+        delay = self.world.store.answer_s + self.world.cross_zone_s
+        if trouble in ("silent", "reset") or cut:
+            delay = call.timeout_s
+
+        def take() -> None:
+            if host.generation != generation or host.feeder is None:
+                return
+            feeder, now = host.feeder, self.world.now
+            if trouble or cut:
+                todo = feeder.on_confirmation_failed(trouble or "cut", now)
+            else:
+                query = dict(parse_qsl(urlsplit(call.target).query))
+                status, body = self.world.store.read_changes(query)
+                body = self.world.store.no_changes() if body is None else body
+                todo = feeder.on_confirmation(status, body, now)
+            self.world.perform(host, todo)
+
+        self.world.later(delay, take)
+
     def _answer_call(
         self,
         host: Host,
--- a/notchhoist/testing/opaque/world.py
+++ b/notchhoist/testing/opaque/world.py
@@ -284,6 +284,8 @@
                     self._to_server(host, effect.datagram)
                 case effects.CheckBackend():
                     self.later(LOCAL_S, lambda: self._check(host))
+                case effects.ConfirmView():
+                    self.store_link.confirm(host, host.generation)
 
     def _to_process(self, source: Host, target: str, raw: bytes) -> None:
         host = self.hosts.get(target)
