An answer's end counts where it overtakes the data

Cause: the latency histogram and the smoothed service time of an agent held no booking.

Ruled out: slots that stay taken (they were freed by the FIN too).

Change: a FIN counts as the answer of the request that runs.

Test: shown failing before the change (no service time at all).

--- a/notchhoist/flows/agent.py
+++ b/notchhoist/flows/agent.py
@@ -231,7 +231,8 @@
             self._on_accepted(held, segment, now)
         elif held.phase is Phase.TRIED:
             self._on_confirmed(held, now)
-        if segment.size:
+        if segment.size or segment.closes:
+            # The end of an answer may overtake its data.
             self.gate.on_answer(segment.flow, held, now)
         if segment.closes or segment.resets:
             held.phase = Phase.CLOSED
--- a/notchhoist/flows/tests/test_agent.py
+++ b/notchhoist/flows/tests/test_agent.py
@@ -1,5 +1,7 @@
 """An agent: offering, holding, giving back, and who gets a slot."""
 
+import pytest
+
 from notchhoist.flows import notes
 from notchhoist.flows.agent import UNSURE_S, make_agent
 from notchhoist.flows.effects import (
@@ -283,3 +285,15 @@
     ask(node, 2)
     load = node.load(START + 1)
     assert (load.flows, load.running) == (2, 2)
+
+
+def test_an_answer_whose_end_overtakes_its_data_is_timed():
+    """The end of a booking's answer comes first, so no booking was timed."""
+    node = agent(slots=3)
+    accept(node, 1)
+    ask(node, 1)
+    end = answer(flags=FIN | ACK, seq=SERVER_SEQ + 2, ack=10, port=1)
+    node.on_backend(end, START + 0.08)
+    reply(node, 1, START + 0.081)
+    assert node.board.pace_s == pytest.approx(0.08)
+    assert not node.board.active
