A balancer that hears nobody is not ready

Cause: an entry host that was cut off from every other host went on answering its routers with 200, so its share of the callers had no service for the whole cut. Callers' retries were used up by resets "no server takes it".

Ruled out: leaving on silence of the agents alone (where the agents have died, every balancer would leave at once); leaving on half of the agents being silent (both sides of a split would); a stale view (the store may be away for all).

Change: where no agent that was asked answers for 0.15 s, six other balancers are asked; where none of them is heard for 0.3 s either, /ready says 503 until somebody is heard. New flows that no agent takes while none is heard are not reset: the caller's copies reach another balancer once the routers have moved.

--- a/notchhoist/flows/__init__.py
+++ b/notchhoist/flows/__init__.py
@@ -16,7 +16,8 @@
 * ``boards``: the blackboard of each role.
 * ``completeness``: a pure function on whether every server is known.
 * ``confirming``, ``opening``, ``finding``, ``health``, ``resetting``,
-  ``fleet_keeper``: the balancer's controllers; ``admitting``: the agent's.
+  ``fleet_keeper``, ``sharing``, ``isolation``: the balancer's controllers;
+  ``admitting``: the agent's.
 * ``balancer``, ``agent``: the two nodes.
 
 Modules are imported by name; see ``notchhoist.base`` for the reason.
--- a/notchhoist/flows/balancer.py
+++ b/notchhoist/flows/balancer.py
@@ -11,6 +11,7 @@
 from notchhoist.flows.fleet import Route
 from notchhoist.flows.fleet_keeper import FleetKeeper
 from notchhoist.flows.health import HealthKeeper
+from notchhoist.flows.isolation import IsolationKeeper
 from notchhoist.flows.messages import (
     LoadTell,
     PeerMessage,
@@ -41,6 +42,7 @@
         opener: Places new flows.
         finder: Finds flows that are not known here.
         sharer: Shares with other balancers what is published.
+        isolation: Notices when nobody else is heard.
         sweep_due: When old knowledge is next forgotten, seconds.
     """
 
@@ -52,6 +54,7 @@
     opener: FlowOpener
     finder: FlowFinder
     sharer: ViewSharer
+    isolation: IsolationKeeper
     sweep_due: float = 0.0
 
     @property
@@ -59,7 +62,7 @@
         """Whether routers should send flows here."""
         board = self.board
         known = board.table is not None and board.fleet_known
-        return known and not board.stopping
+        return known and not board.stopping and not board.isolated
 
     def on_caller(self, segment: Segment, now: float) -> list[Effect]:
         """Takes a packet of a caller."""
@@ -155,6 +158,7 @@
         self.opener.tick(now)
         self.finder.tick(now)
         self.health.tick(now)
+        self.isolation.tick(now)
         self.sharer.tick(now)
         if now >= self.sweep_due:
             self.sweep_due = now + SWEEP_S
@@ -218,6 +222,7 @@
     resetter = FlowResetter(board, codec)
     health = HealthKeeper(board, resetter)
     fleet = FleetKeeper(board)
+    sharer = ViewSharer(board, fleet, seeds, link_mbps)
     return BalancerNode(
         board=board,
         codec=codec,
@@ -226,5 +231,6 @@
         health=health,
         opener=FlowOpener(board, codec, health, resetter, make_draw(seed)),
         finder=FlowFinder(board, codec, health, resetter, ViewConfirmer(board)),
-        sharer=ViewSharer(board, fleet, seeds, link_mbps),
+        sharer=sharer,
+        isolation=IsolationKeeper(board, health, sharer),
     )
--- a/notchhoist/flows/boards.py
+++ b/notchhoist/flows/boards.py
@@ -45,6 +45,8 @@
     VIEWS_CONFIRMED = "views_confirmed"
     SUSPECTED = "suspected"
     LOST = "lost"
+    ISOLATED = "isolated"
+    LEFT_TO_OTHERS = "left_to_others"
     RETURNED = "returned"
     HELD = "held"
     HELD_TOO_LONG = "held_too_long"
@@ -194,6 +196,7 @@
         records: Counters and decisions.
         outbox: What is to be done.
         stopping: A planned stop has begun.
+        isolated: Nobody else is heard, neither agents nor balancers.
     """
 
     zone: str
@@ -214,6 +217,7 @@
     records: Records = field(default_factory=Records)
     outbox: list[Effect] = field(default_factory=list)
     stopping: bool = False
+    isolated: bool = False
 
 
 class AgentBoard(Struct, eq=False):
--- a/notchhoist/flows/health.py
+++ b/notchhoist/flows/health.py
@@ -43,11 +43,13 @@
         board: What the balancer knows.
         resetter: Ends flows.
         waiting: Servers whose agents owe an answer, by id.
+        heard_at: When any agent was last heard, seconds.
     """
 
     board: BalancerBoard
     resetter: FlowResetter
     waiting: dict[str, Server] = field(default_factory=dict)
+    heard_at: float = float("-inf")
 
     def expect(self, server: Server, now: float) -> None:
         """Notes that a packet went to a server; asks if its load is old."""
@@ -73,6 +75,7 @@
         server = self.board.by_host.get(host)
         if server is None:
             return
+        self.heard_at = now
         self.waiting.pop(server.entry.server_id, None)
         if server.suspected:
             self.board.records.decide(
@@ -112,6 +115,10 @@
             silent_s=round(now - server.heard_at, 3),
         )
 
+    def hears_nobody(self, now: float) -> bool:
+        """Tells whether agents owe answers and none of them is heard."""
+        return bool(self.waiting) and now - self.heard_at >= SUSPECT_AFTER_S
+
     def _hears_others(self, now: float) -> bool:
         """Tells whether silence is the agents' and not this host's.
 
--- a/notchhoist/flows/opening.py
+++ b/notchhoist/flows/opening.py
@@ -135,6 +135,17 @@
         flow = opening.segment.flow
         board.openings.pop(flow, None)
         board.flows.pop(flow, None)
+        if self.health.hears_nobody(now):
+            # The caller's copies go to another balancer once routers notice.
+            board.records.counters[Count.LEFT_TO_OTHERS] += 1
+            board.records.decide(
+                "leave to others",
+                flow,
+                "no agent is heard",
+                tried=len(opening.tried),
+                silent_s=round(now - self.health.heard_at, 3),
+            )
+            return
         board.records.counters[Count.REFUSED] += 1
         self.resetter.reset(
             opening.segment,
--- a/notchhoist/flows/sharing.py
+++ b/notchhoist/flows/sharing.py
@@ -6,6 +6,7 @@
 """
 
 import zlib
+from collections.abc import Iterable
 
 from msgspec import Struct, field
 
@@ -37,6 +38,9 @@
 FRESH_SHARE = 0.9
 """The same as a share of the bound."""
 
+ASKED_WIDELY = 6
+"""Balancers that are asked at once by one that hears no agent."""
+
 MEMBERS_TOLD = 16
 RECORDS_A_PART = 12
 """Routes and servers in one message: about 1,100 bytes at 90 bytes each."""
@@ -70,6 +74,7 @@
         pushed: Revision that the askers were last told.
         ask_due: When to ask next, seconds.
         turn: Counts the questions.
+        heard_at: When any other balancer was last heard, seconds.
         incoming: Parts of views, by sender and revision.
     """
 
@@ -85,6 +90,7 @@
     pushed: int = 0
     ask_due: float = 0.0
     turn: int = 0
+    heard_at: float = float("-inf")
     incoming: dict[tuple[str, int], _Parts] = field(default_factory=dict)
 
     def alive(self, now: float) -> list[str]:
@@ -123,7 +129,7 @@
 
     def on_ask(self, host: str, ask: ViewAsk, now: float) -> None:
         """Answers another balancer."""
-        self.members[host] = now
+        self.members[host] = self.heard_at = now
         self.links[host] = ask.link_mbps
         self.askers[host] = (now, ask.revision)
         self._tell(host, ask.revision, now)
@@ -161,7 +167,7 @@
 
     def on_tell(self, host: str, tell: ViewTell, now: float) -> None:
         """Takes what another balancer knows."""
-        self.members[host] = now
+        self.members[host] = self.heard_at = now
         for member in tell.members:
             heard_at = now - member.age_ms / 1000
             known = self.members.get(member.host, float("-inf"))
@@ -209,9 +215,7 @@
             hosts.append(seeds[self.turn // 4 % len(seeds)])
         if not self.board.fleet_known:
             hosts = [*asked, *seeds]
-        for host in dict.fromkeys(hosts):
-            message = ViewAsk(self.board.view.revision, self.link_mbps)
-            self.board.outbox.append(SendPeer(host, message))
+        self._ask(hosts)
         for host in [
             h for h, at in self.members.items() if now - at > FORGET_S
         ]:
@@ -221,6 +225,24 @@
             if now - parts.since > PARTS_KEPT_S:
                 del self.incoming[key]
 
+    def _ask(self, hosts: Iterable[str]) -> None:
+        for host in dict.fromkeys(hosts):
+            message = ViewAsk(self.board.view.revision, self.link_mbps)
+            self.board.outbox.append(SendPeer(host, message))
+
+    def _others(self) -> list[str]:
+        """Returns every balancer that was heard of lately or is a seed."""
+        hosts = [*self.members, *self.seeds]
+        return [host for host in hosts if host != self.board.host]
+
+    def knows_others(self) -> bool:
+        """Tells whether there are other balancers at all."""
+        return bool(self._others())
+
+    def ask_widely(self) -> None:
+        """Asks several balancers at once; any answer shows a path."""
+        self._ask(self._others()[:ASKED_WIDELY])
+
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
         return self.ask_due
