A soak of the real daemons with faults from outside

Change: notchhoist/testing/soak plays seeds with real daemons on loopback. Callers, backend servers, routers, the store and proxies on every path are one process; 22 troubles by signals and proxies come in series and overlap. Promises are checked from what callers and backend servers see, and at the end from metrics, logs and memory. A daemon may bind another address than the one by which it is known (`bind_ip`), so that a proxy can stand between two daemons.

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -100,7 +100,7 @@
         loop.on_readable(self.peers, self._on_peers)
         loop.on_readable(self.control, self._on_control)
         open_http_port(loop, self.settings.ready, self._answer)
-        metrics_at = (self.settings.ip, METRICS_PORT)
+        metrics_at = (self.settings.bind_ip, METRICS_PORT)
         open_http_port(loop, metrics_at, self._answer_metrics)
         _watch_signals(loop, self._on_signal)
         self.journal.log(
@@ -383,8 +383,8 @@
         codec=codec,
         journal=journal,
         packets=datagrams.open_socket(packets),
-        peers=datagrams.open_socket((settings.ip, first)),
-        control=datagrams.open_socket((settings.ip, first + 1)),
+        peers=datagrams.open_socket((settings.bind_ip, first)),
+        control=datagrams.open_socket((settings.bind_ip, first + 1)),
     )
 
 
--- a/notchhoist/daemon/tests/test_flow_processes.py
+++ b/notchhoist/daemon/tests/test_flow_processes.py
@@ -1,7 +1,6 @@
 """The daemon as real processes: a balancer, an agent, and small stand-ins."""
 
 import contextlib
-import http.server
 import json
 import os
 import signal
@@ -22,6 +21,7 @@
     encode_frame,
 )
 from notchhoist.testing.opaque.store import StoreModel
+from notchhoist.testing.soak.store_port import store_server
 
 BALANCER, AGENT, CALLER, STORE = (
     "127.9.0.1",
@@ -46,41 +46,6 @@
     raise AssertionError(f"{check} stayed false")
 
 
-@contextlib.contextmanager
-def store_server(model):
-    """Serves a store model over HTTP."""
-
-    class Handler(http.server.BaseHTTPRequestHandler):
-        protocol_version = "HTTP/1.1"
-
-        def do_GET(self):
-            path, _, text = self.path.partition("?")
-            query = dict(part.split("=") for part in text.split("&"))
-            status, body = 200, None
-            if path == "/kv-range":
-                body = model.read_range(query)
-            else:
-                status, body = model.read_changes(query)
-                if body is None:
-                    PAUSE.wait(0.2)
-                    body = model.no_changes()
-            self.send_response(status)
-            self.send_header("Content-Length", str(len(body)))
-            self.end_headers()
-            self.wfile.write(body)
-
-        def log_message(self, *_):
-            pass
-
-    server = http.server.ThreadingHTTPServer((STORE, 0), Handler)
-    server.daemon_threads = True
-    thread = threading.Thread(target=server.serve_forever, daemon=True)
-    thread.start()
-    yield server.server_address[1]
-    server.shutdown()
-    server.server_close()
-
-
 def settings(role, store_port):
     ip = BALANCER if role == "front" else AGENT
     listen = {
@@ -157,7 +122,7 @@
         },
     )
     processes = {}
-    with store_server(model) as port:
+    with store_server(model, STORE) as port:
         for role in ("front", "side"):
             path = tmp_path / f"{role}.json"
             path.write_text(json.dumps(settings(role, port)))
--- a/notchhoist/platform/settings.py
+++ b/notchhoist/platform/settings.py
@@ -21,7 +21,8 @@
     Attributes:
         name: Name of its host.
         zone: Availability zone.
-        ip: IP number of the host.
+        ip: IP number of the host, as other processes know it.
+        bind_ip: IP number to bind; another one behind address translation.
         balances: It is a balancer; else an agent.
         packets: Where packets arrive from routers or balancers.
         ready: Where the platform asks whether it is ready.
@@ -40,6 +41,7 @@
     name: str
     zone: str
     ip: str
+    bind_ip: str
     balances: bool
     packets: Address
     ready: Address
@@ -96,6 +98,8 @@
         name=fields.text("node"),
         zone=fields.text("zone"),
         ip=fields.text("ip"),
+        # Not among the platform's fields; our own harnesses give it.
+        bind_ip=fields.text("bind_ip" if fields.has("bind_ip") else "ip"),
         balances=balances,
         packets=_address(listen, "datagram_addr"),
         ready=_address(listen, "ready"),
--- a/notchhoist/testing/opaque/judge.py
+++ b/notchhoist/testing/opaque/judge.py
@@ -55,6 +55,10 @@
         """Notes a disruption that is not planned."""
         self.last_disruption = max(self.last_disruption, now)
 
+    def is_calm(self, now: float) -> bool:
+        """Tells whether bounds of time hold."""
+        return now - self.last_disruption >= CONTACT_S
+
     def break_rule(self, rule: str, detail: str, now: float) -> None:
         """Notes that something happened that must not."""
         self.broken.append(f"{now:.3f} {rule}: {detail}")
@@ -77,7 +81,7 @@
             self.resets["by the server"] += 1
         elif not alive:
             self.resets["server gone"] += 1
-        elif now - self.last_disruption < CONTACT_S:
+        elif not self.is_calm(now):
             self.resets["during a disruption"] += 1
         else:
             self.resets["unexcused"] += 1
--- a/notchhoist/testing/opaque/published.py
+++ b/notchhoist/testing/opaque/published.py
@@ -1,9 +1,9 @@
 """Documents as operators and backend servers write them into the store."""
 
 from collections.abc import Iterable
+from typing import Protocol
 
 from notchhoist.testing.opaque.callers import SERVICE_HOST
-from notchhoist.testing.opaque.hosts import Host
 from notchhoist.testing.opaque.servers import COLD_S, ServerModel
 from notchhoist.testing.opaque.traffic import Workload
 
@@ -11,7 +11,21 @@
 SERVER_PORT = 8080
 
 
-def entry_of(host: Host, server: ServerModel, now: float) -> dict[str, object]:
+class Located(Protocol):
+    """A host of a backend server."""
+
+    @property
+    def ip(self) -> str:
+        """IP number that the entry names."""
+
+    @property
+    def zone(self) -> str:
+        """Its availability zone."""
+
+
+def entry_of(
+    host: Located, server: ServerModel, now: float
+) -> dict[str, object]:
     """Returns what a backend server announces of itself."""
     cold_s = max(0.0, server.started_at + COLD_S - now)
     return {
--- a/notchhoist/testing/opaque/store.py
+++ b/notchhoist/testing/opaque/store.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import random
+import threading
 
 import attrs
 
@@ -32,6 +33,8 @@
         down: ``""``, ``silent``, ``busy`` (503), ``many`` (429) or ``reset``.
         down_for: Hosts that it is down for; all of them where this is empty.
         lost_share: Share of the answers that are lost.
+        lock: Held while items change or are read; real daemons read them from
+            other threads.
     """
 
     rng: random.Random
@@ -45,9 +48,14 @@
     down: str = ""
     down_for: frozenset[str] = frozenset()
     lost_share: float = 0.0
+    lock: threading.Lock = attrs.Factory(threading.Lock)
 
     def put(self, key: str, value: object) -> None:
         """Writes an item."""
+        with self.lock:
+            self._put(key, value)
+
+    def _put(self, key: str, value: object) -> None:
         self.revision += 1
         known = self.items.get(key)
         text = json.dumps(value).encode()
@@ -62,16 +70,18 @@
 
     def remove(self, key: str) -> None:
         """Removes an item."""
-        if self.items.pop(key, None) is None:
-            return
-        self.revision += 1
-        item = {"key": key, "revision": self.revision, "removed": True}
-        self.history.append(Change(self.revision, key, item))
+        with self.lock:
+            if self.items.pop(key, None) is None:
+                return
+            self.revision += 1
+            item = {"key": key, "revision": self.revision, "removed": True}
+            self.history.append(Change(self.revision, key, item))
 
     def compact(self) -> None:
         """Forgets the history."""
-        self.compacted_to = self.revision
-        self.history.clear()
+        with self.lock:
+            self.compacted_to = self.revision
+            self.history.clear()
 
     def trouble_for(self, host: str) -> str:
         """Returns how it fails a host, or an empty text."""
@@ -81,6 +91,10 @@
 
     def read_range(self, query: dict[str, str]) -> bytes:
         """Answers ``/kv-range``."""
+        with self.lock:
+            return self._read_range(query)
+
+    def _read_range(self, query: dict[str, str]) -> bytes:
         prefix, after = query.get("path_prefix", ""), query.get("after", "")
         keys = sorted(
             key for key in self.items if key.startswith(prefix) and key > after
@@ -95,6 +109,10 @@
 
     def read_changes(self, query: dict[str, str]) -> tuple[int, bytes | None]:
         """Answers ``/kv-watch``; no body while there is nothing to tell."""
+        with self.lock:
+            return self._read_changes(query)
+
+    def _read_changes(self, query: dict[str, str]) -> tuple[int, bytes | None]:
         after = int(query["after"])
         if after < self.compacted_to:
             return 410, b""
--- /dev/null
+++ b/notchhoist/testing/soak/addresses.py
@@ -0,0 +1,55 @@
+"""Loopback addresses of a run, so that several can go on side by side."""
+
+import attrs
+
+FIRST_BLOCK = 32
+"""Second octet of the first block; lower ones are used by other tests."""
+
+BLOCKS = 60
+OCTETS_A_BLOCK = 3
+
+PACKETS_PORT = 28_172
+READY_PORT = 28_167
+OUTBOUND_PORT = 28_162
+SERVER_PORT = 28_165
+STORE_PORT = 28_169
+PEER_PORTS = (27_720, 27_735)
+
+
+@attrs.frozen
+class Block:
+    """The addresses of one run.
+
+    Each daemon has an address of its own and one under which the others know
+    it; a proxy listens at the second.
+
+    Attributes:
+        number: Number of the block, from 0.
+    """
+
+    number: int
+
+    def _prefix(self, part: int) -> str:
+        octet = FIRST_BLOCK + self.number % BLOCKS * OCTETS_A_BLOCK + part
+        return f"127.{octet}"
+
+    def own(self, zone: int, number: int) -> str:
+        """Returns the address that a daemon binds."""
+        return f"{self._prefix(0)}.{zone + 1}.{number + 1}"
+
+    def known(self, zone: int, number: int) -> str:
+        """Returns the address that the other daemons use for it.
+
+        Examples:
+            >>> Block(0).own(1, 3), Block(0).known(1, 3)
+            ('127.32.2.4', '127.33.2.4')
+        """
+        return f"{self._prefix(1)}.{zone + 1}.{number + 1}"
+
+    def caller(self, zone: int, number: int) -> str:
+        """Returns the address of a caller."""
+        return f"{self._prefix(2)}.{zone + 1}.{number + 1}"
+
+    def store(self) -> str:
+        """Returns the address of the store itself."""
+        return f"{self._prefix(2)}.200.1"
--- /dev/null
+++ b/notchhoist/testing/soak/ends.py
@@ -0,0 +1,242 @@
+"""Callers and backend servers of a run, on real sockets."""
+
+import random
+import socket
+from functools import partial
+
+import attrs
+
+from notchhoist.base import datagrams
+from notchhoist.daemon.loop import Loop
+from notchhoist.testing.opaque.callers import CallerModel
+from notchhoist.testing.opaque.frames import (
+    SYN,
+    Address,
+    Frame,
+    decode_frame,
+    encode_frame,
+    is_genuine,
+)
+from notchhoist.testing.opaque.judge import Judge
+from notchhoist.testing.opaque.servers import ServerModel
+from notchhoist.testing.opaque.traffic import Workload
+from notchhoist.testing.soak import addresses
+from notchhoist.testing.soak.daemons import Daemon
+from notchhoist.testing.soak.routers import Routers
+
+KEY = b"not told to the daemons"
+CALLERS_A_ZONE = 4
+DRAIN_S = 3.0
+"""A server that leaves gets no flow that is opened later than this, seconds."""
+
+COPIES_S = 0.7
+"""A copy of an opening packet comes up to 0.6 s after the first one."""
+
+
+@attrs.define(eq=False)
+class ServerPlace:
+    """A host with a backend server and an agent.
+
+    Attributes:
+        daemon: The agent.
+        slots: Requests that the server works on at once.
+        server: The server that runs there, or None.
+        packets: Its UDP socket.
+        listener: Its TCP socket, by which it shows that it listens.
+        draining_since: When it announced that it leaves, seconds.
+    """
+
+    daemon: Daemon
+    slots: int
+    server: ServerModel | None = None
+    packets: socket.socket | None = None
+    listener: socket.socket | None = None
+    draining_since: float = float("inf")
+
+    @property
+    def ip(self) -> str:
+        """IP number that its entry names."""
+        return self.daemon.known
+
+    @property
+    def zone(self) -> str:
+        """Its availability zone."""
+        return self.daemon.zone
+
+
+@attrs.define(eq=False)
+class Ends:
+    """Every end of a flow.
+
+    Attributes:
+        loop: The event loop.
+        rng: Source of every draw.
+        judge: Sees what they see.
+        routers: Take the callers' packets.
+        requests: Kind of each request by its number.
+        callers: Callers by zone.
+        places: Hosts of backend servers.
+        sockets: The callers' sockets by IP number.
+        numbers: Servers started so far.
+    """
+
+    loop: Loop
+    rng: random.Random
+    judge: Judge
+    routers: Routers
+    requests: dict[int, Workload] = attrs.Factory(dict)
+    callers: dict[str, CallerModel] = attrs.Factory(dict)
+    places: list[ServerPlace] = attrs.Factory(list)
+    sockets: dict[str, socket.socket] = attrs.Factory(dict)
+    numbers: int = 0
+
+    def _later(self, delay: float, action: object) -> None:
+        self.loop.call_later(delay, action)  # type: ignore[arg-type]
+
+    def add_callers(self, zone: str, hosts: list[str]) -> None:
+        """Adds the callers of a zone.
+
+        Raises:
+            OSError: An address cannot be bound.
+        """
+        model = CallerModel(
+            zone=zone,
+            hosts=hosts,
+            rng=random.Random(self.rng.random()),
+            judge=self.judge,
+            send=lambda frame: self._from_caller(zone, frame),
+            later=self._later,
+            register=self._register,
+            is_alive=self._is_alive,
+        )
+        self.callers[zone] = model
+        for host in hosts:
+            sock = datagrams.open_socket((host, addresses.PACKETS_PORT))
+            self.sockets[host] = sock
+            self.loop.on_readable(sock, partial(self._to_caller, model, sock))
+
+    def _register(self, workload: Workload) -> int:
+        number = len(self.requests) + 1
+        self.requests[number] = workload
+        return number
+
+    def _is_alive(self, caller: Address, service: Address) -> bool:
+        return any(
+            place.server is not None and place.server.holds((caller, service))
+            for place in self.places
+        )
+
+    def _from_caller(self, zone: str, frame: Frame) -> None:
+        daemon = self.routers.pick(zone, f"{frame.src}{frame.dst}")
+        if daemon is None:
+            return
+        raw = encode_frame(frame, KEY)
+        to = (daemon.own, addresses.PACKETS_PORT)
+        datagrams.send(self.sockets[frame.src[0]], raw, to)
+
+    def _to_caller(self, model: CallerModel, sock: socket.socket) -> None:
+        for raw, _ in datagrams.receive_batch(sock):
+            now = self.loop.clock()
+            frame = self._read(raw, "MIXED", now)
+            if frame is not None:
+                model.on_frame(frame, now)
+
+    def _read(self, raw: bytes, rule: str, now: float) -> Frame | None:
+        """Reads a packet; one that its sender did not write breaks a rule."""
+        try:
+            frame = decode_frame(raw)
+        except ValueError as error:
+            self.judge.break_rule(rule, str(error), now)
+            return None
+        own_reset = rule == "MIXED" and frame.checksum == 0
+        if not own_reset and not is_genuine(frame, KEY):
+            self.judge.break_rule(rule, f"forged packet {frame.src}", now)
+            return None
+        return frame
+
+    def start_server(self, place: ServerPlace) -> ServerModel:
+        """Starts a new incarnation of a backend server.
+
+        Raises:
+            OSError: Its address cannot be bound.
+        """
+        self.numbers += 1
+        address = (place.daemon.own, addresses.SERVER_PORT)
+        packets = datagrams.open_socket(address)
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind(address)
+        listener.listen()
+        to_agent = (place.daemon.own, addresses.OUTBOUND_PORT)
+        server = ServerModel(
+            server_id=f"i{self.numbers:05}",
+            service=place.daemon.service,
+            rng=random.Random(self.rng.random()),
+            judge=self.judge,
+            send=lambda frame: self._send(packets, frame, to_agent),
+            later=self._later,
+            workloads=self.requests,
+            slots=place.slots,
+            started_at=self.loop.clock(),
+        )
+        place.server = server
+        place.packets, place.listener = packets, listener
+        place.draining_since = float("inf")
+        self.loop.on_readable(packets, lambda: self._to_server(place, packets))
+        self.loop.on_readable(listener, lambda: _take_and_close(listener))
+        return server
+
+    def _send(self, sock: socket.socket, frame: Frame, to: Address) -> None:
+        datagrams.send(sock, encode_frame(frame, KEY), to)
+
+    def _to_server(self, place: ServerPlace, sock: socket.socket) -> None:
+        for raw, _ in datagrams.receive_batch(sock):
+            now = self.loop.clock()
+            frame = self._read(raw, "UNASKED", now)
+            if frame is not None and place.server is not None:
+                self._check_leaving(place, place.server, frame, now)
+                place.server.on_frame(frame, now)
+
+    def _check_leaving(
+        self, place: ServerPlace, server: ServerModel, frame: Frame, now: float
+    ) -> None:
+        late = now - place.draining_since > DRAIN_S + COPIES_S
+        if frame.flags & SYN and late and self.judge.is_calm(now):
+            text = f"{server.server_id} left long ago and gets a flow"
+            self.judge.break_rule("DRAIN", text, now)
+
+    def end_server(self, place: ServerPlace) -> None:
+        """Ends a backend server without a word."""
+        if place.server is not None:
+            place.server.alive = False
+        for sock in (place.packets, place.listener):
+            if sock is not None:
+                self.loop.forget(sock)
+                sock.close()
+        place.packets = place.listener = None
+
+    def tick(self, now: float) -> None:
+        """Sends copies that are due."""
+        for model in self.callers.values():
+            model.tick(now)
+        for place in self.places:
+            if place.server is not None and place.server.alive:
+                place.server.tick(now)
+
+    def close(self) -> None:
+        """Closes every socket."""
+        for place in self.places:
+            self.end_server(place)
+        for sock in self.sockets.values():
+            self.loop.forget(sock)
+            sock.close()
+
+
+def _take_and_close(listener: socket.socket) -> None:
+    """Shows that somebody listens, nothing more."""
+    try:
+        sock, _ = listener.accept()
+    except OSError:
+        return  # It was broken off before it was taken.
+    sock.close()
--- /dev/null
+++ b/notchhoist/testing/soak/fleet.py
@@ -0,0 +1,270 @@
+"""A fleet of real daemons with everything around them."""
+
+import random
+import time
+from collections import Counter
+from functools import partial
+from pathlib import Path
+
+import attrs
+
+from notchhoist.daemon.loop import Loop
+from notchhoist.testing.opaque import published
+from notchhoist.testing.opaque.judge import Judge
+from notchhoist.testing.opaque.store import StoreModel
+from notchhoist.testing.opaque.traffic import Workload
+from notchhoist.testing.soak import addresses
+from notchhoist.testing.soak.addresses import Block
+from notchhoist.testing.soak.daemons import Daemon
+from notchhoist.testing.soak.datagram_proxy import DatagramProxy
+from notchhoist.testing.soak.ends import CALLERS_A_ZONE, Ends, ServerPlace
+from notchhoist.testing.soak.routers import Routers
+from notchhoist.testing.soak.stream_proxy import StreamProxy, open_stream_proxy
+
+ZONES = ("war-memorial", "castlecliff", "aramoho")
+SERVICES = {"hallbook": 2, "scoredrop": 1}
+"""Backend servers in each zone."""
+
+SLOTS = 3
+APPLY_S = 3.0
+"""A configuration is in force after this, seconds."""
+
+TICK_S = 0.02
+TEND_S = 0.05
+SEEDS = 3
+LAG_S = 0.25
+"""A turn of the loop that takes longer held up everything around the daemons,
+seconds: half of what a balancer waits for an agent. It counts as a fault."""
+
+WORKLOADS = (
+    Workload(
+        *("roster-feed", "safe", "hallbook", 8443, 24, 40, 60, 2000),
+        *(0.5, 6.0, 2, 1.0, 0.3, True),
+    ),
+    Workload(
+        *("slot-booking", "unsafe", "hallbook", 8080, 8, 50, 900, 600),
+        *(0.5, 6.0, 1, 2.0, 0.6),
+    ),
+    Workload(
+        *("score-upload", "upload", "scoredrop", 9443, 3, 6, 20_000, 300),
+        *(1.0, 8.0),
+    ),
+)
+"""Rates that one process can play beside thirty daemons."""
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Everything in one run.
+
+    Attributes:
+        rng: Source of every draw.
+        block: Its addresses.
+        folder: Where settings and logs go.
+        per_zone: Balancers in each zone.
+        factor: Backend servers in each zone, as a factor on ``SERVICES``.
+        loop: The event loop.
+        judge: What was seen.
+        store: The store's model.
+        store_port: Port of the store itself.
+        proxy: Carries datagrams between daemons.
+        routers: Hand out callers' packets.
+        ends: Callers and backend servers.
+        balancers: Daemons on entry hosts.
+        streams: Each daemon's path to the store, by its name.
+        version: Version of the configuration.
+        troubled: Faults that last, by name; while there are any, bounds of
+            time do not hold.
+        drops: How many troubles have dropped a kind's route.
+        without: Kinds of request that nobody asks for meanwhile.
+        asking: Callers ask.
+        lag_s: Longest turn of the loop so far, seconds.
+    """
+
+    rng: random.Random
+    block: Block
+    folder: Path
+    store_port: int
+    store: StoreModel
+    per_zone: int = 1
+    factor: int = 1
+    loop: Loop = attrs.Factory(lambda: Loop(time.monotonic))
+    judge: Judge = attrs.Factory(Judge)
+    proxy: DatagramProxy = attrs.field(init=False)
+    routers: Routers = attrs.field(init=False)
+    ends: Ends = attrs.field(init=False)
+    balancers: list[Daemon] = attrs.Factory(list)
+    streams: dict[str, StreamProxy] = attrs.Factory(dict)
+    version: int = 0
+    troubled: set[str] = attrs.Factory(set)
+    drops: Counter[str] = attrs.Factory(Counter)
+    without: set[str] = attrs.Factory(set)
+    asking: bool = False
+    lag_s: float = 0.0
+    ticked_at: float = float("inf")
+
+    def __attrs_post_init__(self) -> None:
+        self.proxy = DatagramProxy(self.loop, random.Random(self.rng.random()))
+        self.routers = Routers(self.loop)
+        self.ends = Ends(
+            self.loop,
+            random.Random(self.rng.random()),
+            self.judge,
+            self.routers,
+        )
+
+    @property
+    def agents(self) -> list[Daemon]:
+        """Daemons beside backend servers."""
+        return [place.daemon for place in self.ends.places]
+
+    @property
+    def daemons(self) -> list[Daemon]:
+        """All daemons."""
+        return self.balancers + self.agents
+
+    def build(self) -> None:
+        """Makes the fleet and starts it.
+
+        Raises:
+            OSError: An address cannot be bound.
+        """
+        for zone_number, zone in enumerate(ZONES):
+            number = 0
+            for _ in range(self.per_zone):
+                self._add_balancer(zone_number, number)
+                number += 1
+            for service, count in SERVICES.items():
+                for _ in range(count * self.factor):
+                    self._add_server(zone_number, number, service)
+                    number += 1
+            hosts = [
+                self.block.caller(zone_number, item)
+                for item in range(CALLERS_A_ZONE)
+            ]
+            self.ends.add_callers(zone, hosts)
+        self.publish()
+        seeds = [daemon.known for daemon in self.balancers[:SEEDS]]
+        for daemon in self.daemons:
+            daemon.write_settings(seeds)
+        self._tend()
+        self._tick()
+        self.routers.probe()
+
+    def _daemon(self, zone: int, number: int, service: str) -> Daemon:
+        daemon = Daemon(
+            name=f"{service or 'entry'}-{zone}-{number}",
+            zone=ZONES[zone],
+            own=self.block.own(zone, number),
+            known=self.block.known(zone, number),
+            service=service,
+            folder=self.folder,
+        )
+        self.proxy.add(daemon.own, daemon.known)
+        return daemon
+
+    def _add_balancer(self, zone: int, number: int) -> None:
+        daemon = self._daemon(zone, number, "")
+        self.balancers.append(daemon)
+        self.routers.add(daemon)
+        self.streams[daemon.name] = open_stream_proxy(
+            self.loop,
+            (daemon.known, addresses.STORE_PORT),
+            (self.block.store(), self.store_port),
+        )
+
+    def _add_server(self, zone: int, number: int, service: str) -> None:
+        place = ServerPlace(self._daemon(zone, number, service), SLOTS)
+        self.ends.places.append(place)
+        self.start_server(place)
+
+    def start_server(self, place: ServerPlace) -> None:
+        """Starts a backend server, which announces itself."""
+        self.ends.start_server(place)
+        self.announce(place)
+
+    def announce(self, place: ServerPlace) -> None:
+        """Writes a server's entry, as it does itself."""
+        server = place.server
+        if server is not None and server.alive:
+            entry = published.entry_of(place, server, self.loop.clock())
+            self.store.put(f"servers/{server.server_id}", entry)
+
+    def publish(self) -> None:
+        """Publishes a new version of the configuration."""
+        self.version += 1
+        kinds = [item for item in WORKLOADS if not self.drops[item.name]]
+        text = published.configuration_of(self.version, kinds)
+        self.store.put("op/config", text)
+
+    def drop_route(self, name: str) -> None:
+        """Drops a route; its callers ask for nothing until it is back."""
+        self.drops[name] += 1
+        self.without.add(name)
+        self.publish()
+
+    def restore_route(self, name: str) -> None:
+        """Publishes a dropped route again; callers use it once it is known."""
+        self.drops[name] -= 1
+        self.publish()
+        self.loop.call_later(APPLY_S, lambda: self._use_again(name))
+
+    def _use_again(self, name: str) -> None:
+        if not self.drops[name]:
+            self.without.discard(name)
+
+    def disturb(self) -> None:
+        """Notes a disruption that is not planned."""
+        self.judge.disturb(self.loop.clock())
+
+    def begin_traffic(self) -> None:
+        """Lets the callers ask at random moments."""
+        self.asking = True
+        for workload in WORKLOADS:
+            self._ask_later(workload)
+
+    def _ask_later(self, workload: Workload) -> None:
+        pause = self.rng.expovariate(workload.per_s)
+        self.loop.call_later(pause, partial(self._ask, workload))
+
+    def _ask(self, workload: Workload) -> None:
+        if not self.asking:
+            return
+        if workload.name not in self.without:
+            zone = self.rng.choice(ZONES)
+            self.ends.callers[zone].ask(workload, self.loop.clock())
+        self._ask_later(workload)
+
+    def _tick(self) -> None:
+        now = self.loop.clock()
+        lag = now - self.ticked_at - TICK_S
+        self.ticked_at = now
+        self.lag_s = max(self.lag_s, lag)
+        if self.troubled or lag > LAG_S:
+            self.disturb()
+        self.ends.tick(now)
+        self.loop.call_later(TICK_S, self._tick)
+
+    def _tend(self) -> None:
+        now = self.loop.clock()
+        for daemon in self.daemons:
+            status = daemon.tend(now)
+            if status is not None:
+                text = f"{daemon.name} ended by itself with {status}"
+                self.judge.break_rule("EXIT", text, now)
+        self.loop.call_later(TEND_S, self._tend)
+
+    def run_until(self, when: float) -> None:
+        """Lets time pass."""
+        self.loop.running = True
+        self.loop.call_at(when, self.loop.stop)
+        self.loop.run()
+
+    def close(self) -> None:
+        """Ends everything that was started."""
+        for daemon in self.daemons:
+            daemon.end()
+        self.ends.close()
+        self.proxy.close()
+        for stream in self.streams.values():
+            stream.close()
--- /dev/null
+++ b/notchhoist/testing/soak/plan.py
@@ -0,0 +1,63 @@
+"""Which troubles come when, by seed."""
+
+import random
+from collections.abc import Sequence
+
+import attrs
+
+from notchhoist.testing.soak.troubles import TROUBLES
+
+PLANNED_SHARE = 0.25
+"""Share of the seeds with planned work only, on which every bound holds all the
+time."""
+
+SERIES_SHARE = 0.3
+"""Share of the troubles that come again at once, in series."""
+
+GAP_S = (0.1, 3.0)
+LAST_S = (0.5, 4.0)
+
+
+@attrs.frozen
+class Step:
+    """One trouble of a run.
+
+    Attributes:
+        at: When it begins, seconds from the start of the troubles.
+        name: Its name.
+        for_s: How long it lasts, seconds.
+        seed: Seed of its own draws.
+    """
+
+    at: float
+    name: str
+    for_s: float
+    seed: float
+
+
+def make_plan(seed: int, length_s: float) -> Sequence[Step]:
+    """Returns the troubles of a seed, in the order of time.
+
+    Examples:
+        >>> make_plan(3, 20.0) == make_plan(3, 20.0)
+        True
+        >>> all(step.at < 20.0 for step in make_plan(4, 20.0))
+        True
+    """
+    rng = random.Random(f"plan {seed}")
+    planned_only = rng.random() < PLANNED_SHARE
+    names = [
+        name
+        for name, trouble in TROUBLES.items()
+        if trouble.planned or not planned_only
+    ]
+    steps: list[Step] = []
+    at = rng.uniform(*GAP_S)
+    while at < length_s:
+        name = rng.choice(names)
+        times = 2 if rng.random() < SERIES_SHARE else 1
+        for _ in range(times):
+            for_s = rng.uniform(*LAST_S)
+            steps.append(Step(at, name, for_s, rng.random()))
+            at += rng.uniform(*GAP_S)
+    return [step for step in steps if step.at < length_s]
--- /dev/null
+++ b/notchhoist/testing/soak/routers.py
@@ -0,0 +1,83 @@
+"""Routers: hand callers' packets to balancers that say that they are ready."""
+
+import zlib
+
+import attrs
+
+from notchhoist.daemon.http_call import HttpCaller
+from notchhoist.daemon.loop import Loop
+from notchhoist.testing.soak import addresses
+from notchhoist.testing.soak.daemons import Daemon
+
+PROBE_S = 0.5
+PROBE_TIMEOUT_S = 0.4
+MISSES = 2
+
+
+@attrs.define(eq=False)
+class _Entry:
+    """A balancer as the routers see it."""
+
+    daemon: Daemon
+    caller: HttpCaller
+    misses: int = MISSES
+    asking: bool = False
+
+
+@attrs.define(eq=False)
+class Routers:
+    """Picks a balancer for each packet by a hash over those that are in.
+
+    Attributes:
+        loop: The event loop.
+        entries: The balancers.
+    """
+
+    loop: Loop
+    entries: list[_Entry] = attrs.Factory(list)
+
+    def add(self, daemon: Daemon) -> None:
+        """Adds a balancer."""
+        address = (daemon.own, addresses.READY_PORT)
+        self.entries.append(_Entry(daemon, HttpCaller(self.loop, address)))
+
+    def probe(self) -> None:
+        """Asks every balancer whether it is ready, and goes on doing so."""
+        for entry in self.entries:
+            if not entry.asking:
+                self._ask(entry)
+        self.loop.call_later(PROBE_S, self.probe)
+
+    def _ask(self, entry: _Entry) -> None:
+        entry.asking = True
+
+        def on_done(status: int, _: bytes) -> None:
+            entry.asking = False
+            entry.misses = 0 if status == 200 else entry.misses + 1
+
+        def on_failed(_: str) -> None:
+            entry.asking = False
+            entry.misses += 1
+
+        entry.caller.get("/ready", PROBE_TIMEOUT_S, on_done, on_failed)
+
+    def all_ready(self) -> bool:
+        """Tells whether every balancer is in."""
+        return all(entry.misses == 0 for entry in self.entries)
+
+    def pick(self, zone: str, ends: str) -> Daemon | None:
+        """Returns the balancer for a packet, or None where none is in.
+
+        Args:
+            zone: Availability zone of the caller.
+            ends: Addresses and ports of the flow.
+        """
+        near = [item for item in self.entries if item.daemon.zone == zone]
+        ready = [item for item in near if item.misses < MISSES]
+        if not ready:
+            ready = [item for item in self.entries if item.misses < MISSES]
+        elif len(ready) * 2 < len(near):
+            ready = near
+        if not ready:
+            return None
+        return ready[zlib.crc32(ends.encode()) % len(ready)].daemon
--- /dev/null
+++ b/notchhoist/testing/soak/run.py
@@ -0,0 +1,219 @@
+"""The soak's command line: plays seeds and says what broke."""
+
+import random
+import sys
+import tempfile
+from collections.abc import Sequence
+from functools import partial
+from pathlib import Path
+from typing import Annotated
+
+import attrs
+import cappa
+
+from notchhoist.testing.opaque.store import StoreModel
+from notchhoist.testing.soak import promises
+from notchhoist.testing.soak.addresses import Block
+from notchhoist.testing.soak.fleet import Fleet
+from notchhoist.testing.soak.plan import Step, make_plan
+from notchhoist.testing.soak.store_port import store_server
+from notchhoist.testing.soak.troubles import TROUBLES
+
+READY_S = 20.0
+"""Time for the whole fleet to start, seconds."""
+
+SETTLE_S = 6.0
+"""From the last heal to the calm end, seconds: bounds hold 4 s after a
+disruption, and a flow that nobody can find is given up within 1.6 s."""
+
+CALM_S = 4.0
+DRAINED_S = 10.0
+"""From the end of the traffic until the last deadline has passed, seconds."""
+
+
+@attrs.frozen
+class Outcome:
+    """What came of a seed.
+
+    Attributes:
+        seed: The seed.
+        steps: What went wrong, and when.
+        broken: What must not have happened.
+        asked: Requests.
+        answered: Those that were answered.
+        resets: Resets of open flows, by excuse.
+        lag_s: Longest turn of the loop, seconds.
+    """
+
+    seed: int
+    steps: Sequence[Step]
+    broken: Sequence[str]
+    asked: int
+    answered: int
+    resets: dict[str, int]
+    lag_s: float
+
+    def text(self) -> str:
+        """Returns it for people."""
+        share = self.answered / self.asked if self.asked else 0.0
+        lines = [
+            f"seed {self.seed}: {len(self.steps)} troubles, "
+            f"{share:.3f} of {self.asked} answered, resets {self.resets}, "
+            f"lag {self.lag_s:.2f} s, broken {len(self.broken)}"
+        ]
+        lines.extend(f"  BROKEN {item}" for item in self.broken[:10])
+        if self.broken:
+            lines.extend(
+                f"  {step.at:6.2f} s {step.name} for {step.for_s:.1f} s"
+                for step in self.steps
+            )
+        return "\n".join(lines)
+
+
+def _counts(fleet: Fleet) -> tuple[int, int]:
+    """Returns how many requests were made and how many answered."""
+    tallies = fleet.judge.tallies.values()
+    asked = sum(tally.asked for tally in tallies)
+    return asked, sum(tally.in_time + tally.late for tally in tallies)
+
+
+def _begin(fleet: Fleet, step: Step) -> None:
+    trouble = TROUBLES[step.name]
+    if not trouble.planned:
+        fleet.disturb()
+    heal = trouble.begin(fleet, random.Random(step.seed))
+    if not trouble.lasts:
+        return
+    token = f"{step.name} {step.at}"
+    if not trouble.planned:
+        fleet.troubled.add(token)
+
+    def end() -> None:
+        heal()
+        fleet.troubled.discard(token)
+
+    fleet.loop.call_later(step.for_s, end)
+
+
+def _wait_ready(fleet: Fleet) -> None:
+    ends_at = fleet.loop.clock() + READY_S
+    while fleet.loop.clock() < ends_at and not fleet.routers.all_ready():
+        fleet.run_until(fleet.loop.clock() + 0.1)
+    if not fleet.routers.all_ready():
+        now = fleet.loop.clock()
+        fleet.judge.break_rule("START", "not all balancers are ready", now)
+
+
+def _settled_at(steps: Sequence[Step]) -> float:
+    """Returns when the last trouble is over, seconds."""
+    return max((step.at + _lasts_s(step) for step in steps), default=0.0)
+
+
+def _lasts_s(step: Step) -> float:
+    trouble = TROUBLES[step.name]
+    return max(trouble.takes_s, step.for_s if trouble.lasts else 0.0)
+
+
+def _play_troubles(fleet: Fleet, steps: Sequence[Step]) -> None:
+    for step in steps:
+        fleet.loop.call_later(step.at, partial(_begin, fleet, step))
+    over_at = fleet.loop.clock() + _settled_at(steps)
+    fleet.run_until(over_at + SETTLE_S)
+
+
+def _play_calm_end(fleet: Fleet) -> None:
+    """Counts what is asked in the calm end, and whether it is answered."""
+    asked_before, _ = _counts(fleet)
+    lost_before = _lost(fleet)
+    fleet.run_until(fleet.loop.clock() + CALM_S)
+    asked = _counts(fleet)[0] - asked_before
+    fleet.asking = False
+    for line in (*promises.versions(fleet), *promises.memory(fleet)):
+        fleet.judge.break_rule("END", line, fleet.loop.clock())
+    fleet.run_until(fleet.loop.clock() + DRAINED_S)
+    lost = _lost(fleet) - lost_before
+    for line in promises.served(asked, asked - lost):
+        fleet.judge.break_rule("END", line, fleet.loop.clock())
+
+
+def _lost(fleet: Fleet) -> int:
+    """Returns how many requests ended without an answer."""
+    tallies = fleet.judge.tallies.values()
+    return sum(tally.failed + tally.refused for tally in tallies)
+
+
+def play(
+    seed: int, length_s: float, folder: Path, per_zone: int = 1, factor: int = 1
+) -> Outcome:
+    """Plays a seed.
+
+    Args:
+        seed: Decides what goes wrong and when.
+        length_s: Length of the troubles, seconds.
+        folder: Where settings and logs go.
+        per_zone: Balancers in each zone.
+        factor: Factor on the number of backend servers.
+    """
+    rng = random.Random(seed)
+    block = Block(seed)
+    model = StoreModel(random.Random(rng.random()))
+    steps = make_plan(seed, length_s)
+    with store_server(model, block.store()) as port:
+        fleet = Fleet(rng, block, folder, port, model, per_zone, factor)
+        try:
+            fleet.build()
+            _wait_ready(fleet)
+            fleet.begin_traffic()
+            _play_troubles(fleet, steps)
+            _play_calm_end(fleet)
+        finally:
+            fleet.close()
+    asked, answered = _counts(fleet)
+    broken = [*fleet.judge.broken, *promises.logs(fleet)]
+    resets = dict(fleet.judge.resets)
+    return Outcome(seed, steps, broken, asked, answered, resets, fleet.lag_s)
+
+
+@cappa.command(name="soak", description="Plays seeds with the real daemons.")
+@attrs.define
+class Command:
+    """The command line.
+
+    Attributes:
+        seed: First seed; a random one is drawn and printed without it.
+        count: How many seeds, one after the other.
+        seconds: Length of the troubles of each.
+        per_zone: Balancers in each of three zones.
+        factor: Factor on the nine backend servers.
+        folder: Where settings and logs go; a new temporary one without it.
+    """
+
+    seed: Annotated[int, cappa.Arg(long=True)] = -1
+    count: Annotated[int, cappa.Arg(long=True)] = 1
+    seconds: Annotated[float, cappa.Arg(long=True)] = 20.0
+    per_zone: Annotated[int, cappa.Arg(long=True)] = 1
+    factor: Annotated[int, cappa.Arg(long=True)] = 1
+    folder: Annotated[Path | None, cappa.Arg(long=True)] = None
+
+
+def main() -> int:
+    """Entry point; status 1 where something broke that must hold."""
+    command = cappa.parse(Command)
+    first = command.seed if command.seed >= 0 else random.randrange(10**6)
+    parent = command.folder or Path(tempfile.mkdtemp(prefix="soak-"))
+    print(f"logs in {parent}")
+    broken = 0
+    for seed in range(first, first + command.count):
+        folder = parent / str(seed)
+        folder.mkdir(parents=True, exist_ok=True)
+        outcome = play(
+            seed, command.seconds, folder, command.per_zone, command.factor
+        )
+        print(outcome.text(), flush=True)
+        broken += bool(outcome.broken)
+    print(f"{command.count} seeds, {broken} broken")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/notchhoist/testing/soak/store_port.py
@@ -0,0 +1,78 @@
+"""The store's model over HTTP, for real daemons."""
+
+import contextlib
+import http.server
+import threading
+import time
+from collections.abc import Iterator
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+from notchhoist.testing.opaque.store import StoreModel
+
+POLL_S = 0.01
+"""How often a waiting watch looks for news, seconds."""
+
+
+def _wait_for_changes(
+    model: StoreModel, query: dict[str, str], stopping: threading.Event
+) -> tuple[int, bytes]:
+    """Answers a watch as soon as there is something, or when it ends."""
+    ends_at = time.monotonic() + int(query["wait_ms"]) / 1000
+    while True:
+        status, body = model.read_changes(query)
+        if body is not None:
+            return status, body
+        if time.monotonic() >= ends_at or stopping.wait(POLL_S):
+            return 200, model.no_changes()
+
+
+@contextlib.contextmanager
+def store_server(model: StoreModel, host: str) -> Iterator[int]:
+    """Serves a store model; gives the port that it listens at.
+
+    Each call runs in a thread. The model is changed by one thread only, and
+    readers take what it has at that moment.
+    """
+    stopping = threading.Event()
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        """Answers one connection."""
+
+        protocol_version = "HTTP/1.1"
+
+        def do_GET(self) -> None:
+            """Answers a call."""
+            parts = urlsplit(self.path)
+            query = dict(parse_qsl(parts.query, keep_blank_values=True))
+            model.calls += 1
+            if parts.path == "/kv-range":
+                status, body = 200, model.read_range(query)
+            else:
+                status, body = _wait_for_changes(model, query, stopping)
+            with contextlib.suppress(OSError):
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+        def log_message(self, *_: Any) -> None:
+            """Logs nothing."""
+
+    class Server(http.server.ThreadingHTTPServer):
+        """Says nothing of connections that callers break off."""
+
+        daemon_threads = True
+
+        def handle_error(self, *_: Any) -> None:
+            """Ignores a broken connection: proxies break them on purpose."""
+
+    server = Server((host, 0), Handler)
+    thread = threading.Thread(target=server.serve_forever, daemon=True)
+    thread.start()
+    try:
+        yield server.server_address[1]
+    finally:
+        stopping.set()
+        server.shutdown()
+        server.server_close()
--- /dev/null
+++ b/notchhoist/testing/soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak; see ``notchhoist.testing.soak``."""
--- /dev/null
+++ b/notchhoist/testing/soak/troubles.py
@@ -0,0 +1,342 @@
+"""What can go wrong in a run: each trouble begins, lasts and heals."""
+
+import random
+from collections.abc import Callable, Sequence
+from functools import partial
+
+import attrs
+
+from notchhoist.base import datagrams
+from notchhoist.testing.soak import addresses
+from notchhoist.testing.soak.daemons import RESTART_S, Daemon
+from notchhoist.testing.soak.datagram_proxy import PORTS
+from notchhoist.testing.soak.ends import ServerPlace
+from notchhoist.testing.soak.fleet import WORKLOADS, Fleet
+from notchhoist.testing.soak.stream_proxy import StreamState
+
+LAPSE_S = 3.6
+"""An entry vanishes after three missed heartbeats of 1.2 s."""
+
+LEAVE_S = 5.0
+"""A server that drains serves for this long, seconds."""
+
+ROLL_GAP_S = 2.6
+"""Pause between two planned stops, seconds; a balancer leaves within 1.8 s."""
+
+LOSS = 0.1
+DELAY_S = 0.04
+GARBAGE = (b"", b"x", b"\xff" * 31, b"\0" * 64, bytes(range(256)) * 5)
+
+Heal = Callable[[], None]
+
+
+def _nothing() -> None:
+    """Heals what heals by itself."""
+
+
+def _some(rng: random.Random, items: Sequence, share: float) -> list:
+    """Returns a random part of a list, at least one item."""
+    return rng.sample(list(items), max(1, round(len(items) * share)))
+
+
+# Processes.
+
+
+def kill_balancers(fleet: Fleet, rng: random.Random) -> Heal:
+    """Kills half of the balancers."""
+    return _kill(fleet, _some(rng, fleet.balancers, 0.5), rng)
+
+
+def kill_agents(fleet: Fleet, rng: random.Random) -> Heal:
+    """Kills a third of the agents; their backend servers live on."""
+    return _kill(fleet, _some(rng, fleet.agents, 0.34), rng)
+
+
+def kill_all(fleet: Fleet, rng: random.Random) -> Heal:
+    """Kills every daemon at once."""
+    return _kill(fleet, fleet.daemons, rng)
+
+
+def _kill(fleet: Fleet, daemons: list[Daemon], rng: random.Random) -> Heal:
+    now = fleet.loop.clock()
+    down_s = rng.choice((RESTART_S, 1.0))
+    for daemon in daemons:
+        daemon.kill(now, down_s)
+    return _nothing
+
+
+def pause_some(fleet: Fleet, rng: random.Random) -> Heal:
+    """Lets a quarter of the daemons stand still."""
+    daemons = _some(rng, fleet.daemons, 0.25)
+    for daemon in daemons:
+        daemon.pause()
+
+    def heal() -> None:
+        for daemon in daemons:
+            daemon.resume()
+
+    return heal
+
+
+def roll_balancers(fleet: Fleet, rng: random.Random) -> Heal:
+    """Stops the balancers one after the other, as planned."""
+    order = rng.sample(fleet.balancers, len(fleet.balancers))
+    for number, daemon in enumerate(order):
+
+        def stop(daemon: Daemon = daemon) -> None:
+            daemon.stop(fleet.loop.clock())
+
+        fleet.loop.call_later(number * ROLL_GAP_S, stop)
+    return _nothing
+
+
+def reload_all(fleet: Fleet, _: random.Random) -> Heal:
+    """Lets every daemon read its settings anew."""
+    for daemon in fleet.daemons:
+        daemon.reload()
+    return _nothing
+
+
+# Paths between daemons.
+
+
+def _links(
+    fleet: Fleet, daemons: list[Daemon], both: bool
+) -> list[tuple[str, str]]:
+    """Returns the directions from some daemons to all others."""
+    chosen = {daemon.known for daemon in daemons}
+    others = [item.known for item in fleet.daemons if item.known not in chosen]
+    links = [(one, other) for one in chosen for other in others]
+    return links + [(other, one) for one, other in links] if both else links
+
+
+def _cut(fleet: Fleet, links: list[tuple[str, str]]) -> Heal:
+    for source, target in links:
+        fleet.proxy.link(source, target).cut = True
+
+    def heal() -> None:
+        for source, target in links:
+            fleet.proxy.link(source, target).cut = False
+
+    return heal
+
+
+def cut_off(fleet: Fleet, rng: random.Random) -> Heal:
+    """Cuts a fifth of the daemons off from all others."""
+    return _cut(fleet, _links(fleet, _some(rng, fleet.daemons, 0.2), True))
+
+
+def cut_one_way(fleet: Fleet, rng: random.Random) -> Heal:
+    """Lets nothing out of a fifth of the daemons."""
+    return _cut(fleet, _links(fleet, _some(rng, fleet.daemons, 0.2), False))
+
+
+def split(fleet: Fleet, rng: random.Random) -> Heal:
+    """Cuts the fleet into halves."""
+    return _cut(fleet, _links(fleet, _some(rng, fleet.daemons, 0.5), True))
+
+
+def lossy(fleet: Fleet, rng: random.Random) -> Heal:
+    """Loses and delays datagrams of half of the daemons."""
+    links = _links(fleet, _some(rng, fleet.daemons, 0.5), True)
+    for source, target in links:
+        state = fleet.proxy.link(source, target)
+        state.loss, state.delay_s = LOSS, DELAY_S
+
+    def heal() -> None:
+        for source, target in links:
+            state = fleet.proxy.link(source, target)
+            state.loss = state.delay_s = 0.0
+
+    return heal
+
+
+def garbage(fleet: Fleet, rng: random.Random) -> Heal:
+    """Sends bytes that mean nothing to every port of every daemon."""
+    sock = datagrams.open_socket((fleet.block.store(), 0))
+    for daemon in fleet.daemons:
+        for port in (*PORTS, addresses.PACKETS_PORT):
+            for data in (*GARBAGE, rng.randbytes(200)):
+                datagrams.send(sock, data, (daemon.own, port))
+    sock.close()
+    return _nothing
+
+
+# The store.
+
+
+def _store(fleet: Fleet, daemons: list[Daemon], state: StreamState) -> Heal:
+    for daemon in daemons:
+        fleet.streams[daemon.name].state = state
+
+    def heal() -> None:
+        for daemon in daemons:
+            fleet.streams[daemon.name].state = StreamState.WELL
+
+    return heal
+
+
+def store_gone(fleet: Fleet, rng: random.Random) -> Heal:
+    """Takes the store away from every balancer; some entries lapse."""
+    state = rng.choice((StreamState.RESET, StreamState.SILENT))
+    places = _some(rng, fleet.ends.places, 0.3) if rng.random() < 0.5 else []
+    for place in places:
+        if place.server is not None:
+            fleet.store.remove(f"servers/{place.server.server_id}")
+    heal_paths = _store(fleet, fleet.balancers, state)
+
+    def heal() -> None:
+        heal_paths()
+        for place in places:
+            delay = rng.uniform(0.1, 1.8)
+            fleet.loop.call_later(delay, partial(fleet.announce, place))
+
+    return heal
+
+
+def store_partly_gone(fleet: Fleet, rng: random.Random) -> Heal:
+    """Takes the store away from some balancers."""
+    state = rng.choice(list(StreamState)[1:])
+    return _store(fleet, _some(rng, fleet.balancers, 0.5), state)
+
+
+def store_slow(fleet: Fleet, _: random.Random) -> Heal:
+    """Delays every answer of the store."""
+    return _store(fleet, fleet.balancers, StreamState.SLOW)
+
+
+def connections_silent(fleet: Fleet, _: random.Random) -> Heal:
+    """Lets every open connection to the store go silent; new ones work."""
+    for stream in fleet.streams.values():
+        stream.silence_open()
+    return _nothing
+
+
+def connections_reset(fleet: Fleet, _: random.Random) -> Heal:
+    """Resets every open connection to the store."""
+    for stream in fleet.streams.values():
+        stream.reset_open()
+    return _nothing
+
+
+def history_forgotten(fleet: Fleet, _: random.Random) -> Heal:
+    """Lets the store forget its history."""
+    fleet.store.compact()
+    return _nothing
+
+
+# Backend servers and configurations.
+
+
+def crash_servers(fleet: Fleet, rng: random.Random) -> Heal:
+    """Crashes backend servers; new ones start in their place."""
+    for place in _some(rng, fleet.ends.places, 0.25):
+        _crash(fleet, place, rng.uniform(0.2, 2.0))
+    return _nothing
+
+
+def _crash(fleet: Fleet, place: ServerPlace, down_s: float) -> None:
+    server = place.server
+    if server is None or not server.alive:
+        return
+    fleet.ends.end_server(place)
+    key = f"servers/{server.server_id}"
+    fleet.loop.call_later(LAPSE_S, lambda: fleet.store.remove(key))
+    fleet.loop.call_later(down_s, lambda: _start_again(fleet, place))
+
+
+def _start_again(fleet: Fleet, place: ServerPlace) -> None:
+    if place.server is None or not place.server.alive:
+        fleet.start_server(place)
+
+
+def power_off(fleet: Fleet, rng: random.Random) -> Heal:
+    """Takes the power from every host; everything starts anew."""
+    down_s = rng.uniform(0.5, 1.5)
+    for place in fleet.ends.places:
+        _crash(fleet, place, down_s)
+    now = fleet.loop.clock()
+    for daemon in fleet.daemons:
+        daemon.kill(now, down_s)
+    return _nothing
+
+
+def replace_servers(fleet: Fleet, rng: random.Random) -> Heal:
+    """Drains some backend servers; then new ones start in their place."""
+    for place in _some(rng, fleet.ends.places, 0.25):
+        server = place.server
+        if server is None or not server.alive or server.draining:
+            continue
+        server.draining = True
+        place.draining_since = fleet.loop.clock()
+        fleet.announce(place)
+        fleet.loop.call_later(LEAVE_S, partial(_leave, fleet, place))
+    return _nothing
+
+
+def _leave(fleet: Fleet, place: ServerPlace) -> None:
+    server = place.server
+    if server is None or not server.alive or not server.draining:
+        return
+    fleet.ends.end_server(place)
+    fleet.store.remove(f"servers/{server.server_id}")
+    fleet.loop.call_later(0.3, lambda: _start_again(fleet, place))
+
+
+def change_configuration(fleet: Fleet, _: random.Random) -> Heal:
+    """Publishes versions in quick succession."""
+    for number in range(5):
+        fleet.loop.call_later(number * 0.1, fleet.publish)
+    return _nothing
+
+
+def drop_route(fleet: Fleet, rng: random.Random) -> Heal:
+    """Drops a route, whose callers ask for nothing until it is back."""
+    name = rng.choice(WORKLOADS).name
+    fleet.drop_route(name)
+    return lambda: fleet.restore_route(name)
+
+
+@attrs.frozen
+class Trouble:
+    """One thing that can go wrong.
+
+    Attributes:
+        begin: Brings it about; gives what heals it.
+        planned: It is planned work: every bound of time holds.
+        lasts: It goes on until it is healed.
+        takes_s: How long it goes on by itself, seconds.
+    """
+
+    begin: Callable[[Fleet, random.Random], Heal]
+    planned: bool = False
+    lasts: bool = False
+    takes_s: float = 0.0
+
+
+TROUBLES = {
+    "kill-balancers": Trouble(kill_balancers),
+    "kill-agents": Trouble(kill_agents),
+    "kill-all": Trouble(kill_all),
+    "pause-some": Trouble(pause_some, lasts=True),
+    "roll-balancers": Trouble(
+        roll_balancers, planned=True, takes_s=3 * ROLL_GAP_S
+    ),
+    "reload-all": Trouble(reload_all, planned=True),
+    "cut-off": Trouble(cut_off, lasts=True),
+    "cut-one-way": Trouble(cut_one_way, lasts=True),
+    "split": Trouble(split, lasts=True),
+    "lossy": Trouble(lossy, lasts=True),
+    "garbage": Trouble(garbage, planned=True),
+    "store-gone": Trouble(store_gone, lasts=True),
+    "store-partly-gone": Trouble(store_partly_gone, lasts=True),
+    "store-slow": Trouble(store_slow, lasts=True),
+    "connections-silent": Trouble(connections_silent),
+    "connections-reset": Trouble(connections_reset),
+    "history-forgotten": Trouble(history_forgotten),
+    "crash-servers": Trouble(crash_servers),
+    "power-off": Trouble(power_off),
+    "replace-servers": Trouble(replace_servers, planned=True, takes_s=LEAVE_S),
+    "change-configuration": Trouble(change_configuration, planned=True),
+    "drop-route": Trouble(drop_route, planned=True, lasts=True),
+}
