A server that fails its requests at once counts as slow

Cause: a backend server that answers errors, sheds or resets part of its requests while its health check is good answered those within 0.02 to 0.2 of the usual time (measured in the logs of agents: 0.1 to 1.5 ms against 6.4 and 44 ms). Its service time went down, so it looked fast and free and drew more flows.

Ruled out: reading the answers (they belong to the two ends); their sizes (a packet's data was 0 to 13 or 200 bytes for good answers, too); quickness against one usual time a server (requests that only test a route take 1.5 ms everywhere; the usual time is kept by service address).

Change: an answer in under a quarter of the usual time counts as a failure, as does a reset while a request runs and a request that nobody answered for eight service times. The agent tells a service time that is longer by (1 - share of failures) cubed, so every balancer places fewer flows there, on evidence of about the last 20 answers. Where most servers of a service fail, the median grows as well and nobody is shunned. Logged, and gauge failing_share.

--- a/notchhoist/daemon/flow_metrics.py
+++ b/notchhoist/daemon/flow_metrics.py
@@ -62,6 +62,7 @@
         "slots": board.slots,
         "slots_taken": len(board.active),
         "service_time_seconds": board.pace_s,
+        "failing_share": node.gate.times.failing,
         "backend_gone": board.backend_gone,
     }
 
--- a/notchhoist/flows/__init__.py
+++ b/notchhoist/flows/__init__.py
@@ -12,6 +12,7 @@
 * ``effects``: what a node asks its runtime to do.
 * ``messages``: control messages between processes.
 * ``placing``: pure functions that choose a backend server.
+* ``failing``: how well a backend server answers, by the times of its answers.
 * ``held``: the flows of one backend server, as its agent sees them.
 * ``boards``: the blackboard of each role.
 * ``completeness``: a pure function on whether every server is known.
--- a/notchhoist/flows/admitting.py
+++ b/notchhoist/flows/admitting.py
@@ -1,10 +1,11 @@
 """An agent's controller for the slots of its backend server."""
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from notchhoist.flows import notes
 from notchhoist.flows.boards import AgentBoard, Count
 from notchhoist.flows.effects import SendBackend, SendBalancer
+from notchhoist.flows.failing import AnswerTimes
 from notchhoist.flows.held import (
     PACE_GAIN,
     STUCK_PACES,
@@ -20,6 +21,10 @@
 from notchhoist.flows.notes import Load, NoteKind
 from notchhoist.flows.segments import Segment, SegmentCodec
 
+GIVEN_UP_S = 0.5
+"""A request that got no answer for at least this time, and for ``STUCK_PACES``
+service times, counts as failed, seconds: twice the objectives of today."""
+
 
 class RequestGate(Struct, eq=False):
     """Lets a backend server have as many requests as it works on.
@@ -27,10 +32,12 @@
     Attributes:
         board: What the agent knows.
         codec: Codec of the packets.
+        times: Judges the backend server's answers.
     """
 
     board: AgentBoard
     codec: SegmentCodec
+    times: AnswerTimes = field(default_factory=AnswerTimes)
 
     def take(
         self,
@@ -51,6 +58,7 @@
         """
         waiting = self.board.waiting.get(segment.flow)
         if segment.resets:
+            self._note_given_up(held, now)
             self.forget(segment.flow, now)
         elif waiting is not None:
             if segment.size or segment.closes or waiting.unopened:
@@ -94,18 +102,55 @@
         datagram = self.codec.with_note(segment, 0)
         self.board.outbox.append(SendBackend(datagram))
 
-    def on_answer(self, flow: bytes, held: HeldFlow, now: float) -> None:
+    def on_answer(self, segment: Segment, held: HeldFlow, now: float) -> None:
         """Takes account of an answer; the slot goes to the next request."""
+        flow = segment.flow
         elapsed = held.note_answer(now)
         if elapsed is None:
             return
         board = self.board
         board.records.observe(elapsed)
+        took_s = now - held.request_at
+        if self.times.note_answer(segment.service_key, took_s):
+            self._note_pace(elapsed)
+        self._log_failing()
+        self._free(flow, now)
+
+    def _note_pace(self, elapsed: float) -> None:
+        board = self.board
         if board.pace_s:
             board.pace_s += PACE_GAIN * (elapsed - board.pace_s)
         else:
             board.pace_s = elapsed
-        self._free(flow, now)
+
+    def on_broken_off(self, held: HeldFlow) -> None:
+        """Takes account of a request whose flow the server has reset."""
+        if held.running_since is not None:
+            self.times.note_failure()
+            self._log_failing()
+
+    def _note_given_up(self, held: HeldFlow, now: float) -> None:
+        """Takes account of a caller that did not wait for its answer."""
+        waited_s = now - held.request_at
+        unusual_s = max(GIVEN_UP_S, STUCK_PACES * self.board.pace_s)
+        if held.running_since is not None and waited_s > unusual_s:
+            self.on_broken_off(held)
+
+    def told_pace_s(self) -> float:
+        """Returns the service time that balancers are told, seconds."""
+        return self.board.pace_s * self.times.slowdown()
+
+    def _log_failing(self) -> None:
+        news = self.times.news()
+        if news:
+            share = round(self.times.failing, 3)
+            self.board.records.decide(
+                "backend server",
+                b"",
+                news,
+                failing=share,
+                pace_s=round(self.board.pace_s, 3),
+            )
 
     def forget(self, flow: bytes, now: float) -> None:
         """Takes account of the end of a flow."""
@@ -184,6 +229,8 @@
             held = self.board.flows.get(flow)
             since = held.running_since if held is not None else None
             if since is None or now - since > self.stuck_s():
+                if held is not None:
+                    self._note_given_up(held, now)
                 self._free(flow, now)
 
     def stuck_s(self) -> float:
--- a/notchhoist/flows/agent.py
+++ b/notchhoist/flows/agent.py
@@ -13,6 +13,7 @@
     SendCaller,
     SendPeer,
 )
+from notchhoist.flows.failing import AnswerTimes
 from notchhoist.flows.held import (
     CLOSED_KEPT_S,
     HeldFlow,
@@ -89,7 +90,7 @@
             if since is not None and now - since < self.gate.stuck_s():
                 running += 1
         running += len(self.board.waiting)
-        return Load(flows, running, int(self.board.pace_s * 1000))
+        return Load(flows, running, int(self.gate.told_pace_s() * 1000))
 
     def on_balancer(
         self, host: str, segment: Segment, now: float
@@ -233,7 +234,9 @@
             self._on_confirmed(held, now)
         if segment.size or segment.closes:
             # The end of an answer may overtake its data.
-            self.gate.on_answer(segment.flow, held, now)
+            self.gate.on_answer(segment, held, now)
+        if segment.resets:
+            self.gate.on_broken_off(held)
         if segment.closes or segment.resets:
             held.phase = Phase.CLOSED
             self.gate.forget(segment.flow, now)
@@ -281,6 +284,7 @@
         if listens:
             if board.backend_gone:
                 board.records.decide("backend server", b"", "back")
+                self.gate.times = AnswerTimes()
             board.backend_gone = False
         elif not board.backend_gone:
             board.backend_gone = True
--- a/notchhoist/flows/held.py
+++ b/notchhoist/flows/held.py
@@ -61,6 +61,7 @@
         server_seq: The backend server's first sequence number.
         request_end: Sequence number after the newest request data.
         running_since: When the unanswered request arrived, or None.
+        request_at: When the newest part of it arrived, seconds.
         sample: The newest packet from the caller, to reset it by.
     """
 
@@ -72,6 +73,7 @@
     server_seq: int | None = None
     request_end: int | None = None
     running_since: float | None = None
+    request_at: float = 0.0
     sample: Segment | None = None
 
     def chosen_by(self, segment: Segment) -> bool:
@@ -88,6 +90,7 @@
     def note_request(self, segment: Segment, now: float) -> None:
         """Takes account of data from the caller that is new."""
         self.request_end = (segment.seq + segment.size) % SEQUENCE_MODULUS
+        self.request_at = now
         if self.running_since is None:
             self.running_since = now
 
