--- a/notchhoist/testing/soak/ends.py
+++ b/notchhoist/testing/soak/ends.py
@@ -78,6 +78,7 @@
         places: Hosts of backend servers.
         sockets: The callers' sockets by IP number.
         numbers: Servers started so far.
+        unrouted: Ports of service addresses whose route is dropped.
     """
 
     loop: Loop
@@ -89,6 +90,7 @@
     places: list[ServerPlace] = attrs.Factory(list)
     sockets: dict[str, socket.socket] = attrs.Factory(dict)
     numbers: int = 0
+    unrouted: set[int] = attrs.Factory(set)
 
     def _later(self, delay: float, action: object) -> None:
         self.loop.call_later(delay, action)  # type: ignore[arg-type]
@@ -121,7 +123,8 @@
         return number
 
     def _is_alive(self, caller: Address, service: Address) -> bool:
-        return any(
+        """Tells whether a flow must not be reset."""
+        return service[1] not in self.unrouted and any(
             place.server is not None and place.server.holds((caller, service))
             for place in self.places
         )
--- a/notchhoist/testing/soak/fleet.py
+++ b/notchhoist/testing/soak/fleet.py
@@ -75,8 +75,7 @@
         version: Version of the configuration.
         troubled: Faults that last, by name; while there are any, bounds of
             time do not hold.
-        drops: How many troubles have dropped a kind's route.
-        without: Kinds of request that nobody asks for meanwhile.
+        drops: How many troubles have dropped a route, by its port.
         asking: Callers ask.
         lag_s: Longest turn of the loop so far, seconds.
     """
@@ -97,8 +96,7 @@
     streams: dict[str, StreamProxy] = attrs.Factory(dict)
     version: int = 0
     troubled: set[str] = attrs.Factory(set)
-    drops: Counter[str] = attrs.Factory(Counter)
-    without: set[str] = attrs.Factory(set)
+    drops: Counter[int] = attrs.Factory(Counter)
     asking: bool = False
     lag_s: float = 0.0
     ticked_at: float = float("inf")
@@ -193,25 +191,25 @@
     def publish(self) -> None:
         """Publishes a new version of the configuration."""
         self.version += 1
-        kinds = [item for item in WORKLOADS if not self.drops[item.name]]
+        kinds = [item for item in WORKLOADS if not self.drops[item.port]]
         text = published.configuration_of(self.version, kinds)
         self.store.put("op/config", text)
 
-    def drop_route(self, name: str) -> None:
+    def drop_route(self, port: int) -> None:
         """Drops a route; its callers ask for nothing until it is back."""
-        self.drops[name] += 1
-        self.without.add(name)
+        self.drops[port] += 1
+        self.ends.unrouted.add(port)
         self.publish()
 
-    def restore_route(self, name: str) -> None:
+    def restore_route(self, port: int) -> None:
         """Publishes a dropped route again; callers use it once it is known."""
-        self.drops[name] -= 1
+        self.drops[port] -= 1
         self.publish()
-        self.loop.call_later(APPLY_S, lambda: self._use_again(name))
+        self.loop.call_later(APPLY_S, lambda: self._use_again(port))
 
-    def _use_again(self, name: str) -> None:
-        if not self.drops[name]:
-            self.without.discard(name)
+    def _use_again(self, port: int) -> None:
+        if not self.drops[port]:
+            self.ends.unrouted.discard(port)
 
     def disturb(self) -> None:
         """Notes a disruption that is not planned."""
@@ -230,7 +228,7 @@
     def _ask(self, workload: Workload) -> None:
         if not self.asking:
             return
-        if workload.name not in self.without:
+        if workload.port not in self.ends.unrouted:
             zone = self.rng.choice(ZONES)
             self.ends.callers[zone].ask(workload, self.loop.clock())
         self._ask_later(workload)
--- a/notchhoist/testing/soak/troubles.py
+++ b/notchhoist/testing/soak/troubles.py
@@ -292,9 +292,9 @@
 
 def drop_route(fleet: Fleet, rng: random.Random) -> Heal:
     """Drops a route, whose callers ask for nothing until it is back."""
-    name = rng.choice(WORKLOADS).name
-    fleet.drop_route(name)
-    return lambda: fleet.restore_route(name)
+    port = rng.choice(WORKLOADS).port
+    fleet.drop_route(port)
+    return lambda: fleet.restore_route(port)
 
 
 @attrs.frozen
