Late requests on open flows wait longer for a slot

Cause: with twice the usual load, a request on an open flow that had waited 0.9 s was passed on to the backend server whatever else it had. Such requests, late already, took half of the slots, so that those which came after them were late as well.

Change: a request on an open flow waits up to six objectives, 1.5 s at the most. A flow that has not opened is refused after 0.9 s as before.

Tests: two in test_agent.py, failing with the old limit.

--- a/notchhoist/flows/admitting.py
+++ b/notchhoist/flows/admitting.py
@@ -13,7 +13,6 @@
     HeldFlow,
 )
 from notchhoist.flows.holding import (
-    HOLD_MAX_S,
     HeldRequest,
     Wish,
     pick,
@@ -194,7 +193,7 @@
         late = [
             request
             for request in self.board.waiting.values()
-            if now - request.arrived_at >= HOLD_MAX_S
+            if now >= request.ends_at
         ]
         for request in late:
             self.board.records.counters[Count.HELD_TOO_LONG] += 1
@@ -239,10 +238,7 @@
 
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
-        return (
-            min(
-                (item.arrived_at for item in self.board.waiting.values()),
-                default=float("inf"),
-            )
-            + HOLD_MAX_S
+        return min(
+            (item.ends_at for item in self.board.waiting.values()),
+            default=float("inf"),
         )
--- a/notchhoist/flows/holding.py
+++ b/notchhoist/flows/holding.py
@@ -14,8 +14,16 @@
 from notchhoist.flows.segments import Segment
 
 HOLD_MAX_S = 0.9
-"""A request waits here no longer, seconds; then its caller gets an answer while
-there is time for another try. Below half of the shortest timeout, 2 s."""
+"""A request whose flow has not opened waits here no longer, seconds; then its
+caller gets an answer while there is time for another try. Below half of the
+shortest timeout, 2 s."""
+
+HOLD_OPEN_MAX_S = 1.5
+HOLD_OPEN_OBJECTIVES = 6.0
+"""A request on an open flow cannot be refused. It waits up to so many of its
+objectives, and no longer than 1.5 s, while others can still be in time; then
+the backend server gets it whatever else it has. Passed on after 0.9 s, late
+requests took half of the slots of a service with twice its usual load."""
 
 HELD_PACKETS_MAX = 16
 """Packets kept of one request; an end has no more under way."""
@@ -62,6 +70,19 @@
         """When it is late, seconds."""
         return self.arrived_at - self.wish.age_s + self.wish.objective_s
 
+    @property
+    def hold_s(self) -> float:
+        """How long it may wait, seconds."""
+        if self.unopened or not self.wish.objective_s:
+            return HOLD_MAX_S
+        longest = HOLD_OPEN_OBJECTIVES * self.wish.objective_s
+        return min(HOLD_OPEN_MAX_S, longest)
+
+    @property
+    def ends_at(self) -> float:
+        """When it has waited for too long, seconds."""
+        return self.arrived_at + self.hold_s
+
     def add(self, segment: Segment) -> None:
         """Adds a packet; copies and what exceeds the window are dropped."""
         if len(self.segments) >= HELD_PACKETS_MAX:
--- a/notchhoist/flows/tests/test_agent.py
+++ b/notchhoist/flows/tests/test_agent.py
@@ -10,7 +10,11 @@
     SendBalancer,
     SendCaller,
 )
-from notchhoist.flows.holding import HOLD_MAX_S, Wish
+from notchhoist.flows.holding import (
+    HOLD_MAX_S,
+    HOLD_OPEN_OBJECTIVES,
+    Wish,
+)
 from notchhoist.flows.messages import LoadAsk
 from notchhoist.flows.notes import NoteKind, service_tag
 from notchhoist.flows.tests import crafting
@@ -217,11 +221,30 @@
     reply(node, 2)
     ask(node, 1)
     ask(node, 2, seq=10)
-    effects = node.tick(START + HOLD_MAX_S)
+    assert not to_balancer(node.tick(START + HOLD_MAX_S))
+    effects = node.tick(START + HOLD_OPEN_OBJECTIVES * FRESH.objective_s)
     assert not to_balancer(effects)
     assert to_backend(effects)
 
 
+def test_a_late_request_on_an_open_flow_takes_no_slot_from_one_in_time():
+    """Passed on after 0.9 s, late ones took half of the slots in a burst."""
+    node = agent(slots=1)
+    for port in (1, 2):
+        accept(node, port)
+        ask(node, port)
+        reply(node, port, START + 0.01)
+    ask(node, 1, seq=10)
+    ask(node, 2, seq=10)
+    assert not to_backend(node.tick(START + 1.0))
+    accept(node, 3, START + 1.0)
+    ask(node, 3, START + 1.0)
+    done = answer(data=b"y", seq=SERVER_SEQ + 2, ack=19, port=1)
+    node.on_backend(done, START + 1.01)
+    assert crafting.request(port=3).flow in node.board.active
+    assert crafting.request(port=2).flow in node.board.waiting
+
+
 def test_copies_of_a_waiting_request_are_passed_on_once():
     node = agent(slots=1)
     for port in (1, 2):
