Histograms by matter, service and outcome; the daemon in smaller modules

Change: histograms for opening, finding, service, waiting, calls to the store and forwarding (one packet in 64), each by service and outcome, bounded in number. Calls to the store, signals and the look at the backend server have modules of their own; BackendWatch is a controller of the agent.

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -15,6 +15,7 @@
 from notchhoist.base import datagrams
 from notchhoist.base.draws import make_draw
 from notchhoist.base.errors import CodecError, SettingsRefusedError
+from notchhoist.daemon.backend_check import check_backend
 from notchhoist.daemon.flow_journal import FlowJournal, flow_text
 from notchhoist.daemon.flow_metrics import (
     METRICS_PATH,
@@ -24,9 +25,11 @@
 from notchhoist.daemon.http_call import HttpCaller
 from notchhoist.daemon.http_port import Reply, open_http_port
 from notchhoist.daemon.loop import Clock, Loop, Timer
+from notchhoist.daemon.signals import watch_signals
+from notchhoist.daemon.store_calls import StoreCalls
 from notchhoist.flows.agent import AgentNode, make_agent
 from notchhoist.flows.balancer import BalancerNode, make_balancer
-from notchhoist.flows.boards import Count
+from notchhoist.flows.boards import Count, Timing
 from notchhoist.flows.effects import (
     CheckBackend,
     ConfirmView,
@@ -58,8 +61,8 @@
 AGENT_LEAVE_S = 0.05
 """An agent only tells the balancers; then a quick restart serves best."""
 
-CHECK_S = 0.3
-"""A backend server on the same host accepts a connection within this time."""
+TIMED_EVERY = 64
+"""One packet in so many is timed, to keep the clock out of the others."""
 
 MIN_TICK_S = 0.005
 """Least time between two ticks; a wake-up costs processor time."""
@@ -80,6 +83,7 @@
         control: Socket of control messages.
         tick_timer: The next tick.
         confirm: Reads the store at once; set where the process may call it.
+        packets_read: Packets so far; some are timed.
     """
 
     settings: HostSettings
@@ -92,6 +96,7 @@
     control: socket.socket
     tick_timer: Timer = field(default_factory=lambda: Timer(float("inf"), None))
     confirm: Callable[[], None] | None = None
+    packets_read: int = 0
 
     def start(self) -> None:
         """Begins to serve."""
@@ -102,7 +107,7 @@
         open_http_port(loop, self.settings.ready, self._answer)
         metrics_at = (self.settings.bind_ip, METRICS_PORT)
         open_http_port(loop, metrics_at, self._answer_metrics)
-        _watch_signals(loop, self._on_signal)
+        watch_signals(loop, self._on_signal)
         self.journal.log(
             "start", role="balancer" if self.settings.balances else "agent"
         )
@@ -131,6 +136,14 @@
                 self._on_malformed(error)
                 continue
             self.perform(effects)
+            self.packets_read += 1
+            if self.packets_read % TIMED_EVERY == 0:
+                self.observe(Timing.FORWARDING, "forwarded", now)
+
+    def observe(self, timing: Timing, outcome: str, since: float) -> None:
+        """Counts the time since a moment."""
+        took_s = self.loop.clock() - since
+        self.node.board.records.observe(timing, "", outcome, took_s)
 
     def _on_peers(self) -> None:
         node = self.node
@@ -184,7 +197,9 @@
             case SendPeer():
                 self._send_peer(effect)
             case CheckBackend():
-                self._check_backend()
+                check_backend(
+                    self.loop, self.settings.backend, self._on_checked
+                )
             case ConfirmView():
                 if self.confirm is not None:
                     self.confirm()
@@ -195,27 +210,7 @@
         to = (effect.host, self.settings.peer_ports[0] + 1)
         datagrams.send(self.control, encode_message(effect.message), to)
 
-    def _check_backend(self) -> None:
-        """Finds out by a TCP connection whether anybody listens."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.connect_ex(self.settings.backend or ("", 0))
-        timer = self.loop.call_later(
-            CHECK_S, lambda: self._on_checked(sock, timer, True)
-        )
-
-        def on_connected() -> None:
-            failure = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            self._on_checked(sock, timer, not failure)
-
-        self.loop.on_writable(sock, on_connected)
-
-    def _on_checked(
-        self, sock: socket.socket, timer: Timer, listens: bool
-    ) -> None:
-        timer.cancel()
-        self.loop.forget(sock)
-        sock.close()
+    def _on_checked(self, listens: bool) -> None:
         if isinstance(self.node, AgentNode):
             now = self.loop.clock()
             self.perform(self.node.on_checked(listens, now))
@@ -276,81 +271,6 @@
             self.loop.call_later(leave_s, self.loop.stop)
 
 
-class StoreCalls(Struct, eq=False):
-    """Makes a balancer's calls to the platform's store.
-
-    Attributes:
-        daemon: The process.
-        feeder: Decides the calls.
-        caller: Makes them.
-        confirmer: Makes those that cannot wait for a watch to end.
-    """
-
-    daemon: FlowDaemon
-    feeder: StoreFeeder
-    caller: HttpCaller
-    confirmer: HttpCaller
-
-    def call(self) -> None:
-        """Makes the next call, if one is needed."""
-        call = self.feeder.next_call(self.daemon.loop.clock())
-        if call is None:
-            self._schedule()
-            return
-        self.caller.get(
-            call.target, call.timeout_s, self._on_done, self._on_failed
-        )
-
-    def _on_done(self, status: int, body: bytes) -> None:
-        self.feeder.on_answer(status, body, self.daemon.loop.clock())
-        self._schedule()
-
-    def _on_failed(self, reason: str) -> None:
-        self.feeder.on_failed(reason, self.daemon.loop.clock())
-        self._schedule()
-
-    def confirm(self) -> None:
-        """Makes a call beside the others; one is under way at the most."""
-        call = self.feeder.confirming_call()
-        clock = self.daemon.loop.clock
-
-        def on_done(status: int, body: bytes) -> None:
-            effects = self.feeder.on_confirmation(status, body, clock())
-            self.daemon.perform(effects)
-
-        def on_failed(reason: str) -> None:
-            effects = self.feeder.on_confirmation_failed(reason, clock())
-            self.daemon.perform(effects)
-
-        self.confirmer.get(call.target, call.timeout_s, on_done, on_failed)
-
-    def _schedule(self) -> None:
-        self.daemon.perform(self.feeder.node.take_effects())
-        due = self.feeder.reader.due
-        if due <= self.daemon.loop.clock():
-            self.call()
-        else:
-            self.daemon.loop.call_at(due, self.call)
-
-
-def _watch_signals(loop: Loop, on_signal: object) -> None:
-    """Delivers signals through the loop."""
-    receiver, sender = socket.socketpair()
-    receiver.setblocking(False)
-    sender.setblocking(False)
-    signal.set_wakeup_fd(sender.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, lambda *_: None)
-    signal.signal(signal.SIGPIPE, signal.SIG_IGN)
-
-    def read() -> None:
-        # Holding ``sender`` here keeps it open for the handler.
-        for number in receiver.recv(64) if sender else b"":
-            on_signal(number)  # type: ignore[operator]
-
-    loop.on_readable(receiver, read)
-
-
 def make_daemon(
     settings: HostSettings, loop: Loop, journal: FlowJournal
 ) -> FlowDaemon:
@@ -406,18 +326,25 @@
     daemon = make_daemon(settings, loop, journal)
     daemon.start()
     if isinstance(daemon.node, BalancerNode):
-        bound_s = min(settings.apply_s, settings.drain_s)
-        daemon.node.sharer.fresh_s = FRESH_SHARE * bound_s
-        draw = make_draw(settings.name)
-        reader = StoreReader(draw, WATCH_SHARE * bound_s)
-        feeder = StoreFeeder(daemon.node, reader)
-        calls = StoreCalls(
-            daemon,
-            feeder,
-            HttpCaller(loop, settings.store),
-            HttpCaller(loop, settings.store),
-        )
-        daemon.confirm = calls.confirm
-        calls.call()
+        _read_store(daemon, daemon.node)
     loop.run()
     journal.log("stopped")
+
+
+def _read_store(daemon: FlowDaemon, node: BalancerNode) -> None:
+    """Begins to read the platform's store."""
+    settings, loop = daemon.settings, daemon.loop
+    bound_s = min(settings.apply_s, settings.drain_s)
+    node.sharer.fresh_s = FRESH_SHARE * bound_s
+    draw = make_draw(settings.name)
+    reader = StoreReader(draw, WATCH_SHARE * bound_s)
+    calls = StoreCalls(
+        loop=loop,
+        feeder=StoreFeeder(node, reader),
+        caller=HttpCaller(loop, settings.store),
+        confirmer=HttpCaller(loop, settings.store),
+        perform=daemon.perform,
+        observe=daemon.observe,
+    )
+    daemon.confirm = calls.confirm
+    calls.call()
--- a/notchhoist/daemon/flow_metrics.py
+++ b/notchhoist/daemon/flow_metrics.py
@@ -4,8 +4,11 @@
 and a counter is one line.
 """
 
+from collections.abc import Mapping
+
 from notchhoist.flows.agent import AgentNode
 from notchhoist.flows.balancer import BalancerNode
+from notchhoist.flows.boards import BUCKETS_S, Histogram, Series, Timing
 
 METRICS_PORT = 9464
 """Port of the metrics; ``deploy/system.toml`` names it too."""
@@ -33,7 +36,7 @@
     for name, value in gauges.items():
         lines.append(f"# TYPE notchhoist_{name} gauge")
         lines.append(f"notchhoist_{name} {value:g}")
-    lines += _histogram(board.records.latency_buckets)
+    lines += _histograms(board.records.histograms)
     return "\n".join(lines) + "\n"
 
 
@@ -67,15 +70,28 @@
     }
 
 
-def _histogram(buckets: dict[float, int]) -> list[str]:
-    if not buckets:
-        return []
-    name = "notchhoist_latency_seconds"
-    lines = [f"# TYPE {name} histogram"]
+def _histograms(histograms: Mapping[Series, Histogram]) -> list[str]:
+    """Returns every histogram, those of one matter under one name."""
+    lines: list[str] = []
+    for timing in Timing:
+        chosen = [item for item in histograms if item.timing is timing]
+        if not chosen:
+            continue
+        name = f"notchhoist_{timing.value}_seconds"
+        lines.append(f"# TYPE {name} histogram")
+        for series in chosen:
+            labels = f'service="{series.service}",outcome="{series.outcome}"'
+            lines += _series(name, labels, histograms[series])
+    return lines
+
+
+def _series(name: str, labels: str, histogram: Histogram) -> list[str]:
+    lines = []
     total = 0
-    for bound, count in sorted(buckets.items()):
-        total += count
+    for bound in BUCKETS_S:
+        total += histogram.counts.get(bound, 0)
         label = "+Inf" if bound == float("inf") else f"{bound:g}"
-        lines.append(f'{name}_bucket{{le="{label}"}} {total}')
-    lines.append(f"{name}_count {total}")
+        lines.append(f'{name}_bucket{{{labels},le="{label}"}} {total}')
+    lines.append(f"{name}_sum{{{labels}}} {histogram.total_s:g}")
+    lines.append(f"{name}_count{{{labels}}} {total}")
     return lines
--- a/notchhoist/flows/__init__.py
+++ b/notchhoist/flows/__init__.py
@@ -18,7 +18,7 @@
 * ``completeness``: a pure function on whether every server is known.
 * ``confirming``, ``opening``, ``finding``, ``health``, ``resetting``,
   ``fleet_keeper``, ``sharing``, ``isolation``: the balancer's controllers;
-  ``admitting``: the agent's.
+  ``admitting``, ``backend_watch``: the agent's.
 * ``balancer``, ``agent``: the two nodes.
 
 Modules are imported by name; see ``notchhoist.base`` for the reason.
--- a/notchhoist/flows/admitting.py
+++ b/notchhoist/flows/admitting.py
@@ -3,7 +3,7 @@
 from msgspec import Struct, field
 
 from notchhoist.flows import notes
-from notchhoist.flows.boards import AgentBoard, Count
+from notchhoist.flows.boards import AgentBoard, Count, Timing
 from notchhoist.flows.effects import SendBackend, SendBalancer
 from notchhoist.flows.failing import AnswerTimes
 from notchhoist.flows.held import (
@@ -108,10 +108,12 @@
         if elapsed is None:
             return
         board = self.board
-        board.records.observe(elapsed)
         took_s = now - held.request_at
-        if self.times.note_answer(segment.service_key, took_s):
+        good = self.times.note_answer(segment.service_key, took_s)
+        if good:
             self._note_pace(elapsed)
+        outcome = "answered" if good else "too quick"
+        board.records.observe(Timing.SERVICE, board.service, outcome, elapsed)
         self._log_failing()
         self._free(flow, now)
 
@@ -126,6 +128,7 @@
         """Takes account of a request whose flow the server has reset."""
         if held.running_since is not None:
             self.times.note_failure()
+            self.board.records.counters[Count.REQUESTS_BROKEN] += 1
             self._log_failing()
 
     def _note_given_up(self, held: HeldFlow, now: float) -> None:
@@ -172,6 +175,7 @@
     def _release(self, request: HeldRequest, now: float, outcome: str) -> None:
         board = self.board
         del board.waiting[request.flow]
+        self._observe_wait(request, outcome, now)
         board.records.decide(
             "release",
             request.flow,
@@ -203,10 +207,21 @@
                 # The backend server queues it, or rejects it with an answer.
                 self._release(request, now, "waited too long")
 
+    def _observe_wait(
+        self, request: HeldRequest, outcome: str, now: float
+    ) -> None:
+        self.board.records.observe(
+            Timing.WAITING,
+            self.board.service,
+            outcome,
+            now - request.arrived_at,
+        )
+
     def _refuse(self, request: HeldRequest, now: float) -> None:
         """Lets the balancer reset a flow that has not opened."""
         board = self.board
         del board.waiting[request.flow]
+        self._observe_wait(request, "refused", now)
         board.flows.pop(request.flow, None)
         load = Load(len(board.flows), len(board.waiting) + len(board.active))
         note = notes.to_balancer(NoteKind.REFUSED, load)
--- a/notchhoist/flows/agent.py
+++ b/notchhoist/flows/agent.py
@@ -4,16 +4,15 @@
 
 from notchhoist.flows import notes
 from notchhoist.flows.admitting import RequestGate
+from notchhoist.flows.backend_watch import BackendWatch
 from notchhoist.flows.boards import AgentBoard, Count
 from notchhoist.flows.effects import (
-    CheckBackend,
     Effect,
     SendBackend,
     SendBalancer,
     SendCaller,
     SendPeer,
 )
-from notchhoist.flows.failing import AnswerTimes
 from notchhoist.flows.held import (
     CLOSED_KEPT_S,
     HeldFlow,
@@ -33,9 +32,6 @@
 IDLE_KEPT_S = 60.0
 """A silent flow is forgotten after this time, seconds, likewise."""
 
-CHECK_PAUSE_S = 0.3
-"""Least time between two looks whether the backend server listens."""
-
 BALANCER_KEPT_S = 5.0
 """A balancer that was heard within this time is told of a stop, seconds."""
 
@@ -55,6 +51,7 @@
         board: What it knows.
         codec: Codec of the packets.
         gate: Shares out the slots.
+        watch: Notices when the backend server has ended.
         sweep_due: When old knowledge is next forgotten, seconds.
         offered: Flows that the backend server has not accepted yet.
         counted: The load when it was last counted.
@@ -64,6 +61,7 @@
     board: AgentBoard
     codec: SegmentCodec
     gate: RequestGate
+    watch: BackendWatch
     sweep_due: float = 0.0
     offered: dict[bytes, HeldFlow] = field(default_factory=dict)
     counted: Load = field(default_factory=Load)
@@ -105,7 +103,7 @@
             board.records.counters[Count.WRONG_SERVICE] += 1
             self._give_back(host, segment, "other service", now)
         elif board.backend_gone:
-            self._check_soon(now)
+            self.watch.check_soon(now)
             self._give_back(host, segment, "backend server gone", now)
         elif segment.opens:
             self._offer(host, segment, now)
@@ -206,15 +204,10 @@
             held.opening = None
         if segment.size and not held.is_new(segment):
             # A copy: the backend server may not have had the first one.
-            self._check_soon(now)
+            self.watch.check_soon(now)
         if segment.resets:
             held.phase = Phase.CLOSED
 
-    def _check_soon(self, now: float) -> None:
-        board = self.board
-        if board.check_due == float("inf"):
-            board.check_due = max(now, board.checked_at + CHECK_PAUSE_S)
-
     def on_backend(self, segment: Segment, now: float) -> list[Effect]:
         """Takes a packet that the backend server sent or gave back."""
         board = self.board
@@ -277,37 +270,10 @@
 
     def on_checked(self, listens: bool, now: float) -> list[Effect]:
         """Takes the outcome of ``CheckBackend``."""
-        board = self.board
-        board.checking = False
-        board.checked_at = now
-        board.check_due = float("inf")
-        if listens:
-            if board.backend_gone:
-                board.records.decide("backend server", b"", "back")
-                self.gate.times = AnswerTimes()
-            board.backend_gone = False
-        elif not board.backend_gone:
-            board.backend_gone = True
-            board.records.counters[Count.BACKEND_GONE] += 1
-            board.records.decide("backend server", b"", "gone")
-            self._reset_all()
+        if self.watch.on_checked(listens, now):
+            self.offered.clear()
         return self._drain()
 
-    def _reset_all(self) -> None:
-        """Resets the flows of a backend server that has ended."""
-        board = self.board
-        for flow, held in board.flows.items():
-            if held.phase is not Phase.OPEN or held.sample is None:
-                continue
-            reset = self.codec.make_reset(held.sample)
-            board.outbox.append(SendCaller(held.sample.caller, reset))
-            board.records.counters[Count.RESETS] += 1
-            board.records.decide("reset", flow, "backend server gone")
-        board.flows.clear()
-        board.active.clear()
-        board.waiting.clear()
-        self.offered.clear()
-
     def on_peer(
         self, host: str, message: PeerMessage, now: float
     ) -> list[Effect]:
@@ -327,7 +293,6 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Does what is due."""
-        board = self.board
         late = [
             held
             for held in self.offered.values()
@@ -336,9 +301,7 @@
         for held in late:
             self._on_silent(held, now)
         self.gate.tick(now)
-        if now >= board.check_due and not board.checking:
-            board.checking = True
-            board.outbox.append(CheckBackend())
+        self.watch.tick(now)
         if now >= self.sweep_due:
             self.sweep_due = now + SWEEP_S
             self._sweep(now)
@@ -351,7 +314,7 @@
             return
         self.board.records.counters[Count.BACKEND_SILENT] += 1
         self.offered.pop(segment.flow, None)
-        self._check_soon(now)
+        self.watch.check_soon(now)
         self._give_back(held.balancer, segment, "server is silent", now)
 
     def _sweep(self, now: float) -> None:
@@ -381,10 +344,11 @@
             (held.since for held in self.offered.values()),
             default=float("inf"),
         )
-        board = self.board
-        check = float("inf") if board.checking else board.check_due
         return min(
-            offered + ACCEPT_WAIT_S, check, self.sweep_due, self.gate.due()
+            offered + ACCEPT_WAIT_S,
+            self.watch.due(),
+            self.sweep_due,
+            self.gate.due(),
         )
 
     def _drain(self) -> list[Effect]:
@@ -402,4 +366,5 @@
         now: Runtime clock, seconds.
     """
     board = AgentBoard(service, notes.service_tag(service), now)
-    return AgentNode(board, codec, RequestGate(board, codec))
+    gate = RequestGate(board, codec)
+    return AgentNode(board, codec, gate, BackendWatch(board, codec, gate))
--- /dev/null
+++ b/notchhoist/flows/backend_watch.py
@@ -0,0 +1,78 @@
+"""An agent's controller that notices when its backend server has ended."""
+
+from msgspec import Struct
+
+from notchhoist.flows.admitting import RequestGate
+from notchhoist.flows.boards import AgentBoard, Count
+from notchhoist.flows.effects import CheckBackend, SendCaller
+from notchhoist.flows.failing import AnswerTimes
+from notchhoist.flows.held import Phase
+from notchhoist.flows.segments import SegmentCodec
+
+CHECK_PAUSE_S = 0.3
+"""Least time between two looks whether the backend server listens, seconds."""
+
+
+class BackendWatch(Struct, eq=False):
+    """Looks whether the backend server listens, where it keeps silent.
+
+    Attributes:
+        board: What the agent knows.
+        codec: Codec of the packets.
+        gate: Shares out the slots.
+    """
+
+    board: AgentBoard
+    codec: SegmentCodec
+    gate: RequestGate
+
+    def check_soon(self, now: float) -> None:
+        """Asks for a look, a little after the last one."""
+        board = self.board
+        if board.check_due == float("inf"):
+            board.check_due = max(now, board.checked_at + CHECK_PAUSE_S)
+
+    def tick(self, now: float) -> None:
+        """Begins a look that is due."""
+        board = self.board
+        if now >= board.check_due and not board.checking:
+            board.checking = True
+            board.outbox.append(CheckBackend())
+
+    def due(self) -> float:
+        """Returns when ``tick`` is next needed, seconds."""
+        return float("inf") if self.board.checking else self.board.check_due
+
+    def on_checked(self, listens: bool, now: float) -> bool:
+        """Takes the outcome of a look; tells whether the server has ended."""
+        board = self.board
+        board.checking = False
+        board.checked_at = now
+        board.check_due = float("inf")
+        if listens:
+            if board.backend_gone:
+                board.records.decide("backend server", b"", "back")
+                self.gate.times = AnswerTimes()
+            board.backend_gone = False
+            return False
+        if board.backend_gone:
+            return False
+        board.backend_gone = True
+        board.records.counters[Count.BACKEND_GONE] += 1
+        board.records.decide("backend server", b"", "gone")
+        self._reset_all()
+        return True
+
+    def _reset_all(self) -> None:
+        """Resets the flows of a backend server that has ended."""
+        board = self.board
+        for flow, held in board.flows.items():
+            if held.phase is not Phase.OPEN or held.sample is None:
+                continue
+            reset = self.codec.make_reset(held.sample)
+            board.outbox.append(SendCaller(held.sample.caller, reset))
+            board.records.counters[Count.RESETS] += 1
+            board.records.decide("reset", flow, "backend server gone")
+        board.flows.clear()
+        board.active.clear()
+        board.waiting.clear()
--- a/notchhoist/flows/balancer.py
+++ b/notchhoist/flows/balancer.py
@@ -145,14 +145,6 @@
                 self.sharer.on_tell(host, message, now)
         return self.take_effects()
 
-    def on_view_confirmed(self, confirmed: bool, now: float) -> list[Effect]:
-        """Takes the outcome of ``ConfirmView``."""
-        if confirmed:
-            self.finder.on_view_confirmed(now)
-        else:
-            self.finder.confirmer.on_failed(now)
-        return self.take_effects()
-
     def tick(self, now: float) -> list[Effect]:
         """Does what is due."""
         self.opener.tick(now)
--- a/notchhoist/flows/boards.py
+++ b/notchhoist/flows/boards.py
@@ -12,6 +12,9 @@
 from notchhoist.flows.segments import Segment
 from notchhoist.flows.view import FleetView
 
+SERIES_MAX = 2000
+"""Histograms of one process; 430 services with four outcomes fit in."""
+
 DECISIONS_KEPT = 1000
 """Decisions that wait for the log at the most."""
 
@@ -53,8 +56,62 @@
     VIEWS_TOLD = "views_told"
     WRONG_SERVICE = "wrong_service"
     BACKEND_SILENT = "backend_silent"
+    REQUESTS_BROKEN = "requests_broken"
     BACKEND_GONE = "backend_gone"
     DECISIONS_DROPPED = "decisions_dropped"
+    TIMINGS_DROPPED = "timings_dropped"
+
+
+class Timing(enum.StrEnum):
+    """What is timed; each has a histogram by service and outcome.
+
+    Attributes:
+        OPENING: From offering a new flow to its acceptance.
+        FINDING: From the first question for an unknown flow to the outcome.
+        SERVICE: From a request to its answer, at the agent.
+        WAITING: How long a request waited for a slot.
+        STORE: A call to the platform's store.
+        FORWARDING: What one packet takes here; a sample.
+    """
+
+    OPENING = "opening"
+    FINDING = "finding"
+    SERVICE = "service"
+    WAITING = "waiting"
+    STORE = "store"
+    FORWARDING = "forwarding"
+
+
+class Series(Struct, frozen=True):
+    """What one histogram holds.
+
+    Attributes:
+        timing: What is timed.
+        service: Name of the service, or empty.
+        outcome: How it ended.
+    """
+
+    timing: Timing
+    service: str
+    outcome: str
+
+
+class Histogram(Struct, eq=False):
+    """Latencies by the bounds in ``BUCKETS_S``.
+
+    Attributes:
+        counts: How many there were, by bucket.
+        total_s: Their sum, seconds.
+    """
+
+    counts: dict[float, int] = field(default_factory=dict)
+    total_s: float = 0.0
+
+    def add(self, latency_s: float) -> None:
+        """Counts a latency."""
+        bound = next(bound for bound in BUCKETS_S if latency_s <= bound)
+        self.counts[bound] = self.counts.get(bound, 0) + 1
+        self.total_s += latency_s
 
 
 class Decision(Struct, frozen=True):
@@ -79,6 +136,7 @@
     Attributes:
         counters: Counts since the start.
         decisions: Decisions that the log has not taken yet.
+        histograms: Latencies by what was timed.
     """
 
     counters: collections.Counter[Count] = field(
@@ -87,12 +145,20 @@
     decisions: collections.deque[Decision] = field(
         default_factory=collections.deque
     )
-    latency_buckets: dict[float, int] = field(default_factory=dict)
+    histograms: dict[Series, Histogram] = field(default_factory=dict)
 
-    def observe(self, latency_s: float) -> None:
-        """Counts a latency in its bucket."""
-        bound = next(bound for bound in BUCKETS_S if latency_s <= bound)
-        self.latency_buckets[bound] = self.latency_buckets.get(bound, 0) + 1
+    def observe(
+        self, timing: Timing, service: str, outcome: str, latency_s: float
+    ) -> None:
+        """Counts a latency; past ``SERIES_MAX`` histograms it is dropped."""
+        series = Series(timing, service, outcome)
+        histogram = self.histograms.get(series)
+        if histogram is None:
+            if len(self.histograms) >= SERIES_MAX:
+                self.counters[Count.TIMINGS_DROPPED] += 1
+                return
+            histogram = self.histograms[series] = Histogram()
+        histogram.add(latency_s)
 
     def decide(
         self, event: str, flow: bytes, outcome: str, **inputs: object
--- a/notchhoist/flows/finding.py
+++ b/notchhoist/flows/finding.py
@@ -9,7 +9,13 @@
 from msgspec import Struct
 
 from notchhoist.flows import notes, placing
-from notchhoist.flows.boards import BalancerBoard, Count, Placement, Search
+from notchhoist.flows.boards import (
+    BalancerBoard,
+    Count,
+    Placement,
+    Search,
+    Timing,
+)
 from notchhoist.flows.completeness import is_complete
 from notchhoist.flows.confirming import ViewConfirmer
 from notchhoist.flows.effects import SendAgent
@@ -166,6 +172,7 @@
         if server is None:
             return
         self.board.records.counters[Count.FOUND] += 1
+        self._observe(search, "found", now)
         self.board.records.decide(
             "find", flow, server.entry.server_id, rounds=search.rounds
         )
@@ -202,7 +209,7 @@
             return
         if search.silent:
             # Whoever was tried may hold the flow and be slow: leave it alone.
-            self._give_up(flow, search, "tried agents")
+            self._give_up(flow, search, "tried agents", now)
             return
         search.denied_at = now
         self._settle_if_known(flow, search, now)
@@ -226,9 +233,17 @@
         for flow, search in list(self.board.searches.items()):
             self._settle_if_known(flow, search, now)
 
-    def _give_up(self, flow: bytes, search: Search, silent: str) -> None:
+    def _observe(self, search: Search, outcome: str, now: float) -> None:
+        self.board.records.observe(
+            Timing.FINDING, search.service, outcome, now - search.since
+        )
+
+    def _give_up(
+        self, flow: bytes, search: Search, silent: str, now: float
+    ) -> None:
         """Ends a search without a reset; the caller's next copy starts anew."""
         del self.board.searches[flow]
+        self._observe(search, "given up", now)
         self.board.records.counters[Count.FINDS_GIVEN_UP] += 1
         self.board.records.decide(
             "give up finding",
@@ -255,6 +270,7 @@
             return
         del self.board.searches[flow]
         self.board.records.counters[Count.FOUND_NOWHERE] += 1
+        self._observe(search, "found nowhere", now)
         self.resetter.reset(
             search.waiting[-1],
             "found nowhere",
@@ -299,7 +315,7 @@
             self._next(flow, search, now)
         elif search.rounds >= ROUNDS_MAX:
             # An agent that restarts may hold the flow: leave it alone.
-            self._give_up(flow, search, "silent agents")
+            self._give_up(flow, search, "silent agents", now)
         elif not self._widen(flow, search, now):
             self._ask(flow, search, now)
 
--- a/notchhoist/flows/opening.py
+++ b/notchhoist/flows/opening.py
@@ -6,7 +6,13 @@
 
 from notchhoist.base.draws import Draw
 from notchhoist.flows import notes, placing
-from notchhoist.flows.boards import BalancerBoard, Count, Opening, Placement
+from notchhoist.flows.boards import (
+    BalancerBoard,
+    Count,
+    Opening,
+    Placement,
+    Timing,
+)
 from notchhoist.flows.effects import SendAgent
 from notchhoist.flows.fleet import Route, Server
 from notchhoist.flows.health import HealthKeeper
@@ -160,7 +166,7 @@
         """Takes word that a backend server accepted a flow."""
         opening = self.board.openings.pop(segment.flow, None)
         if opening is not None:
-            self.board.records.observe(now - opening.sent_at)
+            self._observe(opening, "accepted", now)
         placement = self.board.flows.get(segment.flow)
         if placement is None:
             return
@@ -172,12 +178,18 @@
                 placement.server = server
                 placement.accepted = True
 
+    def _observe(self, opening: Opening, outcome: str, now: float) -> None:
+        self.board.records.observe(
+            Timing.OPENING, opening.service, outcome, now - opening.sent_at
+        )
+
     def on_refused(self, host: str, segment: Segment, now: float) -> None:
         """Takes a flow back that a backend server did not take."""
         opening = self.board.openings.get(segment.flow)
         placement = self.board.flows.get(segment.flow)
         here = placement is None or placement.server.entry.host == host
         if opening is not None and here:
+            self._observe(opening, "refused", now)
             self.offer(opening, now)
         elif placement is not None and here:
             # It was accepted, but never got a slot; nothing has run.
@@ -197,6 +209,7 @@
             placement = self.board.flows.get(opening.segment.flow)
             if placement is not None:
                 self.health.suspect(placement.server, now, "no acceptance")
+            self._observe(opening, "silent", now)
             self.offer(opening, now)
 
     def due(self) -> float:
--- a/notchhoist/flows/tests/test_balancer.py
+++ b/notchhoist/flows/tests/test_balancer.py
@@ -375,6 +375,15 @@
     return effects
 
 
+def confirm(node, confirmed, now):
+    """Brings the outcome of a confirmation."""
+    if confirmed:
+        node.finder.on_view_confirmed(now)
+    else:
+        node.finder.confirmer.on_failed(now)
+    return node.take_effects()
+
+
 def confirms(effects):
     return [item for item in effects if isinstance(item, ConfirmView)]
 
@@ -386,7 +395,7 @@
     effects = deny_everywhere(node, lost, 5.0)
     assert len(confirms(effects)) == 1
     assert not resets(effects)
-    assert len(resets(node.on_view_confirmed(True, 5.008))) == 1
+    assert len(resets(confirm(node, True, 5.008))) == 1
 
 
 def test_a_server_that_a_confirmation_brings_is_asked_before_a_reset():
@@ -394,7 +403,7 @@
     lost = request(data=b"x")
     deny_everywhere(node, lost, 5.0)
     node.fleet.on_entry(entry(3), 5, 5.008)
-    effects = node.on_view_confirmed(True, 5.008)
+    effects = confirm(node, True, 5.008)
     assert not resets(effects)
     assert [host for host, _ in packets(effects)] == ["10.0.0.3"]
 
@@ -404,11 +413,11 @@
     deny_everywhere(node, request(data=b"x"), 5.0)
     later = request(data=b"x", port=40002)
     assert not confirms(deny_everywhere(node, later, 5.004))
-    effects = node.on_view_confirmed(True, 5.008)
+    effects = confirm(node, True, 5.008)
     assert len(resets(effects)) == 1
     assert later.flow in node.board.searches
     assert confirms(node.tick(5.21))
-    assert len(resets(node.on_view_confirmed(True, 5.22))) == 1
+    assert len(resets(confirm(node, True, 5.22))) == 1
 
 
 @pytest.mark.parametrize("failed_at", [3.5, 4.9])
@@ -438,7 +447,7 @@
     node = balancer(servers=2)
     lost = request(data=b"x")
     deny_everywhere(node, lost, 5.0)
-    assert not resets(node.on_view_confirmed(False, 5.5))
+    assert not resets(confirm(node, False, 5.5))
     assert len(resets(node.tick(5.002 + DENIED_WAIT_S))) == 1
 
 
@@ -447,7 +456,7 @@
     node = balancer(servers=1)
     lost = request(data=b"x")
     deny_everywhere(node, lost, 5.0, servers=1)
-    node.on_view_confirmed(True, 5.008)
+    confirm(node, True, 5.008)
     open_flow(node, 5.02, port=40002)
     [(_, segment)] = packets(
         node.on_caller(request(data=b"x", port=40002), 5.03)
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -4,7 +4,6 @@
 
 from notchhoist.base.errors import PlatformError
 from notchhoist.flows.balancer import BalancerNode
-from notchhoist.flows.effects import Effect
 from notchhoist.platform import store
 from notchhoist.platform.store import StoreCall, StoreEvent, StoreReader
 
@@ -66,25 +65,24 @@
         """Returns the call that confirms what is known."""
         return self.reader.confirming_call(self.node.board.view.revision)
 
-    def on_confirmation(
-        self, status: int, body: bytes, now: float
-    ) -> list[Effect]:
+    def on_confirmation(self, status: int, body: bytes, now: float) -> None:
         """Takes the answer to a ``confirming_call``."""
         try:
             changes = store.read_confirmation(status, body)
         except PlatformError as error:
-            return self.on_confirmation_failed(str(error), now)
+            self.on_confirmation_failed(str(error), now)
+            return
         for event in changes.events:
             self._apply(event, now)
         self.node.board.view.reach(changes.revision)
         self.node.sharer.on_confirmed(now)
-        return self.node.on_view_confirmed(True, now)
+        self.node.finder.on_view_confirmed(now)
 
-    def on_confirmation_failed(self, reason: str, now: float) -> list[Effect]:
+    def on_confirmation_failed(self, reason: str, now: float) -> None:
         """Takes account of a ``confirming_call`` without a usable answer."""
         self.node.board.store_failed_at = now
         self._decide("confirmation failed", reason)
-        return self.node.on_view_confirmed(False, now)
+        self.node.finder.confirmer.on_failed(now)
 
     def _note_lost(self, reason: str, now: float) -> None:
         self.node.board.store_failed_at = now
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -63,10 +63,12 @@
     """A call to be made.
 
     Attributes:
+        purpose: What it is for, for the metrics.
         target: Path and query.
         timeout_s: When to give it up, seconds.
     """
 
+    purpose: str
     target: str
     timeout_s: float
 
@@ -181,12 +183,12 @@
             target = "/kv-range?path_prefix="
             if self.page_after:
                 target += f"&after={_quoted(self.page_after)}"
-            return StoreCall(target, self._listing_timeout_s())
+            return StoreCall("listing", target, self._listing_timeout_s())
         target = (
             f"/kv-watch?path_prefix=&after={self.revision}"
             f"&wait_ms={int(self.watch_s * 1000)}"
         )
-        return StoreCall(target, self.watch_s + ANSWER_S)
+        return StoreCall("watch", target, self.watch_s + ANSWER_S)
 
     def confirming_call(self, revision: int) -> StoreCall:
         """Returns a call for what is newer than a revision, answered at once.
@@ -195,7 +197,7 @@
         """
         self.calls += 1
         target = f"/kv-watch?path_prefix=&after={revision}&wait_ms=1"
-        return StoreCall(target, CONFIRM_TIMEOUT_S)
+        return StoreCall("confirmation", target, CONFIRM_TIMEOUT_S)
 
     def _listing_timeout_s(self) -> float:
         """Returns how long a listing may take; patience grows with failures.
--- a/notchhoist/testing/opaque/store_link.py
+++ b/notchhoist/testing/opaque/store_link.py
@@ -78,13 +78,13 @@
                 return
             feeder, now = host.feeder, self.world.now
             if trouble or cut:
-                todo = feeder.on_confirmation_failed(trouble or "cut", now)
+                feeder.on_confirmation_failed(trouble or "cut", now)
             else:
                 query = dict(parse_qsl(urlsplit(call.target).query))
                 status, body = self.world.store.read_changes(query)
                 body = self.world.store.no_changes() if body is None else body
-                todo = feeder.on_confirmation(status, body, now)
-            self.world.perform(host, todo)
+                feeder.on_confirmation(status, body, now)
+            self.world.perform(host, feeder.node.take_effects())
 
         self.world.later(delay, take)
 
