The operators' tool, a dump and a check of settings on the opaque-flow path

Cause: `notchhoist` read CoAP daemons only; on the users' platform an engineer had logs and counters, and nothing that told why a flow is where it is.

Change: the metrics port of a daemon also answers /health and /dump/SECTION, in the form of the CoAP daemons' operator port, page by page, loaded with the first question. `show`, `why flow`, `why requests` and `wait until revision` work on both paths; `show servers` puts the agents' evidence (failing, service_ms) beside what a balancer makes of it; `--watch N` asks again every N seconds. The last 200 decisions that cost a caller something are kept for questions.

Tests: real processes asked by the tool; a refused flow explained; wrong questions, wrong settings and an unannounced change.

--- a/notchhoist/cli/asking.py
+++ b/notchhoist/cli/asking.py
@@ -4,7 +4,8 @@
 from operator import eq, ge, gt, le, lt, ne
 from typing import Any
 
-from notchhoist.cli import statements
+from notchhoist.cli import asking_flows, statements
+from notchhoist.cli.asking_flows import carries_opaque
 from notchhoist.cli.fleet_reader import Daemon, FleetReader, Row
 
 Comparison = Callable[[Any, Any], bool]
@@ -31,14 +32,21 @@
     "stale_dropped",
     "caller_malformed",
     "misdirected",
+    "refused",
+    "resets",
+    "found_nowhere",
+    "finds_given_up",
+    "held_too_long",
+    "left_to_others",
+    "no_route",
 )
 
 
 def show(reader: FleetReader, statement: statements.Show) -> list[Row]:
     """Returns the rows that a statement asks for."""
-    make = _SUBJECTS[statement.subject]
     daemons = reader.daemons(statement.host)
-    rows = [row for row in make(reader, daemons) if _holds(row, statement)]
+    made = _rows(reader, daemons, statement.subject)
+    rows = [row for row in made if _holds(row, statement)]
     if statement.order:
         rows.sort(
             key=lambda row: _order_key(row.get(statement.order)),
@@ -47,6 +55,18 @@
     return rows[: statement.limit] if statement.limit else rows
 
 
+def _rows(
+    reader: FleetReader, daemons: list[Daemon], subject: str
+) -> Iterator[Row]:
+    """Yields a subject's rows from the daemons of both paths."""
+    opaque = [item for item in daemons if carries_opaque(item)]
+    others = [item for item in daemons if item not in opaque]
+    if others:
+        yield from _SUBJECTS[subject](reader, others)
+    if opaque:
+        yield from asking_flows.SUBJECTS[subject](reader, opaque)
+
+
 def _holds(row: Row, statement: statements.Show) -> bool:
     return all(_compare(row, item) for item in statement.conditions)
 
@@ -215,7 +235,12 @@
     """Tells who owns a flow, who is its home, and at which revision."""
     rows: list[Row] = []
     caller = str(statement.caller)
-    for daemon in reader.daemons(statement.host):
+    daemons = reader.daemons(statement.host)
+    opaque = [item for item in daemons if carries_opaque(item)]
+    rows.extend(asking_flows.why_flow(reader, opaque, caller))
+    for daemon in daemons:
+        if daemon in opaque:
+            continue
         sections = ("flows", "directory") if daemon.is_agent else ("hints",)
         for section in sections:
             rows.extend(_traces(reader, daemon, section, caller))
@@ -259,7 +284,7 @@
     return [
         {"host": daemon.host} | decision
         for daemon in reader.daemons(host)
-        if daemon.is_agent
+        if daemon.is_agent or carries_opaque(daemon)
         for decision in reader.section(daemon, "decisions")
         if decision["reason"]
     ]
--- a/notchhoist/cli/main.py
+++ b/notchhoist/cli/main.py
@@ -1,6 +1,7 @@
 """``notchhoist``: the operators' command-line tool."""
 
 import sys
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated
@@ -28,6 +29,8 @@
 EXIT_NOT_IN_FORCE = 5
 EXIT_REFUSED = 6
 POLL_S = 0.2
+CLEAR_SCREEN = "\x1b[2J\x1b[H"
+"""Terminal codes: clear the screen, go to its corner."""
 
 HELP = """\
 One statement of the command language; without one, reads them line by line.
@@ -69,6 +72,7 @@
         document: Published document to change, instead of the platform's.
         expect: Revision that the published document must have.
         output: File for the next document, instead of standard output.
+        watch: Ask again every so many seconds, until interrupted.
     """
 
     settings: Annotated[Path, cappa.Arg(short="-s", long=True)]
@@ -77,6 +81,7 @@
     document: Annotated[Path | None, cappa.Arg(long=True)] = None
     expect: Annotated[int | None, cappa.Arg(long=True)] = None
     output: Annotated[Path | None, cappa.Arg(long=True)] = None
+    watch: Annotated[float, cappa.Arg(long=True)] = 0.0
 
     def __init__(
         self,
@@ -86,6 +91,7 @@
         document: Path | None = None,
         expect: int | None = None,
         output: Path | None = None,
+        watch: float = 0.0,
     ) -> None:
         self.settings = settings
         self.statement = statement
@@ -93,6 +99,7 @@
         self.document = document
         self.expect = expect
         self.output = output
+        self.watch = watch
 
 
 def execute(command: Command, text: str, reader: FleetReader) -> int:
@@ -205,7 +212,9 @@
         behind = [
             f"{item.host} at {item.health['revision']}"
             for item in daemons
-            if item.health["revision"] < statement.revision
+            # Agents on the opaque-flow path read no configuration.
+            if item.health["revision"] is not None
+            and item.health["revision"] < statement.revision
         ]
         behind += [str(failure) for failure in reader.failures]
         if not behind:
@@ -234,11 +243,26 @@
     settings: OperatorSettings = loaded.unwrap()
     with httpx.Client(timeout=TIMEOUT_S, trust_env=False) as client:
         reader = FleetReader(settings, client)
+        if command.statement and command.watch > 0:
+            return _watch(command, reader)
         if command.statement:
             return execute(command, command.statement, reader)
         return _interact(command, reader, read_line)
 
 
+def _watch(command: Command, reader: FleetReader) -> int:
+    """Asks again and again; each answer takes the place of the last."""
+    while True:
+        print(CLEAR_SCREEN, end="")
+        status = execute(command, command.statement, reader)
+        if status != EXIT_OK:
+            return status
+        try:
+            time.sleep(command.watch)
+        except KeyboardInterrupt:
+            return EXIT_OK
+
+
 def _interact(
     command: Command, reader: FleetReader, read_line: Callable[[str], str]
 ) -> int:
--- a/notchhoist/daemon/__main__.py
+++ b/notchhoist/daemon/__main__.py
@@ -7,19 +7,28 @@
 EXIT_CANNOT_BIND = 3
 
 
-def _run_on_platform() -> int:
+def _run_on_platform(check: bool) -> int:
     from notchhoist.base.errors import SettingsRefusedError
-    from notchhoist.daemon.flow_daemon import run_host
-    from notchhoist.platform.settings import load_host_settings, settings_path
+    from notchhoist.platform.settings import (
+        PATH_VARIABLE,
+        load_host_settings,
+        settings_path,
+    )
 
     path = settings_path()
     if path is None:
+        print(f"{PATH_VARIABLE} names no settings file", file=sys.stderr)
         return EXIT_BAD_SETTINGS
     try:
         settings = load_host_settings(path)
     except SettingsRefusedError as error:
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    if check:
+        print(f"{path}: ok")
+        return 0
+    from notchhoist.daemon.flow_daemon import run_host
+
     try:
         run_host(settings, time.monotonic, time.time)
     except OSError as error:
@@ -30,8 +39,8 @@
 
 def main() -> None:
     """Runs the daemon for the platform's settings, or for our own."""
-    if len(sys.argv) == 1:
-        sys.exit(_run_on_platform())
+    if sys.argv[1:] in ([], ["--check"]):
+        sys.exit(_run_on_platform(check=len(sys.argv) > 1))
     from notchhoist.daemon.main import main as run_with_own_settings
 
     run_with_own_settings()
--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -64,6 +64,10 @@
 TIMED_EVERY = 64
 """One packet in so many is timed, to keep the clock out of the others."""
 
+LOOK_EVERY_S = 5.0
+"""How often the settings file is looked at, seconds: the platform may change it
+without a signal, and nothing in it is urgent."""
+
 MIN_TICK_S = 0.005
 """Least time between two ticks; a wake-up costs processor time."""
 
@@ -84,6 +88,7 @@
         tick_timer: The next tick.
         confirm: Reads the store at once; set where the process may call it.
         packets_read: Packets so far; some are timed.
+        settings_changed_at: When the settings file last changed, nanoseconds.
     """
 
     settings: HostSettings
@@ -97,6 +102,7 @@
     tick_timer: Timer = field(default_factory=lambda: Timer(float("inf"), None))
     confirm: Callable[[], None] | None = None
     packets_read: int = 0
+    settings_changed_at: int = 0
 
     def start(self) -> None:
         """Begins to serve."""
@@ -108,6 +114,8 @@
         metrics_at = (self.settings.bind_ip, METRICS_PORT)
         open_http_port(loop, metrics_at, self._answer_metrics)
         watch_signals(loop, self._on_signal)
+        self.settings_changed_at = _changed_at(settings_path())
+        loop.call_later(LOOK_EVERY_S, self._look_for_changes)
         self.journal.log(
             "start", role="balancer" if self.settings.balances else "agent"
         )
@@ -117,9 +125,14 @@
         return Reply(status_for(path, lambda: self.node.is_ready))
 
     def _answer_metrics(self, path: str) -> Reply:
-        if path != METRICS_PATH:
-            return Reply(404)
-        return Reply(200, metrics_text(self.node, self.loop.clock()))
+        now = self.loop.clock()
+        if path == METRICS_PATH:
+            return Reply(200, metrics_text(self.node, now))
+        from notchhoist.daemon.flow_state import answer_state
+
+        settings = self.settings
+        found = answer_state(self.node, settings.name, settings.zone, path, now)
+        return found or Reply(404)
 
     def _on_packets(self) -> None:
         node = self.node
@@ -236,9 +249,17 @@
         when = max(due, self.loop.clock() + MIN_TICK_S)
         self.tick_timer = self.loop.call_at(when, self._tick)
 
+    def _look_for_changes(self) -> None:
+        """Reads the settings anew where their file has changed unannounced."""
+        changed_at = _changed_at(settings_path())
+        if changed_at != self.settings_changed_at:
+            self._reload()
+        self.loop.call_later(LOOK_EVERY_S, self._look_for_changes)
+
     def _reload(self) -> None:
         """Reads the settings anew; a bad file leaves the old ones in force."""
         path = settings_path()
+        self.settings_changed_at = _changed_at(path)
         try:
             settings = load_host_settings(path or "")
         except SettingsRefusedError as error:
@@ -271,6 +292,14 @@
             self.loop.call_later(leave_s, self.loop.stop)
 
 
+def _changed_at(path: str | None) -> int:
+    """Returns when a file last changed, nanoseconds; 0 where there is none."""
+    try:
+        return os.stat(path).st_mtime_ns if path else 0
+    except OSError:
+        return 0  # A reload says what is wrong with it.
+
+
 def make_daemon(
     settings: HostSettings, loop: Loop, journal: FlowJournal
 ) -> FlowDaemon:
--- /dev/null
+++ b/notchhoist/daemon/flow_state.py
@@ -0,0 +1,281 @@
+"""The state of an opaque-flow daemon as JSON, page by page, on request.
+
+Loaded with the first question: a daemon starts without it. The paths and forms
+are those of the CoAP daemons' operator port, so one tool reads both.
+"""
+
+from collections.abc import Callable, Iterable, Iterator
+from itertools import islice
+
+import msgspec
+
+from notchhoist.daemon.flow_journal import flow_text
+from notchhoist.daemon.http_port import Reply
+from notchhoist.flows import placing
+from notchhoist.flows.agent import AgentNode
+from notchhoist.flows.balancer import BalancerNode
+from notchhoist.flows.boards import Records
+from notchhoist.flows.fleet import Route, Server
+
+HEALTH_PATH = "/health"
+DUMP_PATH = "/dump/"
+PAGE_MAX = 500
+"""Most entries in an answer: about 100 KB."""
+
+Row = dict[str, object]
+Node = BalancerNode | AgentNode
+
+
+def answer_state(
+    node: Node, name: str, zone: str, target: str, now: float
+) -> Reply | None:
+    """Answers a question for a daemon's state.
+
+    Args:
+        node: Its node.
+        name: Name of its host.
+        zone: Its availability zone.
+        target: Path and query.
+        now: Runtime clock, seconds.
+
+    Returns:
+        The answer; None where the path is another matter.
+    """
+    path, _, query = target.partition("?")
+    if path == HEALTH_PATH:
+        return _reply(200, health(node, name, zone, now))
+    if not path.startswith(DUMP_PATH):
+        return None
+    section = path.removeprefix(DUMP_PATH)
+    sections = _BALANCER if isinstance(node, BalancerNode) else _AGENT
+    make = sections.get(section)
+    if make is None:
+        names = " or ".join(sections)
+        return _reply(404, {"error": f"section: expected {names}"})
+    try:
+        offset, limit = _page(query)
+    except ValueError as error:
+        return _reply(400, {"error": str(error)})
+    rows = list(make(node, now))
+    entries = list(islice(rows, offset, offset + limit))
+    page = {"section": section, "total": len(rows), "offset": offset}
+    return _reply(200, {**page, "entries": entries})
+
+
+def _reply(status: int, value: object) -> Reply:
+    return Reply(status, msgspec.json.encode(value, enc_hook=str).decode())
+
+
+def _page(query: str) -> tuple[int, int]:
+    """Returns offset and limit.
+
+    Examples:
+        >>> _page("offset=20&limit=5"), _page("")
+        ((20, 5), (0, 500))
+
+    Raises:
+        ValueError: One of them is no whole number, or out of its range.
+    """
+    numbers = {"offset": 0, "limit": PAGE_MAX}
+    for item in query.split("&") if query else ():
+        name, _, text = item.partition("=")
+        if name not in numbers or not text.isdecimal():
+            raise ValueError(f"{name}: expected a whole number, got {text!r}")
+        numbers[name] = int(text)
+    return numbers["offset"], min(numbers["limit"], PAGE_MAX)
+
+
+def health(node: Node, name: str, zone: str, now: float) -> Row:
+    """Returns what a daemon says of itself.
+
+    Agents read no configuration, so they have no revision.
+    """
+    row: Row = {
+        "name": name,
+        "zone": zone,
+        "path": "opaque",
+        "ready": node.is_ready,
+        "stopping": node.board.stopping,
+    }
+    if isinstance(node, AgentNode):
+        return row | {"role": "agent", "revision": None, "refused": ""}
+    board = node.board
+    return row | {
+        "role": "balancer",
+        "revision": board.table.version if board.table else 0,
+        "refused": board.refused,
+        "view_revision": board.view.revision,
+        "view_age_s": _age(now, node.sharer.confirmed_at),
+        "reads_store": node.sharer.is_reader(now),
+        "isolated": board.isolated,
+    }
+
+
+def _age(now: float, at: float) -> float | None:
+    """Returns the time since a moment, seconds; None if it never came."""
+    return round(now - at, 3) if at > float("-inf") else None
+
+
+def _servers(node: BalancerNode, now: float) -> Iterator[Row]:
+    for service, servers in node.board.by_service.items():
+        paces = [item.pace_ms for item in servers if item.pace_ms]
+        median_ms = placing.median(paces)
+        takes = placing.usable(servers, now)
+        for server in servers:
+            size = placing.capacity(server, median_ms, now)
+            yield _server_row(server, service, size, server in takes, now)
+
+
+def _server_row(
+    server: Server, service: str, size: float, takes_new: bool, now: float
+) -> Row:
+    entry = server.entry
+    return {
+        "server": entry.server_id,
+        "service": service,
+        "server_host": entry.host,
+        "zone": entry.zone,
+        "state": "draining" if entry.draining else "ready",
+        "slots": entry.slots,
+        "listed": server.listed,
+        "takes_new_flows": takes_new,
+        "flows": server.flows,
+        "running": server.running,
+        "pace_ms": server.pace_ms,
+        "counts_as_slots": round(size, 2),
+        "load_age_s": _age(now, server.heard_at),
+        "suspected": server.suspected,
+        "lost": server.lost,
+        "cold": now < server.warm_at,
+    }
+
+
+def _placements(node: BalancerNode, now: float) -> Iterator[Row]:
+    for flow, placement in node.board.flows.items():
+        yield {
+            "flow": flow_text(flow),
+            "server": placement.server.entry.server_id,
+            "phase": "accepted" if placement.accepted else "offered",
+            "idle_s": _age(now, placement.last_at),
+        }
+    for flow, search in node.board.searches.items():
+        yield {
+            "flow": flow_text(flow),
+            "phase": "searched for",
+            "unanswered": sorted(search.unanswered),
+            "rounds": search.rounds,
+            "idle_s": _age(now, search.sent_at),
+        }
+
+
+def _routes(node: BalancerNode, _: float) -> Iterator[Row]:
+    table = node.board.table
+    if table is None:
+        return
+    for route in table.routes.values():
+        yield _route_row(route)
+
+
+def _route_row(route: Route) -> Row:
+    key = route.service_key
+    targets = [f"{name}:{weight}" for name, weight in route.targets]
+    host = ".".join(str(octet) for octet in key[:4])
+    return {
+        "route": route.name,
+        "address": f"{host}:{int.from_bytes(key[4:], 'big')}",
+        "kind": route.kind.value,
+        "targets": " ".join(targets),
+        "priority": route.priority,
+        "objective_ms": route.objective_ms,
+        "timeout_ms": route.timeout_ms,
+    }
+
+
+def _balancers(node: BalancerNode, now: float) -> Iterator[Row]:
+    for host, heard_at in node.sharer.members.items():
+        yield {"peer": host, "heard_s": _age(now, heard_at)}
+
+
+def _held(node: AgentNode, now: float) -> Iterator[Row]:
+    for flow, held in node.board.flows.items():
+        yield {
+            "flow": flow_text(flow),
+            "phase": held.phase.value,
+            "balancer": held.balancer,
+            "idle_s": _age(now, held.last_at),
+            "running_s": None
+            if held.running_since is None
+            else _age(now, held.running_since),
+        }
+
+
+def _waiting(node: AgentNode, now: float) -> Iterator[Row]:
+    for request in node.board.waiting.values():
+        yield {
+            "flow": flow_text(request.flow),
+            "waited_s": _age(now, request.arrived_at),
+            "late_in_s": round(request.due - now, 3),
+            "priority": request.wish.priority,
+            "may_be_refused": request.unopened,
+        }
+
+
+def _backend(node: AgentNode, now: float) -> Iterator[Row]:
+    board = node.board
+    load = node.load(now)
+    yield {
+        "service": board.service,
+        "slots": board.slots,
+        "slots_taken": len(board.active),
+        "waiting": len(board.waiting),
+        "flows": load.flows,
+        "running": load.running,
+        "service_ms": round(board.pace_s * 1000, 1),
+        "told_ms": load.pace_ms,
+        "failing": round(node.gate.times.failing, 3),
+        "gone": board.backend_gone,
+    }
+
+
+def _agents_heard(node: AgentNode, now: float) -> Iterator[Row]:
+    for host, heard_at in node.board.balancers.items():
+        yield {"peer": host, "heard_s": _age(now, heard_at)}
+
+
+def _counters(node: Node, _: float) -> Iterator[Row]:
+    for name, count in sorted(node.board.records.counters.items()):
+        yield {"key": name.value, "value": count}
+
+
+def _decisions(node: Node, _: float) -> Iterator[Row]:
+    yield from _decision_rows(node.board.records)
+
+
+def _decision_rows(records: Records) -> Iterator[Row]:
+    for decision in records.reasoned:
+        yield {
+            "flow": flow_text(decision.flow) if decision.flow else "",
+            "event": decision.event,
+            "reason": decision.outcome,
+            **decision.inputs,
+        }
+
+
+Make = Callable[..., Iterable[Row]]
+
+_BALANCER: dict[str, Make] = {
+    "servers": _servers,
+    "flows": _placements,
+    "services": _routes,
+    "peers": _balancers,
+    "counters": _counters,
+    "decisions": _decisions,
+}
+_AGENT: dict[str, Make] = {
+    "backend": _backend,
+    "flows": _held,
+    "requests": _waiting,
+    "peers": _agents_heard,
+    "counters": _counters,
+    "decisions": _decisions,
+}
--- a/notchhoist/daemon/http_port.py
+++ b/notchhoist/daemon/http_port.py
@@ -14,7 +14,12 @@
 """A silent connection is closed after this time, seconds."""
 
 RECEIVE_BYTES = 65_536
-REASONS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    503: "Service Unavailable",
+}
 
 
 class Reply(Struct, frozen=True):
--- a/notchhoist/daemon/tests/test_flow_processes.py
+++ b/notchhoist/daemon/tests/test_flow_processes.py
@@ -11,8 +11,12 @@
 import urllib.error
 import urllib.request
 
+import httpx
 import pytest
 
+from notchhoist import model
+from notchhoist.cli import main as tool
+from notchhoist.cli.fleet_reader import FleetReader, OperatorSettings
 from notchhoist.testing.opaque.frames import (
     ACK,
     SYN,
@@ -217,3 +221,113 @@
     )
     assert process.returncode == 2
     assert b"serves" in process.stderr
+
+
+def test_settings_that_change_without_a_signal_are_read(fleet, tmp_path):
+    wait_for(lambda: status(BALANCER)[0] == 200)
+    path = tmp_path / "front.json"
+    changed = {**json.loads(path.read_text()), "seeds": ["127.9.0.9:1"]}
+    path.write_text(json.dumps(changed))
+    line = wait_for(lambda: read_until(fleet["front"], "reload"))
+    assert line["changed"] == ["peers"]
+
+
+def read_until(process, event):
+    """Returns the next log line of an event."""
+    for text in process.stdout:
+        line = json.loads(text)
+        if line["message_type"] == event:
+            return line
+    return None
+
+
+def check(path):
+    return subprocess.run(
+        [sys.executable, "-m", "notchhoist.daemon", "--check"],
+        env={**os.environ, "NOTCHHOIST_NODE_FILE": str(path)},
+        capture_output=True,
+        check=False,
+        timeout=WAIT_S,
+    )
+
+
+def test_settings_can_be_checked_without_a_start(tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(settings("front", 1)))
+    assert check(path).returncode == 0
+    path.write_text(json.dumps({**settings("front", 1), "zone": 3, "ip": ""}))
+    refused = check(path)
+    assert refused.returncode == 2
+    assert [b"zone" in refused.stderr, b"ip" in refused.stderr] == [True, True]
+
+
+@pytest.fixture
+def reader():
+    daemons = (model.Endpoint(BALANCER, 9464), model.Endpoint(AGENT, 9464))
+    told = OperatorSettings("no key on this path", daemons)
+    with httpx.Client(trust_env=False, timeout=5.0) as client:
+        yield FleetReader(told, client)
+
+
+def ask_tool(reader, capsys, text):
+    """Returns what a statement prints, and its status."""
+    command = tool.Command(settings=None, json=True)
+    code = tool.execute(command, text, reader)
+    return code, capsys.readouterr().out
+
+
+def rows(reader, capsys, text):
+    return json.loads(ask_tool(reader, capsys, text)[1])
+
+
+def test_the_tool_tells_why_a_flow_is_where_it_is(
+    fleet, sockets, reader, capsys
+):
+    caller, server = sockets
+    for host in (BALANCER, AGENT):
+        wait_for(lambda host=host: status(host)[0] == 200)
+    syn = encode_frame(Frame((CALLER, 40007), SERVICE, SYN, seq=7), b"k")
+    caller.sendto(syn, (BALANCER, PORTS["packets"]))
+    server.recvfrom(2000)
+    accepted = Frame(SERVICE, (CALLER, 40007), SYN | ACK, seq=99, ack=8)
+    server.sendto(encode_frame(accepted, b"k"), (AGENT, PORTS["outbound"]))
+    caller.recv(2000)
+    why = f"why flow {CALLER}:40007"
+    found = wait_for(
+        lambda: (
+            [
+                row
+                for row in rows(reader, capsys, why)
+                if row.get("phase") == "accepted"
+            ][1:]
+            and rows(reader, capsys, why)
+        )
+    )
+    at_balancer = next(row for row in found if row["host"] == "front-1")
+    assert at_balancer["server"] == "i-1"
+    assert at_balancer["takes_new_flows"] is True
+    assert "load_age_s" in at_balancer
+    [shown] = rows(reader, capsys, "show servers where service = hallbook")
+    assert (shown["server"], shown["failing"]) == ("i-1", 0.0)
+    [balancer] = rows(reader, capsys, "show revisions")
+    assert (balancer["revision"], balancer["refused"]) == (3, "")
+    code, text = ask_tool(reader, capsys, "wait until revision 3 for 5 s")
+    assert (code, "in force everywhere" in text) == (0, True)
+    assert rows(reader, capsys, "show counters where counter = placed")
+
+
+def test_a_refused_flow_is_explained(fleet, sockets, reader, capsys):
+    caller, _ = sockets
+    wait_for(lambda: status(BALANCER)[0] == 200)
+    nowhere = ("198.18.0.9", 443)
+    syn = encode_frame(Frame((CALLER, 40008), nowhere, SYN, seq=7), b"k")
+    caller.sendto(syn, (BALANCER, PORTS["packets"]))
+    caller.recv(2000)
+    [row] = rows(reader, capsys, "why flow 127.9.0.3:40008")
+    assert (row["reason"], row["version"]) == ("no route", 3)
+
+
+def test_a_wrong_question_for_state_is_refused_by_name(fleet):
+    wait_for(lambda: status(BALANCER)[0] == 200)
+    assert status(BALANCER, "/dump/nothing", 9464)[0] == 404
+    assert status(BALANCER, "/dump/flows?limit=many", 9464)[0] == 400
--- a/notchhoist/flows/boards.py
+++ b/notchhoist/flows/boards.py
@@ -12,6 +12,11 @@
 from notchhoist.flows.segments import Segment
 from notchhoist.flows.view import FleetView
 
+REASONED = frozenset(["reset", "refuse", "give up finding", "leave to others"])
+REASONED_KEPT = 200
+"""Decisions that cost a caller something are kept for questions: the last few
+seconds of a bad moment."""
+
 SERIES_MAX = 2000
 """Histograms of one process; 430 services with four outcomes fit in."""
 
@@ -137,6 +142,7 @@
         counters: Counts since the start.
         decisions: Decisions that the log has not taken yet.
         histograms: Latencies by what was timed.
+        reasoned: The last decisions that cost a caller something.
     """
 
     counters: collections.Counter[Count] = field(
@@ -146,6 +152,9 @@
         default_factory=collections.deque
     )
     histograms: dict[Series, Histogram] = field(default_factory=dict)
+    reasoned: collections.deque[Decision] = field(
+        default_factory=lambda: collections.deque(maxlen=REASONED_KEPT)
+    )
 
     def observe(
         self, timing: Timing, service: str, outcome: str, latency_s: float
@@ -164,10 +173,13 @@
         self, event: str, flow: bytes, outcome: str, **inputs: object
     ) -> None:
         """Notes a decision; past ``DECISIONS_KEPT`` it is only counted."""
+        decision = Decision(event, flow, inputs, outcome)
+        if event in REASONED:
+            self.reasoned.append(decision)
         if len(self.decisions) >= DECISIONS_KEPT:
             self.counters[Count.DECISIONS_DROPPED] += 1
             return
-        self.decisions.append(Decision(event, flow, inputs, outcome))
+        self.decisions.append(decision)
 
 
 class Placement(Struct, eq=False):
@@ -262,6 +274,7 @@
         records: Counters and decisions.
         outbox: What is to be done.
         stopping: A planned stop has begun.
+        refused: Why the last published document was refused, or empty.
         isolated: Nobody else is heard, neither agents nor balancers.
     """
 
@@ -283,6 +296,7 @@
     records: Records = field(default_factory=Records)
     outbox: list[Effect] = field(default_factory=list)
     stopping: bool = False
+    refused: str = ""
     isolated: bool = False
 
 
--- a/notchhoist/platform/checking.py
+++ b/notchhoist/platform/checking.py
@@ -1,10 +1,12 @@
 """Checked access to decoded JSON: each error names field and place."""
 
-from collections.abc import Iterator, Mapping
-from typing import Any
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, TypeVar
 
 from notchhoist.base.errors import ConfigurationProblem
 
+T = TypeVar("T")
+
 _SHOWN_CHARACTERS = 60
 
 
@@ -21,6 +23,52 @@
         super().__init__(str(self.problem))
 
 
+class SeveralFieldsError(FieldError):
+    """Several fields that do not hold what they must.
+
+    Attributes:
+        problems: One for each of them.
+    """
+
+    def __init__(self, problems: tuple[ConfigurationProblem, ...]) -> None:
+        ValueError.__init__(self, "\n".join(str(item) for item in problems))
+        self.problem = problems[0]
+        self.problems = problems
+
+
+class Problems:
+    """Collects what is wrong, so that everything can be told at once.
+
+    Examples:
+        >>> problems = Problems()
+        >>> fields = Fields({"slots": "x"}, "server")
+        >>> problems.take(lambda: fields.integer("slots", 1, 9), 1)
+        1
+        >>> len(problems.found)
+        1
+    """
+
+    def __init__(self) -> None:
+        self.found: list[ConfigurationProblem] = []
+
+    def take(self, read: Callable[[], T], instead: T) -> T:
+        """Returns what is read, or something in its place where it is wrong."""
+        try:
+            return read()
+        except FieldError as error:
+            self.found.append(error.problem)
+            return instead
+
+    def raise_any(self) -> None:
+        """Raises what was found.
+
+        Raises:
+            SeveralFieldsError: Something was.
+        """
+        if self.found:
+            raise SeveralFieldsError(tuple(self.found))
+
+
 class Fields:
     """The fields of one JSON object.
 
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -99,6 +99,7 @@
         fleet = self.node.fleet
         match event:
             case store.TablePublished():
+                self.node.board.refused = ""
                 fleet.on_table(event.table, event.revision)
             case store.ServersListed():
                 fleet.on_listing(event.entries, event.revision, now, event.kept)
@@ -106,5 +107,8 @@
                 fleet.on_entry(event.entry, event.revision, now)
             case store.ServerRemoved():
                 fleet.on_removed(event.server_id, event.revision, now)
-            case store.TableRefused() | store.EntryRefused():
+            case store.TableRefused():
+                self.node.board.refused = str(event.error)
+                self._decide("refused", str(event.error))
+            case store.EntryRefused():
                 self._decide("refused", str(event.error))
--- a/notchhoist/platform/settings.py
+++ b/notchhoist/platform/settings.py
@@ -6,7 +6,13 @@
 from msgspec import Struct
 
 from notchhoist.base.errors import ConfigurationProblem, SettingsRefusedError
-from notchhoist.platform.checking import FieldError, Fields, split_address
+from notchhoist.platform.checking import (
+    FieldError,
+    Fields,
+    Problems,
+    SeveralFieldsError,
+    split_address,
+)
 from notchhoist.platform.documents import decode_json
 
 PATH_VARIABLE = "NOTCHHOIST_NODE_FILE"
@@ -14,6 +20,10 @@
 Address = tuple[str, int]
 """IP number and port, as sockets take them."""
 
+NO_ADDRESS: Address = ("", 0)
+NO_FIELDS = Fields({}, "")
+"""Stand where something is wrong, until all that is wrong has been found."""
+
 
 class HostSettings(Struct, frozen=True):
     """What a process on the platform's machines is told.
@@ -76,6 +86,8 @@
             "file", "a readable file", str(error.strerror)
         )
         raise SettingsRefusedError(path, (problem,)) from error
+    except SeveralFieldsError as error:
+        raise SettingsRefusedError(path, error.problems) from error
     except FieldError as error:
         raise SettingsRefusedError(path, (error.problem,)) from error
 
@@ -84,39 +96,62 @@
     """Decodes the text of the settings file.
 
     Raises:
-        FieldError: A field is wrong; the error says which.
+        FieldError: Fields are wrong; the error names each of them.
     """
     fields = Fields(decode_json(text, "settings"), "")
-    serves = fields.texts("serves")
-    if "front" not in serves and "side" not in serves:
-        raise FieldError("serves", "'front' or 'side'", serves)
-    balances = "front" in serves
-    listen = fields.inner("listen")
-    bounds = fields.inner("bounds")
-    ports = _ports(fields)
-    return HostSettings(
-        name=fields.text("node"),
-        zone=fields.text("zone"),
-        ip=fields.text("ip"),
+    problems = Problems()
+    take = problems.take
+    no_roles: tuple[str, ...] = ("side",)
+    roles = take(lambda: _roles(fields), no_roles)
+    balances = "front" in roles
+    listen = take(lambda: fields.inner("listen"), NO_FIELDS)
+    bounds = take(lambda: fields.inner("bounds"), NO_FIELDS)
+    limits = take(lambda: fields.inner("limits"), NO_FIELDS)
+    platform = take(lambda: fields.inner("platform"), NO_FIELDS)
+
+    def address(holder: Fields, name: str) -> Address:
+        return take(lambda: _address(holder, name), NO_ADDRESS)
+
+    def name_at(name: str) -> str:
+        return take(lambda: fields.text(name), "")
+
+    def seconds(name: str, unit_s: float, default: float) -> float:
+        low, high = (1, 1e9) if unit_s < 1 else (0, 1e6)
+        read = take(lambda: bounds.number(name, low, high, default), default)
+        return read * unit_s
+
+    settings = HostSettings(
+        name=name_at("node"),
+        zone=name_at("zone"),
+        ip=name_at("ip"),
         # Not among the platform's fields; our own harnesses give it.
-        bind_ip=fields.text("bind_ip" if fields.has("bind_ip") else "ip"),
+        bind_ip=name_at("bind_ip" if fields.has("bind_ip") else "ip"),
         balances=balances,
-        packets=_address(listen, "datagram_addr"),
-        ready=_address(listen, "ready"),
-        outbound=None if balances else _address(listen, "outbound"),
+        packets=address(listen, "datagram_addr"),
+        ready=address(listen, "ready"),
+        outbound=None if balances else address(listen, "outbound"),
         # ``app`` is the backend server beside an agent.
-        backend=None if balances else _address(fields, "app"),
-        service="" if balances else fields.text("service"),
-        peer_ports=ports,
-        peers=_peers(fields),
+        backend=None if balances else address(fields, "app"),
+        service="" if balances else name_at("service"),
+        peer_ports=take(lambda: _ports(fields), (0, 0)),
+        peers=take(lambda: _peers(fields), ()),
         link_mbps=int(
-            fields.inner("limits").number("link_mbps", 0, 1e6, default=0)
+            take(lambda: limits.number("link_mbps", 0, 1e6, default=0), 0.0)
         ),
-        store=_address(fields.inner("platform"), "address"),
-        drain_s=bounds.number("drain_ms", 1, 1e9, default=3000) / 1000,
-        apply_s=bounds.number("config_apply_ms", 1, 1e9, default=3000) / 1000,
-        grace_s=bounds.number("grace_s", 0, 1e6, default=6),
+        store=address(platform, "address"),
+        drain_s=seconds("drain_ms", 0.001, 3000),
+        apply_s=seconds("config_apply_ms", 0.001, 3000),
+        grace_s=seconds("grace_s", 1.0, 6),
     )
+    problems.raise_any()
+    return settings
+
+
+def _roles(fields: Fields) -> tuple[str, ...]:
+    roles = fields.texts("serves")
+    if "front" not in roles and "side" not in roles:
+        raise FieldError("serves", "'front' or 'side'", roles)
+    return roles
 
 
 def _address(fields: Fields, name: str) -> Address:
--- a/notchhoist/platform/tests/test_settings.py
+++ b/notchhoist/platform/tests/test_settings.py
@@ -86,3 +86,20 @@
 def test_any_bytes_are_refused(raw):
     with pytest.raises(FieldError):
         decode_host_settings(raw)
+
+
+def test_everything_that_is_wrong_is_told_at_once(tmp_path):
+    path = tmp_path / "settings.json"
+    listen = {"datagram_addr": "10.1.0.10:8172"}
+    wrong = text(SIDE, node=3, listen=listen, bounds={"drain_ms": -1}, app="x")
+    path.write_bytes(wrong)
+    with pytest.raises(SettingsRefusedError) as caught:
+        load_host_settings(str(path))
+    places = [problem.place for problem in caught.value.problems]
+    assert places == [
+        "node",
+        "listen.ready",
+        "listen.outbound",
+        "app",
+        "bounds.drain_ms",
+    ]
