Uploads stay in their zone

An upload is 40 KB, a feed's answer 2 KB, and uploads went to whichever server would wait least, though their work takes 6 ms of an objective of 500 ms.

Change: an upload leaves its zone only where that saves twenty service times. A warm server that counts for less than half of its slots, being slow or failing, gets no credit for its zone, so no zone is tied to a server that fails.

Tests: three in test_placing.py.

--- a/notchhoist/flows/opening.py
+++ b/notchhoist/flows/opening.py
@@ -79,7 +79,7 @@
         )
         fresh = fresh or self._untried(opening, servers)
         server = placing.choose(
-            fresh, opening.route.long_lived, board.zone, now, self.draw
+            fresh, opening.route.kind, board.zone, now, self.draw
         )
         if server is None:
             self._refuse(opening, len(servers), now)
--- a/notchhoist/flows/placing.py
+++ b/notchhoist/flows/placing.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from notchhoist.base.draws import Draw
-from notchhoist.flows.fleet import Server
+from notchhoist.flows.fleet import RequestKind, Server
 
 CHOICES = 8
 """Servers that a flow is placed among. Two give most of the balance there is to
@@ -31,10 +31,23 @@
 """The same for requests: share of a service time that the own zone is worth,
 about two crossings of 1.5 ms in 50 ms of work and the price of the bytes."""
 
+UPLOAD_FAR_WAIT = 20.0
+"""The same for an upload: its 40 KB cross between zones, where its work takes
+6 ms of an objective of 500 ms."""
+
+WELL_SHARE = 0.5
+"""A warm server that counts for less than this share of its slots is slow or
+fails; being in the own zone does not speak for it."""
+
 FLOWS_WEIGHT = 0.2
 """How much open flows count beside running requests for short flows: they
 foretell requests that have not arrived."""
 
+FAR_WAITS = {
+    RequestKind.ONCE_ONLY: FAR_WAIT,
+    RequestKind.UPLOAD: UPLOAD_FAR_WAIT,
+}
+
 LAPSED_S = 2.2
 """How long a server whose entry vanished may still be used, seconds: one that
 lives announces itself again within about 2 s, and what is gone must get nothing
@@ -117,7 +130,7 @@
 
 def choose(
     servers: Sequence[Server],
-    long_lived: bool,
+    kind: RequestKind,
     zone: str,
     now: float,
     draw: Draw,
@@ -130,7 +143,7 @@
 
     Args:
         servers: Servers that may get it.
-        long_lived: The flow will carry many requests.
+        kind: What the flow's requests are like.
         zone: Availability zone of the balancer.
         now: Runtime clock, seconds.
         draw: Random numbers in [0, 1), for ties.
@@ -143,11 +156,12 @@
     best = None
     best_score = float("inf")
     for server, size in zip(servers, sizes, strict=True):
-        far = server.entry.zone != zone
-        if long_lived:
+        far = server.entry.zone != zone or _is_unwell(server, size, now)
+        if kind is RequestKind.IDEMPOTENT:
             score = _fullness(server, size, mean, far)
         else:
-            score = _wait(server, size, mean, far)
+            far_wait = FAR_WAITS[kind] if far else 0.0
+            score = _wait(server, size, mean) + far_wait
         score += draw() * 1e-6
         if score < best_score:
             best, best_score = server, score
@@ -158,8 +172,12 @@
     return (server.flows + 1) / size + (FAR_FLOWS * mean if far else 0.0)
 
 
-def _wait(server: Server, size: float, mean: float, far: bool) -> float:
+def _is_unwell(server: Server, size: float, now: float) -> bool:
+    return now >= server.warm_at and size < WELL_SHARE * server.entry.slots
+
+
+def _wait(server: Server, size: float, mean: float) -> float:
     queue = max(0.0, server.running + 1 - size) / size
     relative = server.flows / size / mean if mean else 0.0
     busy = 0.5 * server.running / size
-    return queue + busy + FLOWS_WEIGHT * relative + (FAR_WAIT if far else 0.0)
+    return queue + busy + FLOWS_WEIGHT * relative
--- a/notchhoist/flows/tests/test_placing.py
+++ b/notchhoist/flows/tests/test_placing.py
@@ -1,6 +1,6 @@
 """Which servers may get a new flow, and which one gets it."""
 
-from notchhoist.flows.fleet import Server
+from notchhoist.flows.fleet import RequestKind, Server
 from notchhoist.flows.placing import LAPSED_S, choose, usable
 from notchhoist.flows.tests.crafting import entry
 
@@ -12,8 +12,8 @@
     return made
 
 
-def best(servers, long_lived=True, zone="a", now=10.0):
-    return choose(servers, long_lived, zone, now, lambda: 0.0)
+def best(servers, kind=RequestKind.IDEMPOTENT, zone="a", now=10.0):
+    return choose(servers, kind, zone, now, lambda: 0.0)
 
 
 def test_no_server_is_no_server():
@@ -69,4 +69,21 @@
 
 def test_a_single_request_goes_where_it_waits_least():
     busy, idle = server(1, running=5), server(2, "b", running=1)
-    assert best([busy, idle], long_lived=False) is idle
+    assert best([busy, idle], RequestKind.ONCE_ONLY) is idle
+
+
+def test_an_upload_stays_in_its_zone_though_another_server_is_idle():
+    """Most bytes between zones were those of uploads."""
+    busy, idle = server(1, running=5), server(2, "b")
+    assert best([busy, idle], RequestKind.UPLOAD) is busy
+
+
+def test_an_upload_leaves_its_zone_for_a_server_that_is_well():
+    failing = server(1, pace_ms=400)
+    others = [server(2, "b", pace_ms=24), server(3, "c", pace_ms=24)]
+    assert best([failing, *others], RequestKind.UPLOAD) in others
+
+
+def test_an_upload_leaves_a_zone_that_is_overrun():
+    overrun, idle = server(1, running=80), server(2, "b")
+    assert best([overrun, idle], RequestKind.UPLOAD) is idle
