Runs and what follows a settled claim in two modules; counter rows once

Change: ClaimFollower in controllers/granting.py; Run.is_for_peer; fleet_reader.counter_rows. No decision changes.

--- a/notchhoist/blackboards/requests.py
+++ b/notchhoist/blackboards/requests.py
@@ -104,6 +104,11 @@
     refusal: str = ""
     retry_after_s: int = 1
 
+    @property
+    def is_for_peer(self) -> bool:
+        """Whether another agent has given it to this one."""
+        return isinstance(self.origins[0], RemoteOrigin)
+
 
 @attrs.define
 class Delegation:
--- a/notchhoist/cli/asking.py
+++ b/notchhoist/cli/asking.py
@@ -6,7 +6,12 @@
 
 from notchhoist.cli import asking_flows, statements
 from notchhoist.cli.asking_flows import carries_opaque
-from notchhoist.cli.fleet_reader import Daemon, FleetReader, Row
+from notchhoist.cli.fleet_reader import (
+    Daemon,
+    FleetReader,
+    Row,
+    counter_rows,
+)
 
 Comparison = Callable[[Any, Any], bool]
 
@@ -192,16 +197,6 @@
             yield {"leaving": daemon.host, "host": daemon.host, "by": "signal"}
 
 
-def _counters(reader: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
-    for daemon in daemons:
-        for entry in reader.section(daemon, "counters"):
-            yield {
-                "host": daemon.host,
-                "counter": entry["key"],
-                "count": entry["value"],
-            }
-
-
 def _peers(reader: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
     for daemon in daemons:
         if not daemon.is_agent:
@@ -226,7 +221,7 @@
     "requests": _requests,
     "revisions": _revisions,
     "leaving": _leaving,
-    "counters": _counters,
+    "counters": counter_rows,
     "peers": _peers,
 }
 
--- a/notchhoist/cli/asking_flows.py
+++ b/notchhoist/cli/asking_flows.py
@@ -2,7 +2,12 @@
 
 from collections.abc import Callable, Iterator
 
-from notchhoist.cli.fleet_reader import Daemon, FleetReader, Row
+from notchhoist.cli.fleet_reader import (
+    Daemon,
+    FleetReader,
+    Row,
+    counter_rows,
+)
 
 PATH = "opaque"
 
@@ -78,17 +83,6 @@
             yield {"leaving": daemon.host, "host": daemon.host, "by": "signal"}
 
 
-def counters(reader: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
-    """Yields every counter of every daemon."""
-    for daemon in daemons:
-        for entry in reader.section(daemon, "counters"):
-            yield {
-                "host": daemon.host,
-                "counter": entry["key"],
-                "count": entry["value"],
-            }
-
-
 SUBJECTS: dict[str, Callable[[FleetReader, list[Daemon]], Iterator[Row]]] = {
     "services": services,
     "servers": servers,
@@ -96,7 +90,7 @@
     "requests": _from("requests", "agent"),
     "revisions": revisions,
     "leaving": leaving,
-    "counters": counters,
+    "counters": counter_rows,
     "peers": _from("peers"),
 }
 
--- a/notchhoist/cli/fleet_reader.py
+++ b/notchhoist/cli/fleet_reader.py
@@ -140,6 +140,17 @@
         return documents.parse_configuration(response.content)
 
 
+def counter_rows(reader: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
+    """Yields every counter of every daemon."""
+    for daemon in daemons:
+        for entry in reader.section(daemon, "counters"):
+            yield {
+                "host": daemon.host,
+                "counter": entry["key"],
+                "count": entry["value"],
+            }
+
+
 def load_operator_settings(
     path: Path,
 ) -> Result[OperatorSettings, model.SettingsRefusedError]:
--- a/notchhoist/controllers/agent_node.py
+++ b/notchhoist/controllers/agent_node.py
@@ -19,6 +19,7 @@
 from notchhoist.controllers.delegating import DelegationKeeper
 from notchhoist.controllers.exchanges import ExchangeKeeper
 from notchhoist.controllers.flows import FlowKeeper
+from notchhoist.controllers.granting import ClaimFollower
 from notchhoist.controllers.loads import LoadKeeper
 from notchhoist.controllers.moving import FlowMover
 from notchhoist.controllers.node import drain
@@ -297,7 +298,7 @@
     node.flows.on_datagram = node.exchanges.on_datagram
     node.exchanges.on_run = node.runs.submit
     node.exchanges.on_pinned = lambda flow: node.pointers.announce([flow])
-    node.claims.on_settled = node.runs.on_claim
+    node.claims.on_settled = ClaimFollower(node.runs).on_claim
     node.runs.delegate = node.delegations.delegate
     node.runs.delegate_assigned = node.delegations.delegate_assigned
     node.runs.ask_outcome = node.delegations.ask_outcome
--- a/notchhoist/controllers/remembering.py
+++ b/notchhoist/controllers/remembering.py
@@ -7,7 +7,7 @@
 from notchhoist import model, parts
 from notchhoist.blackboards import AgentBoard
 from notchhoist.controllers.claims import ClaimKeeper
-from notchhoist.controllers.running import GRANT_LEASE_S
+from notchhoist.controllers.granting import GRANT_LEASE_S
 
 ASK_AFTER_S = GRANT_LEASE_S + 0.3
 """Votes of an earlier incarnation are void after this time, seconds."""
--- a/notchhoist/controllers/running.py
+++ b/notchhoist/controllers/running.py
@@ -13,9 +13,7 @@
 from notchhoist import model, parts, wire
 from notchhoist.blackboards import (
     AgentBoard,
-    ClaimState,
     Count,
-    RemoteOrigin,
     Run,
     RunState,
 )
@@ -26,9 +24,6 @@
 from notchhoist.controllers.moving import FlowMover
 from notchhoist.controllers.outcomes import OutcomeKeeper
 
-GRANT_LEASE_S = 1.0
-"""A grant is used within this time of asking for it, seconds, or not."""
-
 SEND_LEASE_S = 0.5
 """A datagram for the backend server is sent within this time, or dropped."""
 
@@ -103,7 +98,7 @@
             return
         self._announce_upload(run)
         takes = self.loads.takes_new_work(now)
-        stays = self._own_agent_allowed(run) and takes
+        stays = self._own() not in run.excluded and takes
         if stays and self._enter(run, now):
             return
         if self.delegate(run, False, now):
@@ -123,9 +118,6 @@
         if flow is not None and run.request.block1 == FIRST_OF_MANY:
             self.flows.pointers.announce([flow])
 
-    def _own_agent_allowed(self, run: Run) -> bool:
-        return self.board.identity.peer not in run.excluded
-
     def _needs_its_flow(self, run: Run) -> bool:
         """Tells whether state at one backend server belongs to the run."""
         request = run.request
@@ -190,12 +182,13 @@
         run.holds_slot = True
         run.started_at = now
         if run.repeatable:
-            self._launch(run, now)
+            self.launch(run, now)
         else:
             run.state = RunState.CLAIMING
             self.claims.start(run, model.Purpose.GRANT, now)
 
-    def _launch(self, run: Run, now: float) -> None:
+    def launch(self, run: Run, now: float) -> None:
+        """Hands a run to the backend server."""
         run.state = RunState.STARTED
         run.started_at = now
         run.tries += 1
@@ -211,51 +204,11 @@
             )
         )
 
-    def on_claim(self, state: ClaimState, won: bool, now: float) -> None:
-        """Goes on with a run whose grant or fence is settled."""
-        run = state.run
-        if state.purpose is model.Purpose.FENCE:
-            self._on_fence(state, won, now)
-        elif run.state is not RunState.CLAIMING:
-            return
-        elif won and self._may_start(state, now):
-            self._launch(run, now)
-        else:
-            self._on_no_grant(state, won, now)
-
-    def _may_start(self, state: ClaimState, now: float) -> bool:
-        is_fresh = now - state.asked_at < GRANT_LEASE_S
-        return is_fresh and now < state.run.deadline
-
-    def _on_no_grant(self, state: ClaimState, won: bool, now: float) -> None:
-        run = state.run
-        self._release(run, None)
-        if not won and self._is_other_and_alive(state.holder, now):
-            self._ask_holder(run, state.holder, now)
-        else:
-            self.refuse(run, "no_grant", now)
-        self.pump(now)
-
-    def _is_other_and_alive(
-        self, holder: model.Endpoint | None, now: float
-    ) -> bool:
-        if holder is None or holder == self._own():
-            return False
-        return self.loads.is_alive(holder, now)
-
-    def _ask_holder(
-        self, run: Run, holder: model.Endpoint | None, now: float
-    ) -> None:
-        if holder is None:
-            return
-        run.state = RunState.ASKING
-        self.ask_outcome(run, holder, now)
-
     def refuse(
         self, run: Run, reason: str, now: float, retry_after_s: int = 0
     ) -> None:
         """Gives a run up at once; "not run" is said only with a fence."""
-        self._release(run, None)
+        self.release(run, None)
         run.refusal = reason
         run.retry_after_s = (
             retry_after_s or self.board.admission.retry_after_s()
@@ -270,17 +223,6 @@
         if isinstance(job, Run):
             self.refuse(job, reason, now)
 
-    def _on_fence(self, state: ClaimState, won: bool, now: float) -> None:
-        run = state.run
-        if run.state is not RunState.FENCING:
-            return
-        if won and now - state.asked_at < GRANT_LEASE_S:
-            self.finish(run, model.RunStatus.NOT_RUN, None, now)
-        elif self._is_other_and_alive(state.holder, now):
-            self._ask_holder(run, state.holder, now)
-        else:
-            self.finish(run, model.RunStatus.UNKNOWN, None, now)
-
     def on_response(
         self,
         caller: model.Endpoint,
@@ -313,7 +255,7 @@
         self, run: Run, message: wire.CoapMessage, now: float
     ) -> None:
         self.board.admission.ramp.succeeded()
-        self._release(run, now - run.started_at)
+        self.release(run, now - run.started_at)
         flow = self.board.flows.get(run.caller)
         is_stream = run.request.observe == 0 and message.observe is not None
         if flow is not None and is_stream:
@@ -329,7 +271,7 @@
             self.board.backend_draining_until = now + DRAINING_S
         else:
             self.board.admission.ramp.shed()
-        self._release(run, None)
+        self.release(run, None)
         run.excluded.add(self._own())
         if self._needs_its_flow(run):
             self.refuse(run, "shed", now, message.max_age_s or 1)
@@ -340,7 +282,7 @@
 
     def _dispatch_again(self, run: Run, now: float) -> None:
         run.state = RunState.NEW
-        if _is_for_peer(run):
+        if run.is_for_peer:
             self._drop(run)
             self.outcomes.hand_back(run, now)
         else:
@@ -363,11 +305,12 @@
         """Tells everybody who waits how a run ended."""
         if run.state is RunState.DONE:
             return
-        self._release(run, None)
+        self.release(run, None)
         self._drop(run)
         self.outcomes.settle(run, status, response, now)
 
-    def _release(self, run: Run, service_s: float | None) -> None:
+    def release(self, run: Run, service_s: float | None) -> None:
+        """Frees what a run holds here."""
         self.board.started.pop((run.caller, run.request.token), None)
         if run.state is RunState.QUEUED:
             self.board.admission.remove(run)
@@ -388,7 +331,7 @@
     def _offer_queued(self, now: float) -> None:
         """Gives requests that wait here to peers that have free slots."""
         for job in self.board.admission.waiting():
-            if not isinstance(job, Run) or _is_for_peer(job):
+            if not isinstance(job, Run) or job.is_for_peer:
                 continue
             if self._needs_its_flow(job) or job.request.block1 is not None:
                 continue
@@ -442,7 +385,7 @@
 
     def _retry_or_tell(self, run: Run, now: float) -> None:
         """The agent that owns the flow decides on retries."""
-        if _is_for_peer(run):
+        if run.is_for_peer:
             self.finish(run, model.RunStatus.TIMED_OUT, None, now)
         else:
             self.retry(run, now)
@@ -454,8 +397,4 @@
                 run.caller, wire.reset_for(run.request.mid), now + SEND_LEASE_S
             )
         )
-        self._release(run, now - run.started_at)
-
-
-def _is_for_peer(run: Run) -> bool:
-    return isinstance(run.origins[0], RemoteOrigin)
+        self.release(run, now - run.started_at)
--- a/notchhoist/testing/baselines.py
+++ b/notchhoist/testing/baselines.py
@@ -9,6 +9,7 @@
 from notchhoist.blackboards import ClaimState, Run
 from notchhoist.controllers.balancing import FlowForwarder
 from notchhoist.controllers.claims import ClaimKeeper
+from notchhoist.controllers.granting import ClaimFollower
 from notchhoist.controllers.moving import FlowMover
 from notchhoist.controllers.running import RunKeeper
 from notchhoist.testing.retry_budget import RetryBudget
@@ -217,7 +218,7 @@
     delegations.runs = runs
     node.runs = runs
     node.exchanges.on_run = runs.submit
-    node.claims.on_settled = runs.on_claim
+    node.claims.on_settled = ClaimFollower(runs).on_claim
     runs.delegate = delegations.delegate
     runs.delegate_assigned = delegations.delegate_assigned
     runs.ask_outcome = delegations.ask_outcome
