A balancer that stood still judges nobody before it has read

Change: where a judgement comes 0.4 s after the last one while agents owe answers, none is made for one more round of probes.

Test: fails without the change.

--- a/notchhoist/flows/health.py
+++ b/notchhoist/flows/health.py
@@ -25,6 +25,11 @@
 SUSPECT_AFTER_S = 0.15
 """Silence after a probe before an agent gets no new flows; 50 round trips."""
 
+STALL_S = 0.4
+"""While agents owe answers, silence is judged every 0.15 s. A judgement that
+comes later than this was held up in this process, seconds: it was paused, or
+had no processor time, perhaps between reading the answers and judging."""
+
 LOST_AFTER_S = 0.9
 """Silence after a probe before an agent's flows are given up: seven probes
 unanswered, which a loss of 3% brings about once in 10**9 times."""
@@ -44,12 +49,16 @@
         resetter: Ends flows.
         waiting: Servers whose agents owe an answer, by id.
         heard_at: When any agent was last heard, seconds.
+        ticked_at: When silence was last judged, seconds.
+        judges_from: Silence is judged again from then on, seconds.
     """
 
     board: BalancerBoard
     resetter: FlowResetter
     waiting: dict[str, Server] = field(default_factory=dict)
     heard_at: float = float("-inf")
+    ticked_at: float = float("inf")
+    judges_from: float = float("-inf")
 
     def expect(self, server: Server, now: float) -> None:
         """Notes that a packet went to a server; asks if its load is old."""
@@ -137,7 +146,9 @@
 
     def tick(self, now: float) -> None:
         """Probes again, suspects, and gives up."""
-        trusts_silence = self._hears_others(now) if self.waiting else True
+        self._note_stall(now)
+        judges = now >= self.judges_from
+        trusts_silence = judges and self._hears_others(now)
         for server_id, server in list(self.waiting.items()):
             if self.board.servers.get(server_id) is not server:
                 del self.waiting[server_id]
@@ -145,7 +156,7 @@
             if server.probed_at is None:
                 continue
             silent = now - server.probed_at
-            if silent >= SUSPECT_AFTER_S:
+            if judges and silent >= SUSPECT_AFTER_S:
                 self.suspect(server, now, "no answer to probes")
             if (
                 trusts_silence
@@ -156,6 +167,16 @@
             if now - server.probe_sent_at >= PROBE_EVERY_S:
                 self._probe(server, now)
 
+    def _note_stall(self, now: float) -> None:
+        """Notices that this process itself stood still for a while.
+
+        Answers that came meanwhile wait to be read; nobody is judged before.
+        """
+        stalled = now - self.ticked_at > STALL_S
+        if self.waiting and stalled:
+            self.judges_from = now + PROBE_EVERY_S
+        self.ticked_at = now if self.waiting else float("inf")
+
     def _give_up(self, server: Server, now: float) -> None:
         """Resets the flows of a server whose host is dead or cut off."""
         if not server.lost:
--- a/notchhoist/flows/tests/test_balancer.py
+++ b/notchhoist/flows/tests/test_balancer.py
@@ -462,3 +462,25 @@
         node.on_caller(request(data=b"x", port=40002), 5.03)
     )
     assert notes.wish_of(segment.note).age_s <= 0.1
+
+
+def test_a_balancer_that_stood_still_judges_nobody_before_it_has_read():
+    """The pause may fall between reading the answers and judging silence."""
+    node = balancer(servers=2)
+    for port in (40001, 40002):
+        open_flow(node, port=port)
+    for step in range(1, 5):
+        now = 0.6 + 0.01 * step
+        for port in (40001, 40002):
+            node.on_caller(request(data=b"x", port=port, seq=step), now)
+    for host in ("10.0.0.1", "10.0.0.2"):
+        node.on_peer(host, LoadTell(1, 0, 0, False), 0.65)
+    for port in (40001, 40002):
+        node.on_caller(request(data=b"y", port=port, seq=9), 1.3)
+    node.tick(1.31)
+    effects = node.tick(3.0)
+    assert not resets(effects)
+    assert not any(item.suspected for item in node.board.servers.values())
+    for host in ("10.0.0.1", "10.0.0.2"):
+        node.on_peer(host, LoadTell(1, 0, 0, False), 3.01)
+    assert not resets(node.tick(3.2))
