--- a/notchhoist/cli/asking.py
+++ b/notchhoist/cli/asking.py
@@ -289,5 +289,8 @@
     reader: FleetReader, statement: statements.WhyConfiguration
 ) -> list[Row]:
     """Tells which daemons refused a document, with field and reason."""
+    daemons = reader.daemons(statement.host)
+    if any(carries_opaque(daemon) for daemon in daemons):
+        return list(asking_flows.problems(reader, daemons))
     asked = statements.Show("revisions", host=statement.host)
     return [row for row in show(reader, asked) if row["refused"]]
--- a/notchhoist/cli/asking_flows.py
+++ b/notchhoist/cli/asking_flows.py
@@ -11,6 +11,19 @@
 
 PATH = "opaque"
 
+REVISION_COLUMNS = (
+    "role",
+    "zone",
+    "revision",
+    "refused",
+    "not_understood",
+    "view_revision",
+    "view_age_s",
+    "reads_store",
+    "ready",
+    "isolated",
+)
+
 
 def carries_opaque(daemon: Daemon) -> bool:
     """Tells whether a daemon is on the opaque-flow path."""
@@ -66,12 +79,21 @@
         if daemon.is_agent:
             continue
         health = daemon.health
-        names = ("role", "zone", "revision", "refused", "view_revision")
-        more = ("view_age_s", "reads_store", "ready", "isolated")
-        shown = {name: health[name] for name in names + more}
+        shown = {name: health[name] for name in REVISION_COLUMNS}
         yield {"host": daemon.host} | shown
 
 
+def problems(reader: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
+    """Yields what balancers refused or left out, with field and value."""
+    for daemon in daemons:
+        if daemon.is_agent or not carries_opaque(daemon):
+            continue
+        if daemon.health["refused"]:
+            yield {"host": daemon.host, "refused": daemon.health["refused"]}
+        for row in reader.section(daemon, "problems"):
+            yield {"host": daemon.host} | row
+
+
 def leaving(reader: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
     """Yields servers that drain and daemons that stop."""
     for row in servers(reader, daemons):
--- a/notchhoist/daemon/__main__.py
+++ b/notchhoist/daemon/__main__.py
@@ -33,8 +33,12 @@
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
     if check:
-        print(f"{path}: ok")
-        return 0
+        for problem in settings.problems:
+            print(f"{path}: {problem}", file=sys.stderr)
+        print(
+            f"{path}: {'defaults for the rest' if settings.problems else 'ok'}"
+        )
+        return EXIT_BAD_SETTINGS if settings.problems else 0
     from notchhoist.daemon.flow_daemon import run_host
 
     try:
--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -119,8 +119,16 @@
         self.journal.log(
             "start", role="balancer" if self.settings.balances else "agent"
         )
+        self._log_problems(self.settings)
         self._tick()
 
+    def _log_problems(self, settings: HostSettings) -> None:
+        """Logs settings that were wrong and could be done without."""
+        for problem in settings.problems:
+            self.journal.log(
+                "not understood", outcome=str(problem), place=problem.place
+            )
+
     def _answer(self, path: str) -> Reply:
         return Reply(status_for(path, lambda: self.node.is_ready))
 
@@ -265,6 +273,9 @@
         except SettingsRefusedError as error:
             self.journal.log("reload", outcome="refused", reason=str(error))
             return
+        self._log_problems(settings)
+        if any(item.place.startswith("seeds") for item in settings.problems):
+            settings = replace(settings, peers=self.settings.peers)
         if isinstance(self.node, BalancerNode):
             self.node.sharer.seeds = settings.peers
         changed = [
--- a/notchhoist/daemon/flow_state.py
+++ b/notchhoist/daemon/flow_state.py
@@ -104,6 +104,7 @@
         "role": "balancer",
         "revision": board.table.version if board.table else 0,
         "refused": board.refused,
+        "not_understood": len(board.problems),
         "view_revision": board.view.revision,
         "view_age_s": _age(now, node.sharer.confirmed_at),
         "reads_store": node.sharer.is_reader(now),
@@ -247,6 +248,11 @@
         yield {"key": name.value, "value": count}
 
 
+def _problems(node: BalancerNode, _: float) -> Iterator[Row]:
+    for text in node.board.problems:
+        yield {"not_understood": text}
+
+
 def _decisions(node: Node, _: float) -> Iterator[Row]:
     yield from _decision_rows(node.board.records)
 
@@ -267,6 +273,7 @@
     "servers": _servers,
     "flows": _placements,
     "services": _routes,
+    "problems": _problems,
     "peers": _balancers,
     "counters": _counters,
     "decisions": _decisions,
--- a/notchhoist/flows/boards.py
+++ b/notchhoist/flows/boards.py
@@ -42,6 +42,7 @@
     UNKNOWN_SENDER = "unknown_sender"
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
+    PARTS_REFUSED = "parts_refused"
     PLACED = "placed"
     PLACED_AGAIN = "placed_again"
     REFUSED = "refused"
@@ -275,6 +276,7 @@
         outbox: What is to be done.
         stopping: A planned stop has begun.
         refused: Why the last published document was refused, or empty.
+        problems: Parts of published documents that were not understood.
         isolated: Nobody else is heard, neither agents nor balancers.
     """
 
@@ -297,6 +299,7 @@
     outbox: list[Effect] = field(default_factory=list)
     stopping: bool = False
     refused: str = ""
+    problems: list[str] = field(default_factory=list)
     isolated: bool = False
 
 
--- a/notchhoist/flows/fleet.py
+++ b/notchhoist/flows/fleet.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from notchhoist.base.errors import ConfigurationProblem
 from notchhoist.flows.holding import Wish
 
 FOREVER = float("inf")
@@ -89,11 +90,14 @@
         version: Rises with each change.
         routes: Routes by the key of their service address.
         idle_s: A flow may be forgotten after this much silence, seconds.
+        problems: What could not be read of it; empty where another balancer
+            told it, as only those are told that read the platform.
     """
 
     version: int
     routes: Mapping[bytes, Route]
     idle_s: float
+    problems: tuple[ConfigurationProblem, ...] = ()
 
 
 class ServerEntry(Struct, frozen=True):
--- a/notchhoist/flows/message_codec.py
+++ b/notchhoist/flows/message_codec.py
@@ -183,7 +183,7 @@
     return Route(
         name=struct.name,
         service_key=struct.service_key,
-        kind=RequestKind(struct.kind),
+        kind=_kind_of(struct.kind),
         targets=tuple((t.service_name, t.weight) for t in struct.targets),
         priority=struct.priority,
         objective_ms=struct.objective_ms,
@@ -191,6 +191,14 @@
     )
 
 
+def _kind_of(name: str) -> RequestKind:
+    """Returns a kind; one that only newer processes know is once-only."""
+    try:
+        return RequestKind(name)
+    except ValueError:
+        return RequestKind.ONCE_ONLY
+
+
 def _server_of(struct: Any) -> tuple[ServerEntry, int]:
     _check_whole(struct)
     entry = ServerEntry(
--- a/notchhoist/platform/checking.py
+++ b/notchhoist/platform/checking.py
@@ -1,6 +1,6 @@
 """Checked access to decoded JSON: each error names field and place."""
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
 from notchhoist.base.errors import ConfigurationProblem
@@ -152,13 +152,13 @@
         """Returns the fields of an object in this one."""
         return Fields(self.values.get(name), self._at(name))
 
-    def items(self, name: str) -> Iterator["Fields"]:
-        """Yields the objects of a list."""
+    def elements(self, name: str) -> list[tuple[str, object]]:
+        """Returns the elements of a list as they stand, with their places."""
         value = self.values.get(name)
         if not isinstance(value, list):
             raise FieldError(self._at(name), "a list", value)
-        for index, item in enumerate(value):
-            yield Fields(item, f"{self._at(name)}[{index}]")
+        place = self._at(name)
+        return [(f"{place}[{index}]", item) for index, item in enumerate(value)]
 
     def texts(self, name: str) -> tuple[str, ...]:
         """Returns a list of texts."""
--- a/notchhoist/platform/documents.py
+++ b/notchhoist/platform/documents.py
@@ -1,6 +1,7 @@
 """The platform's published documents, decoded into the product's types."""
 
 import binascii
+from functools import partial
 
 import msgspec
 
@@ -11,15 +12,28 @@
     RouteTable,
     ServerEntry,
 )
-from notchhoist.platform.checking import FieldError, Fields, split_address
+from notchhoist.platform.checking import (
+    FieldError,
+    Fields,
+    Problems,
+    split_address,
+)
 from notchhoist.platform.packets import service_key
 
 MAX_MS = 86_400_000
 MAX_VERSION = 1 << 53
 MAX_SLOTS = 100_000
 
+DEFAULT_IDLE_MS = 60_000.0
+"""Flows are kept for so long where the limit cannot be read, ms: as long as the
+platform promises anything to a flow, so that none is forgotten too early."""
+
+CAREFUL_KIND = "unsafe"
+"""Requests of a kind that is not known are taken to run at most once."""
+
 _KINDS = {
     "safe": RequestKind.IDEMPOTENT,
+    "download": RequestKind.IDEMPOTENT,
     "unsafe": RequestKind.ONCE_ONLY,
     "upload": RequestKind.UPLOAD,
 }
@@ -52,56 +66,89 @@
 def decode_configuration(text: bytes) -> RouteTable:
     """Decodes the operator's configuration.
 
+    What is wrong with a route costs that route only: one that cannot be
+    forwarded is left out, another is served with the most careful values. The
+    table names every such field.
+
     Raises:
-        ConfigurationRefusedError: Something in it is wrong; the error says
-            where.
+        ConfigurationRefusedError: It is no configuration at all, or none of its
+            routes can be served; the error says where.
     """
     version = -1
     try:
         fields = Fields(decode_json(text, "configuration"), "")
         version = fields.integer("version", 0, MAX_VERSION)
-        routes = [_route(item) for item in fields.items("routes")]
-        idle_ms = fields.inner("limits").number("idle_timeout_ms", 1, MAX_MS)
+        listed = fields.elements("routes")
     except FieldError as error:
         raise ConfigurationRefusedError(version, (error.problem,)) from error
+    problems = Problems()
+    routes = [
+        problems.take(partial(_route, value, place, problems), None)
+        for place, value in listed
+    ]
+    served = {item.service_key: item for item in routes if item is not None}
+    if listed and not served:
+        raise ConfigurationRefusedError(version, tuple(problems.found))
     return RouteTable(
         version=version,
-        routes={route.service_key: route for route in routes},
-        idle_s=idle_ms / 1000,
+        routes=served,
+        idle_s=_idle_ms(fields, problems) / 1000,
+        problems=tuple(problems.found),
+    )
+
+
+def _idle_ms(fields: Fields, problems: Problems) -> float:
+    return problems.take(
+        lambda: fields.inner("limits").number("idle_timeout_ms", 1, MAX_MS),
+        DEFAULT_IDLE_MS,
     )
 
 
-def _route(fields: Fields) -> Route:
+def _route(value: object, place: str, problems: Problems) -> Route:
+    """Reads a route; what only describes its requests may be wrong."""
+    fields = Fields(value, place)
     # ``host`` is the service's IP number and ``path_prefix`` its port between
     # slashes; the names come from routes of another kind.
     host = fields.text("host")
     port = fields.text("path_prefix").strip("/")
     host, number = split_address(f"{host}:{port}", fields.place + ".host")
-    kind = fields.choice("kind", tuple(_KINDS))
+    targets = _targets(fields, problems)
+    take = problems.take
+
+    def milliseconds(name: str) -> float:
+        return take(lambda: fields.number(name, 0, MAX_MS, default=0), 0.0)
+
+    kind = take(lambda: fields.choice("kind", tuple(_KINDS)), CAREFUL_KIND)
     return Route(
-        name=fields.text("name"),
+        name=take(lambda: fields.text("name"), f"{host}:{number}"),
         service_key=service_key(host, number),
         kind=_KINDS[kind],
-        targets=_targets(fields),
-        priority=fields.integer("priority", 0, 1000, default=0),
-        objective_ms=fields.number("target_latency_ms", 0, MAX_MS, default=0),
-        timeout_ms=fields.number("timeout_ms", 0, MAX_MS, default=0),
+        targets=targets,
+        priority=take(lambda: fields.integer("priority", 0, 1000, 0), 0),
+        objective_ms=milliseconds("target_latency_ms"),
+        timeout_ms=milliseconds("timeout_ms"),
     )
 
 
-def _targets(fields: Fields) -> tuple[tuple[str, int], ...]:
+def _targets(fields: Fields, problems: Problems) -> tuple[tuple[str, int], ...]:
     if not fields.has("split"):
         return ((fields.text("service"), 1),)
-    targets = tuple(
-        (item.text("service"), item.integer("weight", 0, 1_000_000))
-        for item in fields.items("split")
-    )
+    read = [
+        problems.take(partial(_target, value, place), None)
+        for place, value in fields.elements("split")
+    ]
+    targets = tuple(target for target in read if target is not None)
     if not any(weight for _, weight in targets):
         place = f"{fields.place}.split"
         raise FieldError(place, "a weight above 0", targets)
     return targets
 
 
+def _target(value: object, place: str) -> tuple[str, int]:
+    fields = Fields(value, place)
+    return fields.text("service"), fields.integer("weight", 0, 1_000_000)
+
+
 def decode_entry(server_id: str, text: bytes, created: int = 0) -> ServerEntry:
     """Decodes what a backend server announces of itself.
 
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -2,8 +2,9 @@
 
 from msgspec import Struct
 
-from notchhoist.base.errors import PlatformError
+from notchhoist.base.errors import ConfigurationProblem, PlatformError
 from notchhoist.flows.balancer import BalancerNode
+from notchhoist.flows.boards import Count
 from notchhoist.platform import store
 from notchhoist.platform.store import StoreCall, StoreEvent, StoreReader
 
@@ -11,6 +12,9 @@
 """How often a balancer that is told enough looks whether it still is, seconds;
 a fifteenth of the bound of a change."""
 
+PROBLEMS_KEPT = 200
+"""Fields that were not understood are kept for questions; a page of them."""
+
 
 class StoreFeeder(Struct, eq=False):
     """Decides when to call the store and hands over what it tells.
@@ -100,6 +104,8 @@
         match event:
             case store.TablePublished():
                 self.node.board.refused = ""
+                for problem in event.table.problems:
+                    self._note_problem(problem)
                 fleet.on_table(event.table, event.revision)
             case store.ServersListed():
                 fleet.on_listing(event.entries, event.revision, now, event.kept)
@@ -110,5 +116,15 @@
             case store.TableRefused():
                 self.node.board.refused = str(event.error)
                 self._decide("refused", str(event.error))
-            case store.EntryRefused():
-                self._decide("refused", str(event.error))
+            case store.EntryRefused() | store.ItemRefused():
+                self._note_problem(event.error.problem)
+
+    def _note_problem(self, problem: ConfigurationProblem) -> None:
+        """Logs and keeps what could not be read, once while it stays so."""
+        board = self.node.board
+        board.records.counters[Count.PARTS_REFUSED] += 1
+        text = str(problem)
+        if text in board.problems or len(board.problems) >= PROBLEMS_KEPT:
+            return
+        board.problems.append(text)
+        self._decide("not understood", text)
--- a/notchhoist/platform/settings.py
+++ b/notchhoist/platform/settings.py
@@ -2,8 +2,10 @@
 
 import os
 from collections.abc import Mapping
+from functools import partial
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from notchhoist.base.errors import ConfigurationProblem, SettingsRefusedError
 from notchhoist.platform.checking import (
@@ -46,6 +48,7 @@
         drain_s: A leaving server must get no new work after this, seconds.
         apply_s: A configuration must be in force after this, seconds.
         grace_s: Time from a request to stop to a kill, seconds.
+        problems: Fields that were wrong and could be done without.
     """
 
     name: str
@@ -65,6 +68,7 @@
     drain_s: float
     apply_s: float
     grace_s: float
+    problems: tuple[ConfigurationProblem, ...] = ()
 
 
 def settings_path(environment: Mapping[str, str] = os.environ) -> str | None:
@@ -76,7 +80,8 @@
     """Reads and checks the settings file.
 
     Raises:
-        SettingsRefusedError: It cannot be read, or a field is wrong.
+        SettingsRefusedError: It cannot be read, or a field is wrong that
+            nothing works without.
     """
     try:
         with open(path, "rb") as file:
@@ -95,18 +100,23 @@
 def decode_host_settings(text: bytes) -> HostSettings:
     """Decodes the text of the settings file.
 
+    A field that a process can do without costs only what it is for: defaults
+    stand in its place, and the settings name it.
+
     Raises:
-        FieldError: Fields are wrong; the error names each of them.
+        FieldError: Fields are wrong that nothing works without; the error names
+            each of them.
     """
     fields = Fields(decode_json(text, "settings"), "")
     problems = Problems()
+    spare = Problems()
     take = problems.take
     no_roles: tuple[str, ...] = ("side",)
     roles = take(lambda: _roles(fields), no_roles)
     balances = "front" in roles
     listen = take(lambda: fields.inner("listen"), NO_FIELDS)
-    bounds = take(lambda: fields.inner("bounds"), NO_FIELDS)
-    limits = take(lambda: fields.inner("limits"), NO_FIELDS)
+    bounds = spare.take(lambda: fields.inner("bounds"), NO_FIELDS)
+    limits = spare.take(lambda: fields.inner("limits"), NO_FIELDS)
     platform = take(lambda: fields.inner("platform"), NO_FIELDS)
 
     def address(holder: Fields, name: str) -> Address:
@@ -117,13 +127,16 @@
 
     def seconds(name: str, unit_s: float, default: float) -> float:
         low, high = (1, 1e9) if unit_s < 1 else (0, 1e6)
-        read = take(lambda: bounds.number(name, low, high, default), default)
+        read = spare.take(
+            lambda: bounds.number(name, low, high, default), default
+        )
         return read * unit_s
 
+    ip = name_at("ip")
     settings = HostSettings(
-        name=name_at("node"),
-        zone=name_at("zone"),
-        ip=name_at("ip"),
+        name=spare.take(lambda: fields.text("node"), ip),
+        zone=spare.take(lambda: fields.text("zone"), ""),
+        ip=ip,
         # Not among the platform's fields; our own harnesses give it.
         bind_ip=name_at("bind_ip" if fields.has("bind_ip") else "ip"),
         balances=balances,
@@ -134,17 +147,20 @@
         backend=None if balances else address(fields, "app"),
         service="" if balances else name_at("service"),
         peer_ports=take(lambda: _ports(fields), (0, 0)),
-        peers=take(lambda: _peers(fields), ()),
+        peers=spare.take(lambda: _peers(fields, spare), ()),
         link_mbps=int(
-            take(lambda: limits.number("link_mbps", 0, 1e6, default=0), 0.0)
+            spare.take(
+                lambda: limits.number("link_mbps", 0, 1e6, default=0), 0.0
+            )
         ),
         store=address(platform, "address"),
         drain_s=seconds("drain_ms", 0.001, 3000),
         apply_s=seconds("config_apply_ms", 0.001, 3000),
         grace_s=seconds("grace_s", 1.0, 6),
     )
+    problems.found += spare.found if problems.found else []
     problems.raise_any()
-    return settings
+    return replace(settings, problems=tuple(spare.found))
 
 
 def _roles(fields: Fields) -> tuple[str, ...]:
@@ -171,9 +187,11 @@
     return value[0], value[1]
 
 
-def _peers(fields: Fields) -> tuple[str, ...]:
+def _peers(fields: Fields, problems: Problems) -> tuple[str, ...]:
     if not fields.has("seeds"):
         return ()
-    return tuple(
-        split_address(text, "seeds")[0] for text in fields.texts("seeds")
-    )
+    read = [
+        problems.take(partial(split_address, str(text), place), NO_ADDRESS)
+        for place, text in fields.elements("seeds")
+    ]
+    return tuple(host for host, _ in read if host)
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -22,6 +22,7 @@
 
 CONFIGURATION_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
+MAX_REVISION = 1 << 62
 
 WATCH_S = 2.0
 """How long the store may hold a watch, seconds, where a change must be in force
@@ -121,6 +122,12 @@
     error: FieldError
 
 
+class ItemRefused(Struct, frozen=True):
+    """An item that cannot be read at all; it is left out."""
+
+    error: FieldError
+
+
 StoreEvent = (
     TablePublished
     | TableRefused
@@ -128,6 +135,7 @@
     | ServerPublished
     | ServerRemoved
     | EntryRefused
+    | ItemRefused
 )
 
 
@@ -265,14 +273,14 @@
         return events
 
     def _on_page(self, fields: Fields, now: float) -> list[StoreEvent]:
-        revision = fields.integer("as_of", 0, 1 << 62)
+        revision = fields.integer("as_of", 0, MAX_REVISION)
         if not self.page_after:
             self.page_revision = revision
         events: list[StoreEvent] = []
         last_key = ""
-        for item in fields.items("items"):
-            last_key = item.text("key")
-            event = _event(last_key, item)
+        for place, item in fields.elements("items"):
+            key, event = _read_item(place, item)
+            last_key = key or last_key
             if isinstance(event, ServerPublished):
                 self.listed.append((event.entry, event.revision))
                 continue
@@ -320,12 +328,12 @@
 
 
 def _changes(fields: Fields) -> StoreChanges:
-    items = list(fields.items("events"))
-    events = [_event(item.text("key"), item) for item in items]
+    items = fields.elements("events")
+    events = [_read_item(place, item)[1] for place, item in items]
     return StoreChanges(
         events=[event for event in events if event is not None],
         told=bool(items),
-        revision=fields.integer("as_of", 0, 1 << 62),
+        revision=fields.integer("as_of", 0, MAX_REVISION),
     )
 
 
@@ -340,29 +348,50 @@
     return quote(key, safe="")
 
 
+def _read_item(place: str, value: object) -> tuple[str, StoreEvent | None]:
+    """Reads an item; what is wrong in it costs nothing else.
+
+    Returns:
+        Its key, empty where there is none, and what it tells; None for an item
+        of no concern.
+    """
+    try:
+        item = Fields(value, place)
+        key = item.text("key")
+    except FieldError as error:
+        return "", ItemRefused(error)
+    return key, _event(key, item)
+
+
 def _event(key: str, item: Fields) -> StoreEvent | None:
-    """Returns what an item tells, or None for one of no concern."""
-    revision = item.integer("revision", 0, 1 << 62, default=0)
-    if item.boolean("removed", default=False):
-        if key.startswith(SERVERS_PREFIX):
-            return ServerRemoved(key.removeprefix(SERVERS_PREFIX), revision)
-        return None
     if key == CONFIGURATION_KEY:
-        value = decode_value(item.text("value"), key)
-        try:
-            return TablePublished(decode_configuration(value), revision)
-        except ConfigurationRefusedError as error:
-            return TableRefused(error)
+        return _table_event(item)
     if key.startswith(SERVERS_PREFIX):
-        server_id = key.removeprefix(SERVERS_PREFIX)
-        try:
-            value = decode_value(item.text("value"), key)
-            entry = decode_entry(
-                server_id,
-                value,
-                item.integer("created", 0, 1 << 62, default=0),
-            )
-        except FieldError as error:
-            return EntryRefused(server_id, error)
-        return ServerPublished(entry, revision)
+        return _server_event(key.removeprefix(SERVERS_PREFIX), item)
     return None
+
+
+def _table_event(item: Fields) -> StoreEvent | None:
+    try:
+        if item.boolean("removed", default=False):
+            return None  # The last good one stays.
+        revision = item.integer("revision", 0, MAX_REVISION, default=0)
+        value = decode_value(item.text("value"), CONFIGURATION_KEY)
+        return TablePublished(decode_configuration(value), revision)
+    except FieldError as error:
+        return TableRefused(ConfigurationRefusedError(-1, (error.problem,)))
+    except ConfigurationRefusedError as error:
+        return TableRefused(error)
+
+
+def _server_event(server_id: str, item: Fields) -> StoreEvent:
+    try:
+        revision = item.integer("revision", 0, MAX_REVISION, default=0)
+        if item.boolean("removed", default=False):
+            return ServerRemoved(server_id, revision)
+        value = decode_value(item.text("value"), SERVERS_PREFIX + server_id)
+        created = item.integer("created", 0, MAX_REVISION, default=0)
+        entry = decode_entry(server_id, value, created)
+    except FieldError as error:
+        return EntryRefused(server_id, error)
+    return ServerPublished(entry, revision)
--- /dev/null
+++ b/notchhoist/platform/tests/test_feeding.py
@@ -0,0 +1,67 @@
+"""Feeding a balancer from the store: what is not understood costs itself."""
+
+import json
+
+from notchhoist.base.draws import make_draw
+from notchhoist.flows.balancer import make_balancer
+from notchhoist.flows.boards import Count
+from notchhoist.platform.feeding import StoreFeeder
+from notchhoist.platform.packets import PacketCodec
+from notchhoist.platform.store import StoreReader
+from notchhoist.platform.tests.test_documents import (
+    CONFIGURATION,
+    ENTRY,
+    ROUTE,
+)
+from notchhoist.platform.tests.test_store import changes, item, page
+
+
+def fed(*items):
+    node = make_balancer("a", PacketCodec(), "seed", "10.0.0.1")
+    feeder = StoreFeeder(node, StoreReader(make_draw("seed")))
+    feeder.next_call(0.0)
+    feeder.on_answer(200, page(*items), 0.0)
+    return feeder
+
+
+STRANGE_ROUTE = {**ROUTE, "path_prefix": "/9/", "kind": "odd"}
+STRANGE = {**CONFIGURATION, "routes": [ROUTE, STRANGE_ROUTE]}
+
+
+def logged(feeder):
+    decisions = feeder.node.board.records.decisions
+    return [
+        item.outcome for item in decisions if item.event == "not understood"
+    ]
+
+
+def test_a_strange_route_is_logged_once_and_the_rest_is_in_force():
+    feeder = fed(item("op/config", STRANGE), item("servers/i-1", ENTRY))
+    board = feeder.node.board
+    assert len(board.table.routes) == 2
+    again = json.loads(json.dumps(STRANGE)) | {"version": 8}
+    feeder.on_answer(200, changes(item("op/config", again, 60)), 1.0)
+    assert board.table.version == 8
+    assert logged(feeder) == [
+        "routes[1].kind: expected one of ('safe', 'download', 'unsafe',"
+        " 'upload'), got 'odd'"
+    ]
+    assert board.problems == logged(feeder)
+    assert board.records.counters[Count.PARTS_REFUSED] == 2
+
+
+def test_a_strange_entry_leaves_the_other_servers():
+    bad = item("servers/i-2", {**ENTRY, "slots": "many"})
+    feeder = fed(
+        item("op/config", CONFIGURATION), item("servers/i-1", ENTRY), bad
+    )
+    assert list(feeder.node.board.servers) == ["i-1"]
+    assert "servers/i-2.slots" in logged(feeder)[0]
+
+
+def test_a_document_that_is_wrong_as_a_whole_leaves_the_last_one():
+    feeder = fed(item("op/config", CONFIGURATION), item("servers/i-1", ENTRY))
+    feeder.on_answer(200, changes(item("op/config", {"version": 8}, 60)), 1.0)
+    board = feeder.node.board
+    assert board.table.version == 7
+    assert "routes" in board.refused
--- a/notchhoist/platform/tests/test_store.py
+++ b/notchhoist/platform/tests/test_store.py
@@ -10,7 +10,11 @@
 from notchhoist.base.draws import make_draw
 from notchhoist.base.errors import PlatformError
 from notchhoist.platform import store
-from notchhoist.platform.tests.test_documents import CONFIGURATION, ENTRY
+from notchhoist.platform.tests.test_documents import (
+    CONFIGURATION,
+    ENTRY,
+    json_values,
+)
 
 
 def item(key, value, revision=1):
@@ -145,6 +149,48 @@
     assert whole.kept == frozenset({"i-1"})
 
 
+@pytest.mark.parametrize(
+    "strange",
+    [
+        4,
+        {"value": "x"},
+        {"key": "op/config", "value": "@@"},
+        {"key": "op/config"},
+        {"key": "servers/i-9", "value": "@@"},
+        {"key": "servers/i-9", "revision": "x"},
+        {"key": "servers/i-9", "removed": "x"},
+        {"key": "op/config", "removed": 3},
+    ],
+)
+def test_an_item_that_cannot_be_read_costs_only_itself(strange):
+    """It made the whole answer useless, and the next listing too."""
+    good = item("servers/i-2", ENTRY)
+    made = listed()
+    *_, published = made.on_answer(200, changes(strange, good), 1.0)
+    assert published.entry.server_id == "i-2"
+    made = reader()
+    made.next_call()
+    *_, whole = made.on_answer(200, page(strange, good), 0.0)
+    assert [entry.server_id for entry, _ in whole.entries] == ["i-2"]
+
+
+ITEM_FIELDS = ["key", "value", "revision", "created", "lease", "unheard-of"]
+
+
+@given(st.sampled_from(ITEM_FIELDS), json_values)
+def test_any_field_of_an_item_leaves_the_others_read(field, value):
+    strange = {**item("servers/i-1", ENTRY), field: value}
+    good = item("servers/i-2", ENTRY)
+    made = listed()
+    events = made.on_answer(200, changes(strange, good), 1.0)
+    ids = [
+        event.entry.server_id
+        for event in events
+        if isinstance(event, store.ServerPublished)
+    ]
+    assert "i-2" in ids
+
+
 def test_keys_of_no_concern_are_passed_over():
     made = listed()
     events = made.on_answer(200, changes(item("other/key", {})), 1.0)
