--- /dev/null
+++ b/benchmarks/ablate.py
@@ -0,0 +1,133 @@
+"""What each mechanism is worth: days played with one after the other off.
+
+    python benchmarks/ablate.py CHECKOUT PLAY SITE:DAY[,DAY]... [--seeds 1,2]
+        [--off NAME,NAME] [--jobs 6] [--out FILE]
+
+``CHECKOUT`` is a copy of the repository whose deploy file is rewritten for
+each mechanism (``notchhoist.flows.mechanisms``); ``PLAY`` is the users' program
+that plays days. Prints, for each site, the mean worth of a day with everything
+in use, its spread over seeds, and what each mechanism adds to it. A figure
+within the spread is none.
+"""
+
+import argparse
+import concurrent.futures
+import pathlib
+import re
+import statistics
+import subprocess
+
+from notchhoist.flows.mechanisms import NAMES
+
+WORTH = re.compile(r"^worth (-?[\d.]+) =", re.MULTILINE)
+BROKEN = re.compile(r"BROKEN: (.*)")
+SERVES = re.compile(r"^(serves = .*)$", re.MULTILINE)
+
+
+def arguments():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("checkout", type=pathlib.Path)
+    parser.add_argument("play")
+    parser.add_argument("days", nargs="+", help="SITE:DAY,DAY")
+    parser.add_argument("--seeds", default="1,2")
+    parser.add_argument("--off", default=",".join(NAMES))
+    parser.add_argument("--jobs", type=int, default=6)
+    parser.add_argument("--out", type=pathlib.Path)
+    return parser.parse_args()
+
+
+def put_off(deploy, text, name):
+    """Writes the deploy file with a mechanism out of use, or with none."""
+    line = f'\\1\nenv = {{ NOTCHHOIST_OFF = "{name}" }}' if name else "\\1"
+    deploy.write_text(SERVES.sub(line, text))
+
+
+def play(options, site, day, seed, name):
+    why = f"Ablation: without {name or 'nothing'}"
+    command = [options.play, "run", site, day, "--seed", seed, "--jobs", "1"]
+    done = subprocess.run(
+        [*command, "--why", why],
+        cwd=options.checkout,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    found = WORTH.search(done.stdout)
+    if found is None:
+        raise SystemExit(f"{site} {day}: {done.stdout[-500:]}{done.stderr}")
+    broken = BROKEN.search(done.stdout)
+    return float(found[1]), broken[1] if broken else ""
+
+
+def play_all(options, name):
+    """Returns the worths by site and day, and the rules that were broken."""
+    jobs = [
+        (site, day, seed)
+        for site, _, days in (item.rpartition(":") for item in options.days)
+        for day in days.split(",")
+        for seed in options.seeds.split(",")
+    ]
+    with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
+        played = list(pool.map(lambda job: play(options, *job, name), jobs))
+    worths = {}
+    for (site, day, _), (worth, _) in zip(jobs, played, strict=True):
+        worths.setdefault((site, day), []).append(worth)
+    broken = sorted({rules for _, rules in played if rules})
+    return worths, broken
+
+
+def by_site(worths):
+    means = {}
+    for (site, _), values in worths.items():
+        means.setdefault(pathlib.Path(site).stem, []).append(
+            statistics.mean(values)
+        )
+    return {site: statistics.mean(values) for site, values in means.items()}
+
+
+def spread(worths):
+    """Returns how far the mean of a site's days is off by chance."""
+    found = {}
+    for (site, _), values in worths.items():
+        deviation = statistics.pstdev(values) / len(values) ** 0.5
+        found.setdefault(pathlib.Path(site).stem, []).append(deviation)
+    return {
+        site: (sum(one * one for one in all_) ** 0.5) / len(all_)
+        for site, all_ in found.items()
+    }
+
+
+def main():
+    options = arguments()
+    deploy = options.checkout / "deploy/system.toml"
+    text = deploy.read_text()
+    lines = []
+
+    def tell(line):
+        print(line, flush=True)
+        lines.append(line)
+
+    try:
+        whole, _ = play_all(options, "")
+        base, off_by = by_site(whole), spread(whole)
+        tell("| out of use | " + " | ".join(base) + " | broken |")
+        tell("|---|" + "---|" * (len(base) + 1))
+        tell(
+            "| nothing | "
+            + " | ".join(f"{base[s]:.3f} ± {off_by[s]:.3f}" for s in base)
+            + " | |"
+        )
+        for name in options.off.split(","):
+            put_off(deploy, text, name)
+            worths, broken = play_all(options, name)
+            means = by_site(worths)
+            cells = " | ".join(f"{means[s] - base[s]:+.3f}" for s in base)
+            tell(f"| `{name}` | {cells} | {'; '.join(broken)} |")
+    finally:
+        deploy.write_text(text)
+        if options.out is not None:
+            options.out.write_text("\n".join(lines) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -40,6 +40,7 @@
     SendCaller,
     SendPeer,
 )
+from notchhoist.flows.mechanisms import NAMES
 from notchhoist.flows.sharing import FRESH_SHARE
 from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.platform.packets import PacketCodec
@@ -120,6 +121,9 @@
             "start", role="balancer" if self.settings.balances else "agent"
         )
         self._log_problems(self.settings)
+        off = [name for name in NAMES if not getattr(self.settings.uses, name)]
+        if off:
+            self.journal.log("mechanisms", outcome="out of use", off=off)
         self._tick()
 
     def _log_problems(self, settings: HostSettings) -> None:
@@ -331,10 +335,11 @@
             settings.ip,
             settings.peers,
             settings.link_mbps,
+            settings.uses,
         )
     else:
         packets = settings.outbound or settings.packets
-        node = make_agent(settings.service, codec, loop.clock())
+        node = make_agent(settings.service, codec, loop.clock(), settings.uses)
     first = settings.peer_ports[0]
     return FlowDaemon(
         settings=settings,
--- a/notchhoist/flows/admitting.py
+++ b/notchhoist/flows/admitting.py
@@ -71,7 +71,12 @@
             now: Runtime clock, seconds.
         """
         waiting = self.board.waiting.get(segment.flow)
-        if waiting is not None and waiting.is_given_up(segment, now):
+        leavers = self.board.uses.leavers
+        if (
+            leavers
+            and waiting is not None
+            and waiting.is_given_up(segment, now)
+        ):
             self._let_go(waiting, segment, now)
             return
         if segment.resets:
@@ -92,7 +97,7 @@
 
     def _must_wait(self, wish: Wish) -> bool:
         board = self.board
-        if wish.upload or not board.slots:
+        if wish.upload or not board.slots or not board.uses.holding:
             return False
         return len(board.active) >= board.slots
 
@@ -104,7 +109,7 @@
         opening: bool,
         now: float,
     ) -> None:
-        if self.board.age_s(now) > OUTAGE_S:
+        if self.board.age_s(now) > OUTAGE_S or not self.board.uses.doubt:
             # Only this balancer is new; others saw what came before.
             wish = structs.replace(wish, may_be_retry=False)
         request = HeldRequest(segment.flow, held, [segment], now, wish, opening)
@@ -171,7 +176,8 @@
 
     def told_pace_s(self) -> float:
         """Returns the service time that balancers are told, seconds."""
-        return self.board.pace_s * self.times.slowdown()
+        slowdown = self.times.slowdown() if self.board.uses.failing else 1.0
+        return self.board.pace_s * slowdown
 
     def _log_failing(self) -> None:
         news = self.times.news()
@@ -235,10 +241,11 @@
         pace_s = self.pace_s()
         waiting = board.waiting.values()
         for request in hopeless(waiting, now, pace_s, board.slots):
-            if request.unopened:
+            over = now >= request.last_start(pace_s)
+            if request.unopened and (over or board.uses.at_once):
                 board.records.counters[Count.REFUSED_AT_ONCE] += 1
                 self._refuse(request, now)
-            elif now >= request.last_start(pace_s):
+            elif over:
                 # The backend server queues it, or rejects it with an answer.
                 board.records.counters[Count.HELD_TOO_LONG] += 1
                 self._release(request, now, "waited too long")
--- a/notchhoist/flows/agent.py
+++ b/notchhoist/flows/agent.py
@@ -18,8 +18,11 @@
     HeldFlow,
     Phase,
 )
+from notchhoist.flows.load_counting import LoadCounter
+from notchhoist.flows.mechanisms import ALL, Mechanisms
 from notchhoist.flows.messages import LoadAsk, LoadTell, PeerMessage
 from notchhoist.flows.notes import Load, NoteKind
+from notchhoist.flows.queueing import SlotQueue
 from notchhoist.flows.segments import Segment, SegmentCodec
 
 ACCEPT_WAIT_S = 0.025
@@ -37,11 +40,6 @@
 
 SWEEP_S = 1.0
 
-COUNT_EVERY_S = 0.01
-"""The load is counted anew after this time, seconds: a walk over 3,300 flows
-takes 0.3 ms."""
-
-_TAKEN = (Phase.OFFERED, Phase.ACCEPTED, Phase.OPEN)
 _MINE = (Phase.OPEN, Phase.CLOSED, Phase.TRIED, Phase.REFUSED)
 _ENDED = (Phase.CLOSED, Phase.REFUSED)
 
@@ -56,20 +54,16 @@
         watch: Notices when the backend server has ended.
         sweep_due: When old knowledge is next forgotten, seconds.
         offered: Flows that the backend server has not accepted yet.
-        counted: The load when it was last counted.
-        counted_at: When that was, seconds.
-        offered_since: Flows offered since then.
+        counter: Counts the load.
     """
 
     board: AgentBoard
     codec: SegmentCodec
     gate: RequestGate
     watch: BackendWatch
+    counter: LoadCounter
     sweep_due: float = 0.0
     offered: dict[bytes, HeldFlow] = field(default_factory=dict)
-    counted: Load = field(default_factory=Load)
-    counted_at: float = float("-inf")
-    offered_since: int = 0
 
     @property
     def is_ready(self) -> bool:
@@ -77,29 +71,8 @@
         return not self.board.stopping
 
     def load(self, now: float) -> Load:
-        """Returns how busy the backend server is, counted a moment ago.
-
-        Flows that were offered since count at once: after an outage a hundred
-        come within the time that a count is kept.
-        """
-        if now - self.counted_at >= COUNT_EVERY_S:
-            self.counted_at = now
-            self.offered_since = 0
-            self.counted = self._count(now)
-        return Load(
-            self.counted.flows + self.offered_since,
-            self.counted.running + self.offered_since,
-            self.counted.pace_ms,
-        )
-
-    def _count(self, now: float) -> Load:
-        flows = running = 0
-        stuck_s = self.gate.stuck_s()
-        for held in self.board.flows.values():
-            flows += held.phase in _TAKEN
-            running += held.is_busy(now, stuck_s)
-        running += len(self.board.waiting)
-        return Load(flows, running, int(self.gate.told_pace_s() * 1000))
+        """Returns how busy the backend server is, counted a moment ago."""
+        return self.counter.load(now)
 
     def on_balancer(
         self, host: str, segment: Segment, now: float
@@ -174,7 +147,7 @@
         if held is None or held.phase in _ENDED:
             held = HeldFlow(Phase.OFFERED, host, now, now, opening=segment)
             board.flows[segment.flow] = held
-            self.offered_since += 1
+            self.counter.note_offer()
         held.balancer = host
         if held.wish is None:
             held.wish = notes.wish_of(segment.note)
@@ -209,7 +182,8 @@
         opening = held.phase is Phase.ACCEPTED
         self._note_use(held, host, segment, now)
         wish = notes.wish_of(segment.note)
-        if opening or held.request_end is None:
+        first = opening or held.request_end is None
+        if first and self.board.uses.opening_wish:
             wish = held.wish_now(wish, now)
         self.gate.take(held, segment, wish, opening, now)
 
@@ -381,14 +355,21 @@
         return effects
 
 
-def make_agent(service: str, codec: SegmentCodec, now: float) -> AgentNode:
+def make_agent(
+    service: str,
+    codec: SegmentCodec,
+    now: float,
+    uses: Mechanisms = ALL,
+) -> AgentNode:
     """Makes the decisions of an agent that starts now.
 
     Args:
         service: Service of the backend server beside it.
         codec: Codec of the packets.
         now: Runtime clock, seconds.
+        uses: Which mechanisms are in use.
     """
-    board = AgentBoard(service, notes.service_tag(service), now)
-    gate = RequestGate(board, codec)
-    return AgentNode(board, codec, gate, BackendWatch(board, codec, gate))
+    board = AgentBoard(service, notes.service_tag(service), now, uses=uses)
+    gate = RequestGate(board, codec, queue=SlotQueue(uses))
+    watch = BackendWatch(board, codec, gate)
+    return AgentNode(board, codec, gate, watch, LoadCounter(board, gate))
--- a/notchhoist/flows/balancer.py
+++ b/notchhoist/flows/balancer.py
@@ -13,6 +13,7 @@
 from notchhoist.flows.fleet_keeper import FleetKeeper
 from notchhoist.flows.health import HealthKeeper
 from notchhoist.flows.isolation import IsolationKeeper
+from notchhoist.flows.mechanisms import ALL, Mechanisms
 from notchhoist.flows.messages import (
     LoadTell,
     PeerMessage,
@@ -90,7 +91,7 @@
 
     def _keep_early(self, segment: Segment, now: float) -> None:
         counters = self.board.records.counters
-        kept = self.early.keep(segment, now)
+        kept = self.board.uses.early and self.early.keep(segment, now)
         counters[Count.KEPT_EARLY if kept else Count.NO_CONFIGURATION] += 1
 
     def _serve_early(self, now: float) -> None:
@@ -245,6 +246,7 @@
     host: str = "",
     seeds: tuple[str, ...] = (),
     link_mbps: int = 0,
+    uses: Mechanisms = ALL,
 ) -> BalancerNode:
     """Makes the decisions of a balancer that knows nothing yet.
 
@@ -255,8 +257,9 @@
         host: IP number of its host.
         seeds: Hosts of some balancers.
         link_mbps: What the host's link carries, Mbit/s.
+        uses: Which mechanisms are in use.
     """
-    board = BalancerBoard(zone, host)
+    board = BalancerBoard(zone, host, uses=uses)
     early = EarlyPackets()
     resetter = FlowResetter(board, codec)
     health = HealthKeeper(board, resetter, link_mbps)
--- a/notchhoist/flows/boards.py
+++ b/notchhoist/flows/boards.py
@@ -9,6 +9,7 @@
 from notchhoist.flows.fleet import Route, RouteTable, Server
 from notchhoist.flows.held import HeldFlow
 from notchhoist.flows.holding import HeldRequest
+from notchhoist.flows.mechanisms import ALL, Mechanisms
 from notchhoist.flows.segments import Segment
 from notchhoist.flows.view import FleetView
 
@@ -283,6 +284,7 @@
         refused: Why the last published document was refused, or empty.
         problems: Parts of published documents that were not understood.
         isolated: Nobody else is heard, neither agents nor balancers.
+        uses: Which mechanisms are in use.
     """
 
     zone: str
@@ -306,6 +308,7 @@
     refused: str = ""
     problems: list[str] = field(default_factory=list)
     isolated: bool = False
+    uses: Mechanisms = ALL
 
 
 class AgentBoard(Struct, eq=False):
@@ -329,6 +332,7 @@
         records: Counters and decisions.
         outbox: What is to be done.
         stopping: A planned stop has begun.
+        uses: Which mechanisms are in use.
     """
 
     service: str
@@ -347,6 +351,7 @@
     records: Records = field(default_factory=Records)
     outbox: list[Effect] = field(default_factory=list)
     stopping: bool = False
+    uses: Mechanisms = ALL
 
     def age_s(self, now: float) -> float:
         """Returns how long ago the agent started, seconds."""
--- a/notchhoist/flows/finding.py
+++ b/notchhoist/flows/finding.py
@@ -196,7 +196,9 @@
         table = self.board.table
         service_key = segments[0].service_key
         route = table.routes.get(service_key) if table else None
-        wish = route.wish(now - search.since) if route else notes.NO_WISH
+        wish = notes.NO_WISH
+        if route is not None and self.board.uses.kept_wish:
+            wish = route.wish(now - search.since)
         note = notes.to_agent(kind, server.tag, wish)
         for segment in segments:
             datagram = self.codec.with_note(segment, note)
@@ -229,6 +231,8 @@
         """Ends a search that every agent has denied, once it may."""
         board = self.board
         known = board.by_service.get(search.service, [])
+        if not board.uses.confirming:
+            return
         if search.denied_at is None or not is_complete(
             known, board.known_since, board.store_failed_at, now
         ):
--- a/notchhoist/flows/health.py
+++ b/notchhoist/flows/health.py
@@ -106,6 +106,8 @@
         server.probed_at = None
         server.suspected = False
         server.lost = False
+        if not self.board.uses.own_offers:
+            server.offered = 0
         server.note_load(load.flows, load.running, load.pace_ms)
 
     def on_told(self, host: str, message: LoadTell, now: float) -> None:
@@ -182,6 +184,7 @@
         """Returns how long an agent must be silent to be given up, seconds."""
         suspects = sum(item.suspected for item in self.waiting.values())
         narrow = 0 < self.link_mbps < NARROW_MBPS
+        narrow = narrow and self.board.uses.narrow_patience
         if narrow and suspects > SUSPECTS_ON_NARROW:
             return LOST_ON_NARROW_S
         return LOST_AFTER_S
--- a/notchhoist/flows/held.py
+++ b/notchhoist/flows/held.py
@@ -103,12 +103,18 @@
             return told
         return self.wish.older(now - self.wished_at)
 
-    def is_busy(self, now: float, stuck_s: float) -> bool:
-        """Tells whether it has a request that works, or one about to come."""
+    def is_busy(self, now: float, stuck_s: float, expected_s: float) -> bool:
+        """Tells whether it has a request that works, or one about to come.
+
+        Args:
+            now: Runtime clock, seconds.
+            stuck_s: How long an answer may take, seconds.
+            expected_s: How long a request is expected, seconds.
+        """
         if self.running_since is not None:
             return now - self.running_since < stuck_s
         new = self.phase in (Phase.OFFERED, Phase.ACCEPTED)
-        return new and now - self.since < EXPECTED_S
+        return new and now - self.since < expected_s
 
     def chosen_by(self, segment: Segment) -> bool:
         """Tells whether a caller's packet shows that it chose this server."""
--- a/notchhoist/flows/isolation.py
+++ b/notchhoist/flows/isolation.py
@@ -44,7 +44,8 @@
 
     def tick(self, now: float) -> None:
         """Looks again; ``HealthKeeper`` asks for ticks while agents owe."""
-        if not self._agents_are_silent(now):
+        uses = self.board.uses
+        if not uses.isolation or not self._agents_are_silent(now):
             self._settle(False, now)
             self.asked_at = None
             return
--- a/notchhoist/flows/opening.py
+++ b/notchhoist/flows/opening.py
@@ -91,7 +91,12 @@
         )
         fresh = fresh or self._untried(opening, servers)
         server = placing.choose(
-            fresh, opening.route.kind, board.zone, now, self.draw
+            fresh,
+            opening.route.kind,
+            board.zone,
+            now,
+            self.draw,
+            board.uses,
         )
         if server is None:
             self._refuse(opening, len(servers), now)
--- a/notchhoist/flows/placing.py
+++ b/notchhoist/flows/placing.py
@@ -4,7 +4,8 @@
 from collections.abc import Sequence
 
 from notchhoist.base.draws import Draw
-from notchhoist.flows.fleet import RequestKind, Server
+from notchhoist.flows.fleet import FOREVER, RequestKind, Server
+from notchhoist.flows.mechanisms import ALL, Mechanisms
 
 CHOICES = 8
 """Servers that a flow is placed among. Two give most of the balance there is to
@@ -134,6 +135,7 @@
     zone: str,
     now: float,
     draw: Draw,
+    uses: Mechanisms = ALL,
 ) -> Server | None:
     """Returns the server for a new flow, or None where there is none.
 
@@ -147,16 +149,26 @@
         zone: Availability zone of the balancer.
         now: Runtime clock, seconds.
         draw: Random numbers in [0, 1), for ties.
+        uses: Which mechanisms are in use.
     """
     if not servers:
         return None
+    if not uses.load:
+        return servers[0]
+    if not uses.cold:
+        now = FOREVER
+    if kind is RequestKind.UPLOAD and not uses.uploads_near:
+        kind = RequestKind.ONCE_ONLY
     median_ms = median([item.pace_ms for item in servers if item.pace_ms])
+    if not uses.pace:
+        median_ms = 0.0
     sizes = [capacity(server, median_ms, now) for server in servers]
     mean = sum(server.flows for server in servers) / sum(sizes)
     best = None
     best_score = float("inf")
     for server, size in zip(servers, sizes, strict=True):
         far = server.entry.zone != zone or _is_unwell(server, size, now)
+        far = far and uses.zone
         if kind is RequestKind.IDEMPOTENT:
             score = _fullness(server, size, mean, far)
         else:
--- a/notchhoist/flows/queueing.py
+++ b/notchhoist/flows/queueing.py
@@ -15,6 +15,7 @@
 from msgspec import Struct
 
 from notchhoist.flows.holding import HeldRequest
+from notchhoist.flows.mechanisms import ALL, Mechanisms
 from notchhoist.flows.wishes import Wish
 
 FULL_LOAD = 1.1
@@ -37,15 +38,21 @@
     """Shares out slots between requests that are late and that are not.
 
     Attributes:
+        uses: Which mechanisms are in use.
         late_credit: Slots that late requests have coming.
         arrived: New requests, each counted less the longer ago it came.
         arrived_at: When the last one came, seconds.
     """
 
+    uses: Mechanisms = ALL
     late_credit: float = 0.0
     arrived: float = 0.0
     arrived_at: float = float("-inf")
 
+    def _rank(self, item: HeldRequest) -> tuple[int, float]:
+        priority = item.wish.priority if self.uses.priority else 0
+        return priority, item.due
+
     def note_arrival(self, wish: Wish, now: float) -> None:
         """Counts a request if it is new."""
         if wish.may_be_retry or wish.age_s > FRESH_S:
@@ -63,6 +70,10 @@
 
     def late_share(self, now: float, pace_s: float, slots: int) -> float:
         """Returns the share of slots for late requests that would be lost."""
+        if not self.uses.late_first:
+            return 0.0
+        if not self.uses.load_of_new:
+            return 1.0
         spare = FULL_LOAD - self.load(now, pace_s, slots)
         return min(1.0, max(0.0, spare / (FULL_LOAD - SPARE_LOAD)))
 
@@ -81,6 +92,8 @@
             pace_s: Time that the backend server takes for one, seconds.
             slots: Requests that it works on at once.
         """
+        if not self.uses.order:
+            return min(waiting, key=lambda item: item.arrived_at, default=None)
         others = [item for item in waiting if not item.closes]
         waiting = others or list(waiting)
         late: list[HeldRequest] = []
@@ -94,7 +107,7 @@
         late.sort(key=lambda item: item.wanted_by(now, pace_s))
         if not punctual:
             return first_useful(late, now, pace_s)
-        best = min(punctual, key=lambda item: (item.wish.priority, item.due))
+        best = min(punctual, key=self._rank)
         if not is_pressed(late, now, pace_s, slots):
             return best
         self.late_credit += self.late_share(now, pace_s, slots)
--- a/notchhoist/flows/resetting.py
+++ b/notchhoist/flows/resetting.py
@@ -67,7 +67,7 @@
         request.
         """
         retry = self.expected.pop((segment.caller, segment.service_key), None)
-        if retry is None:
+        if retry is None or not self.board.uses.retry_age:
             return segment.waited_s
         asked_at, reset_at = retry
         if now - reset_at >= RETRY_WITHIN_S:
--- a/notchhoist/flows/sharing.py
+++ b/notchhoist/flows/sharing.py
@@ -126,7 +126,8 @@
     def must_read(self, now: float) -> bool:
         """Tells whether to read the store now."""
         fresh = now - self.confirmed_at < self.fresh_s
-        return not fresh or not self.board.fleet_known or self.is_reader(now)
+        few = self.board.uses.few_readers and self.board.fleet_known
+        return not fresh or not few or self.is_reader(now)
 
     def on_confirmed(self, now: float) -> None:
         """Notes that the platform has just confirmed what is known."""
--- /dev/null
+++ b/notchhoist/flows/tests/test_mechanisms.py
@@ -0,0 +1,33 @@
+"""Each mechanism can be put out of use, and the rest goes on."""
+
+import pytest
+
+from notchhoist.flows import mechanisms
+from notchhoist.flows.agent import make_agent
+from notchhoist.flows.balancer import make_balancer
+from notchhoist.flows.messages import LoadAsk
+from notchhoist.flows.notes import NoteKind
+from notchhoist.flows.tests import agents, crafting
+from notchhoist.flows.tests.balancing import packets, tell
+from notchhoist.flows.tests.crafting import CODEC, SYN, request
+
+
+@pytest.mark.parametrize("name", mechanisms.NAMES)
+def test_requests_are_served_without(name):
+    uses = mechanisms.ALL.without([name])
+    balancer = make_balancer("a", CODEC, "seed", uses=uses)
+    balancer.fleet.on_table(crafting.table(), 1)
+    balancer.fleet.on_listing([(crafting.entry(1), 1)], 1, 0.0)
+    syn = request(flags=SYN)
+    [(host, offered)] = packets(balancer.on_caller(syn, 0.0))
+    tell(balancer, host, syn, NoteKind.TAKEN, 0.001)
+    agent = make_agent(crafting.SERVICE, CODEC, 0.0, uses)
+    agent.on_peer(agents.BALANCER, LoadAsk(1), 0.0)
+    assert agents.to_backend(agent.on_balancer("10.0.1.1", offered, 0.0))
+    agents.accept(agent, 1, 0.0)
+    assert agents.to_backend(agents.ask(agent, 1, 0.01))
+    agents.accept(agent, 2, 0.01)
+    agents.ask(agent, 2, 0.01)
+    agents.reply(agent, 1, 0.05)
+    agent.tick(5.0)
+    assert not agent.board.waiting
--- a/notchhoist/platform/settings.py
+++ b/notchhoist/platform/settings.py
@@ -8,6 +8,7 @@
 from msgspec.structs import replace
 
 from notchhoist.base.errors import ConfigurationProblem, SettingsRefusedError
+from notchhoist.flows.mechanisms import ALL, NAMES, Mechanisms
 from notchhoist.platform.checking import (
     FieldError,
     Fields,
@@ -19,6 +20,9 @@
 
 PATH_VARIABLE = "NOTCHHOIST_NODE_FILE"
 
+OFF_VARIABLE = "NOTCHHOIST_OFF"
+"""Names of mechanisms that are out of use, between blanks or commas."""
+
 Address = tuple[str, int]
 """IP number and port, as sockets take them."""
 
@@ -48,6 +52,7 @@
         drain_s: A leaving server must get no new work after this, seconds.
         apply_s: A configuration must be in force after this, seconds.
         grace_s: Time from a request to stop to a kill, seconds.
+        uses: Which mechanisms are in use.
         problems: Fields that were wrong and could be done without.
     """
 
@@ -68,6 +73,7 @@
     drain_s: float
     apply_s: float
     grace_s: float
+    uses: Mechanisms = ALL
     problems: tuple[ConfigurationProblem, ...] = ()
 
 
@@ -76,6 +82,26 @@
     return environment.get(PATH_VARIABLE) or None
 
 
+def mechanisms(
+    problems: Problems, environment: Mapping[str, str] = os.environ
+) -> Mechanisms:
+    """Returns the mechanisms in use; a name that is not known is passed over.
+
+    Examples:
+        >>> mechanisms(Problems(), {OFF_VARIABLE: "early doubt"}).doubt
+        False
+    """
+    names = environment.get(OFF_VARIABLE, "").replace(",", " ").split()
+    known = [problems.take(partial(_mechanism, name), "") for name in names]
+    return ALL.without(name for name in known if name)
+
+
+def _mechanism(name: str) -> str:
+    if name not in NAMES:
+        raise FieldError(OFF_VARIABLE, f"one of {NAMES}", name)
+    return name
+
+
 def load_host_settings(path: str) -> HostSettings:
     """Reads and checks the settings file.
 
@@ -157,6 +183,7 @@
         drain_s=seconds("drain_ms", 0.001, 3000),
         apply_s=seconds("config_apply_ms", 0.001, 3000),
         grace_s=seconds("grace_s", 1.0, 6),
+        uses=mechanisms(spare),
     )
     problems.found += spare.found if problems.found else []
     problems.raise_any()
--- a/notchhoist/platform/tests/test_settings.py
+++ b/notchhoist/platform/tests/test_settings.py
@@ -7,10 +7,12 @@
 from hypothesis import strategies as st
 
 from notchhoist.base.errors import SettingsRefusedError
-from notchhoist.platform.checking import FieldError
+from notchhoist.platform.checking import FieldError, Problems
 from notchhoist.platform.settings import (
+    OFF_VARIABLE,
     decode_host_settings,
     load_host_settings,
+    mechanisms,
     settings_path,
 )
 from notchhoist.platform.tests.test_documents import json_values
@@ -140,3 +142,10 @@
         "listen.ready",
         "node",
     ]
+
+
+def test_mechanisms_are_put_out_of_use_by_name_and_strange_names_told():
+    problems = Problems()
+    uses = mechanisms(problems, {OFF_VARIABLE: "early, nonsense doubt"})
+    assert (uses.early, uses.doubt, uses.order) == (False, False, True)
+    assert [item.place for item in problems.found] == [OFF_VARIABLE]
