--- a/notchhoist/flows/__init__.py
+++ b/notchhoist/flows/__init__.py
@@ -10,7 +10,6 @@
 * ``segments``: a packet as the decisions see it, and the codec's ``Protocol``.
 * ``notes``: what balancer and agent tell each other inside a packet.
 * ``fleet``: services' routes and backend servers as the platform lists them.
-* ``shapes``: what the flows of a route are like, as observed.
 * ``effects``: what a node asks its runtime to do.
 * ``messages``: control messages between processes.
 * ``wishes``: what a request wishes for, and how long its caller waits.
--- a/notchhoist/flows/balancer.py
+++ b/notchhoist/flows/balancer.py
@@ -28,8 +28,6 @@
 from notchhoist.flows.wishes import Wish
 
 SWEEP_S = 1.0
-SECOND = 2
-"""A flow that carries this many requests will carry more."""
 CLOSED_KEPT_S = 3.0
 """A placement whose caller has ended the flow is kept so long for its last
 packets, seconds; above the longest pause between two copies, 1.6 s."""
@@ -131,10 +129,8 @@
             return
         self.board.flows.move_to_end(segment.flow)
         server = placement.server
-        repeated = segment.repeats(placement.last)
-        if segment.size and repeated:
+        if segment.size and segment.repeats(placement.last):
             self.health.doubt(server, now)
-        self._observe(route, placement, segment, repeated)
         placement.last_at = now
         placement.last = segment
         placement.closing = placement.closing or segment.closes
@@ -144,31 +140,16 @@
         self.board.outbox.append(SendAgent(server.entry.host, datagram))
         self.health.expect(server, now)
 
-    def _observe(
-        self,
-        route: Route,
-        placement: Placement,
-        segment: Segment,
-        repeated: bool,
-    ) -> None:
-        """Learns what the route's flows are like."""
-        watch = placement.watch
-        begins = watch.note(segment, repeated)
-        if begins and watch.requests == SECOND:
-            self.board.shapes.note_second(route)
-        if segment.closes and not placement.closing:
-            self.board.shapes.note_end(route, watch)
-
     def _wish(
         self, route: Route, placement: Placement, segment: Segment, now: float
     ) -> Wish:
         """Returns what the agent is told of a flow's next request."""
         since = placement.asked_since
         if since is None:
-            return self.board.wish(route)
+            return route.wish()
         if segment.size:
             placement.asked_since = None
-        return self.board.wish(route, now - since)
+        return route.wish(now - since)
 
     def on_agent(self, host: str, segment: Segment, now: float) -> list[Effect]:
         """Takes a packet of an agent."""
--- a/notchhoist/flows/boards.py
+++ b/notchhoist/flows/boards.py
@@ -11,9 +11,7 @@
 from notchhoist.flows.holding import HeldRequest
 from notchhoist.flows.mechanisms import ALL, Mechanisms
 from notchhoist.flows.segments import Segment
-from notchhoist.flows.shapes import FIRST, FlowShape, FlowWatch, RouteShapes
 from notchhoist.flows.view import FleetView
-from notchhoist.flows.wishes import Wish
 
 REASONED = frozenset(["reset", "refuse", "give up finding", "leave to others"])
 REASONED_KEPT = 200
@@ -198,7 +196,6 @@
         last_at: When the flow was last used, seconds.
         last: The caller's newest packet, to reset the flow by.
         closing: The caller has ended it.
-        watch: What was seen of its requests.
         asked_since: When the caller began to wait for its first request, or
             None once that has gone to the server.
     """
@@ -209,7 +206,6 @@
     last: Segment
     closing: bool = False
     asked_since: float | None = None
-    watch: FlowWatch = field(default_factory=FlowWatch)
 
 
 class Opening(Struct, eq=False):
@@ -289,7 +285,6 @@
         problems: Parts of published documents that were not understood.
         isolated: Nobody else is heard, neither agents nor balancers.
         uses: Which mechanisms are in use.
-        shapes: What the flows of each route are like.
     """
 
     zone: str
@@ -314,23 +309,6 @@
     problems: list[str] = field(default_factory=list)
     isolated: bool = False
     uses: Mechanisms = ALL
-    shapes: RouteShapes = field(default_factory=RouteShapes)
-
-    def shape_of(self, route: Route) -> FlowShape:
-        """Returns what a route's flows are like."""
-        return self.shapes.of(route) if self.uses.shapes else FIRST[route.kind]
-
-    def wish(
-        self, route: Route, age_s: float = 0.0, may_be_retry: bool = False
-    ) -> Wish:
-        """Returns what an agent is told of a route's requests.
-
-        Args:
-            route: The route.
-            age_s: How long the caller has been waiting, seconds.
-            may_be_retry: See ``Wish``.
-        """
-        return route.wish(age_s, may_be_retry, self.shape_of(route).bulky)
 
 
 class AgentBoard(Struct, eq=False):
--- a/notchhoist/flows/finding.py
+++ b/notchhoist/flows/finding.py
@@ -198,7 +198,7 @@
         route = table.routes.get(service_key) if table else None
         wish = notes.NO_WISH
         if route is not None and self.board.uses.kept_wish:
-            wish = self.board.wish(route, now - search.since)
+            wish = route.wish(now - search.since)
         note = notes.to_agent(kind, server.tag, wish)
         for segment in segments:
             datagram = self.codec.with_note(segment, note)
--- a/notchhoist/flows/fleet.py
+++ b/notchhoist/flows/fleet.py
@@ -16,9 +16,9 @@
     """What the requests of a route are like.
 
     Attributes:
-        IDEMPOTENT: They may run more than once.
-        ONCE_ONLY: They may run once.
-        UPLOAD: Large requests that may run once.
+        IDEMPOTENT: They may run more than once; flows carry many of them.
+        ONCE_ONLY: They may run once; a flow carries one.
+        UPLOAD: Large requests that may run once; a flow carries one.
     """
 
     IDEMPOTENT = "idempotent"
@@ -47,18 +47,17 @@
     objective_ms: float = 0.0
     timeout_ms: float = 0.0
 
-    def wish(
-        self,
-        age_s: float = 0.0,
-        may_be_retry: bool = False,
-        bulky: bool = False,
-    ) -> Wish:
+    @property
+    def long_lived(self) -> bool:
+        """Whether a flow carries many requests."""
+        return self.kind is RequestKind.IDEMPOTENT
+
+    def wish(self, age_s: float = 0.0, may_be_retry: bool = False) -> Wish:
         """Returns what agents are told of its requests.
 
         Args:
             age_s: How long the caller has been waiting, seconds.
             may_be_retry: See ``Wish``.
-            bulky: Its requests are large.
         """
         return Wish(
             objective_s=self.objective_ms / 1000,
@@ -66,7 +65,7 @@
             left_s=self.left_s(age_s),
             may_be_retry=may_be_retry,
             priority=self.priority,
-            upload=bulky,
+            upload=self.kind is RequestKind.UPLOAD,
         )
 
     def left_s(self, age_s: float) -> float:
--- a/notchhoist/flows/mechanisms.py
+++ b/notchhoist/flows/mechanisms.py
@@ -17,8 +17,7 @@
         load: New flows go by load; else by hashing alone.
         own_offers: A balancer's own offers count before agents tell of them.
         zone: Servers of the own zone are preferred.
-        shapes: What a route's flows are like is observed; else its kind says.
-        uploads_near: What is large leaves its zone only in need.
+        uploads_near: Uploads leave their zone only in need.
         cold: Servers that have just started count as smaller.
         pace: Servers that are slow count as smaller.
         failing: Servers that fail behind a good health check count as slower.
@@ -44,7 +43,6 @@
     load: bool = True
     own_offers: bool = True
     zone: bool = True
-    shapes: bool = True
     uploads_near: bool = True
     cold: bool = True
     pace: bool = True
--- a/notchhoist/flows/opening.py
+++ b/notchhoist/flows/opening.py
@@ -56,7 +56,7 @@
         placement = self.board.flows.get(flow)
         if placement is not None and placement.accepted:
             # The server's acceptance may have been lost: it repeats it.
-            wish = self.board.wish(route, segment.waited_s)
+            wish = route.wish(segment.waited_s)
             self._send(placement.server, segment, wish, now)
             return
         opening = self.board.openings.get(flow)
@@ -92,7 +92,7 @@
         fresh = fresh or self._untried(opening, servers)
         server = placing.choose(
             fresh,
-            board.shape_of(opening.route),
+            opening.route.kind,
             board.zone,
             now,
             self.draw,
@@ -123,7 +123,7 @@
         server.note_offer()
         self._remember(opening, server, now)
         age_s = now - opening.asked_since
-        wish = board.wish(opening.route, age_s, opening.may_be_retry)
+        wish = opening.route.wish(age_s, opening.may_be_retry)
         self._send(server, opening.segment, wish, now)
 
     def _end_offer(self, opening: Opening) -> None:
--- a/notchhoist/flows/placing.py
+++ b/notchhoist/flows/placing.py
@@ -4,9 +4,8 @@
 from collections.abc import Sequence
 
 from notchhoist.base.draws import Draw
-from notchhoist.flows.fleet import FOREVER, Server
+from notchhoist.flows.fleet import FOREVER, RequestKind, Server
 from notchhoist.flows.mechanisms import ALL, Mechanisms
-from notchhoist.flows.shapes import FlowShape
 
 CHOICES = 8
 """Servers that a flow is placed among. Two give most of the balance there is to
@@ -33,12 +32,9 @@
 """The same for requests: share of a service time that the own zone is worth,
 about two crossings of 1.5 ms in 50 ms of work and the price of the bytes."""
 
-FAR_WAIT_A_KB = 0.5
-FAR_WAIT_MAX = 20.0
-"""The same for what is larger: bytes between zones are priced, and a request of
-40 KB whose work takes 6 ms of an objective of 500 ms may well wait for 20 times
-that. Most bytes between zones were those of uploads: 0.0085 and 0.0166 of worth
-on two deployments without this, 0.0023 and 0.0055 with it."""
+UPLOAD_FAR_WAIT = 20.0
+"""The same for an upload: its 40 KB cross between zones, where its work takes
+6 ms of an objective of 500 ms."""
 
 WELL_SHARE = 0.5
 """A warm server that counts for less than this share of its slots is slow or
@@ -48,6 +44,11 @@
 """How much open flows count beside running requests for short flows: they
 foretell requests that have not arrived."""
 
+FAR_WAITS = {
+    RequestKind.ONCE_ONLY: FAR_WAIT,
+    RequestKind.UPLOAD: UPLOAD_FAR_WAIT,
+}
+
 LAPSED_S = 2.2
 """How long a server whose entry vanished may still be used, seconds: one that
 lives announces itself again within about 2 s, and what is gone must get nothing
@@ -58,17 +59,6 @@
 service is listed: a store that was away loses entries of servers that live."""
 
 
-def far_wait_of(shape: FlowShape) -> float:
-    """Returns what the own zone is worth to a flow, in service times.
-
-    Examples:
-        >>> far_wait_of(FlowShape(sent_kb=40.0)), far_wait_of(FlowShape())
-        (20.0, 0.75)
-    """
-    worth = FAR_WAIT_A_KB * shape.carried_kb
-    return min(FAR_WAIT_MAX, max(FAR_WAIT, worth))
-
-
 def median(values: Sequence[float]) -> float:
     """Returns the lower median, 0 for no values.
 
@@ -141,7 +131,7 @@
 
 def choose(
     servers: Sequence[Server],
-    shape: FlowShape,
+    kind: RequestKind,
     zone: str,
     now: float,
     draw: Draw,
@@ -155,7 +145,7 @@
 
     Args:
         servers: Servers that may get it.
-        shape: What the flow is like.
+        kind: What the flow's requests are like.
         zone: Availability zone of the balancer.
         now: Runtime clock, seconds.
         draw: Random numbers in [0, 1), for ties.
@@ -167,7 +157,8 @@
         return servers[0]
     if not uses.cold:
         now = FOREVER
-    far_wait = far_wait_of(shape) if uses.uploads_near else FAR_WAIT
+    if kind is RequestKind.UPLOAD and not uses.uploads_near:
+        kind = RequestKind.ONCE_ONLY
     median_ms = median([item.pace_ms for item in servers if item.pace_ms])
     if not uses.pace:
         median_ms = 0.0
@@ -178,10 +169,11 @@
     for server, size in zip(servers, sizes, strict=True):
         far = server.entry.zone != zone or _is_unwell(server, size, now)
         far = far and uses.zone
-        if shape.many:
+        if kind is RequestKind.IDEMPOTENT:
             score = _fullness(server, size, mean, far)
         else:
-            score = _wait(server, size, mean) + (far_wait if far else 0.0)
+            far_wait = FAR_WAITS[kind] if far else 0.0
+            score = _wait(server, size, mean) + far_wait
         score += draw() * 1e-6
         if score < best_score:
             best, best_score = server, score
--- a/notchhoist/flows/tests/test_placing.py
+++ b/notchhoist/flows/tests/test_placing.py
@@ -2,7 +2,6 @@
 
 from notchhoist.flows.fleet import RequestKind, Server
 from notchhoist.flows.placing import LAPSED_S, choose, usable
-from notchhoist.flows.shapes import FIRST
 from notchhoist.flows.tests.crafting import entry
 
 
@@ -14,7 +13,7 @@
 
 
 def best(servers, kind=RequestKind.IDEMPOTENT, zone="a", now=10.0):
-    return choose(servers, FIRST[kind], zone, now, lambda: 0.0)
+    return choose(servers, kind, zone, now, lambda: 0.0)
 
 
 def test_no_server_is_no_server():
