--- /dev/null
+++ b/notchhoist/cli/losses.py
@@ -0,0 +1,131 @@
+"""Where callers lose, read off the logs: by cause, and when.
+
+    python -m notchhoist.cli.losses LOG... [--most 8] [--seconds 2]
+
+Counts the decisions that cost a caller something, the worst cause first, each
+with the moments at which it struck and with one flow to follow:
+
+    python -m notchhoist.cli.flow_story FLOW LOG...
+"""
+
+import collections
+import sys
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Annotated, Any
+
+import attrs
+import cappa
+
+from notchhoist.cli.flow_story import read_line
+
+COSTLY = ("reset", "refuse", "give up finding", "leave to others")
+"""Events whose outcome is the cause of a loss."""
+
+LATE = ("late", "waited too long")
+"""Outcomes of a release whose answer comes after its objective."""
+
+MOMENTS_SHOWN = 6
+
+
+@attrs.define
+class Cause:
+    """One cause of losses.
+
+    Attributes:
+        name: The event and its outcome.
+        count: How many callers it struck.
+        by_moment: The same by moment, seconds after the first line.
+        flow: The first flow that it struck.
+    """
+
+    name: str
+    count: int = 0
+    by_moment: collections.Counter[int] = attrs.Factory(collections.Counter)
+    flow: str = ""
+
+    def note(self, flow: str, moment: int) -> None:
+        """Counts a caller."""
+        self.count += 1
+        self.by_moment[moment] += 1
+        self.flow = self.flow or flow
+
+
+def cause_of(line: dict[str, Any]) -> str:
+    """Returns why a line means a loss, or an empty text.
+
+    Examples:
+        >>> cause_of({"message_type": "reset", "outcome": "no route"})
+        'reset: no route'
+        >>> cause_of({"message_type": "release", "outcome": "on time"})
+        ''
+    """
+    event, outcome = line.get("message_type"), line.get("outcome")
+    if event == "release":
+        return f"late: {outcome}" if outcome in LATE else ""
+    return f"{event}: {outcome}" if event in COSTLY else ""
+
+
+def causes_of(lines: Iterable[str], step_s: float = 2.0) -> list[Cause]:
+    """Returns the causes of losses, the worst first.
+
+    Args:
+        lines: Lines of the logs of any processes, in any order.
+        step_s: Length of a moment, seconds.
+    """
+    read = [line for line in map(read_line, lines) if line is not None]
+    stamps = [float(line.get("timestamp", 0.0)) for line in read]
+    start = min(stamps, default=0.0)
+    causes: dict[str, Cause] = {}
+    for line, stamp in zip(read, stamps, strict=True):
+        name = cause_of(line)
+        if not name:
+            continue
+        moment = int((stamp - start) / step_s) * int(step_s)
+        cause = causes.setdefault(name, Cause(name))
+        cause.note(str(line.get("flow", "")), moment)
+    return sorted(causes.values(), key=lambda cause: -cause.count)
+
+
+def table(causes: Iterable[Cause]) -> Iterator[str]:
+    """Yields lines of text, one a cause."""
+    for cause in causes:
+        worst = sorted(cause.by_moment.most_common(MOMENTS_SHOWN))
+        moments = " ".join(f"{moment}s:{count}" for moment, count in worst)
+        yield f"{cause.count:6d}  {cause.name:<32} {moments}  {cause.flow}"
+
+
+@cappa.command(name="losses", description="Where callers lose, by cause.")
+@attrs.define
+class Command:
+    """The command line.
+
+    Attributes:
+        logs: Log files.
+        most: Causes shown.
+        seconds: Length of a moment, seconds.
+    """
+
+    logs: Annotated[list[Path], cappa.Arg(help="Log files.")]
+    most: Annotated[int, cappa.Arg(long=True)] = 8
+    seconds: Annotated[float, cappa.Arg(long=True)] = 2.0
+
+
+def main() -> int:
+    """Entry point; status 2 where a file cannot be read."""
+    command = cappa.parse(Command)
+    lines: list[str] = []
+    for path in command.logs:
+        try:
+            lines += path.read_text(errors="replace").splitlines()
+        except OSError as error:
+            print(f"{path}: {error.strerror}", file=sys.stderr)
+            return 2
+    causes = causes_of(lines, command.seconds)
+    for text in table(causes[: command.most]):
+        print(text)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/notchhoist/cli/tests/test_losses.py
@@ -0,0 +1,26 @@
+"""Where callers lose, read off the logs."""
+
+from notchhoist.cli.losses import causes_of, table
+from notchhoist.cli.tests.test_flow_story import FLOW, line
+
+
+def test_causes_are_counted_by_moment_the_worst_first():
+    lines = [
+        line(100.0, "start"),
+        line(110.1, "refuse", flow=FLOW, outcome="no slot in time"),
+        "110.3 a-1 " + line(110.3, "release", flow="f", outcome="late"),
+        line(110.4, "release", flow="g", outcome="on time"),
+        line(113.0, "release", flow="h", outcome="late"),
+        line(113.1, "place", flow="h", outcome="i-1"),
+        "no JSON",
+    ]
+    late, refused = causes_of(lines)
+    assert (late.name, late.count, late.flow) == ("late: late", 2, "f")
+    assert late.by_moment == {10: 1, 12: 1}
+    assert refused.name == "refuse: no slot in time"
+    [first, _] = table([late, refused])
+    assert "10s:1 12s:1" in first
+
+
+def test_no_lines_no_causes():
+    assert causes_of([]) == []
--- /dev/null
+++ b/notchhoist/daemon/tests/test_http_call.py
@@ -0,0 +1,93 @@
+"""Calls to a server that goes silent without a reset, at each point of one."""
+
+import socket
+
+import pytest
+
+from notchhoist.daemon.http_call import HttpCaller
+from notchhoist.daemon.loop import Loop
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+TIMEOUT_S = 2.95
+BEFORE_SILENCE = {
+    "nothing": b"",
+    "half of the head": HEAD[:20],
+    "the head": HEAD,
+    "half of the body": HEAD + b"an",
+}
+
+
+class Exchange:
+    """A caller, a server that the test plays, and the clock between them."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.answers = []
+        self.failures = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.loop = Loop(lambda: self.now)
+        address = self.listener.getsockname()
+        self.caller = HttpCaller(self.loop, address)
+
+    def call(self):
+        self.caller.get(
+            "/watch",
+            TIMEOUT_S,
+            lambda status, body: self.answers.append((status, body)),
+            self.failures.append,
+        )
+
+    def accept(self):
+        """Lets the connection be made and the request be sent."""
+        self.loop.turn()
+        connection, _ = self.listener.accept()
+        connection.recv(1000)
+        return connection
+
+    def close(self):
+        self.caller._disconnect()
+        self.listener.close()
+
+
+@pytest.fixture
+def exchange():
+    made = Exchange()
+    yield made
+    made.close()
+
+
+@pytest.mark.parametrize("sent", BEFORE_SILENCE.values(), ids=BEFORE_SILENCE)
+def test_silence_is_noticed_and_the_next_call_gets_a_new_connection(
+    exchange, sent
+):
+    exchange.call()
+    with exchange.accept() as silent:
+        if sent:
+            silent.sendall(sent)
+            exchange.loop.turn()
+        assert not exchange.failures
+        exchange.now += TIMEOUT_S
+        exchange.loop.turn()
+        assert exchange.failures == ["no answer in time"]
+        exchange.call()
+        with exchange.accept() as fresh:
+            fresh.sendall(HEAD + b"news")
+            exchange.loop.turn()
+    assert exchange.answers == [(200, b"news")]
+
+
+def test_a_connection_that_has_served_and_goes_silent_is_given_up(exchange):
+    exchange.call()
+    with exchange.accept() as connection:
+        connection.sendall(HEAD + b"news")
+        exchange.loop.turn()
+        exchange.call()
+        connection.recv(1000)
+        exchange.now += TIMEOUT_S
+        exchange.loop.turn()
+        assert exchange.failures == ["no answer in time"]
+        exchange.call()
+        with exchange.accept() as fresh:
+            fresh.sendall(HEAD + b"more")
+            exchange.loop.turn()
+    assert exchange.answers == [(200, b"news"), (200, b"more")]
--- a/notchhoist/flows/mechanisms.py
+++ b/notchhoist/flows/mechanisms.py
@@ -14,7 +14,7 @@
     """Which mechanisms are in use.
 
     Attributes:
-        load: New flows go by load; else by hashing alone.
+        load: New flows go by load; else by chance.
         own_offers: A balancer's own offers count before agents tell of them.
         zone: Servers of the own zone are preferred.
         uploads_near: Uploads leave their zone only in need.
--- a/notchhoist/flows/placing.py
+++ b/notchhoist/flows/placing.py
@@ -154,7 +154,7 @@
     if not servers:
         return None
     if not uses.load:
-        return servers[0]
+        return servers[int(draw() * len(servers))]
     if not uses.cold:
         now = FOREVER
     if kind is RequestKind.UPLOAD and not uses.uploads_near:
