--- a/notchhoist/daemon/flow_state.py
+++ b/notchhoist/daemon/flow_state.py
@@ -123,7 +123,7 @@
         median_ms = placing.median(paces)
         takes = placing.usable(servers, now)
         for server in servers:
-            size = placing.capacity(server, median_ms, now)
+            size = placing.capacity(server, median_ms)
             yield _server_row(server, service, size, server in takes, now)
 
 
--- a/notchhoist/flows/balancer.py
+++ b/notchhoist/flows/balancer.py
@@ -119,7 +119,7 @@
             return
         self.board.records.counters[Count.NO_ROUTE] += 1
         self.board.flows.pop(segment.flow, None)
-        self.resetter.reset(segment, "no route", now, version=version)
+        self.resetter.reset(segment, "no route", version=version)
 
     def _forward(self, route: Route, segment: Segment, now: float) -> None:
         placement = self.board.flows.get(segment.flow)
@@ -206,7 +206,6 @@
 
     def _sweep(self, now: float) -> None:
         self.fleet.sweep(now)
-        self.resetter.sweep(now)
         flows = self.board.flows
         idle_s = self.board.table.idle_s if self.board.table else 0.0
         old = [
--- a/notchhoist/flows/finding.py
+++ b/notchhoist/flows/finding.py
@@ -22,7 +22,7 @@
 from notchhoist.flows.fleet import Server
 from notchhoist.flows.health import HealthKeeper
 from notchhoist.flows.notes import NoteKind
-from notchhoist.flows.resetting import RETRY_AGE_S, FlowResetter
+from notchhoist.flows.resetting import FlowResetter
 from notchhoist.flows.segments import Segment, SegmentCodec
 
 WAITING_MAX = 16
@@ -44,11 +44,6 @@
 the flow at a server that is not known here yet: word of it takes 0.25 s to be
 gathered, and 0.4 s where a link of 5 Mbit/s is full."""
 
-COPY_WITHIN_S = 0.85
-"""A caller's next copy comes within this time while it has sent fewer than
-four, seconds; the pauses are 0.2, 0.4 and 0.8 s. A balancer that has listened
-for longer and meets data for the first time has the original."""
-
 SEARCHES_MAX = 20_000
 """Searches at one time; more are left to the caller's next copy."""
 
@@ -289,8 +284,6 @@
         self.resetter.reset(
             search.waiting[-1],
             "found nowhere",
-            now,
-            self._age_s(search, now),
             service=search.service,
             searched_s=round(now - search.since, 3),
             confirmed=self.confirmer.known_at >= search.since,
@@ -299,12 +292,6 @@
             revision=self.board.view.revision,
         )
 
-    def _age_s(self, search: Search, now: float) -> float:
-        """Returns how long the caller of a lost flow has waited, seconds."""
-        if search.since - self.board.known_since < COPY_WITHIN_S:
-            return RETRY_AGE_S
-        return now - search.since
-
     def tick(self, now: float) -> None:
         """Asks again, and decides where an agent keeps silent."""
         for flow, search in list(self.board.searches.items()):
--- a/notchhoist/flows/health.py
+++ b/notchhoist/flows/health.py
@@ -216,7 +216,6 @@
             self.resetter.reset(
                 placement.last,
                 "agent lost",
-                now,
                 server=server.entry.server_id,
                 silent_s=round(now - server.heard_at, 3),
             )
--- a/notchhoist/flows/mechanisms.py
+++ b/notchhoist/flows/mechanisms.py
@@ -18,12 +18,10 @@
         own_offers: A balancer's own offers count before agents tell of them.
         zone: Servers of the own zone are preferred.
         uploads_near: Uploads leave their zone only in need.
-        cold: Servers that have just started count as smaller.
         pace: Servers that are slow count as smaller.
         failing: Servers that fail behind a good health check count as slower.
         early: Packets that come before routes are known are kept.
         kept_wish: Flows that were searched for keep what their requests wish.
-        retry_age: Retries after a reset are as old as their first try.
         confirming: The platform confirms the list before a lost flow is reset.
         isolation: A balancer that hears nobody is not ready.
         few_readers: A few balancers read the store for all.
@@ -44,12 +42,10 @@
     own_offers: bool = True
     zone: bool = True
     uploads_near: bool = True
-    cold: bool = True
     pace: bool = True
     failing: bool = True
     early: bool = True
     kept_wish: bool = True
-    retry_age: bool = True
     confirming: bool = True
     isolation: bool = True
     few_readers: bool = True
--- a/notchhoist/flows/opening.py
+++ b/notchhoist/flows/opening.py
@@ -66,12 +66,10 @@
         self.offer(opening, now)
 
     def _begin(self, route: Route, segment: Segment, now: float) -> Opening:
-        waited_s = self.resetter.waited_s(segment, now)
-        known_retry = waited_s > segment.waited_s
-        since = now - waited_s
+        since = now - segment.waited_s
         return Opening(
             asked_since=since,
-            may_be_retry=not known_retry and self.early.may_be_retry(since),
+            may_be_retry=self.early.may_be_retry(since),
             segment=segment,
             service=route.service_for(segment.flow),
             route=route,
@@ -181,7 +179,6 @@
         self.resetter.reset(
             opening.segment,
             "no server takes it",
-            now,
             service=opening.service,
             willing=willing,
             tried=len(opening.tried),
@@ -220,9 +217,7 @@
         elif placement is not None and here:
             # It was accepted, but never got a slot; nothing has run.
             del self.board.flows[segment.flow]
-            self.resetter.reset(
-                segment, "no slot in time", now, server_host=host
-            )
+            self.resetter.reset(segment, "no slot in time", server_host=host)
 
     def tick(self, now: float) -> None:
         """Offers flows elsewhere whose agent has kept silent."""
--- a/notchhoist/flows/placing.py
+++ b/notchhoist/flows/placing.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from notchhoist.base.draws import Draw
-from notchhoist.flows.fleet import FOREVER, RequestKind, Server
+from notchhoist.flows.fleet import RequestKind, Server
 from notchhoist.flows.mechanisms import ALL, Mechanisms
 
 CHOICES = 8
@@ -15,10 +15,6 @@
 NEAR_CHOICES = 4
 """How many of them are of the own zone, where it has so many."""
 
-COLD_SLOWDOWN = 2.0
-"""Weight of a server that is still slow from its start. A cautious guess: the
-platform tells how long the start lasts, not how slow it is."""
-
 OUTLIER_RATIO = 1.5
 """A server that takes this many times the median is counted as smaller.
 Service times of equal servers differ by less than that with the spread of
@@ -119,11 +115,9 @@
     return answering or [server for server in willing if not server.lost]
 
 
-def capacity(server: Server, median_ms: float, now: float) -> float:
+def capacity(server: Server, median_ms: float) -> float:
     """Returns how many requests a server works on at once, by its pace."""
     slots = float(max(1, server.entry.slots))
-    if now < server.warm_at:
-        slots /= COLD_SLOWDOWN
     if median_ms and server.pace_ms > OUTLIER_RATIO * median_ms:
         slots *= median_ms / server.pace_ms
     return slots
@@ -155,14 +149,12 @@
         return None
     if not uses.load:
         return servers[int(draw() * len(servers))]
-    if not uses.cold:
-        now = FOREVER
     if kind is RequestKind.UPLOAD and not uses.uploads_near:
         kind = RequestKind.ONCE_ONLY
     median_ms = median([item.pace_ms for item in servers if item.pace_ms])
     if not uses.pace:
         median_ms = 0.0
-    sizes = [capacity(server, median_ms, now) for server in servers]
+    sizes = [capacity(server, median_ms) for server in servers]
     mean = sum(server.flows for server in servers) / sum(sizes)
     best = None
     best_score = float("inf")
