--- a/notchhoist/flows/admitting.py
+++ b/notchhoist/flows/admitting.py
@@ -71,12 +71,7 @@
             now: Runtime clock, seconds.
         """
         waiting = self.board.waiting.get(segment.flow)
-        leavers = self.board.uses.leavers
-        if (
-            leavers
-            and waiting is not None
-            and waiting.is_given_up(segment, now)
-        ):
+        if waiting is not None and self._has_left(waiting, segment, now):
             self._let_go(waiting, segment, now)
             return
         if segment.resets:
@@ -95,6 +90,11 @@
             self._begin(held, segment, wish, now)
         self._pass_on(segment)
 
+    def _has_left(
+        self, request: HeldRequest, segment: Segment, now: float
+    ) -> bool:
+        return self.board.uses.leavers and request.is_given_up(segment, now)
+
     def _must_wait(self, wish: Wish) -> bool:
         board = self.board
         if wish.upload or not board.slots or not board.uses.holding:
--- a/notchhoist/flows/holding.py
+++ b/notchhoist/flows/holding.py
@@ -2,8 +2,8 @@
 
 A backend server works on a few requests at once and queues the rest in the
 order of arrival, so that after an outage everybody waits for what is late
-already. The agent lets it have no more than it works on, and then picks what
-can still be on time.
+already. The agent lets it have no more than it works on; the rest wait here,
+and ``queueing`` picks from them.
 """
 
 from msgspec import Struct
@@ -13,16 +13,14 @@
 from notchhoist.flows.wishes import RETRY_S, Wish
 
 HOLD_MAX_S = 0.9
-"""A request whose flow has not opened waits here no longer, seconds; then its
-caller gets an answer while there is time for another try. Below half of the
-shortest timeout, 2 s."""
+"""A caller is taken to wait for so long where nobody has told, seconds: below
+half of the shortest timeout, 2 s, so that there is time for another try."""
 
 HOLD_OPEN_MAX_S = 1.5
 HOLD_OPEN_OBJECTIVES = 6.0
-"""A request on an open flow cannot be refused. It waits up to so many of its
-objectives, and no longer than 1.5 s, while others can still be in time; then
-the backend server gets it whatever else it has. Passed on after 0.9 s, late
-requests took half of the slots of a service with twice its usual load."""
+"""The same on an open flow, which cannot be refused: so many objectives, and no
+longer than 1.5 s. Passed on after 0.9 s, late requests took half of the slots
+of a service with twice its usual load."""
 
 SAFE_PACES = 2.0
 LEAST_PACES = 0.5
@@ -50,7 +48,7 @@
         held: The flow.
         segments: Its packets.
         arrived_at: When the first of them came, seconds.
-        wish: What the balancer said.
+        wish: What is known of its caller, as of ``arrived_at``.
         unopened: The backend server does not hold the end of the handshake,
             so nothing can have run.
         closes: Its caller has closed the flow along with the request: it wants
--- a/notchhoist/flows/queueing.py
+++ b/notchhoist/flows/queueing.py
@@ -49,10 +49,6 @@
     arrived: float = 0.0
     arrived_at: float = float("-inf")
 
-    def _rank(self, item: HeldRequest) -> tuple[int, float]:
-        priority = item.wish.priority if self.uses.priority else 0
-        return priority, item.due
-
     def note_arrival(self, wish: Wish, now: float) -> None:
         """Counts a request if it is new."""
         if wish.may_be_retry or wish.age_s > FRESH_S:
@@ -116,6 +112,10 @@
         self.late_credit -= 1.0
         return first_useful(late, now, pace_s) or best
 
+    def _rank(self, item: HeldRequest) -> tuple[int, float]:
+        priority = item.wish.priority if self.uses.priority else 0
+        return priority, item.due
+
 
 def hopeless(
     waiting: Iterable[HeldRequest], now: float, pace_s: float, slots: int
