A restarting agent is told from a dead host before flows are given up

Cause: a balancer gave the flows of an agent up after 0.9 s of silence. An agent that is stopped and started as planned, beside a server that lives, is silent for longer: it told only balancers heard in the last 5 s (idle flows came long before), and those that were told waited for 3 s only, less than a start takes on a thin host. Servers that were given up were also left out of searches, so their living flows counted as found nowhere.

Ruled out: that the agent's own knowledge is at fault (after its start it lets the server judge, which is right); waiting longer for everybody (a dead host would cost its callers their deadline).

Change: before flows are given up, a TCP connection to the agent's metrics port is tried. A host that refuses it lives: the agent is away and waited for. A host that is silent, or a process that accepts and does not answer, is given up as before. An agent that stops tells every balancer heard within 60 s.

Tests of hosts that die answer the new check as a dead host does, and stay as strict: they failed without the answer.

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -15,7 +15,6 @@
 from notchhoist.base import datagrams
 from notchhoist.base.draws import make_draw
 from notchhoist.base.errors import CodecError, SettingsRefusedError
-from notchhoist.daemon.backend_check import check_backend
 from notchhoist.daemon.flow_journal import FlowJournal, flow_text
 from notchhoist.daemon.flow_metrics import (
     METRICS_PATH,
@@ -25,6 +24,11 @@
 from notchhoist.daemon.http_call import HttpCaller
 from notchhoist.daemon.http_port import Reply, open_http_port
 from notchhoist.daemon.loop import Clock, Loop, Timer
+from notchhoist.daemon.port_check import (
+    BACKEND_WAIT_S,
+    HOST_WAIT_S,
+    check_port,
+)
 from notchhoist.daemon.signals import watch_signals
 from notchhoist.daemon.store_calls import StoreCalls
 from notchhoist.flows.agent import AgentNode, make_agent
@@ -32,8 +36,10 @@
 from notchhoist.flows.boards import Count, Timing
 from notchhoist.flows.effects import (
     CheckBackend,
+    CheckHost,
     ConfirmView,
     Effect,
+    Reach,
     SendAgent,
     SendBackend,
     SendBalancer,
@@ -222,9 +228,9 @@
             case SendPeer():
                 self._send_peer(effect)
             case CheckBackend():
-                check_backend(
-                    self.loop, self.settings.backend, self._on_checked
-                )
+                self._check_backend()
+            case CheckHost():
+                self._check_host(effect.host)
             case ConfirmView():
                 if self.confirm is not None:
                     self.confirm()
@@ -235,10 +241,30 @@
         to = (effect.host, self.settings.peer_ports[0] + 1)
         datagrams.send(self.control, encode_message(effect.message), to)
 
-    def _on_checked(self, listens: bool) -> None:
-        if isinstance(self.node, AgentNode):
+    def _check_backend(self) -> None:
+        node, backend = self.node, self.settings.backend
+        if not isinstance(node, AgentNode) or backend is None:
+            return
+
+        def on_checked(reach: Reach) -> None:
+            # One that does not answer at all may be slow, and its flows live.
+            listens = reach is not Reach.REFUSED
+            self.perform(node.on_checked(listens, self.loop.clock()))
+
+        check_port(self.loop, backend, BACKEND_WAIT_S, on_checked)
+
+    def _check_host(self, host: str) -> None:
+        node = self.node
+        if not isinstance(node, BalancerNode):
+            return
+
+        def on_checked(reach: Reach) -> None:
             now = self.loop.clock()
-            self.perform(self.node.on_checked(listens, now))
+            self.perform(node.on_host_checked(host, reach, now))
+
+        # Every agent listens there as soon as it serves.
+        address = (host, METRICS_PORT)
+        check_port(self.loop, address, HOST_WAIT_S, on_checked)
 
     def _log_decisions(self) -> None:
         decisions = self.node.board.records.decisions
--- /dev/null
+++ b/notchhoist/daemon/port_check.py
@@ -0,0 +1,59 @@
+"""Finds out by a TCP connection whether anybody listens at an address."""
+
+import errno
+import socket
+from collections.abc import Callable
+
+from notchhoist.daemon.loop import Loop
+from notchhoist.flows.effects import Reach
+
+BACKEND_WAIT_S = 0.3
+"""A backend server on the same host accepts a connection within this time."""
+
+HOST_WAIT_S = 0.25
+"""Another host that has power answers within this time, seconds; a round trip
+between zones takes 3 ms, on a thin host 20 ms with its share of a core."""
+
+_REFUSALS = (errno.ECONNREFUSED, errno.ECONNRESET)
+
+
+def check_port(
+    loop: Loop,
+    address: tuple[str, int],
+    wait_s: float,
+    on_checked: Callable[[Reach], None],
+) -> None:
+    """Tries to connect once and closes the connection at once.
+
+    Args:
+        loop: The event loop.
+        address: Where to connect to.
+        wait_s: How long to wait, seconds.
+        on_checked: Takes the outcome.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    at_once = sock.connect_ex(address)
+
+    def end(reach: Reach) -> None:
+        timer.cancel()
+        loop.forget(sock)
+        sock.close()
+        on_checked(reach)
+
+    def on_connected() -> None:
+        end(_reach(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)))
+
+    timer = loop.call_later(wait_s, lambda: end(Reach.SILENT))
+    if at_once in _REFUSALS:
+        timer.cancel()
+        timer = loop.call_later(0.0, lambda: end(Reach.REFUSED))
+    else:
+        loop.on_writable(sock, on_connected)
+
+
+def _reach(error: int) -> Reach:
+    """Returns what a connection's error number tells."""
+    if not error:
+        return Reach.ACCEPTED
+    return Reach.REFUSED if error in _REFUSALS else Reach.SILENT
--- a/notchhoist/flows/__init__.py
+++ b/notchhoist/flows/__init__.py
@@ -20,8 +20,9 @@
 * ``early``: packets that come before a balancer knows any route.
 * ``boards``: the blackboard of each role.
 * ``completeness``: a pure function on whether every server is known.
-* ``confirming``, ``opening``, ``finding``, ``health``, ``resetting``,
-  ``fleet_keeper``, ``sharing``, ``isolation``: the balancer's controllers;
+* ``confirming``, ``liveness``, ``opening``, ``finding``, ``health``,
+  ``resetting``, ``fleet_keeper``, ``sharing``, ``isolation``: the balancer's
+  controllers;
   ``admitting``, ``backend_watch``: the agent's.
 * ``balancer``, ``agent``: the two nodes.
 
--- a/notchhoist/flows/agent.py
+++ b/notchhoist/flows/agent.py
@@ -35,8 +35,10 @@
 IDLE_KEPT_S = 60.0
 """A silent flow is forgotten after this time, seconds, likewise."""
 
-BALANCER_KEPT_S = 5.0
-"""A balancer that was heard within this time is told of a stop, seconds."""
+BALANCER_KEPT_S = 60.0
+"""A balancer that was heard within this time is told of a stop, seconds: as
+long as a flow may live. One that was not told takes the silence of a restart
+for a loss and looks for flows, and idle flows last came long before."""
 
 SWEEP_S = 1.0
 
--- a/notchhoist/flows/balancer.py
+++ b/notchhoist/flows/balancer.py
@@ -7,12 +7,13 @@
 from notchhoist.flows.boards import BalancerBoard, Count, Placement
 from notchhoist.flows.confirming import ViewConfirmer
 from notchhoist.flows.early import EarlyPackets
-from notchhoist.flows.effects import Effect, SendAgent
+from notchhoist.flows.effects import Effect, Reach, SendAgent
 from notchhoist.flows.finding import FlowFinder
 from notchhoist.flows.fleet import Route
 from notchhoist.flows.fleet_keeper import FleetKeeper
 from notchhoist.flows.health import HealthKeeper
 from notchhoist.flows.isolation import IsolationKeeper
+from notchhoist.flows.liveness import HostWatch
 from notchhoist.flows.mechanisms import ALL, Mechanisms
 from notchhoist.flows.messages import (
     LoadTell,
@@ -187,6 +188,13 @@
         self._serve_early(now)
         return self.take_effects()
 
+    def on_host_checked(
+        self, host: str, reach: Reach, now: float
+    ) -> list[Effect]:
+        """Takes the outcome of ``CheckHost``."""
+        self.health.hosts.on_checked(host, reach, now)
+        return self.take_effects()
+
     def on_published(self, now: float) -> None:
         """Takes account of news that the platform itself has told."""
         self._serve_early(now)
@@ -261,7 +269,7 @@
     board = BalancerBoard(zone, host, uses=uses)
     early = EarlyPackets()
     resetter = FlowResetter(board, codec)
-    health = HealthKeeper(board, resetter, link_mbps)
+    health = HealthKeeper(board, resetter, HostWatch(board), link_mbps)
     fleet = FleetKeeper(board)
     sharer = ViewSharer(board, fleet, seeds, link_mbps)
     return BalancerNode(
--- a/notchhoist/flows/boards.py
+++ b/notchhoist/flows/boards.py
@@ -56,6 +56,7 @@
     VIEWS_CONFIRMED = "views_confirmed"
     SUSPECTED = "suspected"
     LOST = "lost"
+    AGENTS_AWAY = "agents_away"
     ISOLATED = "isolated"
     LEFT_TO_OTHERS = "left_to_others"
     RETURNED = "returned"
--- a/notchhoist/flows/effects.py
+++ b/notchhoist/flows/effects.py
@@ -1,10 +1,26 @@
 """What a node of the opaque-flow path asks its runtime to do."""
 
+import enum
+
 from msgspec import Struct
 
 from notchhoist.flows.messages import PeerMessage
 
 
+class Reach(enum.Enum):
+    """What came of an attempt to connect.
+
+    Attributes:
+        ACCEPTED: Somebody listens, if only the kernel of a paused process.
+        REFUSED: The host lives and nobody listens.
+        SILENT: No answer came, nor a usable one.
+    """
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 class SendAgent(Struct, frozen=True):
     """A packet to the agent on a host."""
 
@@ -43,6 +59,12 @@
     """Finds out whether the backend server on this host still listens."""
 
 
+class CheckHost(Struct, frozen=True):
+    """Finds out whether the process on another host is there."""
+
+    host: str
+
+
 class ConfirmView(Struct, frozen=True):
     """Reads at once what the platform has published since the last time."""
 
@@ -54,5 +76,6 @@
     | SendBackend
     | SendPeer
     | CheckBackend
+    | CheckHost
     | ConfirmView
 )
--- a/notchhoist/flows/fleet.py
+++ b/notchhoist/flows/fleet.py
@@ -151,7 +151,9 @@
         probe_sent_at: When the last probe went out.
         suspected: Its agent owes an answer; no new flows.
         lost: Its agent has been silent so long that its flows are given up.
-        restarting_until: Its agent said that it stops and comes back.
+        restarting_until: Its agent is away until then and comes back: it said
+            so, or its host refused a connection.
+        checked_at: When a check of its host last ended, seconds.
     """
 
     entry: ServerEntry
@@ -168,6 +170,7 @@
     suspected: bool = False
     lost: bool = False
     restarting_until: float = float("-inf")
+    checked_at: float = float("-inf")
 
     def note_offer(self) -> None:
         """Takes account of a new flow that is offered to it."""
--- a/notchhoist/flows/health.py
+++ b/notchhoist/flows/health.py
@@ -5,6 +5,7 @@
 from notchhoist.flows.boards import BalancerBoard, Count
 from notchhoist.flows.effects import SendPeer
 from notchhoist.flows.fleet import Server
+from notchhoist.flows.liveness import HostWatch
 from notchhoist.flows.messages import LoadAsk, LoadTell
 from notchhoist.flows.notes import Load
 from notchhoist.flows.resetting import FlowResetter
@@ -57,6 +58,7 @@
     Attributes:
         board: What the balancer knows.
         resetter: Ends flows.
+        hosts: Tells agents that are restarted from hosts that are lost.
         link_mbps: What this host's link carries, Mbit/s; 0 if unknown.
         waiting: Servers whose agents owe an answer, by id.
         heard_at: When any agent was last heard, seconds.
@@ -66,6 +68,7 @@
 
     board: BalancerBoard
     resetter: FlowResetter
+    hosts: HostWatch
     link_mbps: int = 0
     waiting: dict[str, Server] = field(default_factory=dict)
     heard_at: float = float("-inf")
@@ -171,10 +174,11 @@
             silent = now - server.probed_at
             if judges and silent >= SUSPECT_AFTER_S:
                 self.suspect(server, now, "no answer to probes")
+                self.hosts.look(server, now)
             if (
                 trusts_silence
                 and silent >= lost_after_s
-                and now > server.restarting_until
+                and self.hosts.shows_loss(server, now)
             ):
                 self._give_up(server, now)
             if now - server.probe_sent_at >= PROBE_EVERY_S:
--- a/notchhoist/flows/tests/balancing.py
+++ b/notchhoist/flows/tests/balancing.py
@@ -3,6 +3,8 @@
 from notchhoist.flows import notes
 from notchhoist.flows.balancer import make_balancer
 from notchhoist.flows.effects import (
+    CheckHost,
+    Reach,
     SendAgent,
     SendCaller,
 )
@@ -43,3 +45,12 @@
     load = Load(flows=node.board.by_host[host].flows)
     tell(node, host, syn, NoteKind.TAKEN, now + 0.001, load)
     return host
+
+
+def tick_among_dead(node, now):
+    """Ticks; every host that the balancer checks says nothing."""
+    effects = node.tick(now)
+    for effect in list(effects):
+        if isinstance(effect, CheckHost):
+            effects += node.on_host_checked(effect.host, Reach.SILENT, now)
+    return effects
--- a/notchhoist/flows/tests/test_agent.py
+++ b/notchhoist/flows/tests/test_agent.py
@@ -6,6 +6,7 @@
     CheckBackend,
     SendBalancer,
     SendCaller,
+    SendPeer,
 )
 from notchhoist.flows.notes import NoteKind, service_tag
 from notchhoist.flows.tests import crafting
@@ -159,3 +160,12 @@
     assert node.load(START).running == 5
     assert node.load(START + 0.1).running == 5
     assert node.load(START + 0.3).running == 0
+
+
+def test_a_stop_is_told_to_balancers_whose_flows_are_idle():
+    """They took the silence of the restart for a loss and reset idle flows."""
+    node = agent()
+    accept(node, 1)
+    effects = node.stop(START + 30.0)
+    [told] = [item.message for item in effects if isinstance(item, SendPeer)]
+    assert told.stopping
--- a/notchhoist/flows/tests/test_balancer.py
+++ b/notchhoist/flows/tests/test_balancer.py
@@ -17,6 +17,7 @@
     packets,
     resets,
     tell,
+    tick_among_dead,
 )
 from notchhoist.flows.tests.crafting import ACK, CODEC, SYN, entry, request
 
@@ -101,7 +102,7 @@
             for effect in node.on_caller(data, now):
                 if isinstance(effect, SendPeer) and effect.host == "10.0.0.1":
                     node.on_peer("10.0.0.1", LoadTell(1, 0, 0, False), now)
-        gone += resets(node.tick(now))
+        gone += resets(tick_among_dead(node, now))
     assert len(gone) == 1
 
 
@@ -123,7 +124,7 @@
         for effect in node.on_caller(request(data=b"x", seq=step), now):
             if isinstance(effect, SendPeer):
                 node.on_peer(effect.host, LoadTell(1, 0, 0, False), now)
-        effects += node.tick(now)
+        effects += tick_among_dead(node, now)
     assert not resets(effects)
 
 
@@ -139,7 +140,7 @@
             node.on_caller(request(data=b"x", port=port, seq=step), now)
         for host in ("10.0.0.1", "10.0.0.2"):
             node.on_peer(host, LoadTell(2, 0, 0, False), now)
-        effects += node.tick(now)
+        effects += tick_among_dead(node, now)
     assert len(resets(effects)) == 2
 
 
@@ -182,7 +183,7 @@
         now = 0.05 * step
         for port in range(40001, 40007):
             node.on_caller(request(data=b"x", port=port, seq=step), now)
-        effects += node.tick(now)
+        effects += tick_among_dead(node, now)
     assert not resets(effects)
 
 
@@ -224,12 +225,12 @@
     for port in (40001, 40002):
         node.on_caller(request(data=b"y", port=port, seq=9), 1.3)
     node.tick(1.31)
-    effects = node.tick(3.0)
+    effects = tick_among_dead(node, 3.0)
     assert not resets(effects)
     assert not any(item.suspected for item in node.board.servers.values())
     for host in ("10.0.0.1", "10.0.0.2"):
         node.on_peer(host, LoadTell(1, 0, 0, False), 3.01)
-    assert not resets(node.tick(3.2))
+    assert not resets(tick_among_dead(node, 3.2))
 
 
 def resets_with_silent_agents(link_mbps, silent, until_s, agents=8):
@@ -248,7 +249,7 @@
             node.on_caller(request(data=b"x", port=port, seq=step), now)
         for host in heard:
             node.on_peer(host, LoadTell(2, 0, 0, False), now)
-        found += resets(node.tick(now))
+        found += resets(tick_among_dead(node, now))
     return len(found)
 
 
--- a/notchhoist/flows/tests/test_finding.py
+++ b/notchhoist/flows/tests/test_finding.py
@@ -18,6 +18,7 @@
     packets,
     resets,
     tell,
+    tick_among_dead,
 )
 from notchhoist.flows.tests.crafting import CODEC, entry, request
 
@@ -93,7 +94,7 @@
     stopping = LoadTell(0, 0, 0, True)
     effects = node.on_peer("10.0.0.2", stopping, 0.003)
     for step in range(1, 20):
-        effects += node.tick(0.1 * step)
+        effects += tick_among_dead(node, 0.1 * step)
     assert not resets(effects)
 
 
--- a/notchhoist/flows/tests/test_isolation.py
+++ b/notchhoist/flows/tests/test_isolation.py
@@ -1,7 +1,7 @@
 """A balancer that is cut off lets routers look elsewhere."""
 
 from notchhoist.flows.balancer import make_balancer
-from notchhoist.flows.effects import SendCaller, SendPeer
+from notchhoist.flows.effects import CheckHost, Reach, SendCaller, SendPeer
 from notchhoist.flows.messages import LoadAsk, LoadTell, ViewAsk
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.crafting import CODEC, SYN, entry, request
@@ -26,6 +26,12 @@
         for effect in effects:
             if isinstance(effect, SendCaller):
                 self.resets += 1
+            if isinstance(effect, CheckHost):
+                self.answer(
+                    self.node.on_host_checked(
+                        effect.host, Reach.SILENT, self.now
+                    )
+                )
             if not isinstance(effect, SendPeer):
                 continue
             if effect.host not in self.heard:
--- /dev/null
+++ b/notchhoist/flows/tests/test_liveness.py
@@ -0,0 +1,102 @@
+"""Silence of an agent that is being restarted ends no flow."""
+
+from notchhoist.flows.effects import CheckHost, Reach, SendPeer
+from notchhoist.flows.liveness import AWAY_S, CHECKS_MAX
+from notchhoist.flows.messages import LoadTell
+from notchhoist.flows.tests.balancing import (
+    balancer,
+    open_flow,
+    packets,
+    resets,
+)
+from notchhoist.flows.tests.crafting import request
+
+STEP_S = 0.05
+
+
+class Silent:
+    """A balancer with two agents, the flow's one silent from the start."""
+
+    def __init__(self, reach):
+        self.node = balancer(servers=2)
+        self.host = open_flow(self.node)
+        self.reach = reach
+        self.resets = 0
+        self.checks = 0
+        self.now = 0.0
+
+    def take(self, effects):
+        self.resets += len(resets(effects))
+        for effect in effects:
+            if isinstance(effect, CheckHost) and self.reach is not None:
+                self.checks += 1
+                told = self.node.on_host_checked(
+                    effect.host, self.reach, self.now
+                )
+                self.take(told)
+            elif isinstance(effect, SendPeer) and effect.host != self.host:
+                load = LoadTell(0, 0, 0, False)
+                self.take(self.node.on_peer(effect.host, load, self.now))
+
+    def run(self, until):
+        sent = 0
+        while self.now < until:
+            self.now = round(self.now + STEP_S, 3)
+            sent += 1
+            for port in (40001, 40002):
+                data = request(data=b"x", port=port, seq=sent)
+                self.take(self.node.on_caller(data, self.now))
+            self.take(self.node.tick(self.now))
+
+
+def test_flows_of_an_agent_that_is_restarted_are_kept():
+    """They were reset while their server served.
+
+    The agent, stopped as planned, had told only balancers heard lately.
+    """
+    silent = Silent(Reach.REFUSED)
+    silent.run(8.0)
+    assert silent.resets == 0
+    assert not silent.node.board.by_host[silent.host].lost
+    load = LoadTell(1, 0, 0, False)
+    silent.node.on_peer(silent.host, load, silent.now)
+    forwarded = silent.node.on_caller(request(data=b"y", seq=999), silent.now)
+    assert [host for host, _ in packets(forwarded)] == [silent.host]
+
+
+def test_flows_of_a_host_that_says_nothing_are_reset():
+    silent = Silent(Reach.SILENT)
+    silent.run(1.5)
+    assert silent.resets == 1
+
+
+def test_flows_of_a_paused_agent_are_reset():
+    """The kernel accepts connections while a process stands still."""
+    silent = Silent(Reach.ACCEPTED)
+    silent.run(1.5)
+    assert silent.resets == 1
+
+
+def test_nothing_is_given_up_before_a_check_has_ended():
+    silent = Silent(None)
+    silent.run(3.0)
+    assert silent.resets == 0
+
+
+def test_a_host_that_dies_after_it_refused_is_given_up():
+    silent = Silent(Reach.REFUSED)
+    silent.run(2.0)
+    silent.reach = Reach.SILENT
+    silent.run(2.0 + AWAY_S - 0.1)
+    assert silent.resets == 0
+    silent.run(2.0 + AWAY_S + 0.2)
+    assert silent.resets == 1
+
+
+def test_checks_are_bounded():
+    node = balancer(servers=100)
+    for server in list(node.board.servers.values()):
+        node.health.suspect(server, 0.0, "test")
+    effects = node.tick(0.3)
+    checks = [item for item in effects if isinstance(item, CheckHost)]
+    assert len(checks) == CHECKS_MAX
--- a/notchhoist/testing/opaque/hosts.py
+++ b/notchhoist/testing/opaque/hosts.py
@@ -6,6 +6,7 @@
 
 from notchhoist.flows.agent import AgentNode
 from notchhoist.flows.balancer import BalancerNode
+from notchhoist.flows.effects import Reach
 from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.testing.opaque.servers import ServerModel
 
@@ -27,6 +28,7 @@
         service: Service of its backend server; empty on entry hosts.
         node: The process, or None while it is down.
         server: The backend server, or None.
+        dark: The host has no power.
         frozen: The process stands still; what comes waits.
         waiting: What came meanwhile.
         generation: Counts the starts of the process.
@@ -41,9 +43,16 @@
     service: str = ""
     node: BalancerNode | AgentNode | None = None
     server: ServerModel | None = None
+    dark: bool = False
     frozen: bool = False
     waiting: list[Callable[[], None]] = attrs.Factory(list)
     generation: int = 0
     misses: int = MISSES
     feeder: StoreFeeder | None = None
     calling: int = 0
+
+    def reach(self) -> Reach:
+        """Returns what a connection to its process meets."""
+        if self.dark:
+            return Reach.SILENT
+        return Reach.REFUSED if self.node is None else Reach.ACCEPTED
--- a/notchhoist/testing/opaque/scenarios.py
+++ b/notchhoist/testing/opaque/scenarios.py
@@ -8,6 +8,10 @@
 from notchhoist.testing.opaque.world import OpaqueWorld
 
 SPACING_S = 1.3
+AGENTS_SPACING_S = 1.6
+SLOW_START_S = 4.4
+"""From an agent's stop to its start on a host that is short of processor time,
+seconds: longer than balancers wait for one that has announced itself."""
 
 
 def _entries(world: OpaqueWorld) -> list[Host]:
@@ -30,6 +34,15 @@
         )
 
 
+def roll_agents(world: OpaqueWorld) -> None:
+    """Stops the agents in turn, as planned; their starts take long."""
+    for number, host in enumerate(_backends(world)):
+        world.later(
+            number * AGENTS_SPACING_S,
+            partial(troubles.stop_agent, world, host, SLOW_START_S),
+        )
+
+
 def release(world: OpaqueWorld) -> None:
     """Replaces half of the backend servers; the new one starts first."""
     for number, host in enumerate(_backends(world)[::2]):
@@ -110,6 +123,7 @@
 SCENARIOS: dict[str, Callable[[OpaqueWorld], None]] = {
     "quiet": quiet,
     "roll-balancers": roll_balancers,
+    "roll-agents": roll_agents,
     "release": release,
     "kill-balancers": kill_balancers,
     "kill-agents": kill_agents,
--- a/notchhoist/testing/opaque/tests/test_scenarios.py
+++ b/notchhoist/testing/opaque/tests/test_scenarios.py
@@ -6,7 +6,12 @@
 from notchhoist.testing.opaque.scenarios import SCENARIOS
 
 SECONDS = 10.0
-FLOORS = {"kill-all": 0.90, "power-off": 0.75, "slow-server": 0.95}
+FLOORS = {
+    "kill-all": 0.90,
+    "power-off": 0.75,
+    "roll-agents": 0.92,
+    "slow-server": 0.95,
+}
 """Least worth of a run of ten seconds; 0.98 elsewhere. The clock is simulated
 and the seeds are fixed, so a run repeats to the last packet."""
 
--- a/notchhoist/testing/opaque/troubles.py
+++ b/notchhoist/testing/opaque/troubles.py
@@ -1,5 +1,6 @@
 """What can be done to a world: kills, power, freezes, cuts, planned stops."""
 
+from notchhoist.flows.agent import AgentNode
 from notchhoist.flows.balancer import BalancerNode
 from notchhoist.testing.opaque.hosts import START_S, Host
 from notchhoist.testing.opaque.world import OpaqueWorld
@@ -41,6 +42,8 @@
 def power_off(world: OpaqueWorld, host: Host, for_s: float) -> None:
     """Takes the power from a host; everything on it starts anew."""
     kill(world, host, for_s + START_S)
+    host.dark = True
+    world.later(for_s, lambda: setattr(host, "dark", False))
     if host.server is not None:
         slots = host.server.slots
         crash_server(world, host)
@@ -62,6 +65,20 @@
     world.later(START_S, lambda: world.start(host))
 
 
+def stop_agent(world: OpaqueWorld, host: Host, away_s: float) -> None:
+    """Stops an agent as planned; its backend server lives on."""
+    if isinstance(host.node, AgentNode):
+        world.perform(host, host.node.stop(world.now))
+    host.node = None
+    host.generation += 1
+    world.later(away_s, lambda: _start_again(world, host))
+
+
+def _start_again(world: OpaqueWorld, host: Host) -> None:
+    if host.node is None and host.ip in world.hosts:
+        world.start(host)
+
+
 def freeze(world: OpaqueWorld, host: Host, for_s: float) -> None:
     """Lets a process stand still for a while."""
     world.judge.disturb(world.now)
--- a/notchhoist/testing/opaque/world.py
+++ b/notchhoist/testing/opaque/world.py
@@ -39,6 +39,8 @@
 MODEL_TICK_S = 0.02
 HEADERS_BYTES = 28
 SEEDS = 3
+CHECK_S = 0.25
+"""How long a balancer waits for a host that says nothing, seconds."""
 
 
 @attrs.define(eq=False)
@@ -284,6 +286,8 @@
                     self._to_server(host, effect.datagram)
                 case effects.CheckBackend():
                     self.later(LOCAL_S, lambda: self._check(host))
+                case effects.CheckHost():
+                    self._check_host(host, effect.host)
                 case effects.ConfirmView():
                     self.store_link.confirm(host, host.generation)
 
@@ -369,6 +373,24 @@
             listens = host.server is not None and host.server.alive
             self.perform(host, host.node.on_checked(listens, self.now))
 
+    def _check_host(self, source: Host, target: str) -> None:
+        """Lets a balancer try to connect to another host."""
+        host = self.hosts.get(target)
+        reach = effects.Reach.SILENT
+        if host is not None and not self.is_cut(source.ip, target):
+            reach = host.reach()
+        silent = reach is effects.Reach.SILENT
+        delay = CHECK_S if silent else 2 * self.cross_zone_s
+
+        def take() -> None:
+            if isinstance(source.node, BalancerNode):
+                node = source.node
+                self.perform(
+                    source, node.on_host_checked(target, reach, self.now)
+                )
+
+        self.later(delay, lambda: self._when_awake(source, take))
+
     # What happens by itself.
 
     def _tick_node(self, host: Host, generation: int) -> None:
