losses and flow-story read large and compressed logs, and say what is missing

Change: cli/log_files reads plain and compressed files line by line and looks for words before it decodes; the same lines stood in two tools. losses counts the lines that are not in the logs as a cause of their own, by moment.

--- a/notchhoist/cli/flow_story.py
+++ b/notchhoist/cli/flow_story.py
@@ -6,7 +6,6 @@
 at, in the order of time.
 """
 
-import json
 import sys
 from collections.abc import Iterable, Iterator
 from pathlib import Path
@@ -15,6 +14,8 @@
 import attrs
 import cappa
 
+from notchhoist.cli.log_files import lines_of, lines_with, read_line
+
 LEFT_OUT = ("timestamp", "clock", "message_type", "host", "flow", "outcome")
 
 
@@ -39,27 +40,6 @@
     server: str = ""
 
 
-def read_line(text: str) -> dict[str, Any] | None:
-    """Returns the JSON object in a line of a log, or None.
-
-    What stands before it, such as a time and a host, is passed over.
-
-    Examples:
-        >>> read_line('1.2 front-1 {"message_type": "place"}')
-        {'message_type': 'place'}
-        >>> read_line("Traceback:") is None
-        True
-    """
-    start = text.find("{")
-    if start < 0:
-        return None
-    try:
-        value = json.loads(text[start:])
-    except ValueError:
-        return None
-    return value if isinstance(value, dict) else None
-
-
 def _to_story(line: dict[str, Any]) -> StoryLine:
     details = " ".join(
         f"{name}={value}"
@@ -86,13 +66,19 @@
         flow: The flow's id as the logs write it.
         lines: Lines of the logs of any processes, in any order.
     """
-    read = [line for line in map(read_line, lines) if line is not None]
-    own = [_to_story(line) for line in read if line.get("flow") == flow]
+    kept = list(lines_with([flow, '"server"'], lines))
+    own = [
+        _to_story(line)
+        for line in map(read_line, lines_with([flow], kept))
+        if line is not None and line.get("flow") == flow
+    ]
     servers = {item.server for item in own if item.server}
     about = [
         _to_story(line)
-        for line in read
-        if "flow" not in line and line.get("server") in servers
+        for line in map(read_line, lines_with(servers, kept))
+        if line is not None
+        and "flow" not in line
+        and line.get("server") in servers
     ]
     return sorted([*own, *about])
 
@@ -117,20 +103,17 @@
     """
 
     flow: Annotated[str, cappa.Arg(help="caller:port-address:port")]
-    logs: Annotated[list[Path], cappa.Arg(help="Log files.")]
+    logs: Annotated[list[Path], cappa.Arg(help="Log files, .gz too.")]
 
 
 def main() -> int:
     """Entry point; status 1 where no line tells of the flow."""
     command = cappa.parse(Command)
-    lines: list[str] = []
-    for path in command.logs:
-        try:
-            lines += path.read_text(errors="replace").splitlines()
-        except OSError as error:
-            print(f"{path}: {error.strerror}", file=sys.stderr)
-            return 2
-    story = story_of(command.flow, lines)
+    try:
+        story = story_of(command.flow, lines_of(command.logs))
+    except OSError as error:
+        print(f"{error.filename}: {error.strerror}", file=sys.stderr)
+        return 2
     for text in tell(story):
         print(text)
     return 0 if story else 1
--- a/notchhoist/cli/losses.py
+++ b/notchhoist/cli/losses.py
@@ -17,7 +17,7 @@
 import attrs
 import cappa
 
-from notchhoist.cli.flow_story import read_line
+from notchhoist.cli.log_files import lines_of, lines_with, read_line
 
 COSTLY = ("reset", "refuse", "give up finding", "leave to others")
 """Events whose outcome is the cause of a loss."""
@@ -25,6 +25,9 @@
 LATE = ("late", "waited too long")
 """Outcomes of a release whose answer comes after its objective."""
 
+DROPPED = "lines_dropped"
+"""Event that tells of lines which the bound on logs left out."""
+
 MOMENTS_SHOWN = 6
 
 
@@ -44,10 +47,10 @@
     by_moment: collections.Counter[int] = attrs.Factory(collections.Counter)
     flow: str = ""
 
-    def note(self, flow: str, moment: int) -> None:
-        """Counts a caller."""
-        self.count += 1
-        self.by_moment[moment] += 1
+    def note(self, flow: str, moment: int, weight: int = 1) -> None:
+        """Counts a caller, or several lines that were left out."""
+        self.count += weight
+        self.by_moment[moment] += weight
         self.flow = self.flow or flow
 
 
@@ -63,17 +66,31 @@
     event, outcome = line.get("message_type"), line.get("outcome")
     if event == "release":
         return f"late: {outcome}" if outcome in LATE else ""
+    if event == DROPPED:
+        return "lines not in the logs"
     return f"{event}: {outcome}" if event in COSTLY else ""
 
 
+def weight_of(line: dict[str, Any]) -> int:
+    """Returns how many decisions a line stands for."""
+    dropped = line.get("dropped")
+    return sum(dropped.values()) if isinstance(dropped, dict) else 1
+
+
 def causes_of(lines: Iterable[str], step_s: float = 2.0) -> list[Cause]:
     """Returns the causes of losses, the worst first.
 
     Args:
-        lines: Lines of the logs of any processes, in any order.
+        lines: Lines of the logs of any processes, in any order; moments count
+            from the first start or loss among them.
         step_s: Length of a moment, seconds.
     """
-    read = [line for line in map(read_line, lines) if line is not None]
+    words = [f'"{event}"' for event in (*COSTLY, "release", "start", DROPPED)]
+    read = [
+        line
+        for line in map(read_line, lines_with(words, lines))
+        if line is not None
+    ]
     stamps = [float(line.get("timestamp", 0.0)) for line in read]
     start = min(stamps, default=0.0)
     causes: dict[str, Cause] = {}
@@ -83,7 +100,7 @@
             continue
         moment = int((stamp - start) / step_s) * int(step_s)
         cause = causes.setdefault(name, Cause(name))
-        cause.note(str(line.get("flow", "")), moment)
+        cause.note(str(line.get("flow", "")), moment, weight_of(line))
     return sorted(causes.values(), key=lambda cause: -cause.count)
 
 
@@ -106,7 +123,7 @@
         seconds: Length of a moment, seconds.
     """
 
-    logs: Annotated[list[Path], cappa.Arg(help="Log files.")]
+    logs: Annotated[list[Path], cappa.Arg(help="Log files, .gz too.")]
     most: Annotated[int, cappa.Arg(long=True)] = 8
     seconds: Annotated[float, cappa.Arg(long=True)] = 2.0
 
@@ -114,14 +131,11 @@
 def main() -> int:
     """Entry point; status 2 where a file cannot be read."""
     command = cappa.parse(Command)
-    lines: list[str] = []
-    for path in command.logs:
-        try:
-            lines += path.read_text(errors="replace").splitlines()
-        except OSError as error:
-            print(f"{path}: {error.strerror}", file=sys.stderr)
-            return 2
-    causes = causes_of(lines, command.seconds)
+    try:
+        causes = causes_of(lines_of(command.logs), command.seconds)
+    except OSError as error:
+        print(f"{error.filename}: {error.strerror}", file=sys.stderr)
+        return 2
     for text in table(causes[: command.most]):
         print(text)
     return 0
--- a/notchhoist/cli/tests/test_losses.py
+++ b/notchhoist/cli/tests/test_losses.py
@@ -1,5 +1,8 @@
 """Where callers lose, read off the logs."""
 
+import gzip
+
+from notchhoist.cli.log_files import lines_of
 from notchhoist.cli.losses import causes_of, table
 from notchhoist.cli.tests.test_flow_story import FLOW, line
 
@@ -24,3 +27,23 @@
 
 def test_no_lines_no_causes():
     assert causes_of([]) == []
+
+
+def test_what_the_bound_on_logs_left_out_is_a_cause_of_its_own():
+    """Where lines are missing a table of causes is too good."""
+    dropped = {"reset": 30, "place": 4}
+    lines = [
+        line(100.0, "start"),
+        line(102.5, "lines_dropped", dropped=dropped),
+    ]
+    [cause] = causes_of(lines)
+    assert (cause.name, cause.count) == ("lines not in the logs", 34)
+    assert cause.by_moment == {2: 34}
+
+
+def test_compressed_files_are_read(tmp_path):
+    path = tmp_path / "a.log.gz"
+    with gzip.open(path, "wt") as file:
+        print(line(1.0, "reset", flow=FLOW, outcome="no route"), file=file)
+    [cause] = causes_of(lines_of([path]))
+    assert cause.flow == FLOW
