--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -144,7 +144,7 @@
     def _answer_metrics(self, path: str) -> Reply:
         now = self.loop.clock()
         if path == METRICS_PATH:
-            return Reply(200, metrics_text(self.node, now))
+            return Reply(200, metrics_text(self.node, now, self.ports.link))
         from notchhoist.daemon.flow_state import answer_state
 
         settings = self.settings
--- a/notchhoist/daemon/flow_metrics.py
+++ b/notchhoist/daemon/flow_metrics.py
@@ -9,6 +9,7 @@
 from notchhoist.flows.agent import AgentNode
 from notchhoist.flows.balancer import BalancerNode
 from notchhoist.flows.boards import BUCKETS_S, Histogram, Series, Timing
+from notchhoist.links.scheduler import LinkScheduler
 
 METRICS_PORT = 9464
 """Port of the metrics; ``deploy/system.toml`` names it too."""
@@ -16,12 +17,15 @@
 METRICS_PATH = "/metrics"
 
 
-def metrics_text(node: BalancerNode | AgentNode, now: float) -> str:
+def metrics_text(
+    node: BalancerNode | AgentNode, now: float, link: LinkScheduler
+) -> str:
     """Returns counters and gauges of a node.
 
     Args:
         node: The node.
         now: Runtime clock, seconds.
+        link: What leaves the host.
     """
     board = node.board
     lines = ["# TYPE notchhoist_events counter"]
@@ -33,6 +37,7 @@
         gauges = _balancer_gauges(node, now)
     else:
         gauges = _agent_gauges(node, now)
+    gauges |= _link_gauges(link)
     for name, value in gauges.items():
         lines.append(f"# TYPE notchhoist_{name} gauge")
         lines.append(f"notchhoist_{name} {value:g}")
@@ -70,6 +75,14 @@
     }
 
 
+def _link_gauges(link: LinkScheduler) -> dict[str, float]:
+    return {
+        "link_backlog_bytes": link.waiting,
+        "link_drops": link.drops,
+        "link_copies": link.copies,
+    }
+
+
 def _histograms(histograms: Mapping[Series, Histogram]) -> list[str]:
     """Returns every histogram, those of one matter under one name."""
     lines: list[str] = []
