finding and flow_daemon split: tries, and making and running a daemon, have files of their own

Change: flows/trying.py lets unsure agents find out and writes the notes of requests that were searched for; daemon/flow_runner.py makes and runs a daemon.

--- a/benchmarks/bench_start.py
+++ b/benchmarks/bench_start.py
@@ -18,7 +18,7 @@
 RUNS = 7
 PREPARE = """
 import resource, sys
-from notchhoist.daemon.flow_daemon import make_daemon
+from notchhoist.daemon.flow_runner import make_daemon
 from notchhoist.daemon.flow_journal import FlowJournal
 from notchhoist.daemon.loop import Loop
 from notchhoist.platform.settings import load_host_settings
--- a/notchhoist/daemon/__main__.py
+++ b/notchhoist/daemon/__main__.py
@@ -48,7 +48,7 @@
             f"{path}: {'defaults for the rest' if settings.problems else 'ok'}"
         )
         return EXIT_BAD_SETTINGS if settings.problems else 0
-    from notchhoist.daemon.flow_daemon import run_host
+    from notchhoist.daemon.flow_runner import run_host
 
     try:
         run_host(settings, time.monotonic, time.time)
--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -4,8 +4,6 @@
 restarted process serves as early as it can.
 """
 
-import gc
-import math
 import os
 import signal
 from collections.abc import Callable, Iterable
@@ -14,7 +12,6 @@
 from msgspec.structs import replace
 
 from notchhoist.base import datagrams
-from notchhoist.base.draws import make_draw
 from notchhoist.base.errors import CodecError, SettingsRefusedError
 from notchhoist.daemon.flow_journal import FlowJournal, flow_text
 from notchhoist.daemon.flow_metrics import (
@@ -22,9 +19,8 @@
     METRICS_PORT,
     metrics_text,
 )
-from notchhoist.daemon.http_call import HttpCaller
 from notchhoist.daemon.http_port import Reply, open_http_port
-from notchhoist.daemon.loop import Clock, Loop, Timer
+from notchhoist.daemon.loop import Loop, Timer
 from notchhoist.daemon.port_check import (
     BACKEND_WAIT_S,
     HOST_WAIT_S,
@@ -32,9 +28,8 @@
 )
 from notchhoist.daemon.ports import Port, Ports
 from notchhoist.daemon.signals import watch_signals
-from notchhoist.daemon.store_calls import StoreCalls
-from notchhoist.flows.agent import AgentNode, make_agent
-from notchhoist.flows.balancer import BalancerNode, make_balancer
+from notchhoist.flows.agent import AgentNode
+from notchhoist.flows.balancer import BalancerNode
 from notchhoist.flows.boards import Count, Timing
 from notchhoist.flows.effects import (
     CheckBackend,
@@ -49,9 +44,6 @@
     SendPeer,
 )
 from notchhoist.flows.mechanisms import NAMES
-from notchhoist.flows.sharing import FRESH_SHARE
-from notchhoist.links.scheduler import make_scheduler
-from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.platform.readiness import status_for
 from notchhoist.platform.settings import (
@@ -59,7 +51,6 @@
     load_host_settings,
     settings_path,
 )
-from notchhoist.platform.store import WATCH_SHARE, StoreReader
 
 LEAVE_S = 1.8
 """After a request to stop a balancer forwards for this long, seconds: routers
@@ -357,97 +348,3 @@
         return os.stat(path).st_mtime_ns if path else 0
     except OSError:
         return 0  # A reload says what is wrong with it.
-
-
-def make_daemon(
-    settings: HostSettings, loop: Loop, journal: FlowJournal
-) -> FlowDaemon:
-    """Opens the sockets of a process.
-
-    Raises:
-        OSError: An address cannot be bound.
-    """
-    codec = PacketCodec()
-    seed = os.urandom(8).hex()
-    node: BalancerNode | AgentNode
-    if settings.balances:
-        packets = settings.packets
-        node = make_balancer(
-            settings.zone,
-            codec,
-            seed,
-            settings.ip,
-            settings.peers,
-            math.ceil(settings.link_mbps),
-            settings.uses,
-        )
-    else:
-        packets = settings.outbound or settings.packets
-        node = make_agent(
-            settings.service,
-            codec,
-            loop.clock(),
-            settings.uses,
-            settings.first_start,
-        )
-    first = settings.peer_ports[0]
-    return FlowDaemon(
-        settings=settings,
-        loop=loop,
-        node=node,
-        codec=codec,
-        journal=journal,
-        ports=Ports(
-            loop=loop,
-            sockets=(
-                datagrams.open_socket(packets),
-                datagrams.open_socket((settings.bind_ip, first)),
-                datagrams.open_socket((settings.bind_ip, first + 1)),
-            ),
-            link=make_scheduler(settings.link_mbps),
-            records=node.board.records,
-        ),
-    )
-
-
-def run_host(settings: HostSettings, clock: Clock, wall: Clock) -> None:
-    """Runs a process until it is told to stop.
-
-    Args:
-        settings: What the platform told.
-        clock: The runtime's clock.
-        wall: Time of day.
-
-    Raises:
-        OSError: An address cannot be bound.
-    """
-    from notchhoist.daemon.flow_journal import write_to_stdout
-
-    loop = Loop(clock)
-    journal = FlowJournal(settings.name, clock, wall, write_to_stdout)
-    daemon = make_daemon(settings, loop, journal)
-    daemon.start()
-    gc.enable()
-    if isinstance(daemon.node, BalancerNode):
-        _read_store(daemon, daemon.node)
-    loop.run()
-    journal.log("stopped")
-
-
-def _read_store(daemon: FlowDaemon, node: BalancerNode) -> None:
-    """Begins to read the platform's store."""
-    settings, loop = daemon.settings, daemon.loop
-    bound_s = min(settings.apply_s, settings.drain_s)
-    node.sharer.fresh_s = FRESH_SHARE * bound_s
-    draw = make_draw(settings.name)
-    reader = StoreReader(draw, WATCH_SHARE * bound_s)
-    calls = StoreCalls(
-        loop=loop,
-        feeder=StoreFeeder(node, reader),
-        caller=HttpCaller(loop, settings.store),
-        confirmer=HttpCaller(loop, settings.store),
-        perform=daemon.perform,
-        observe=daemon.observe,
-    )
-    daemon.confirm = calls.confirm
-    calls.call()
--- /dev/null
+++ b/notchhoist/daemon/flow_runner.py
@@ -0,0 +1,116 @@
+"""Makes and runs the daemon on the platform's hosts."""
+
+import gc
+import math
+import os
+
+from notchhoist.base import datagrams
+from notchhoist.base.draws import make_draw
+from notchhoist.daemon.flow_daemon import FlowDaemon
+from notchhoist.daemon.flow_journal import FlowJournal
+from notchhoist.daemon.http_call import HttpCaller
+from notchhoist.daemon.loop import Clock, Loop
+from notchhoist.daemon.ports import Ports
+from notchhoist.daemon.store_calls import StoreCalls
+from notchhoist.flows.agent import AgentNode, make_agent
+from notchhoist.flows.balancer import BalancerNode, make_balancer
+from notchhoist.flows.sharing import FRESH_SHARE
+from notchhoist.links.scheduler import make_scheduler
+from notchhoist.platform.feeding import StoreFeeder
+from notchhoist.platform.packets import PacketCodec
+from notchhoist.platform.settings import HostSettings
+from notchhoist.platform.store import WATCH_SHARE, StoreReader
+
+
+def make_daemon(
+    settings: HostSettings, loop: Loop, journal: FlowJournal
+) -> FlowDaemon:
+    """Opens the sockets of a process.
+
+    Raises:
+        OSError: An address cannot be bound.
+    """
+    codec = PacketCodec()
+    seed = os.urandom(8).hex()
+    node: BalancerNode | AgentNode
+    if settings.balances:
+        packets = settings.packets
+        node = make_balancer(
+            settings.zone,
+            codec,
+            seed,
+            settings.ip,
+            settings.peers,
+            math.ceil(settings.link_mbps),
+            settings.uses,
+        )
+    else:
+        packets = settings.outbound or settings.packets
+        node = make_agent(
+            settings.service,
+            codec,
+            loop.clock(),
+            settings.uses,
+            settings.first_start,
+        )
+    first = settings.peer_ports[0]
+    return FlowDaemon(
+        settings=settings,
+        loop=loop,
+        node=node,
+        codec=codec,
+        journal=journal,
+        ports=Ports(
+            loop=loop,
+            sockets=(
+                datagrams.open_socket(packets),
+                datagrams.open_socket((settings.bind_ip, first)),
+                datagrams.open_socket((settings.bind_ip, first + 1)),
+            ),
+            link=make_scheduler(settings.link_mbps),
+            records=node.board.records,
+        ),
+    )
+
+
+def run_host(settings: HostSettings, clock: Clock, wall: Clock) -> None:
+    """Runs a process until it is told to stop.
+
+    Args:
+        settings: What the platform told.
+        clock: The runtime's clock.
+        wall: Time of day.
+
+    Raises:
+        OSError: An address cannot be bound.
+    """
+    from notchhoist.daemon.flow_journal import write_to_stdout
+
+    loop = Loop(clock)
+    journal = FlowJournal(settings.name, clock, wall, write_to_stdout)
+    daemon = make_daemon(settings, loop, journal)
+    daemon.start()
+    gc.enable()
+    if isinstance(daemon.node, BalancerNode):
+        _read_store(daemon, daemon.node)
+    loop.run()
+    journal.log("stopped")
+
+
+def _read_store(daemon: FlowDaemon, node: BalancerNode) -> None:
+    """Begins to read the platform's store."""
+    settings, loop = daemon.settings, daemon.loop
+    bound_s = min(settings.apply_s, settings.drain_s)
+    node.sharer.fresh_s = FRESH_SHARE * bound_s
+    draw = make_draw(settings.name)
+    reader = StoreReader(draw, WATCH_SHARE * bound_s)
+    calls = StoreCalls(
+        loop=loop,
+        feeder=StoreFeeder(node, reader),
+        caller=HttpCaller(loop, settings.store),
+        confirmer=HttpCaller(loop, settings.store),
+        perform=daemon.perform,
+        observe=daemon.observe,
+    )
+    daemon.confirm = calls.confirm
+    calls.call()
--- a/notchhoist/daemon/tests/test_lean_imports.py
+++ b/notchhoist/daemon/tests/test_lean_imports.py
@@ -8,7 +8,7 @@
 import sys
 from notchhoist.daemon.lean_imports import load_msgspec
 load_msgspec()
-import notchhoist.daemon.flow_daemon, notchhoist.platform.settings
+import notchhoist.daemon.flow_runner, notchhoist.platform.settings
 print([name for name in {heavy} if name in sys.modules])
 import decimal, textwrap, uuid
 print(uuid.UUID(int=7).int, decimal.Decimal("1.5") * 2, textwrap.dedent(" x"))
--- a/notchhoist/flows/__init__.py
+++ b/notchhoist/flows/__init__.py
@@ -20,10 +20,10 @@
 * ``early``: packets that come before a balancer knows any route.
 * ``boards``: the blackboard of each role.
 * ``completeness``: a pure function on whether every server is known.
-* ``confirming``, ``liveness``, ``opening``, ``finding``, ``health``,
-  ``resetting``, ``fleet_keeper``, ``sharing``, ``isolation``: the balancer's
-  controllers;
-  ``admitting``, ``backend_watch``: the agent's.
+* ``confirming``, ``liveness``, ``health``, ``resetting``, ``opening``,
+  ``questions``, ``trying``, ``finding``, ``fleet_keeper``, ``sharing``,
+  ``isolation``: the balancer's controllers;
+  ``admitting``, ``backend_watch``, ``telling``: the agent's.
 * ``balancer``, ``agent``: the two nodes.
 
 Modules are imported by name; see ``notchhoist.base`` for the reason.
--- a/notchhoist/flows/balancer.py
+++ b/notchhoist/flows/balancer.py
@@ -28,6 +28,7 @@
 from notchhoist.flows.resetting import FlowResetter
 from notchhoist.flows.segments import Segment, SegmentCodec
 from notchhoist.flows.sharing import ViewSharer
+from notchhoist.flows.trying import FlowTrier
 from notchhoist.flows.wishes import Wish
 
 SWEEP_S = 1.0
@@ -285,6 +286,7 @@
     health = HealthKeeper(board, resetter, HostWatch(board), link_mbps)
     fleet = FleetKeeper(board)
     sharer = ViewSharer(board, fleet, seeds, link_mbps)
+    questions = make_questions(board, codec)
     return BalancerNode(
         board=board,
         codec=codec,
@@ -300,7 +302,8 @@
             health,
             resetter,
             ViewConfirmer(board),
-            make_questions(board, codec),
+            questions,
+            FlowTrier(board, codec, questions),
         ),
         sharer=sharer,
         isolation=IsolationKeeper(board, health, sharer),
--- a/notchhoist/flows/finding.py
+++ b/notchhoist/flows/finding.py
@@ -25,6 +25,7 @@
 from notchhoist.flows.questions import Questions
 from notchhoist.flows.resetting import FlowResetter
 from notchhoist.flows.segments import Segment, SegmentCodec
+from notchhoist.flows.trying import FlowTrier, request_note
 
 WAITING_MAX = 16
 """Packets that wait for one search; an end has no more under way."""
@@ -44,16 +45,6 @@
 search that was given up after 1.2 s began anew with the next copy and asked
 everybody again: on thin hosts half of them after a loss of power."""
 
-TRY_WAIT_S = 0.4
-"""Unsure agents have this long to tell what came of a packet, seconds, or
-``TRY_WAITS`` times as long as all agents took to answer this search: 98 answers
-take a host with 0.163 of a core 0.2 s, and one with 0.038 a second."""
-
-TRY_WAITS = 3.0
-
-TRY_WAIT_MOST_S = 1.5
-"""The longest such time, seconds."""
-
 DENIED_WAIT_S = 0.7
 """Time before a flow that nobody holds is reset, seconds, where the platform
 has not confirmed that every server is known. Another balancer may have placed
@@ -74,6 +65,7 @@
         resetter: Ends flows.
         confirmer: Has the list of servers confirmed.
         questions: Asks the agents.
+        trier: Lets unsure agents find out.
     """
 
     board: BalancerBoard
@@ -82,6 +74,7 @@
     resetter: FlowResetter
     confirmer: ViewConfirmer
     questions: Questions
+    trier: FlowTrier
 
     def on_unknown(
         self, service: str, segment: Segment, now: float, absent_at: str = ""
@@ -226,7 +219,7 @@
         )
         last = search.waiting[-1]
         self.board.flows[flow] = Placement(server, True, now, last)
-        note = self._note(search, NoteKind.HELD, now)
+        note = request_note(self.board, search, NoteKind.HELD, now)
         for segment in search.waiting:
             datagram = self.codec.with_note(segment, note)
             self.board.outbox.append(
@@ -236,23 +229,9 @@
             )
         self.health.expect(server, now)
 
-    def _note(self, search: Search, kind: NoteKind, now: float) -> int:
-        """Returns a note for an agent with what its requests wish for.
-
-        Without the wish a request that changed balancers counted as late from
-        the start: on days where daemons come back one by one nearly all do.
-        """
-        table = self.board.table
-        service_key = search.waiting[0].service_key
-        route = table.routes.get(service_key) if table else None
-        wish = notes.NO_WISH
-        if route is not None and self.board.uses.kept_wish:
-            wish = route.wish(now - search.since)
-        return notes.to_agent(kind, notes.service_tag(search.service), wish)
-
     def _next(self, flow: bytes, search: Search, now: float) -> None:
         """Asks more agents, tries unsure ones, or ends the search."""
-        if self._widen(flow, search, now) or self._try_unsure(search, now):
+        if self._widen(flow, search, now) or self.trier.try_unsure(search, now):
             return
         if search.silent:
             # Whoever was tried may hold the flow and be slow: leave it alone.
@@ -261,33 +240,6 @@
         search.denied_at = now
         self._settle_if_known(flow, search, now)
 
-    def _try_unsure(self, search: Search, now: float) -> bool:
-        """Hands one packet to each agent that cannot tell; tells whether any.
-
-        Every agent is unsure after a loss of power. Tried one after the other,
-        98 of them took 98 round trips, and a caller had left by then.
-        """
-        servers = [
-            server
-            for host in search.unsure
-            if (server := self.board.by_host.get(host)) is not None
-        ]
-        search.unsure.clear()
-        search.sent_at = now
-        if not servers:
-            return False
-        sample = min(search.waiting, key=_cost_to_try)
-        note = self._note(search, NoteKind.TRY, now)
-        datagram = self.codec.with_note(sample, note)
-        hosts = [server.entry.host for server in servers]
-        search.trying.update(hosts)
-        tag = notes.service_tag(search.service)
-        self.questions.try_packet(hosts, tag, sample.flow, datagram, now)
-        search.answered_s = now - search.since
-        waits_s = TRY_WAITS * search.answered_s
-        search.try_s = min(max(TRY_WAIT_S, waits_s), TRY_WAIT_MOST_S)
-        return True
-
     def _settle_if_known(self, flow: bytes, search: Search, now: float) -> None:
         """Ends a search that every agent has denied, once it may."""
         board = self.board
@@ -404,15 +356,6 @@
         return min(due, self.questions.due())
 
 
-def _cost_to_try(segment: Segment) -> tuple[bool, bool, int]:
-    """Orders the packets that may find out where a flow is, the best first.
-
-    One is enough. A server that holds the flow answers data, but may keep
-    silent about an acknowledgement.
-    """
-    return (segment.resets, not segment.size, segment.size)
-
-
 def _due(search: Search, next_call: float) -> float:
     """Returns when a search next needs attention, seconds."""
     if search.denied_at is not None:
--- a/notchhoist/flows/tests/test_finding.py
+++ b/notchhoist/flows/tests/test_finding.py
@@ -7,7 +7,7 @@
 from notchhoist.flows.effects import (
     ConfirmView,
 )
-from notchhoist.flows.finding import DENIED_WAIT_S, TRY_WAIT_S
+from notchhoist.flows.finding import DENIED_WAIT_S
 from notchhoist.flows.messages import LoadTell
 from notchhoist.flows.notes import Load, NoteKind
 from notchhoist.flows.placing import CHOICES
@@ -25,6 +25,7 @@
     tried_agents,
 )
 from notchhoist.flows.tests.crafting import CODEC, entry, request
+from notchhoist.flows.trying import TRY_WAIT_S
 
 
 def test_an_unknown_flow_is_asked_for_everywhere_and_found():
