--- a/benchmarks/ablate.py
+++ b/benchmarks/ablate.py
@@ -3,11 +3,11 @@
     python benchmarks/ablate.py CHECKOUT PLAY SITE:DAY[,DAY]... [--seeds 1,2]
         [--off NAME,NAME] [--jobs 6] [--out FILE]
 
-``CHECKOUT`` is a copy of the repository whose deploy file is rewritten for
-each mechanism (``notchhoist.flows.mechanisms``); ``PLAY`` is the users' program
-that plays days. Prints, for each site, the mean worth of a day with everything
-in use, its spread over seeds, and what each mechanism adds to it. A figure
-within the spread is none.
+``CHECKOUT`` is a copy of the repository whose deploy file is rewritten for each
+mechanism (``notchhoist.flows.model.mechanisms``); ``PLAY`` is the users'
+program that plays days. Prints, for each site, the mean worth of a day with
+everything in use, its spread over seeds, and what each mechanism adds to it. A
+figure within the spread is none.
 """
 
 import argparse
@@ -17,7 +17,7 @@
 import statistics
 import subprocess
 
-from notchhoist.flows.mechanisms import NAMES
+from notchhoist.flows.model.mechanisms import NAMES
 
 WORTH = re.compile(r"^worth (-?[\d.]+) =", re.MULTILINE)
 BROKEN = re.compile(r"BROKEN: (.*)")
--- a/benchmarks/bench_flow_capacity.py
+++ b/benchmarks/bench_flow_capacity.py
@@ -11,14 +11,19 @@
 import time
 import tracemalloc
 
-from notchhoist.flows import notes
-from notchhoist.flows.agent import make_agent
-from notchhoist.flows.balancer import make_balancer
-from notchhoist.flows.effects import SendPeer
-from notchhoist.flows.fleet import RequestKind, Route, RouteTable, ServerEntry
-from notchhoist.flows.message_codec import encode_message
-from notchhoist.flows.messages import LoadAsk, LoadTell, ViewAsk
-from notchhoist.flows.notes import Load, NoteKind
+from notchhoist.flows.agent.node import make_agent
+from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.codec.message_codec import encode_message
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.effects import SendPeer
+from notchhoist.flows.model.fleet import (
+    RequestKind,
+    Route,
+    RouteTable,
+    ServerEntry,
+)
+from notchhoist.flows.model.messages import LoadAsk, LoadTell, ViewAsk
+from notchhoist.flows.model.notes import Load, NoteKind
 from notchhoist.platform.packets import PacketCodec, service_key
 from notchhoist.testing.opaque.frames import ACK, SYN, Frame, encode_frame
 
--- a/benchmarks/bench_logging.py
+++ b/benchmarks/bench_logging.py
@@ -13,8 +13,8 @@
 import time
 
 from notchhoist.daemon.flow_journal import LINES_A_SECOND, FlowJournal
-from notchhoist.flows.balancer import make_balancer
-from notchhoist.flows.boards import Decision
+from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.model.records import Decision
 from notchhoist.flows.tests import crafting
 
 LINES = 5_000
--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -28,10 +28,9 @@
 )
 from notchhoist.daemon.ports import Port, Ports
 from notchhoist.daemon.signals import watch_signals
-from notchhoist.flows.agent import AgentNode
-from notchhoist.flows.balancer import BalancerNode
-from notchhoist.flows.boards import Count, Timing
-from notchhoist.flows.effects import (
+from notchhoist.flows.agent.node import AgentNode
+from notchhoist.flows.balancer.node import BalancerNode
+from notchhoist.flows.model.effects import (
     CheckBackend,
     CheckHost,
     ConfirmView,
@@ -43,7 +42,8 @@
     SendCaller,
     SendPeer,
 )
-from notchhoist.flows.mechanisms import NAMES
+from notchhoist.flows.model.mechanisms import NAMES
+from notchhoist.flows.model.records import Count, Timing
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.platform.readiness import status_for
 from notchhoist.platform.settings import (
@@ -183,7 +183,7 @@
                 self.perform(node.on_balancer(host, segment, now))
 
     def _on_control(self) -> None:
-        from notchhoist.flows.message_codec import decode_message
+        from notchhoist.flows.codec.message_codec import decode_message
 
         for raw, (host, _) in datagrams.receive_batch(
             self.ports.sockets[Port.CONTROL]
@@ -235,7 +235,7 @@
                     self.confirm()
 
     def _send_peer(self, effect: SendPeer) -> None:
-        from notchhoist.flows.message_codec import encode_message
+        from notchhoist.flows.codec.message_codec import encode_message
 
         to = (effect.host, self.settings.peer_ports[0] + 1)
         self.ports.send(Port.CONTROL, encode_message(effect.message), to)
--- a/notchhoist/daemon/flow_journal.py
+++ b/notchhoist/daemon/flow_journal.py
@@ -13,7 +13,7 @@
 from msgspec import Struct, field
 
 from notchhoist.daemon.loop import Clock
-from notchhoist.flows.boards import REASONED
+from notchhoist.flows.model.records import REASONED
 
 LINES_A_SECOND = 200
 """Most lines in a second; further ones are counted by kind. A line of 243 bytes
--- a/notchhoist/daemon/flow_metrics.py
+++ b/notchhoist/daemon/flow_metrics.py
@@ -6,9 +6,9 @@
 
 from collections.abc import Mapping
 
-from notchhoist.flows.agent import AgentNode
-from notchhoist.flows.balancer import BalancerNode
-from notchhoist.flows.boards import BUCKETS_S, Histogram, Series, Timing
+from notchhoist.flows.agent.node import AgentNode
+from notchhoist.flows.balancer.node import BalancerNode
+from notchhoist.flows.model.records import BUCKETS_S, Histogram, Series, Timing
 from notchhoist.links.scheduler import LinkScheduler
 
 METRICS_PORT = 9464
--- a/notchhoist/daemon/flow_runner.py
+++ b/notchhoist/daemon/flow_runner.py
@@ -12,9 +12,9 @@
 from notchhoist.daemon.loop import Clock, Loop
 from notchhoist.daemon.ports import Ports
 from notchhoist.daemon.store_calls import StoreCalls
-from notchhoist.flows.agent import AgentNode, make_agent
-from notchhoist.flows.balancer import BalancerNode, make_balancer
-from notchhoist.flows.sharing import FRESH_SHARE
+from notchhoist.flows.agent.node import AgentNode, make_agent
+from notchhoist.flows.balancer.node import BalancerNode, make_balancer
+from notchhoist.flows.published.sharing import FRESH_SHARE
 from notchhoist.links.scheduler import make_scheduler
 from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.platform.packets import PacketCodec
--- a/notchhoist/daemon/flow_state.py
+++ b/notchhoist/daemon/flow_state.py
@@ -11,11 +11,11 @@
 
 from notchhoist.daemon.flow_journal import flow_text
 from notchhoist.daemon.http_port import Reply
-from notchhoist.flows import placing
-from notchhoist.flows.agent import AgentNode
-from notchhoist.flows.balancer import BalancerNode
-from notchhoist.flows.boards import Records
-from notchhoist.flows.fleet import Route, Server
+from notchhoist.flows.agent.node import AgentNode
+from notchhoist.flows.balancer.node import BalancerNode
+from notchhoist.flows.decisions import placing
+from notchhoist.flows.model.fleet import Route, Server
+from notchhoist.flows.model.records import Records
 
 HEALTH_PATH = "/health"
 DUMP_PATH = "/dump/"
--- a/notchhoist/daemon/port_check.py
+++ b/notchhoist/daemon/port_check.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from notchhoist.daemon.loop import Loop
-from notchhoist.flows.effects import Reach
+from notchhoist.flows.model.effects import Reach
 
 BACKEND_WAIT_S = 0.3
 """A backend server on the same host accepts a connection within this time."""
--- a/notchhoist/daemon/ports.py
+++ b/notchhoist/daemon/ports.py
@@ -7,7 +7,7 @@
 
 from notchhoist.base import datagrams
 from notchhoist.daemon.loop import Loop, Timer
-from notchhoist.flows.boards import Records, Timing
+from notchhoist.flows.model.records import Records, Timing
 from notchhoist.links.packets import Address, Outgoing
 from notchhoist.links.scheduler import LinkScheduler
 
--- a/notchhoist/daemon/store_calls.py
+++ b/notchhoist/daemon/store_calls.py
@@ -6,8 +6,8 @@
 
 from notchhoist.daemon.http_call import HttpCaller
 from notchhoist.daemon.loop import Loop
-from notchhoist.flows.boards import Timing
-from notchhoist.flows.effects import Effect
+from notchhoist.flows.model.effects import Effect
+from notchhoist.flows.model.records import Timing
 from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.platform.store import StoreCall
 
--- a/notchhoist/daemon/tests/test_ticks.py
+++ b/notchhoist/daemon/tests/test_ticks.py
@@ -2,7 +2,7 @@
 
 from notchhoist.daemon.flow_daemon import MIN_TICK_S, FlowDaemon
 from notchhoist.daemon.loop import Loop
-from notchhoist.flows.boards import BalancerBoard
+from notchhoist.flows.boards.balancer_board import BalancerBoard
 
 PACKETS = 400
 PACKET_EVERY_S = 0.002
--- /dev/null
+++ b/notchhoist/flows/agent/__init__.py
@@ -0,0 +1,10 @@
+"""The agent's controllers and its node.
+
+From the top down, each module imports only those above it:
+
+* ``admitting``: shares out the slots of the backend server.
+* ``backend_watch``: notices when the backend server has ended.
+* ``load_counting``: counts its load.
+* ``telling``: tells balancers which flows are here.
+* ``node``: puts them together.
+"""
--- a/notchhoist/flows/admitting.py
+++ b/notchhoist/flows/agent/admitting.py
@@ -2,22 +2,23 @@
 
 from msgspec import Struct, field, structs
 
-from notchhoist.flows import notes
-from notchhoist.flows.boards import AgentBoard, Count, Timing
-from notchhoist.flows.effects import SendBackend, SendBalancer, SendCaller
-from notchhoist.flows.failing import AnswerTimes
-from notchhoist.flows.held import (
+from notchhoist.flows.boards.agent_board import AgentBoard
+from notchhoist.flows.decisions.failing import AnswerTimes
+from notchhoist.flows.decisions.holding import HeldRequest
+from notchhoist.flows.decisions.queueing import SlotQueue, hopeless
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.effects import SendBackend, SendBalancer, SendCaller
+from notchhoist.flows.model.held import (
     PACE_GAIN,
     STUCK_PACES,
     STUCK_S,
     HeldFlow,
     Phase,
 )
-from notchhoist.flows.holding import HeldRequest
-from notchhoist.flows.notes import Load, NoteKind
-from notchhoist.flows.queueing import SlotQueue, hopeless
-from notchhoist.flows.segments import Segment, SegmentCodec
-from notchhoist.flows.wishes import Wish
+from notchhoist.flows.model.notes import Load, NoteKind
+from notchhoist.flows.model.records import Count, Timing
+from notchhoist.flows.model.segments import Segment, SegmentCodec
+from notchhoist.flows.model.wishes import Wish
 
 GUESSED_PACE_S = 0.05
 """Service time before the first answer, seconds. Usual ones are 30 to 80 ms on
--- a/notchhoist/flows/backend_watch.py
+++ b/notchhoist/flows/agent/backend_watch.py
@@ -2,12 +2,13 @@
 
 from msgspec import Struct
 
-from notchhoist.flows.admitting import RequestGate
-from notchhoist.flows.boards import AgentBoard, Count
-from notchhoist.flows.effects import CheckBackend, SendCaller
-from notchhoist.flows.failing import AnswerTimes
-from notchhoist.flows.held import Phase
-from notchhoist.flows.segments import SegmentCodec
+from notchhoist.flows.agent.admitting import RequestGate
+from notchhoist.flows.boards.agent_board import AgentBoard
+from notchhoist.flows.decisions.failing import AnswerTimes
+from notchhoist.flows.model.effects import CheckBackend, SendCaller
+from notchhoist.flows.model.held import Phase
+from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.segments import SegmentCodec
 
 CHECK_PAUSE_S = 0.3
 """Least time between two looks whether the backend server listens, seconds."""
--- a/notchhoist/flows/load_counting.py
+++ b/notchhoist/flows/agent/load_counting.py
@@ -2,10 +2,10 @@
 
 from msgspec import Struct, field
 
-from notchhoist.flows.admitting import RequestGate
-from notchhoist.flows.boards import AgentBoard
-from notchhoist.flows.held import EXPECTED_S, Phase
-from notchhoist.flows.notes import Load
+from notchhoist.flows.agent.admitting import RequestGate
+from notchhoist.flows.boards.agent_board import AgentBoard
+from notchhoist.flows.model.held import EXPECTED_S, Phase
+from notchhoist.flows.model.notes import Load
 
 COUNT_EVERY_S = 0.01
 """The load is counted anew after this time, seconds: a walk over 3,300 flows
--- a/notchhoist/flows/agent.py
+++ b/notchhoist/flows/agent/node.py
@@ -2,34 +2,35 @@
 
 from msgspec import Struct, field
 
-from notchhoist.flows import notes
-from notchhoist.flows.admitting import RequestGate
-from notchhoist.flows.backend_watch import BackendWatch
-from notchhoist.flows.boards import AgentBoard, Count
-from notchhoist.flows.effects import (
+from notchhoist.flows.agent.admitting import RequestGate
+from notchhoist.flows.agent.backend_watch import BackendWatch
+from notchhoist.flows.agent.load_counting import LoadCounter
+from notchhoist.flows.agent.telling import FlowTeller
+from notchhoist.flows.boards.agent_board import AgentBoard
+from notchhoist.flows.decisions.queueing import SlotQueue
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.effects import (
     Effect,
     SendBackend,
     SendBalancer,
     SendCaller,
     SendPeer,
 )
-from notchhoist.flows.held import (
+from notchhoist.flows.model.held import (
     CLOSED_KEPT_S,
     HeldFlow,
     Phase,
 )
-from notchhoist.flows.load_counting import LoadCounter
-from notchhoist.flows.mechanisms import ALL, Mechanisms
-from notchhoist.flows.messages import (
+from notchhoist.flows.model.mechanisms import ALL, Mechanisms
+from notchhoist.flows.model.messages import (
     FlowsAsk,
     LoadAsk,
     LoadTell,
     PeerMessage,
 )
-from notchhoist.flows.notes import Load, NoteKind
-from notchhoist.flows.queueing import SlotQueue
-from notchhoist.flows.segments import Segment, SegmentCodec
-from notchhoist.flows.telling import FlowTeller
+from notchhoist.flows.model.notes import Load, NoteKind
+from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.segments import Segment, SegmentCodec
 
 ACCEPT_WAIT_S = 0.025
 """A backend server has this long to accept a flow, seconds; it takes 0.3 ms."""
--- a/notchhoist/flows/telling.py
+++ b/notchhoist/flows/agent/telling.py
@@ -3,12 +3,13 @@
 from msgspec import Struct, field
 
 from notchhoist.base.errors import CodecError
-from notchhoist.flows.boards import AgentBoard, Count
-from notchhoist.flows.effects import SendPeer
-from notchhoist.flows.held import HeldFlow, Phase
-from notchhoist.flows.messages import FlowsAsk, FlowsTell
-from notchhoist.flows.notes import Load, NoteKind
-from notchhoist.flows.segments import Segment, SegmentCodec
+from notchhoist.flows.boards.agent_board import AgentBoard
+from notchhoist.flows.model.effects import SendPeer
+from notchhoist.flows.model.held import HeldFlow, Phase
+from notchhoist.flows.model.messages import FlowsAsk, FlowsTell
+from notchhoist.flows.model.notes import Load, NoteKind
+from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.segments import Segment, SegmentCodec
 
 UNSURE_S = 60.0
 """How long after its start an agent may meet flows that it has not seen begin;
--- a/notchhoist/flows/tests/test_admitting.py
+++ b/notchhoist/flows/agent/tests/test_admitting.py
@@ -2,14 +2,15 @@
 
 import pytest
 
-from notchhoist.flows.effects import (
-    SendCaller,
-)
-from notchhoist.flows.holding import (
+from notchhoist.flows.decisions.holding import (
     HOLD_MAX_S,
     HOLD_OPEN_OBJECTIVES,
 )
-from notchhoist.flows.notes import NoteKind
+from notchhoist.flows.model.effects import (
+    SendCaller,
+)
+from notchhoist.flows.model.notes import NoteKind
+from notchhoist.flows.model.wishes import Wish
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.agents import (
     FRESH,
@@ -31,7 +32,6 @@
     answer,
     request,
 )
-from notchhoist.flows.wishes import Wish
 
 
 def test_requests_beyond_the_slots_wait_for_an_answer():
--- a/notchhoist/flows/tests/test_agent.py
+++ b/notchhoist/flows/agent/tests/test_agent.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from notchhoist.flows.agent import make_agent
-from notchhoist.flows.effects import (
+from notchhoist.flows.agent.node import make_agent
+from notchhoist.flows.model.effects import (
     CheckBackend,
     SendBalancer,
     SendCaller,
     SendPeer,
 )
-from notchhoist.flows.notes import NoteKind, service_tag
+from notchhoist.flows.model.notes import NoteKind, service_tag
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.agents import (
     SERVER_SEQ,
--- /dev/null
+++ b/notchhoist/flows/balancer/__init__.py
@@ -0,0 +1,10 @@
+"""The balancer's controllers and its node.
+
+From the top down, each module imports only those above it:
+
+* ``resetting``: ends flows; ``confirming``: asks the platform for what is new.
+* ``liveness``, ``health``, ``isolation``: who is there.
+* ``opening``: new flows.
+* ``questions``, ``trying``, ``finding``: flows that are not known here.
+* ``node``: puts them together.
+"""
--- a/notchhoist/flows/confirming.py
+++ b/notchhoist/flows/balancer/confirming.py
@@ -6,8 +6,9 @@
 
 from msgspec import Struct
 
-from notchhoist.flows.boards import BalancerBoard, Count
-from notchhoist.flows.effects import ConfirmView
+from notchhoist.flows.boards.balancer_board import BalancerBoard
+from notchhoist.flows.model.effects import ConfirmView
+from notchhoist.flows.model.records import Count
 
 CONFIRM_EVERY_S = 0.2
 """Least time between two confirmations, seconds. Each is a priced call; after
--- a/notchhoist/flows/finding.py
+++ b/notchhoist/flows/balancer/finding.py
@@ -8,24 +8,24 @@
 
 from msgspec import Struct
 
-from notchhoist.flows import notes, placing
-from notchhoist.flows.boards import (
+from notchhoist.flows.balancer.confirming import ViewConfirmer
+from notchhoist.flows.balancer.health import HealthKeeper
+from notchhoist.flows.balancer.questions import Questions
+from notchhoist.flows.balancer.resetting import FlowResetter
+from notchhoist.flows.balancer.trying import FlowTrier, request_note
+from notchhoist.flows.boards.balancer_board import (
     BalancerBoard,
-    Count,
     Placement,
     Search,
-    Timing,
 )
-from notchhoist.flows.completeness import is_complete
-from notchhoist.flows.confirming import ViewConfirmer
-from notchhoist.flows.effects import SendAgent
-from notchhoist.flows.health import HealthKeeper
-from notchhoist.flows.messages import FlowsTell
-from notchhoist.flows.notes import Load, NoteKind
-from notchhoist.flows.questions import Questions
-from notchhoist.flows.resetting import FlowResetter
-from notchhoist.flows.segments import Segment, SegmentCodec
-from notchhoist.flows.trying import FlowTrier, request_note
+from notchhoist.flows.decisions import placing
+from notchhoist.flows.decisions.completeness import is_complete
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.effects import SendAgent
+from notchhoist.flows.model.messages import FlowsTell
+from notchhoist.flows.model.notes import Load, NoteKind
+from notchhoist.flows.model.records import Count, Timing
+from notchhoist.flows.model.segments import Segment, SegmentCodec
 
 WAITING_MAX = 16
 """Packets that wait for one search; an end has no more under way."""
--- a/notchhoist/flows/health.py
+++ b/notchhoist/flows/balancer/health.py
@@ -2,13 +2,14 @@
 
 from msgspec import Struct, field
 
-from notchhoist.flows.boards import BalancerBoard, Count
-from notchhoist.flows.effects import SendPeer
-from notchhoist.flows.fleet import Server
-from notchhoist.flows.liveness import HostWatch
-from notchhoist.flows.messages import LoadAsk, LoadTell
-from notchhoist.flows.notes import Load
-from notchhoist.flows.resetting import FlowResetter
+from notchhoist.flows.balancer.liveness import HostWatch
+from notchhoist.flows.balancer.resetting import FlowResetter
+from notchhoist.flows.boards.balancer_board import BalancerBoard
+from notchhoist.flows.model.effects import SendPeer
+from notchhoist.flows.model.fleet import Server
+from notchhoist.flows.model.messages import LoadAsk, LoadTell
+from notchhoist.flows.model.notes import Load
+from notchhoist.flows.model.records import Count
 
 FRESH_S = 0.5
 """An agent that was heard within this time is not asked for its load."""
--- a/notchhoist/flows/isolation.py
+++ b/notchhoist/flows/balancer/isolation.py
@@ -7,9 +7,10 @@
 
 from msgspec import Struct
 
-from notchhoist.flows.boards import BalancerBoard, Count
-from notchhoist.flows.health import HealthKeeper
-from notchhoist.flows.sharing import ViewSharer
+from notchhoist.flows.balancer.health import HealthKeeper
+from notchhoist.flows.boards.balancer_board import BalancerBoard
+from notchhoist.flows.model.records import Count
+from notchhoist.flows.published.sharing import ViewSharer
 
 ASK_AFTER_S = 0.15
 """Silence of every agent before other balancers are asked, seconds: when a
--- a/notchhoist/flows/liveness.py
+++ b/notchhoist/flows/balancer/liveness.py
@@ -9,9 +9,10 @@
 
 from msgspec import Struct, field
 
-from notchhoist.flows.boards import BalancerBoard, Count
-from notchhoist.flows.effects import CheckHost, Reach
-from notchhoist.flows.fleet import Server
+from notchhoist.flows.boards.balancer_board import BalancerBoard
+from notchhoist.flows.model.effects import CheckHost, Reach
+from notchhoist.flows.model.fleet import Server
+from notchhoist.flows.model.records import Count
 
 CHECK_PAUSE_S = 0.02
 """Time between two checks of one host, seconds. With a wait of 0.25 s each,
--- a/notchhoist/flows/balancer.py
+++ b/notchhoist/flows/balancer/node.py
@@ -3,33 +3,34 @@
 from msgspec import Struct
 
 from notchhoist.base.draws import make_draw
-from notchhoist.flows import notes
-from notchhoist.flows.boards import BalancerBoard, Count, Placement
-from notchhoist.flows.confirming import ViewConfirmer
-from notchhoist.flows.early import EarlyPackets
-from notchhoist.flows.effects import Effect, Reach, SendAgent
-from notchhoist.flows.finding import FlowFinder
-from notchhoist.flows.fleet import Route
-from notchhoist.flows.fleet_keeper import FleetKeeper
-from notchhoist.flows.health import HealthKeeper
-from notchhoist.flows.isolation import IsolationKeeper
-from notchhoist.flows.liveness import HostWatch
-from notchhoist.flows.mechanisms import ALL, Mechanisms
-from notchhoist.flows.messages import (
+from notchhoist.flows.balancer.confirming import ViewConfirmer
+from notchhoist.flows.balancer.finding import FlowFinder
+from notchhoist.flows.balancer.health import HealthKeeper
+from notchhoist.flows.balancer.isolation import IsolationKeeper
+from notchhoist.flows.balancer.liveness import HostWatch
+from notchhoist.flows.balancer.opening import FlowOpener
+from notchhoist.flows.balancer.questions import make_questions
+from notchhoist.flows.balancer.resetting import FlowResetter
+from notchhoist.flows.balancer.trying import FlowTrier
+from notchhoist.flows.boards.balancer_board import BalancerBoard, Placement
+from notchhoist.flows.decisions.early import EarlyPackets
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.effects import Effect, Reach, SendAgent
+from notchhoist.flows.model.fleet import Route
+from notchhoist.flows.model.mechanisms import ALL, Mechanisms
+from notchhoist.flows.model.messages import (
     FlowsTell,
     LoadTell,
     PeerMessage,
     ViewAsk,
     ViewTell,
 )
-from notchhoist.flows.notes import NoteKind
-from notchhoist.flows.opening import FlowOpener
-from notchhoist.flows.questions import make_questions
-from notchhoist.flows.resetting import FlowResetter
-from notchhoist.flows.segments import Segment, SegmentCodec
-from notchhoist.flows.sharing import ViewSharer
-from notchhoist.flows.trying import FlowTrier
-from notchhoist.flows.wishes import Wish
+from notchhoist.flows.model.notes import NoteKind
+from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.segments import Segment, SegmentCodec
+from notchhoist.flows.model.wishes import Wish
+from notchhoist.flows.published.fleet_keeper import FleetKeeper
+from notchhoist.flows.published.sharing import ViewSharer
 
 SWEEP_S = 1.0
 CLOSED_KEPT_S = 3.0
--- a/notchhoist/flows/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -5,22 +5,22 @@
 from msgspec import Struct
 
 from notchhoist.base.draws import Draw
-from notchhoist.flows import notes, placing
-from notchhoist.flows.boards import (
+from notchhoist.flows.balancer.health import HealthKeeper
+from notchhoist.flows.balancer.resetting import FlowResetter
+from notchhoist.flows.boards.balancer_board import (
     BalancerBoard,
-    Count,
     Opening,
     Placement,
-    Timing,
 )
-from notchhoist.flows.early import EarlyPackets
-from notchhoist.flows.effects import SendAgent
-from notchhoist.flows.fleet import Route, Server
-from notchhoist.flows.health import HealthKeeper
-from notchhoist.flows.notes import NoteKind
-from notchhoist.flows.resetting import FlowResetter
-from notchhoist.flows.segments import Segment, SegmentCodec
-from notchhoist.flows.wishes import Wish
+from notchhoist.flows.decisions import placing
+from notchhoist.flows.decisions.early import EarlyPackets
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.effects import SendAgent
+from notchhoist.flows.model.fleet import Route, Server
+from notchhoist.flows.model.notes import NoteKind
+from notchhoist.flows.model.records import Count, Timing
+from notchhoist.flows.model.segments import Segment, SegmentCodec
+from notchhoist.flows.model.wishes import Wish
 
 ACCEPT_WAIT_S = 0.06
 """An agent has this long to tell that its server accepted, seconds: a round
--- a/notchhoist/flows/questions.py
+++ b/notchhoist/flows/balancer/questions.py
@@ -13,10 +13,11 @@
 
 from msgspec import Struct, field
 
-from notchhoist.flows.boards import BalancerBoard, Count
-from notchhoist.flows.effects import SendPeer
-from notchhoist.flows.messages import FlowsAsk
-from notchhoist.flows.segments import Segment, SegmentCodec
+from notchhoist.flows.boards.balancer_board import BalancerBoard
+from notchhoist.flows.model.effects import SendPeer
+from notchhoist.flows.model.messages import FlowsAsk
+from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.segments import Segment, SegmentCodec
 
 REPEAT_S = 0.1
 """Time until a question without an answer is repeated, seconds; 30 round
--- a/notchhoist/flows/resetting.py
+++ b/notchhoist/flows/balancer/resetting.py
@@ -2,9 +2,10 @@
 
 from msgspec import Struct
 
-from notchhoist.flows.boards import BalancerBoard, Count
-from notchhoist.flows.effects import SendCaller
-from notchhoist.flows.segments import Segment, SegmentCodec
+from notchhoist.flows.boards.balancer_board import BalancerBoard
+from notchhoist.flows.model.effects import SendCaller
+from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.segments import Segment, SegmentCodec
 
 
 class FlowResetter(Struct, eq=False):
--- a/notchhoist/flows/tests/test_balancer.py
+++ b/notchhoist/flows/balancer/tests/test_balancer.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from notchhoist.flows import notes
-from notchhoist.flows.balancer import make_balancer
-from notchhoist.flows.effects import (
+from notchhoist.flows.balancer.health import PROBES_PER_S
+from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.effects import (
     SendPeer,
 )
-from notchhoist.flows.health import PROBES_PER_S
-from notchhoist.flows.messages import LoadTell
-from notchhoist.flows.notes import Load, NoteKind
+from notchhoist.flows.model.messages import LoadTell
+from notchhoist.flows.model.notes import Load, NoteKind
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.balancing import (
     balancer,
--- a/notchhoist/flows/tests/test_finding.py
+++ b/notchhoist/flows/balancer/tests/test_finding.py
@@ -2,15 +2,16 @@
 
 import pytest
 
-from notchhoist.flows import notes
-from notchhoist.flows.balancer import make_balancer
-from notchhoist.flows.effects import (
+from notchhoist.flows.balancer.finding import DENIED_WAIT_S
+from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.balancer.trying import TRY_WAIT_S
+from notchhoist.flows.decisions.placing import CHOICES
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.effects import (
     ConfirmView,
 )
-from notchhoist.flows.finding import DENIED_WAIT_S
-from notchhoist.flows.messages import LoadTell
-from notchhoist.flows.notes import Load, NoteKind
-from notchhoist.flows.placing import CHOICES
+from notchhoist.flows.model.messages import LoadTell
+from notchhoist.flows.model.notes import Load, NoteKind
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.balancing import (
     asked_agents,
@@ -25,7 +26,6 @@
     tried_agents,
 )
 from notchhoist.flows.tests.crafting import CODEC, entry, request
-from notchhoist.flows.trying import TRY_WAIT_S
 
 
 def test_an_unknown_flow_is_asked_for_everywhere_and_found():
--- a/notchhoist/flows/tests/test_isolation.py
+++ b/notchhoist/flows/balancer/tests/test_isolation.py
@@ -1,8 +1,13 @@
 """A balancer that is cut off lets routers look elsewhere."""
 
-from notchhoist.flows.balancer import make_balancer
-from notchhoist.flows.effects import CheckHost, Reach, SendCaller, SendPeer
-from notchhoist.flows.messages import LoadAsk, LoadTell, ViewAsk
+from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.model.effects import (
+    CheckHost,
+    Reach,
+    SendCaller,
+    SendPeer,
+)
+from notchhoist.flows.model.messages import LoadAsk, LoadTell, ViewAsk
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.crafting import CODEC, SYN, entry, request
 
--- a/notchhoist/flows/tests/test_liveness.py
+++ b/notchhoist/flows/balancer/tests/test_liveness.py
@@ -1,8 +1,8 @@
 """Silence of an agent that is being restarted ends no flow."""
 
-from notchhoist.flows.effects import CheckHost, Reach, SendPeer
-from notchhoist.flows.liveness import AWAY_S, CHECKS_MAX
-from notchhoist.flows.messages import LoadTell
+from notchhoist.flows.balancer.liveness import AWAY_S, CHECKS_MAX
+from notchhoist.flows.model.effects import CheckHost, Reach, SendPeer
+from notchhoist.flows.model.messages import LoadTell
 from notchhoist.flows.tests.balancing import (
     balancer,
     open_flow,
--- a/notchhoist/flows/tests/test_questions.py
+++ b/notchhoist/flows/balancer/tests/test_questions.py
@@ -3,13 +3,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from notchhoist.flows.effects import SendPeer
-from notchhoist.flows.messages import FlowsAsk, FlowsTell, LoadTell
-from notchhoist.flows.questions import (
+from notchhoist.flows.balancer.questions import (
     BYTES_A_QUESTION,
     REPEAT_MOST_S,
     REPEAT_S,
 )
+from notchhoist.flows.model.effects import SendPeer
+from notchhoist.flows.model.messages import FlowsAsk, FlowsTell, LoadTell
 from notchhoist.flows.tests import agents
 from notchhoist.flows.tests.agents import START, TAG, to_backend
 from notchhoist.flows.tests.balancing import balancer
--- a/notchhoist/flows/trying.py
+++ b/notchhoist/flows/balancer/trying.py
@@ -6,11 +6,11 @@
 
 from msgspec import Struct
 
-from notchhoist.flows import notes
-from notchhoist.flows.boards import BalancerBoard, Search
-from notchhoist.flows.notes import NoteKind
-from notchhoist.flows.questions import Questions
-from notchhoist.flows.segments import Segment, SegmentCodec
+from notchhoist.flows.balancer.questions import Questions
+from notchhoist.flows.boards.balancer_board import BalancerBoard, Search
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.notes import NoteKind
+from notchhoist.flows.model.segments import Segment, SegmentCodec
 
 TRY_WAIT_S = 0.4
 """Unsure agents have this long to tell what came of a packet, seconds, or
--- /dev/null
+++ b/notchhoist/flows/boards/agent_board.py
@@ -0,0 +1,59 @@
+"""The blackboard of an agent."""
+
+from msgspec import Struct, field
+
+from notchhoist.flows.decisions.holding import HeldRequest
+from notchhoist.flows.model.effects import Effect
+from notchhoist.flows.model.held import HeldFlow
+from notchhoist.flows.model.mechanisms import ALL, Mechanisms
+from notchhoist.flows.model.records import Records
+
+
+class AgentBoard(Struct, eq=False):
+    """What an agent knows.
+
+    Attributes:
+        service: Service of the backend server.
+        tag: Tag of that service.
+        started_at: When the agent started, seconds.
+        sees_all: It started with the whole system: every flow of its server
+            has begun before its eyes.
+        flows: Flows of the backend server.
+        slots: Requests that the backend server works on at once; 0 while
+            nobody has told.
+        active: Flows whose request holds a slot.
+        waiting: Requests that wait for a slot, by flow.
+        pace_s: Smoothed service time, seconds; 0 if unknown.
+        backend_gone: The backend server does not listen any more.
+        check_due: When to look at a silent backend server, or ``inf``.
+        checking: A look is under way.
+        checked_at: When the last look ended, seconds.
+        balancers: When each balancer was last heard, by host.
+        records: Counters and decisions.
+        outbox: What is to be done.
+        stopping: A planned stop has begun.
+        uses: Which mechanisms are in use.
+    """
+
+    service: str
+    tag: int
+    started_at: float
+    sees_all: bool = False
+    flows: dict[bytes, HeldFlow] = field(default_factory=dict)
+    slots: int = 0
+    active: set[bytes] = field(default_factory=set)
+    waiting: dict[bytes, HeldRequest] = field(default_factory=dict)
+    pace_s: float = 0.0
+    backend_gone: bool = False
+    check_due: float = float("inf")
+    checking: bool = False
+    checked_at: float = float("-inf")
+    balancers: dict[str, float] = field(default_factory=dict)
+    records: Records = field(default_factory=Records)
+    outbox: list[Effect] = field(default_factory=list)
+    stopping: bool = False
+    uses: Mechanisms = ALL
+
+    def age_s(self, now: float) -> float:
+        """Returns how long ago the agent started, seconds."""
+        return now - self.started_at
--- /dev/null
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -0,0 +1,140 @@
+"""The blackboard of a balancer."""
+
+import collections
+
+from msgspec import Struct, field
+
+from notchhoist.flows.model.effects import Effect
+from notchhoist.flows.model.fleet import Route, RouteTable, Server
+from notchhoist.flows.model.mechanisms import ALL, Mechanisms
+from notchhoist.flows.model.records import Records
+from notchhoist.flows.model.segments import Segment
+from notchhoist.flows.model.view import FleetView
+
+
+class Placement(Struct, eq=False):
+    """Where a balancer believes a flow to be.
+
+    Attributes:
+        server: The backend server.
+        accepted: Its server has accepted, or the flow was found there.
+        last_at: When the flow was last used, seconds.
+        last: The caller's newest packet, to reset the flow by.
+        closing: The caller has ended it.
+        asked_since: When the caller began to wait for its first request, or
+            None once that has gone to the server.
+    """
+
+    server: Server
+    accepted: bool
+    last_at: float
+    last: Segment
+    closing: bool = False
+    asked_since: float | None = None
+
+
+class Opening(Struct, eq=False):
+    """A new flow that no backend server has accepted yet.
+
+    Attributes:
+        asked_since: When its caller began to wait, seconds.
+        segment: Its opening packet.
+        service: Its service.
+        route: Its route.
+        sent_at: When it was last offered, seconds.
+        tried: Ids of the servers that it was offered to.
+        may_be_retry: See ``Wish``.
+    """
+
+    asked_since: float
+    segment: Segment
+    service: str
+    route: Route
+    sent_at: float
+    tried: list[str]
+    may_be_retry: bool = False
+
+
+class Search(Struct, eq=False):
+    """A flow that is being looked for.
+
+    Attributes:
+        service: Its service.
+        waiting: Packets that wait for the outcome.
+        unanswered: Hosts of agents that have not answered.
+        unsure: Hosts of agents that cannot tell.
+        trying: Hosts of agents that a packet was handed to on suspicion.
+        answered_s: When all agents had answered, seconds after its begin; 0
+            where none was unsure.
+        try_s: How long they have to tell what came of it, seconds.
+        sent_at: When it was last asked for, seconds.
+        rounds: How many times it was asked for.
+        since: When it began, seconds.
+        asked: Hosts of all agents that were asked.
+        silent: Hosts of agents that were tried and have shown nothing.
+        denied_at: When every known agent had denied, or None.
+    """
+
+    service: str
+    waiting: list[Segment]
+    unanswered: set[str]
+    unsure: list[str]
+    trying: set[str] = field(default_factory=set)
+    answered_s: float = 0.0
+    try_s: float = 0.0
+    sent_at: float = 0.0
+    rounds: int = 0
+    since: float = 0.0
+    asked: set[str] = field(default_factory=set)
+    silent: set[str] = field(default_factory=set)
+    denied_at: float | None = None
+
+
+class BalancerBoard(Struct, eq=False):
+    """What a balancer knows.
+
+    Attributes:
+        zone: Its availability zone.
+        host: IP number of its host.
+        view: What the platform publishes, by revision.
+        table: The configuration in force, or None before the first.
+        servers: Backend servers by id, gone ones too for a while.
+        by_service: The same by service.
+        by_host: The newest one on each host.
+        fleet_known: The list of servers has been read.
+        known_since: When it was first read, seconds.
+        store_failed_at: When the store last failed this process, seconds.
+        flows: Where flows are, least recently used first.
+        openings: New flows that wait for a server.
+        searches: Flows that are being looked for.
+        records: Counters and decisions.
+        outbox: What is to be done.
+        stopping: A planned stop has begun.
+        refused: Why the last published document was refused, or empty.
+        problems: Parts of published documents that were not understood.
+        isolated: Nobody else is heard, neither agents nor balancers.
+        uses: Which mechanisms are in use.
+    """
+
+    zone: str
+    host: str
+    view: FleetView = field(default_factory=FleetView)
+    table: RouteTable | None = None
+    servers: dict[str, Server] = field(default_factory=dict)
+    by_service: dict[str, list[Server]] = field(default_factory=dict)
+    by_host: dict[str, Server] = field(default_factory=dict)
+    fleet_known: bool = False
+    known_since: float = float("inf")
+    store_failed_at: float = float("-inf")
+    flows: collections.OrderedDict[bytes, Placement] = field(
+        default_factory=collections.OrderedDict
+    )
+    openings: dict[bytes, Opening] = field(default_factory=dict)
+    searches: dict[bytes, Search] = field(default_factory=dict)
+    records: Records = field(default_factory=Records)
+    outbox: list[Effect] = field(default_factory=list)
+    stopping: bool = False
+    refused: str = ""
+    problems: list[str] = field(default_factory=list)
+    isolated: bool = False
+    uses: Mechanisms = ALL
--- a/notchhoist/flows/message_codec.py
+++ b/notchhoist/flows/codec/message_codec.py
@@ -10,9 +10,9 @@
 from thrift.transport import TTransport
 
 from notchhoist.base.errors import CodecError
-from notchhoist.flows.fleet import RequestKind, Route, ServerEntry
-from notchhoist.flows.generated import ttypes
-from notchhoist.flows.messages import (
+from notchhoist.flows.codec.generated import ttypes
+from notchhoist.flows.model.fleet import RequestKind, Route, ServerEntry
+from notchhoist.flows.model.messages import (
     FlowsAsk,
     FlowsTell,
     LoadAsk,
@@ -22,7 +22,7 @@
     ViewAsk,
     ViewTell,
 )
-from notchhoist.flows.view import ViewChange
+from notchhoist.flows.model.view import ViewChange
 
 PROTOCOL_VERSION = 1
 MAX_BYTES = 65_535
--- /dev/null
+++ b/notchhoist/flows/decisions/__init__.py
@@ -0,0 +1,10 @@
+"""Pure decisions: who gets a flow, who gets a slot, who is told no.
+
+Nothing here sends anything or reads a clock. From the top down:
+
+* ``placing``: pure functions that choose a backend server.
+* ``failing``: how well a backend server answers, by the times of its answers.
+* ``completeness``: whether every server that may hold a flow is known.
+* ``holding``: requests that wait for a slot; ``queueing``: who gets one.
+* ``early``: packets that come before a balancer knows any route.
+"""
--- a/notchhoist/flows/completeness.py
+++ b/notchhoist/flows/decisions/completeness.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Sequence
 
-from notchhoist.flows.fleet import Server
+from notchhoist.flows.model.fleet import Server
 
 RETURN_S = 2.2
 """An entry that lapsed while the store was away is back within about 2 s of the
--- a/notchhoist/flows/early.py
+++ b/notchhoist/flows/decisions/early.py
@@ -11,8 +11,8 @@
 from msgspec import Struct, field
 from msgspec.structs import replace
 
-from notchhoist.flows.segments import Segment
-from notchhoist.flows.wishes import TRY_S
+from notchhoist.flows.model.segments import Segment
+from notchhoist.flows.model.wishes import TRY_S
 
 LAST_COPY_S = 0.6
 """The last copy of an opening packet follows the first after this, seconds; a
--- a/notchhoist/flows/holding.py
+++ b/notchhoist/flows/decisions/holding.py
@@ -8,9 +8,9 @@
 
 from msgspec import Struct
 
-from notchhoist.flows.held import HeldFlow
-from notchhoist.flows.segments import Segment
-from notchhoist.flows.wishes import RETRY_S, Wish
+from notchhoist.flows.model.held import HeldFlow
+from notchhoist.flows.model.segments import Segment
+from notchhoist.flows.model.wishes import RETRY_S, Wish
 
 HOLD_MAX_S = 0.9
 """A caller is taken to wait for so long where nobody has told, seconds: below
--- a/notchhoist/flows/placing.py
+++ b/notchhoist/flows/decisions/placing.py
@@ -4,8 +4,8 @@
 from collections.abc import Sequence
 
 from notchhoist.base.draws import Draw
-from notchhoist.flows.fleet import RequestKind, Server
-from notchhoist.flows.mechanisms import ALL, Mechanisms
+from notchhoist.flows.model.fleet import RequestKind, Server
+from notchhoist.flows.model.mechanisms import ALL, Mechanisms
 
 CHOICES = 8
 """Servers that a flow is placed among. Two give most of the balance there is to
--- a/notchhoist/flows/queueing.py
+++ b/notchhoist/flows/decisions/queueing.py
@@ -14,9 +14,9 @@
 
 from msgspec import Struct
 
-from notchhoist.flows.holding import HeldRequest
-from notchhoist.flows.mechanisms import ALL, Mechanisms
-from notchhoist.flows.wishes import Wish
+from notchhoist.flows.decisions.holding import HeldRequest
+from notchhoist.flows.model.mechanisms import ALL, Mechanisms
+from notchhoist.flows.model.wishes import Wish
 
 FULL_LOAD = 1.1
 SPARE_LOAD = 0.9
--- a/notchhoist/flows/tests/test_early.py
+++ b/notchhoist/flows/decisions/tests/test_early.py
@@ -3,14 +3,18 @@
 import pytest
 from msgspec.structs import replace
 
-from notchhoist.flows import notes
-from notchhoist.flows.balancer import make_balancer
-from notchhoist.flows.boards import Count
-from notchhoist.flows.early import DATA_KEPT_S, PACKETS_MAX, EarlyPackets
-from notchhoist.flows.effects import SendAgent
+from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.decisions.early import (
+    DATA_KEPT_S,
+    PACKETS_MAX,
+    EarlyPackets,
+)
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.effects import SendAgent
+from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.wishes import TRY_S
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.crafting import CODEC, SYN, request
-from notchhoist.flows.wishes import TRY_S
 
 
 def opening(port=1, copies=0):
--- a/notchhoist/flows/tests/test_failing.py
+++ b/notchhoist/flows/decisions/tests/test_failing.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from notchhoist.flows.messages import LoadAsk
-from notchhoist.flows.notes import NoteKind
+from notchhoist.flows.model.messages import LoadAsk
+from notchhoist.flows.model.notes import NoteKind
 from notchhoist.flows.tests.agents import (
     BALANCER,
     SERVER_SEQ,
--- a/notchhoist/flows/tests/test_placing.py
+++ b/notchhoist/flows/decisions/tests/test_placing.py
@@ -1,7 +1,7 @@
 """Which servers may get a new flow, and which one gets it."""
 
-from notchhoist.flows.fleet import RequestKind, Server
-from notchhoist.flows.placing import LAPSED_S, choose, usable
+from notchhoist.flows.decisions.placing import LAPSED_S, choose, usable
+from notchhoist.flows.model.fleet import RequestKind, Server
 from notchhoist.flows.tests.crafting import entry
 
 
--- a/notchhoist/flows/tests/test_queueing.py
+++ b/notchhoist/flows/decisions/tests/test_queueing.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from notchhoist.flows.held import HeldFlow, Phase
-from notchhoist.flows.holding import HeldRequest
-from notchhoist.flows.queueing import SlotQueue, hopeless, is_pressed
-from notchhoist.flows.wishes import RETRY_S, Wish
+from notchhoist.flows.decisions.holding import HeldRequest
+from notchhoist.flows.decisions.queueing import SlotQueue, hopeless, is_pressed
+from notchhoist.flows.model.held import HeldFlow, Phase
+from notchhoist.flows.model.wishes import RETRY_S, Wish
 
 OBJECTIVE_S = 0.15
 PATIENCE_S = 2.5
--- a/notchhoist/flows/effects.py
+++ b/notchhoist/flows/model/effects.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from notchhoist.flows.messages import PeerMessage
+from notchhoist.flows.model.messages import PeerMessage
 
 
 class Reach(enum.Enum):
--- a/notchhoist/flows/fleet.py
+++ b/notchhoist/flows/model/fleet.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 
 from notchhoist.base.errors import ConfigurationProblem
-from notchhoist.flows.wishes import LEAST_LEFT_S, Wish
+from notchhoist.flows.model.wishes import LEAST_LEFT_S, Wish
 
 FOREVER = float("inf")
 
--- a/notchhoist/flows/held.py
+++ b/notchhoist/flows/model/held.py
@@ -4,13 +4,13 @@
 
 from msgspec import Struct
 
-from notchhoist.flows.segments import (
+from notchhoist.flows.model.segments import (
     SEQUENCE_MODULUS,
     Segment,
     is_after,
     is_within,
 )
-from notchhoist.flows.wishes import Wish
+from notchhoist.flows.model.wishes import Wish
 
 ANSWER_WINDOW = 1 << 20
 """How far a caller's acknowledgement may lie behind a server's first number
--- a/notchhoist/flows/messages.py
+++ b/notchhoist/flows/model/messages.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from notchhoist.flows.view import ViewChange
+from notchhoist.flows.model.view import ViewChange
 
 
 class LoadAsk(Struct, frozen=True):
--- a/notchhoist/flows/notes.py
+++ b/notchhoist/flows/model/notes.py
@@ -11,8 +11,8 @@
 
 from msgspec import Struct
 
-from notchhoist.flows.segments import Segment
-from notchhoist.flows.wishes import Wish
+from notchhoist.flows.model.segments import Segment
+from notchhoist.flows.model.wishes import Wish
 
 _KIND_SHIFT = 28
 _KIND_MASK = 0xF
--- a/notchhoist/flows/tests/test_mechanisms.py
+++ b/notchhoist/flows/model/tests/test_mechanisms.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from notchhoist.flows import mechanisms
-from notchhoist.flows.agent import make_agent
-from notchhoist.flows.balancer import make_balancer
-from notchhoist.flows.messages import LoadAsk
-from notchhoist.flows.notes import NoteKind
+from notchhoist.flows.agent.node import make_agent
+from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.model import mechanisms
+from notchhoist.flows.model.messages import LoadAsk
+from notchhoist.flows.model.notes import NoteKind
 from notchhoist.flows.tests import agents, crafting
 from notchhoist.flows.tests.balancing import packets, tell
 from notchhoist.flows.tests.crafting import CODEC, SYN, request
--- a/notchhoist/flows/view.py
+++ b/notchhoist/flows/model/view.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct, field
 
-from notchhoist.flows.fleet import Route, RouteTable, ServerEntry
+from notchhoist.flows.model.fleet import Route, RouteTable, ServerEntry
 
 REMOVED_KEPT = 1000
 """Removals remembered at the most; who is further behind is told everything."""
--- a/notchhoist/flows/fleet_keeper.py
+++ b/notchhoist/flows/published/fleet_keeper.py
@@ -5,10 +5,15 @@
 
 from msgspec import Struct, field
 
-from notchhoist.flows.boards import BalancerBoard
-from notchhoist.flows.fleet import FOREVER, RouteTable, Server, ServerEntry
-from notchhoist.flows.notes import service_tag
-from notchhoist.flows.view import ViewChange
+from notchhoist.flows.boards.balancer_board import BalancerBoard
+from notchhoist.flows.model.fleet import (
+    FOREVER,
+    RouteTable,
+    Server,
+    ServerEntry,
+)
+from notchhoist.flows.model.notes import service_tag
+from notchhoist.flows.model.view import ViewChange
 
 UNLISTED_KEPT_S = 60.0
 """How long a server whose entry vanished is still asked for its flows; the
--- a/notchhoist/flows/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -10,11 +10,12 @@
 
 from msgspec import Struct, field
 
-from notchhoist.flows.boards import BalancerBoard, Count
-from notchhoist.flows.effects import SendPeer
-from notchhoist.flows.fleet_keeper import FleetKeeper
-from notchhoist.flows.messages import Member, ViewAsk, ViewTell
-from notchhoist.flows.view import ViewChange
+from notchhoist.flows.boards.balancer_board import BalancerBoard
+from notchhoist.flows.model.effects import SendPeer
+from notchhoist.flows.model.messages import Member, ViewAsk, ViewTell
+from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.view import ViewChange
+from notchhoist.flows.published.fleet_keeper import FleetKeeper
 
 READERS = 2
 """Balancers that read the store, so that one may be lost unnoticed."""
--- a/notchhoist/flows/tests/test_fleet_keeper.py
+++ b/notchhoist/flows/published/tests/test_fleet_keeper.py
@@ -1,6 +1,6 @@
 """What the platform publishes, taken by a balancer."""
 
-from notchhoist.flows.balancer import make_balancer
+from notchhoist.flows.balancer.node import make_balancer
 from notchhoist.flows.tests.crafting import CODEC, entry
 
 
--- a/notchhoist/flows/tests/test_sharing.py
+++ b/notchhoist/flows/published/tests/test_sharing.py
@@ -3,14 +3,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from notchhoist.flows.balancer import make_balancer
-from notchhoist.flows.effects import SendPeer
-from notchhoist.flows.message_codec import decode_message, encode_message
-from notchhoist.flows.messages import Member, ViewAsk, ViewTell
-from notchhoist.flows.sharing import ALIVE_S, FRESH_S, join, split
+from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.codec.message_codec import decode_message, encode_message
+from notchhoist.flows.model.effects import SendPeer
+from notchhoist.flows.model.messages import Member, ViewAsk, ViewTell
+from notchhoist.flows.model.view import FleetView, ViewChange
+from notchhoist.flows.published.sharing import ALIVE_S, FRESH_S, join, split
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.crafting import CODEC, entry
-from notchhoist.flows.view import FleetView, ViewChange
 
 HOSTS = ("10.0.0.101", "10.0.0.102", "10.0.0.103", "10.0.0.104")
 
--- a/notchhoist/flows/tests/agents.py
+++ b/notchhoist/flows/tests/agents.py
@@ -1,14 +1,15 @@
 """An agent for tests, and what comes out of it."""
 
-from notchhoist.flows import notes
-from notchhoist.flows.agent import make_agent
-from notchhoist.flows.effects import (
+from notchhoist.flows.agent.node import make_agent
+from notchhoist.flows.agent.telling import UNSURE_S
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.effects import (
     SendBackend,
     SendBalancer,
 )
-from notchhoist.flows.messages import LoadAsk
-from notchhoist.flows.notes import NoteKind, service_tag
-from notchhoist.flows.telling import UNSURE_S
+from notchhoist.flows.model.messages import LoadAsk
+from notchhoist.flows.model.notes import NoteKind, service_tag
+from notchhoist.flows.model.wishes import Wish
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.crafting import (
     ACK,
@@ -17,7 +18,6 @@
     answer,
     request,
 )
-from notchhoist.flows.wishes import Wish
 
 TAG = service_tag(crafting.SERVICE)
 BALANCER = "10.0.1.1"
--- a/notchhoist/flows/tests/balancing.py
+++ b/notchhoist/flows/tests/balancing.py
@@ -1,16 +1,16 @@
 """A balancer for tests, and what comes out of it."""
 
-from notchhoist.flows import notes
-from notchhoist.flows.balancer import make_balancer
-from notchhoist.flows.effects import (
+from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.effects import (
     CheckHost,
     Reach,
     SendAgent,
     SendCaller,
     SendPeer,
 )
-from notchhoist.flows.messages import FlowsAsk, FlowsTell
-from notchhoist.flows.notes import Load, NoteKind
+from notchhoist.flows.model.messages import FlowsAsk, FlowsTell
+from notchhoist.flows.model.notes import Load, NoteKind
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.crafting import CODEC, SYN, entry, request
 
--- a/notchhoist/flows/tests/crafting.py
+++ b/notchhoist/flows/tests/crafting.py
@@ -2,7 +2,7 @@
 
 import struct
 
-from notchhoist.flows.fleet import (
+from notchhoist.flows.model.fleet import (
     RequestKind,
     Route,
     RouteTable,
--- a/notchhoist/platform/documents.py
+++ b/notchhoist/platform/documents.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from notchhoist.base.errors import ConfigurationRefusedError
-from notchhoist.flows.fleet import (
+from notchhoist.flows.model.fleet import (
     RequestKind,
     Route,
     RouteTable,
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -3,8 +3,8 @@
 from msgspec import Struct
 
 from notchhoist.base.errors import ConfigurationProblem, PlatformError
-from notchhoist.flows.balancer import BalancerNode
-from notchhoist.flows.boards import Count
+from notchhoist.flows.balancer.node import BalancerNode
+from notchhoist.flows.model.records import Count
 from notchhoist.platform import store
 from notchhoist.platform.store import StoreCall, StoreEvent, StoreReader
 
--- a/notchhoist/platform/packets.py
+++ b/notchhoist/platform/packets.py
@@ -11,7 +11,7 @@
 import struct
 
 from notchhoist.base.errors import CodecError
-from notchhoist.flows.segments import Segment
+from notchhoist.flows.model.segments import Segment
 
 HEAD_BYTES = 32
 MAX_DATA_BYTES = 1200
--- a/notchhoist/platform/settings.py
+++ b/notchhoist/platform/settings.py
@@ -8,7 +8,7 @@
 from msgspec.structs import replace
 
 from notchhoist.base.errors import ConfigurationProblem, SettingsRefusedError
-from notchhoist.flows.mechanisms import ALL, NAMES, Mechanisms
+from notchhoist.flows.model.mechanisms import ALL, NAMES, Mechanisms
 from notchhoist.platform.checking import (
     FieldError,
     Fields,
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -11,7 +11,7 @@
 
 from notchhoist.base.draws import Draw
 from notchhoist.base.errors import ConfigurationRefusedError, PlatformError
-from notchhoist.flows.fleet import RouteTable, ServerEntry
+from notchhoist.flows.model.fleet import RouteTable, ServerEntry
 from notchhoist.platform.checking import FieldError, Fields
 from notchhoist.platform.documents import (
     decode_configuration,
--- a/notchhoist/platform/tests/test_documents.py
+++ b/notchhoist/platform/tests/test_documents.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from notchhoist.base.errors import ConfigurationRefusedError
-from notchhoist.flows.fleet import RequestKind
+from notchhoist.flows.model.fleet import RequestKind
 from notchhoist.platform.checking import FieldError
 from notchhoist.platform.documents import (
     decode_configuration,
--- a/notchhoist/platform/tests/test_feeding.py
+++ b/notchhoist/platform/tests/test_feeding.py
@@ -3,8 +3,8 @@
 import json
 
 from notchhoist.base.draws import make_draw
-from notchhoist.flows.balancer import make_balancer
-from notchhoist.flows.boards import Count
+from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.model.records import Count
 from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.platform.store import StoreReader
--- a/notchhoist/testing/opaque/hosts.py
+++ b/notchhoist/testing/opaque/hosts.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from notchhoist.flows.agent import AgentNode
-from notchhoist.flows.balancer import BalancerNode
-from notchhoist.flows.effects import Reach
+from notchhoist.flows.agent.node import AgentNode
+from notchhoist.flows.balancer.node import BalancerNode
+from notchhoist.flows.model.effects import Reach
 from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.testing.opaque.links import HostLink, make_link
 from notchhoist.testing.opaque.servers import ServerModel
--- a/notchhoist/testing/opaque/network.py
+++ b/notchhoist/testing/opaque/network.py
@@ -7,10 +7,10 @@
 import attrs
 
 from notchhoist.daemon.ports import Port
-from notchhoist.flows.agent import AgentNode
-from notchhoist.flows.balancer import BalancerNode
-from notchhoist.flows.effects import Effect
-from notchhoist.flows.message_codec import decode_message
+from notchhoist.flows.agent.node import AgentNode
+from notchhoist.flows.balancer.node import BalancerNode
+from notchhoist.flows.codec.message_codec import decode_message
+from notchhoist.flows.model.effects import Effect
 from notchhoist.links.packets import HEADERS_BYTES, Outgoing
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.testing.opaque.callers import CallerModel
--- a/notchhoist/testing/opaque/troubles.py
+++ b/notchhoist/testing/opaque/troubles.py
@@ -1,7 +1,7 @@
 """What can be done to a world: kills, power, freezes, cuts, planned stops."""
 
-from notchhoist.flows.agent import AgentNode
-from notchhoist.flows.balancer import BalancerNode
+from notchhoist.flows.agent.node import AgentNode
+from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.testing.opaque.hosts import START_S, Host
 from notchhoist.testing.opaque.world import OpaqueWorld
 
--- a/notchhoist/testing/opaque/world.py
+++ b/notchhoist/testing/opaque/world.py
@@ -9,10 +9,10 @@
 
 from notchhoist.base.draws import make_draw
 from notchhoist.daemon.ports import Port
-from notchhoist.flows import effects
-from notchhoist.flows.agent import AgentNode, make_agent
-from notchhoist.flows.balancer import BalancerNode, make_balancer
-from notchhoist.flows.message_codec import encode_message
+from notchhoist.flows.agent.node import AgentNode, make_agent
+from notchhoist.flows.balancer.node import BalancerNode, make_balancer
+from notchhoist.flows.codec.message_codec import encode_message
+from notchhoist.flows.model import effects
 from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.platform.store import StoreReader
--- a/tools/regenerate_peer.sh
+++ b/tools/regenerate_peer.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../notchhoist"
 out="$(mktemp -d)"
 thrift --gen py -out "$out" wire/peer.thrift
-thrift --gen py -out "$out" flows/flow.thrift
+thrift --gen py -out "$out" flows/codec/flow.thrift
 cp "$out/peer/ttypes.py" "$out/peer/constants.py" wire/generated/
-cp "$out/flow/ttypes.py" flows/generated/
+cp "$out/flow/ttypes.py" flows/codec/generated/
 rm -r "$out"
