--- a/notchhoist/daemon/flow_runner.py
+++ b/notchhoist/daemon/flow_runner.py
@@ -12,6 +12,7 @@
 from notchhoist.daemon.loop import Clock, Loop
 from notchhoist.daemon.ports import Ports
 from notchhoist.daemon.store_calls import StoreCalls
+from notchhoist.flows.agent.bearing import Limits
 from notchhoist.flows.agent.node import AgentNode, make_agent
 from notchhoist.flows.balancer.node import BalancerNode, make_balancer
 from notchhoist.flows.published.sharing import FRESH_SHARE
@@ -52,6 +53,11 @@
             loop.clock(),
             settings.uses,
             settings.first_start,
+            Limits(
+                settings.evacuate_s,
+                settings.cold_overage,
+                settings.cold_slack,
+            ),
         )
     first = settings.peer_ports[0]
     return FlowDaemon(
@@ -100,7 +106,7 @@
 def _read_store(daemon: FlowDaemon, node: BalancerNode) -> None:
     """Begins to read the platform's store."""
     settings, loop = daemon.settings, daemon.loop
-    bound_s = min(settings.apply_s, settings.drain_s)
+    bound_s = min(settings.apply_s, settings.drain_s, settings.evacuate_s)
     node.sharer.fresh_s = FRESH_SHARE * bound_s
     draw = make_draw(settings.name)
     reader = StoreReader(draw, WATCH_SHARE * bound_s)
--- a/notchhoist/daemon/tests/test_flow_processes.py
+++ b/notchhoist/daemon/tests/test_flow_processes.py
@@ -121,8 +121,11 @@
             "service": "hallbook",
             "address": f"{AGENT}:{PORTS['app']}",
             "zone": "a",
+            "version": "v1",
             "slots": 3,
             "state": "ready",
+            "cold_remaining_ms": 0,
+            "seq": 1,
         },
     )
     processes = {}
--- a/notchhoist/flows/agent/admitting.py
+++ b/notchhoist/flows/agent/admitting.py
@@ -287,7 +287,35 @@
             now - request.arrived_at,
         )
 
-    def _refuse(self, request: HeldRequest, now: float) -> None:
+    def refuse_unopened(self, reason: str, now: float) -> None:
+        """Refuses all that wait and have not opened; none of them has run."""
+        for request in list(self.board.waiting.values()):
+            if request.unopened:
+                self._refuse(request, now, reason)
+
+    def begin_anew(self, now: float) -> None:
+        """Forgets the load of a backend server that has ended.
+
+        What waited goes on to the one that has started: it holds none of the
+        flows, and says so.
+        """
+        board = self.board
+        board.active.clear()
+        board.pace_s = 0.0
+        self.times = AnswerTimes()
+        for request in list(board.waiting.values()):
+            if request.unopened:
+                self._refuse(request, now, "backend server began anew")
+            else:
+                self._release(request, now, "backend server began anew")
+        board.active.clear()
+
+    def _refuse(
+        self,
+        request: HeldRequest,
+        now: float,
+        reason: str = "no slot in time",
+    ) -> None:
         """Lets the balancer reset a flow that has not opened."""
         board = self.board
         del board.waiting[request.flow]
@@ -301,7 +329,7 @@
         board.records.decide(
             "refuse",
             request.flow,
-            "no slot in time",
+            reason,
             waited_s=round(now - request.arrived_at, 3),
             waiting=len(board.waiting),
             slots=board.slots,
--- a/notchhoist/flows/agent/backend_watch.py
+++ b/notchhoist/flows/agent/backend_watch.py
@@ -64,6 +64,23 @@
         self._reset_all()
         return True
 
+    def on_reborn(self, now: float) -> None:
+        """Takes word that the backend server has started again.
+
+        The new one holds no flow of before, but flows may have opened there
+        since. Each is handed on with its next packet, and the server says.
+        """
+        board = self.board
+        for held in board.flows.values():
+            if held.phase is Phase.OPEN:
+                held.phase = Phase.TRIED
+                held.running_since = None
+        self.gate.begin_anew(now)
+        board.records.counters[Count.BACKEND_REBORN] += 1
+        board.records.decide(
+            "backend server", b"", "began anew", flows=len(board.flows)
+        )
+
     def _reset_all(self) -> None:
         """Resets the flows of a backend server that has ended."""
         board = self.board
--- /dev/null
+++ b/notchhoist/flows/agent/bearing.py
@@ -0,0 +1,158 @@
+"""An agent's controller that says which new flows its backend server may get.
+
+It guards two bounds that no balancer can keep alone: a server in an evacuated
+availability zone gets nothing new, also from balancers that do not know yet,
+and a cold one no more than it bears. What comes back was handed to nobody, so
+the balancer offers it elsewhere at once.
+"""
+
+from msgspec import Struct, field
+
+from notchhoist.flows.boards.agent_board import AgentBoard
+from notchhoist.flows.decisions.bearing import (
+    WINDOW_S,
+    SlidingCount,
+    cold_limit,
+    first_limit,
+)
+from notchhoist.flows.model.messages import ServerState
+
+EVACUATED_PAUSE_S = 0.5
+"""A balancer that sent a flow into an evacuated zone leaves the server alone
+for so long, seconds; until then it has heard of the evacuation itself."""
+
+LATE_SHARE = 0.5
+"""Share of the bound of an evacuation after which flows that have not opened
+yet are turned away too; the rest is for the news on its way here."""
+
+UNTOLD_S = 0.02
+"""How long an agent that has just started keeps a new flow until a balancer has
+told it what its server bears, seconds: five round trips between zones, and a
+third of the time after which the balancer offers the flow elsewhere."""
+
+
+class Limits(Struct, frozen=True):
+    """Bounds from the settings.
+
+    Attributes:
+        evacuate_s: A zone must get nothing new after this, seconds.
+        cold_overage: Factor up to which cold servers may get more.
+        cold_slack: New flows that they may get besides in a second; None where
+            there is no bound.
+    """
+
+    evacuate_s: float = 3.0
+    cold_overage: float = 1.0
+    cold_slack: float | None = None
+
+
+class OpeningGate(Struct, eq=False):
+    """Decides on new flows by what balancers have told.
+
+    Attributes:
+        board: What the agent knows.
+        limits: Bounds from the settings.
+        handed: New flows that the server has got lately.
+        waits: New flows may be kept until something is told.
+    """
+
+    board: AgentBoard
+    limits: Limits = Limits()
+    handed: SlidingCount = field(default_factory=SlidingCount)
+    waits: bool = True
+
+    def take_state(self, state: ServerState, now: float) -> bool:
+        """Takes what a balancer tells; tells whether the server began anew.
+
+        Word from a balancer that knows less than another does is passed over.
+        """
+        board = self.board
+        known = board.state
+        if known is not None and state.revision < known.revision:
+            return False
+        since = now - state.evacuated_for_s if state.evacuated else None
+        if board.evacuated_since is not None and since is not None:
+            since = min(since, board.evacuated_since)
+        if (since is None) != (board.evacuated_since is None):
+            self._log(state, "evacuated" if state.evacuated else "in use")
+        board.evacuated_since = since
+        board.state = state
+        board.cold_until = max(board.cold_until, now + state.cold_for_s)
+        if known is None or not state.born_ms or not known.born_ms:
+            return False
+        return state.born_ms != known.born_ms
+
+    def _log(self, state: ServerState, outcome: str) -> None:
+        self.board.records.decide(
+            "zone",
+            b"",
+            outcome,
+            revision=state.revision,
+            evacuated_for_s=round(state.evacuated_for_s, 3),
+        )
+
+    def must_wait(self, bounded: bool) -> bool:
+        """Tells whether to keep a new flow until somebody has told more.
+
+        Args:
+            bounded: Its balancer says that the server bears only so much.
+        """
+        return self.waits and bounded and self.board.state is None
+
+    def note_began_anew(self, now: float) -> None:
+        """Takes account of a start of the server that the agent noticed.
+
+        Its entry may not tell of it for a second and more.
+        """
+        state = self.board.state
+        if state is not None:
+            warm_at = now + state.bound_lasts_s
+            self.board.cold_until = max(self.board.cold_until, warm_at)
+
+    def pause_s(self, now: float, bounded: bool = False) -> float:
+        """Returns for how long no new flow is taken, seconds; 0 for none.
+
+        Args:
+            now: Runtime clock, seconds.
+            bounded: See ``must_wait``.
+        """
+        if self.board.evacuated_since is not None:
+            return EVACUATED_PAUSE_S
+        most = self._most(now, bounded)
+        return 0.0 if most is None else self.handed.pause_s(most, now)
+
+    def evacuated_pause_s(self) -> float:
+        """Returns for how long the zone takes no flow, seconds; 0 for none."""
+        evacuated = self.board.evacuated_since is not None
+        return EVACUATED_PAUSE_S if evacuated else 0.0
+
+    def reason(self) -> str:
+        """Returns why no new flow is taken, for the log."""
+        if self.board.evacuated_since is not None:
+            return "zone evacuated"
+        return "cold server bears no more"
+
+    def _most(self, now: float, bounded: bool) -> int | None:
+        """Returns how many new flows the server may get in one span."""
+        slack = self.limits.cold_slack
+        state = self.board.state
+        if state is None:
+            known = bounded and slack is not None
+            return max(1, int(slack or 0) - 1) if known else None
+        if not state.bound_per_s or now >= self.board.cold_until:
+            return None
+        first = self.board.age_s(now) < WINDOW_S and not self.board.sees_all
+        if first and slack is not None:
+            overage = self.limits.cold_overage
+            return first_limit(state.bound_per_s, overage, slack)
+        return cold_limit(state.bound_per_s)
+
+    def note_handed(self, now: float) -> None:
+        """Counts a new flow that is handed to the server."""
+        self.handed.note(now)
+
+    def is_overdue(self, now: float) -> bool:
+        """Tells whether flows that have not opened must not open any more."""
+        since = self.board.evacuated_since
+        late_s = LATE_SHARE * self.limits.evacuate_s
+        return since is not None and now - since >= late_s
--- a/notchhoist/flows/agent/node.py
+++ b/notchhoist/flows/agent/node.py
@@ -1,10 +1,13 @@
 """The node of an agent on the opaque-flow path."""
 
-from msgspec import Struct, field
+from msgspec import Struct
 
 from notchhoist.flows.agent.admitting import RequestGate
 from notchhoist.flows.agent.backend_watch import BackendWatch
+from notchhoist.flows.agent.bearing import Limits, OpeningGate
 from notchhoist.flows.agent.load_counting import LoadCounter
+from notchhoist.flows.agent.offering import FlowOffers
+from notchhoist.flows.agent.replies import Replies
 from notchhoist.flows.agent.telling import FlowTeller
 from notchhoist.flows.boards.agent_board import AgentBoard
 from notchhoist.flows.decisions.queueing import SlotQueue
@@ -12,12 +15,11 @@
 from notchhoist.flows.model.effects import (
     Effect,
     SendBackend,
-    SendBalancer,
     SendCaller,
-    SendPeer,
 )
 from notchhoist.flows.model.held import (
     CLOSED_KEPT_S,
+    ENDED,
     HeldFlow,
     Phase,
 )
@@ -25,16 +27,12 @@
 from notchhoist.flows.model.messages import (
     FlowsAsk,
     LoadAsk,
-    LoadTell,
     PeerMessage,
 )
 from notchhoist.flows.model.notes import Load, NoteKind
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.segments import Segment, SegmentCodec
 
-ACCEPT_WAIT_S = 0.025
-"""A backend server has this long to accept a flow, seconds; it takes 0.3 ms."""
-
 IDLE_KEPT_S = 60.0
 """A silent flow is forgotten after this time, seconds, likewise."""
 
@@ -45,7 +43,7 @@
 
 SWEEP_S = 1.0
 
-_ENDED = (Phase.CLOSED, Phase.REFUSED)
+NO_LIMITS = Limits()
 
 
 class AgentNode(Struct, eq=False):
@@ -57,8 +55,10 @@
         gate: Shares out the slots.
         watch: Notices when the backend server has ended.
         sweep_due: When old knowledge is next forgotten, seconds.
-        offered: Flows that the backend server has not accepted yet.
         counter: Counts the load.
+        bearing: Says which new flows the backend server may get.
+        replies: Answers balancers.
+        offers: Offers new flows to the backend server.
         teller: Tells balancers which flows are here.
     """
 
@@ -67,9 +67,11 @@
     gate: RequestGate
     watch: BackendWatch
     counter: LoadCounter
+    bearing: OpeningGate
+    replies: Replies
+    offers: FlowOffers
     teller: FlowTeller
     sweep_due: float = 0.0
-    offered: dict[bytes, HeldFlow] = field(default_factory=dict)
 
     @property
     def is_ready(self) -> bool:
@@ -91,19 +93,20 @@
             self._answer(host, segment, now)
         elif notes.tag_of(segment) != board.tag:
             board.records.counters[Count.WRONG_SERVICE] += 1
-            self._give_back(host, segment, "other service", now)
+            self.replies.give_back(host, segment, "other service", now)
         elif board.backend_gone:
             self.watch.check_soon(now)
-            self._give_back(host, segment, "backend server gone", now)
+            self.replies.give_back(host, segment, "backend server gone", now)
         elif segment.opens:
-            self._offer(host, segment, now)
+            bounded = kind is NoteKind.PLACE_BOUNDED
+            self.offers.on_opening(host, segment, bounded, now)
         else:
             self._hand_over(host, segment, kind, now)
         return self._drain()
 
     def _answer(self, host: str, segment: Segment, now: float) -> None:
         kind = self.teller.kind_of(segment, notes.tag_of(segment), now)
-        self._tell(host, kind, segment, now)
+        self.replies.tell(host, kind, segment, now)
 
     def _answer_flows(self, host: str, question: FlowsAsk, now: float) -> None:
         """Answers about several flows, and hands samples to the server."""
@@ -117,47 +120,6 @@
             if held is not None:
                 held.sampled = held.phase is Phase.TRIED
 
-    def _tell(
-        self, host: str, kind: NoteKind, segment: Segment, now: float
-    ) -> None:
-        note = notes.to_balancer(kind, self.load(now))
-        datagram = self.codec.head_with_note(segment, note)
-        self.board.outbox.append(SendBalancer(host, datagram))
-
-    def _give_back(
-        self, host: str, segment: Segment, reason: str, now: float
-    ) -> None:
-        """Sends a packet back whose flow is not, or will not be, here.
-
-        Without a reason it is not logged: the balancer that tries one agent
-        after the other logs the outcome.
-        """
-        kind = NoteKind.REFUSED if segment.opens else NoteKind.RETURNED
-        note = notes.to_balancer(kind, self.load(now))
-        datagram = self.codec.with_note(segment, note)
-        self.board.outbox.append(SendBalancer(host, datagram))
-        self.board.records.counters[Count.RETURNED] += 1
-        if reason:
-            self.board.records.decide(
-                "give back", segment.flow, kind.name.lower(), reason=reason
-            )
-
-    def _offer(self, host: str, segment: Segment, now: float) -> None:
-        board = self.board
-        held = board.flows.get(segment.flow)
-        if held is None or held.phase in _ENDED:
-            held = HeldFlow(Phase.OFFERED, host, now, now, opening=segment)
-            board.flows[segment.flow] = held
-            self.counter.note_offer()
-        held.balancer = host
-        if held.wish is None:
-            held.wish = notes.wish_of(segment.note)
-            held.wished_at = now
-        if held.phase is Phase.OFFERED:
-            held.since = now
-            self.offered[segment.flow] = held
-        board.outbox.append(SendBackend(self.codec.with_note(segment, 0)))
-
     def _hand_over(
         self, host: str, segment: Segment, kind: NoteKind, now: float
     ) -> None:
@@ -167,7 +129,7 @@
             if held is not None or (
                 kind is not NoteKind.TRY and self.teller.knows_all(now)
             ):
-                self._give_back(host, segment, "flow not here", now)
+                self.replies.give_back(host, segment, "flow not here", now)
                 return
             held = HeldFlow(Phase.TRIED, host, now, now)
             board.flows[segment.flow] = held
@@ -181,6 +143,11 @@
             board.outbox.append(SendBackend(self.codec.with_note(segment, 0)))
             return
         opening = held.phase is Phase.ACCEPTED
+        if opening and self.bearing.is_overdue(now):
+            held.phase = Phase.REFUSED
+            self.gate.reset_again(segment)
+            board.records.decide("reset", segment.flow, "zone evacuated")
+            return
         self._note_use(held, host, segment, now)
         wish = notes.wish_of(segment.note)
         first = opening or held.request_end is None
@@ -221,7 +188,7 @@
             return self._drain()
         held.note_received(segment)
         if segment.accepts:
-            self._on_accepted(held, segment, now)
+            self.offers.on_accepted(held, segment, now)
         elif held.phase is Phase.TRIED:
             self._on_confirmed(held, now)
         if segment.size or segment.closes:
@@ -243,27 +210,19 @@
         )
         return self._drain()
 
-    def _on_accepted(
-        self, held: HeldFlow, segment: Segment, now: float
-    ) -> None:
-        self.offered.pop(segment.flow, None)
-        held.server_seq = segment.seq
-        if held.phase is Phase.OFFERED:
-            held.phase = Phase.ACCEPTED
-            held.since = now
-        if held.balancer and held.opening is not None:
-            self._tell(held.balancer, NoteKind.TAKEN, held.opening, now)
-
     def _on_confirmed(self, held: HeldFlow, now: float) -> None:
         """Tells the balancer that a flow that was only tried is here."""
         held.phase = Phase.OPEN
         if held.balancer and held.sample is not None:
-            self._tell(held.balancer, NoteKind.PRESENT, held.sample, now)
+            self.replies.tell(held.balancer, NoteKind.PRESENT, held.sample, now)
 
     def _on_returned(self, segment: Segment, now: float) -> None:
         """Passes on what the backend server does not take or hold."""
         held = self.board.flows.pop(segment.flow, None)
-        self.offered.pop(segment.flow, None)
+        if held is not None and held.is_young(now):
+            # It held the flow: the server has started again since.
+            self.bearing.note_began_anew(now)
+        self.offers.offered.pop(segment.flow, None)
         self.gate.forget(segment.flow, now)
         if held is None or not held.balancer:
             return
@@ -271,14 +230,17 @@
         if tried and held.sampled:
             self.teller.note_absent(held.balancer, segment.flow, now)
             return
-        self._give_back(
+        self.replies.give_back(
             held.balancer, segment, "" if tried else "server returned it", now
         )
 
     def on_checked(self, listens: bool, now: float) -> list[Effect]:
         """Takes the outcome of ``CheckBackend``."""
+        was_gone = self.board.backend_gone
         if self.watch.on_checked(listens, now):
-            self.offered.clear()
+            self.offers.offered.clear()
+        if was_gone and not self.board.backend_gone:
+            self.bearing.note_began_anew(now)
         return self._drain()
 
     def on_peer(
@@ -287,28 +249,26 @@
         """Takes a control message."""
         self.board.balancers[host] = now
         if isinstance(message, LoadAsk):
-            self.board.slots = message.slots
-            self._tell_load(host, now)
+            self._take_state(message, now)
+            self.replies.tell_load(host, now)
+            self.offers.on_told(now)
         elif isinstance(message, FlowsAsk):
             self._answer_flows(host, message, now)
         return self._drain()
 
-    def _tell_load(self, host: str, now: float) -> None:
-        load = self.load(now)
-        message = LoadTell(
-            load.flows, load.running, load.pace_ms, self.board.stopping
-        )
-        self.board.outbox.append(SendPeer(host, message))
+    def _take_state(self, message: LoadAsk, now: float) -> None:
+        self.board.slots = message.slots
+        if message.state is None:
+            return
+        if self.bearing.take_state(message.state, now):
+            self.bearing.note_began_anew(now)
+            self.watch.on_reborn(now)
 
     def tick(self, now: float) -> list[Effect]:
         """Does what is due."""
-        late = [
-            held
-            for held in self.offered.values()
-            if now - held.since >= ACCEPT_WAIT_S
-        ]
-        for held in late:
-            self._on_silent(held, now)
+        self.offers.tick(now)
+        if self.bearing.is_overdue(now):
+            self.gate.refuse_unopened("zone evacuated", now)
         self.gate.tick(now)
         self.watch.tick(now)
         if now >= self.teller.tell_due:
@@ -318,23 +278,13 @@
             self._sweep(now)
         return self._drain()
 
-    def _on_silent(self, held: HeldFlow, now: float) -> None:
-        """Gives a flow back that the backend server has not accepted."""
-        segment = held.opening
-        if segment is None:
-            return
-        self.board.records.counters[Count.BACKEND_SILENT] += 1
-        self.offered.pop(segment.flow, None)
-        self.watch.check_soon(now)
-        self._give_back(held.balancer, segment, "server is silent", now)
-
     def _sweep(self, now: float) -> None:
         flows = self.board.flows
         old = [
             flow
             for flow, held in flows.items()
             if now - held.last_at
-            > (CLOSED_KEPT_S if held.phase in _ENDED else IDLE_KEPT_S)
+            > (CLOSED_KEPT_S if held.phase in ENDED else IDLE_KEPT_S)
         ]
         for flow in old:
             del flows[flow]
@@ -346,17 +296,13 @@
         self.board.stopping = True
         for host, heard_at in self.board.balancers.items():
             if now - heard_at <= BALANCER_KEPT_S:
-                self._tell_load(host, now)
+                self.replies.tell_load(host, now)
         return self._drain()
 
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
-        offered = min(
-            (held.since for held in self.offered.values()),
-            default=float("inf"),
-        )
         return min(
-            offered + ACCEPT_WAIT_S,
+            self.offers.due(),
             self.watch.due(),
             self.teller.tell_due,
             self.sweep_due,
@@ -375,6 +321,7 @@
     now: float,
     uses: Mechanisms = ALL,
     sees_all: bool = False,
+    limits: Limits = NO_LIMITS,
 ) -> AgentNode:
     """Makes the decisions of an agent that starts now.
 
@@ -384,6 +331,7 @@
         now: Runtime clock, seconds.
         uses: Which mechanisms are in use.
         sees_all: The whole system starts for the first time.
+        limits: Bounds from the settings.
     """
     tag = notes.service_tag(service)
     board = AgentBoard(service, tag, now, sees_all, uses=uses)
@@ -391,4 +339,9 @@
     watch = BackendWatch(board, codec, gate)
     counter = LoadCounter(board, gate)
     teller = FlowTeller(board, codec)
-    return AgentNode(board, codec, gate, watch, counter, teller)
+    bearing = OpeningGate(board, limits)
+    replies = Replies(board, codec, counter)
+    offers = FlowOffers(board, codec, bearing, replies, watch)
+    return AgentNode(
+        board, codec, gate, watch, counter, bearing, replies, offers, teller
+    )
--- a/notchhoist/flows/balancer/finding.py
+++ b/notchhoist/flows/balancer/finding.py
@@ -98,6 +98,9 @@
             return
         known = board.by_service.get(service, [])
         few = placing.candidates(segment.flow, known, board.zone)
+        if board.view.evacuated:
+            others = placing.open_to_new(known, board.view.evacuated)
+            few += placing.candidates(segment.flow, others, board.zone)
         hosts = {item.entry.host for item in few if not item.lost}
         hosts.discard(absent_at)
         asked = hosts | {absent_at}
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -1,11 +1,13 @@
 """The node of a balancer on the opaque-flow path."""
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from notchhoist.base.draws import make_draw
 from notchhoist.flows.balancer.confirming import ViewConfirmer
 from notchhoist.flows.balancer.finding import FlowFinder
 from notchhoist.flows.balancer.health import HealthKeeper
+from notchhoist.flows.balancer.informing import AgentInformer
 from notchhoist.flows.balancer.isolation import IsolationKeeper
 from notchhoist.flows.balancer.liveness import HostWatch
 from notchhoist.flows.balancer.opening import FlowOpener
@@ -50,6 +52,7 @@
         opener: Places new flows.
         finder: Finds flows that are not known here.
         sharer: Shares with other balancers what is published.
+        informer: Tells agents what is published of their servers.
         isolation: Notices when nobody else is heard.
         early: Packets that came before anything was known.
         sweep_due: When old knowledge is next forgotten, seconds.
@@ -63,6 +66,7 @@
     opener: FlowOpener
     finder: FlowFinder
     sharer: ViewSharer
+    informer: AgentInformer
     isolation: IsolationKeeper
     early: EarlyPackets
     sweep_due: float = 0.0
@@ -165,11 +169,16 @@
             self.board.records.counters[Count.UNKNOWN_SENDER] += 1
             return []
         kind = notes.kind_of(segment.note)
-        self.health.on_heard(host, notes.load_of(segment.note), now)
+        load = notes.load_of(segment.note)
+        if kind is NoteKind.FULL:
+            load = replace(load, pace_ms=self.board.by_host[host].pace_ms)
+        self.health.on_heard(host, load, now)
         self._note_life(host, now)
         match kind:
             case NoteKind.TAKEN:
                 self.opener.on_accepted(host, segment, now)
+            case NoteKind.FULL:
+                self.opener.on_full(host, segment, now)
             case NoteKind.REFUSED:
                 self.opener.on_refused(host, segment, now)
             case NoteKind.RETURNED:
@@ -188,6 +197,7 @@
         match message:
             case LoadTell():
                 self.health.on_told(host, message, now)
+                self.informer.on_told(host, message, now)
                 self._note_life(host, now)
             case FlowsTell():
                 self.finder.on_tell(host, message, now)
@@ -222,6 +232,7 @@
         self.health.tick(now)
         self.isolation.tick(now)
         self.sharer.tick(now)
+        self.informer.tick(now)
         if now >= self.sweep_due:
             self.sweep_due = now + SWEEP_S
             self._sweep(now)
@@ -251,6 +262,7 @@
             self.finder.due(),
             self.health.due(),
             self.sharer.due(),
+            self.informer.due(),
             self.sweep_due,
         )
 
@@ -287,6 +299,7 @@
     health = HealthKeeper(board, resetter, HostWatch(board), link_mbps)
     fleet = FleetKeeper(board)
     sharer = ViewSharer(board, fleet, seeds, link_mbps)
+    informer = AgentInformer(board, sharer)
     questions = make_questions(board, codec)
     return BalancerNode(
         board=board,
@@ -295,7 +308,7 @@
         resetter=resetter,
         health=health,
         opener=FlowOpener(
-            board, codec, health, resetter, make_draw(seed), early
+            board, codec, health, resetter, make_draw(seed), early, informer
         ),
         finder=FlowFinder(
             board,
@@ -307,6 +320,7 @@
             FlowTrier(board, codec, questions),
         ),
         sharer=sharer,
+        informer=informer,
         isolation=IsolationKeeper(board, health, sharer),
         early=early,
     )
--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -6,6 +6,7 @@
 
 from notchhoist.base.draws import Draw
 from notchhoist.flows.balancer.health import HealthKeeper
+from notchhoist.flows.balancer.informing import AgentInformer
 from notchhoist.flows.balancer.resetting import FlowResetter
 from notchhoist.flows.boards.balancer_board import (
     BalancerBoard,
@@ -21,6 +22,7 @@
 from notchhoist.flows.model.records import Count, Timing
 from notchhoist.flows.model.segments import Segment, SegmentCodec
 from notchhoist.flows.model.wishes import Wish
+from notchhoist.flows.published.states import cold_per_s
 
 ACCEPT_WAIT_S = 0.06
 """An agent has this long to tell that its server accepted, seconds: a round
@@ -41,6 +43,7 @@
         resetter: Ends flows.
         draw: Random numbers in [0, 1).
         early: Tells whether a caller may have tried before.
+        informer: Tells agents what they should know before they get a flow.
     """
 
     board: BalancerBoard
@@ -49,6 +52,7 @@
     resetter: FlowResetter
     draw: Draw
     early: EarlyPackets
+    informer: AgentInformer
 
     def on_opening(self, route: Route, segment: Segment, now: float) -> None:
         """Takes an opening packet or a copy of one."""
@@ -80,7 +84,9 @@
     def offer(self, opening: Opening, now: float) -> None:
         """Offers a flow to the best server that it was not offered to."""
         board = self.board
-        known = board.by_service.get(opening.service, [])
+        known = placing.open_to_new(
+            board.by_service.get(opening.service, []), board.view.evacuated
+        )
         flow = opening.segment.flow
         servers = placing.usable(known, now)
         few = placing.candidates(flow, known, board.zone)
@@ -119,6 +125,7 @@
             again=again,
         )
         server.note_offer()
+        self.informer.before_offer(server, now)
         self._remember(opening, server, now)
         age_s = now - opening.asked_since
         wish = opening.route.wish(age_s, opening.may_be_retry)
@@ -152,7 +159,9 @@
     def _send(
         self, server: Server, segment: Segment, wish: Wish, now: float
     ) -> None:
-        note = notes.to_agent(NoteKind.PLACE, server.tag, wish)
+        bounded = cold_per_s(self.board, server, now) > 0
+        kind = NoteKind.PLACE_BOUNDED if bounded else NoteKind.PLACE
+        note = notes.to_agent(kind, server.tag, wish)
         datagram = self.codec.with_note(segment, note)
         self.board.outbox.append(SendAgent(server.entry.host, datagram))
         self.health.expect(server, now)
@@ -219,6 +228,13 @@
             del self.board.flows[segment.flow]
             self.resetter.reset(segment, "no slot in time", server_host=host)
 
+    def on_full(self, host: str, segment: Segment, now: float) -> None:
+        """Takes a flow back from a server that bears none for a while."""
+        server = self.board.by_host.get(host)
+        if server is not None:
+            server.full_until = now + notes.pause_of(segment.note)
+        self.on_refused(host, segment, now)
+
     def tick(self, now: float) -> None:
         """Offers flows elsewhere whose agent has kept silent."""
         late = [
--- a/notchhoist/flows/boards/agent_board.py
+++ b/notchhoist/flows/boards/agent_board.py
@@ -6,6 +6,7 @@
 from notchhoist.flows.model.effects import Effect
 from notchhoist.flows.model.held import HeldFlow
 from notchhoist.flows.model.mechanisms import ALL, Mechanisms
+from notchhoist.flows.model.messages import ServerState
 from notchhoist.flows.model.records import Records
 
 
@@ -28,6 +29,9 @@
         check_due: When to look at a silent backend server, or ``inf``.
         checking: A look is under way.
         checked_at: When the last look ended, seconds.
+        state: What is published of the backend server, as last told, or None.
+        evacuated_since: Since when its zone is evacuated, seconds, or None.
+        cold_until: When it is warm, as told, seconds.
         balancers: When each balancer was last heard, by host.
         records: Counters and decisions.
         outbox: What is to be done.
@@ -48,6 +52,9 @@
     check_due: float = float("inf")
     checking: bool = False
     checked_at: float = float("-inf")
+    state: ServerState | None = None
+    evacuated_since: float | None = None
+    cold_until: float = float("-inf")
     balancers: dict[str, float] = field(default_factory=dict)
     records: Records = field(default_factory=Records)
     outbox: list[Effect] = field(default_factory=list)
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -90,6 +90,19 @@
     denied_at: float | None = None
 
 
+class ZoneState(Struct, eq=False):
+    """What a balancer knows of an availability zone.
+
+    Attributes:
+        evacuated_at: When it learnt that the zone is evacuated, seconds; None
+            while it is not.
+        returned_at: When it learnt that the last evacuation was withdrawn.
+    """
+
+    evacuated_at: float | None = None
+    returned_at: float = float("-inf")
+
+
 class BalancerBoard(Struct, eq=False):
     """What a balancer knows.
 
@@ -101,6 +114,7 @@
         servers: Backend servers by id, gone ones too for a while.
         by_service: The same by service.
         by_host: The newest one on each host.
+        zones: Availability zones that are or were evacuated, by name.
         fleet_known: The list of servers has been read.
         known_since: When it was first read, seconds.
         store_failed_at: When the store last failed this process, seconds.
@@ -123,6 +137,7 @@
     servers: dict[str, Server] = field(default_factory=dict)
     by_service: dict[str, list[Server]] = field(default_factory=dict)
     by_host: dict[str, Server] = field(default_factory=dict)
+    zones: dict[str, ZoneState] = field(default_factory=dict)
     fleet_known: bool = False
     known_since: float = float("inf")
     store_failed_at: float = float("-inf")
--- a/notchhoist/flows/codec/flow.thrift
+++ b/notchhoist/flows/codec/flow.thrift
@@ -1,7 +1,15 @@
 /** Control messages of opaque flows. Field numbers are permanent. */
 
-struct LoadAsk { 1: i32 slots }
-struct LoadTell { 1: i32 flows, 2: i32 running, 3: i32 pace_ms, 4: bool stopping }
+/** What is optional came later: older processes neither send nor miss it. */
+struct ServerState {
+  1: i64 revision, 2: i64 born_ms, 3: bool evacuated, 4: i32 evacuated_for_ms,
+  5: i32 cold_for_ms, 6: double bound_per_s, 7: double bound_lasts_s
+}
+struct LoadAsk { 1: i32 slots, 2: optional ServerState state }
+struct LoadTell {
+  1: i32 flows, 2: i32 running, 3: i32 pace_ms, 4: bool stopping,
+  5: optional i64 state_revision
+}
 
 struct Target { 1: string service_name, 2: i32 weight }
 struct Route {
@@ -11,8 +19,10 @@
 struct Server {
   1: string server_id, 2: string service_name, 3: string host, 4: string zone,
   5: i32 slots, 6: bool draining, 7: double warm_in_s, 8: i64 created,
-  9: i64 revision
+  9: i64 revision, 10: optional i64 born_ms
 }
+struct ColdBound { 1: string service_name, 2: double per_s, 3: double lasts_s }
+struct Zone { 1: string name, 2: i64 revision }
 struct ViewAsk { 1: i64 revision, 2: i32 link_mbps }
 struct Member { 1: string host, 2: i32 link_mbps, 3: i32 age_ms }
 struct ViewTell {
@@ -20,7 +30,9 @@
   5: i32 part, 6: i32 parts, 7: i64 version, 8: double idle_s,
   9: list<Route> routes, 10: list<binary> removed_routes,
   11: list<Server> servers, 12: list<string> removed_servers,
-  13: i32 routes_total, 14: i32 servers_total
+  13: i32 routes_total, 14: i32 servers_total,
+  15: optional list<ColdBound> cold_bounds, 16: optional list<Zone> evacuated,
+  17: optional list<Zone> returned, 18: optional i32 evacuated_total
 }
 
 /** heads: packets' heads to tell about; samples: packets to try. */
--- a/notchhoist/flows/codec/message_codec.py
+++ b/notchhoist/flows/codec/message_codec.py
@@ -11,7 +11,12 @@
 
 from notchhoist.base.errors import CodecError
 from notchhoist.flows.codec.generated import ttypes
-from notchhoist.flows.model.fleet import RequestKind, Route, ServerEntry
+from notchhoist.flows.model.fleet import (
+    ColdBound,
+    RequestKind,
+    Route,
+    ServerEntry,
+)
 from notchhoist.flows.model.messages import (
     FlowsAsk,
     FlowsTell,
@@ -19,6 +24,7 @@
     LoadTell,
     Member,
     PeerMessage,
+    ServerState,
     ViewAsk,
     ViewTell,
 )
@@ -29,6 +35,14 @@
 MAX_RECORDS = 10_000
 AGE_MAX_S = 1e6
 
+_ADDED_LATER = {
+    "LoadAsk": ("state",),
+    "LoadTell": ("state_revision",),
+    "Server": ("born_ms",),
+    "ViewTell": ("cold_bounds", "evacuated", "returned", "evacuated_total"),
+}
+"""Fields that processes of an earlier version do not send."""
+
 _FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_BYTES, container_length_limit=MAX_RECORDS
 )
@@ -39,13 +53,16 @@
     struct = ttypes.FlowMessage(version=PROTOCOL_VERSION)
     match message:
         case LoadAsk():
-            struct.load_ask = ttypes.LoadAsk(message.slots)
+            struct.load_ask = ttypes.LoadAsk(
+                message.slots, _state_struct(message.state)
+            )
         case LoadTell():
             struct.load_tell = ttypes.LoadTell(
                 message.flows,
                 message.running,
                 message.pace_ms,
                 message.stopping,
+                message.state_revision,
             )
         case FlowsAsk(number, tag, heads, samples):
             struct.flows_ask = ttypes.FlowsAsk(
@@ -64,6 +81,20 @@
     return buffer.getvalue()
 
 
+def _state_struct(state: ServerState | None) -> Any:
+    if state is None:
+        return None
+    return ttypes.ServerState(
+        revision=state.revision,
+        born_ms=state.born_ms,
+        evacuated=state.evacuated,
+        evacuated_for_ms=int(min(state.evacuated_for_s, AGE_MAX_S) * 1000),
+        cold_for_ms=int(min(state.cold_for_s, AGE_MAX_S) * 1000),
+        bound_per_s=state.bound_per_s,
+        bound_lasts_s=state.bound_lasts_s,
+    )
+
+
 def _flows_struct(tell: FlowsTell) -> Any:
     return ttypes.FlowsTell(
         number=tell.number,
@@ -95,6 +126,13 @@
         removed_servers=list(change.removed_servers),
         routes_total=change.routes_total,
         servers_total=change.servers_total,
+        cold_bounds=[
+            ttypes.ColdBound(bound.service, bound.per_s, bound.lasts_s)
+            for bound in change.cold_bounds
+        ],
+        evacuated=[ttypes.Zone(*zone) for zone in change.evacuated],
+        returned=[ttypes.Zone(*zone) for zone in change.returned],
+        evacuated_total=change.evacuated_total,
     )
 
 
@@ -121,6 +159,7 @@
         warm_in_s=entry.warm_in_s,
         created=entry.created,
         revision=revision,
+        born_ms=entry.born_ms,
     )
 
 
@@ -128,8 +167,9 @@
     """Decodes a control message.
 
     Examples:
-        >>> decode_message(encode_message(LoadTell(4, 1, 60, False)))
-        LoadTell(flows=4, running=1, pace_ms=60, stopping=False)
+        >>> tell = LoadTell(4, 1, 60, False)
+        >>> decode_message(encode_message(tell)) == tell
+        True
 
     Raises:
         CodecError: The bytes are no message of this version.
@@ -156,10 +196,17 @@
         if body is not None:
             _check_whole(body)
     if struct.load_ask is not None:
-        return LoadAsk(struct.load_ask.slots)
+        asked = struct.load_ask
+        return LoadAsk(asked.slots, _state_of(asked.state))
     if struct.load_tell is not None:
         told = struct.load_tell
-        return LoadTell(told.flows, told.running, told.pace_ms, told.stopping)
+        return LoadTell(
+            told.flows,
+            told.running,
+            told.pace_ms,
+            told.stopping,
+            told.state_revision or 0,
+        )
     if struct.flows_ask is not None:
         question = struct.flows_ask
         heads, samples = tuple(question.heads), tuple(question.samples)
@@ -167,20 +214,53 @@
     if struct.flows_tell is not None:
         return _flows_of(struct.flows_tell)
     if struct.view_ask is not None:
-        asked = struct.view_ask
-        return ViewAsk(asked.revision, asked.link_mbps)
+        view = struct.view_ask
+        return ViewAsk(view.revision, view.link_mbps)
     if struct.view_tell is not None:
         return _view_of(struct.view_tell)
     raise ValueError("no known message")
 
 
 def _check_whole(struct: Any) -> None:
-    """Raises ValueError where a field is missing."""
+    """Raises ValueError where a field is missing that has always been there."""
+    later = _ADDED_LATER.get(type(struct).__name__, ())
     for entry in struct.thrift_spec:
-        if entry and getattr(struct, entry[2]) is None:
+        if not entry or entry[2] in later:
+            continue
+        if getattr(struct, entry[2]) is None:
             raise ValueError(f"{type(struct).__name__}.{entry[2]} is missing")
 
 
+def _state_of(struct: Any) -> ServerState | None:
+    if struct is None:
+        return None
+    _check_whole(struct)
+    return ServerState(
+        revision=struct.revision,
+        born_ms=struct.born_ms,
+        evacuated=struct.evacuated,
+        evacuated_for_s=max(0, struct.evacuated_for_ms) / 1000,
+        cold_for_s=max(0, struct.cold_for_ms) / 1000,
+        bound_per_s=max(0.0, struct.bound_per_s),
+        bound_lasts_s=max(0.0, struct.bound_lasts_s),
+    )
+
+
+def _zones_of(structs: Any) -> tuple[tuple[str, int], ...]:
+    for struct in structs or ():
+        _check_whole(struct)
+    return tuple((struct.name, struct.revision) for struct in structs or ())
+
+
+def _bounds_of(structs: Any) -> tuple[ColdBound, ...]:
+    for struct in structs or ():
+        _check_whole(struct)
+    return tuple(
+        ColdBound(struct.service_name, struct.per_s, struct.lasts_s)
+        for struct in structs or ()
+    )
+
+
 def _flows_of(struct: Any) -> FlowsTell:
     return FlowsTell(
         number=struct.number,
@@ -208,6 +288,10 @@
         removed_servers=tuple(struct.removed_servers),
         routes_total=struct.routes_total,
         servers_total=struct.servers_total,
+        cold_bounds=_bounds_of(struct.cold_bounds),
+        evacuated=_zones_of(struct.evacuated),
+        returned=_zones_of(struct.returned),
+        evacuated_total=struct.evacuated_total or 0,
     )
     age_s = struct.age_ms / 1000
     for item in struct.members:
@@ -254,5 +338,6 @@
         draining=struct.draining,
         warm_in_s=struct.warm_in_s,
         created=struct.created,
+        born_ms=struct.born_ms or 0,
     )
     return entry, struct.revision
--- a/notchhoist/flows/decisions/placing.py
+++ b/notchhoist/flows/decisions/placing.py
@@ -1,7 +1,7 @@
 """Which backend server gets a new flow; pure functions."""
 
 import zlib
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from notchhoist.base.draws import Draw
 from notchhoist.flows.model.fleet import RequestKind, Server
@@ -95,11 +95,25 @@
     return near + far[: CHOICES - len(near)]
 
 
+def open_to_new(
+    servers: Sequence[Server], evacuated: Collection[str]
+) -> Sequence[Server]:
+    """Returns the servers whose availability zones take new flows.
+
+    Args:
+        servers: All known servers of a service.
+        evacuated: Zones that are to get nothing new.
+    """
+    if not evacuated:
+        return servers
+    return [item for item in servers if item.entry.zone not in evacuated]
+
+
 def usable(servers: Sequence[Server], now: float) -> list[Server]:
     """Returns the servers that may get a new flow, the best class only.
 
     Args:
-        servers: All known servers of a service.
+        servers: Known servers of a service, in zones that take new flows.
         now: Runtime clock, seconds.
     """
     willing = [
@@ -111,6 +125,7 @@
     listed = [server for server in willing if server.listed]
     if len(listed) >= HEALTHY_SHARE * len(willing):
         willing = listed
+    willing = [server for server in willing if now >= server.full_until]
     answering = [server for server in willing if not server.suspected]
     return answering or [server for server in willing if not server.lost]
 
--- a/notchhoist/flows/model/fleet.py
+++ b/notchhoist/flows/model/fleet.py
@@ -92,6 +92,20 @@
         return self.targets[-1][0]
 
 
+class ColdBound(Struct, frozen=True):
+    """What the backend servers of a service bear while they are cold.
+
+    Attributes:
+        service: Name of the service.
+        per_s: New flows that a cold server bears in a second.
+        lasts_s: How long a server is cold after its start, seconds.
+    """
+
+    service: str
+    per_s: float
+    lasts_s: float
+
+
 class RouteTable(Struct, frozen=True):
     """One version of the published configuration.
 
@@ -99,6 +113,7 @@
         version: Rises with each change.
         routes: Routes by the key of their service address.
         idle_s: A flow may be forgotten after this much silence, seconds.
+        cold_bounds: Bounds of the services that have one.
         problems: What could not be read of it; empty where another balancer
             told it, as only those are told that read the platform.
     """
@@ -107,13 +122,21 @@
     routes: Mapping[bytes, Route]
     idle_s: float
     problems: tuple[ConfigurationProblem, ...] = ()
+    cold_bounds: tuple[ColdBound, ...] = ()
+
+    def cold_bound(self, service: str) -> ColdBound | None:
+        """Returns the bound of a service's cold servers, or None."""
+        for bound in self.cold_bounds:
+            if bound.service == service:
+                return bound
+        return None
 
 
 class ServerEntry(Struct, frozen=True):
     """A backend server as it announces itself.
 
     Attributes:
-        server_id: Its id, used nowhere else; a restart gets a new one.
+        server_id: Its id; a server that starts again may have the same one.
         service: Service that it runs.
         host: IP number of its host, where its agent is too.
         zone: Availability zone.
@@ -121,6 +144,8 @@
         draining: It takes no new work.
         warm_in_s: How long it stays slow after its start, seconds.
         created: Grows with the order in which entries were created.
+        born_ms: When it started by its own clock, Unix ms; 0 if not told. Only
+            good for telling one incarnation from another.
     """
 
     server_id: str
@@ -131,6 +156,17 @@
     draining: bool
     warm_in_s: float = 0.0
     created: int = 0
+    born_ms: int = 0
+
+    def is_same_as(self, other: "ServerEntry") -> bool:
+        """Tells whether two entries of one id are of the same incarnation."""
+        told = self.born_ms and other.born_ms
+        reborn = told and self.born_ms != other.born_ms
+        return not reborn and self.is_beside(other)
+
+    def is_beside(self, other: "ServerEntry") -> bool:
+        """Tells whether both are served by one agent."""
+        return (self.host, self.service) == (other.host, other.service)
 
 
 class Server(Struct, eq=False):
@@ -155,6 +191,10 @@
         restarting_until: Its agent is away until then and comes back: it said
             so, or its host refused a connection.
         checked_at: When a check of its host last ended, seconds.
+        full_until: Its agent has said that until then it bears no new flow.
+        state_told: Revision of what this balancer last told its agent.
+        told_at: When that was, seconds.
+        reborn: It has the id of a server that it has replaced.
     """
 
     entry: ServerEntry
@@ -173,6 +213,10 @@
     lost: bool = False
     restarting_until: float = float("-inf")
     checked_at: float = float("-inf")
+    full_until: float = float("-inf")
+    state_told: int = 0
+    told_at: float = float("-inf")
+    reborn: bool = False
 
     def note_offer(self) -> None:
         """Takes account of a new flow that is offered to it."""
--- a/notchhoist/flows/model/held.py
+++ b/notchhoist/flows/model/held.py
@@ -38,6 +38,11 @@
 later where that was lost."""
 
 
+YOUNG_S = 5.0
+"""Servers keep a silent flow for longer than this, seconds; they close idle ones
+after 12 s on the deployments of today."""
+
+
 class Phase(enum.Enum):
     """How far a flow has come.
 
@@ -60,6 +65,10 @@
     CLOSED = "closed"
 
 
+ENDED = (Phase.CLOSED, Phase.REFUSED)
+"""Phases of a flow that can only begin anew."""
+
+
 class HeldFlow(Struct, eq=False):
     """One flow at the backend server.
 
@@ -118,6 +127,10 @@
         new = self.phase in (Phase.OFFERED, Phase.ACCEPTED)
         return new and now - self.since < expected_s
 
+    def is_young(self, now: float) -> bool:
+        """Tells whether a server that lives cannot have forgotten it yet."""
+        return self.phase is Phase.OPEN and now - self.since < YOUNG_S
+
     def chosen_by(self, segment: Segment) -> bool:
         """Tells whether a caller's packet shows that it chose this server."""
         if self.server_seq is None:
--- a/notchhoist/flows/model/messages.py
+++ b/notchhoist/flows/model/messages.py
@@ -5,15 +5,40 @@
 from notchhoist.flows.model.view import ViewChange
 
 
+class ServerState(Struct, frozen=True):
+    """What the platform publishes of one backend server, for its agent.
+
+    Attributes:
+        revision: The newest change among these facts; above 0.
+        born_ms: See ``ServerEntry``.
+        evacuated: Its availability zone is to get no new flows.
+        evacuated_for_s: Since when at least, seconds ago.
+        cold_for_s: How long it stays cold, seconds; 0 where it is warm.
+        bound_per_s: New flows that it bears in a second while it is cold; 0 for
+            no bound.
+        bound_lasts_s: How long it is cold after a start, seconds.
+    """
+
+    revision: int
+    born_ms: int = 0
+    evacuated: bool = False
+    evacuated_for_s: float = 0.0
+    cold_for_s: float = 0.0
+    bound_per_s: float = 0.0
+    bound_lasts_s: float = 0.0
+
+
 class LoadAsk(Struct, frozen=True):
     """Asks an agent for its load; any answer shows that it is alive.
 
     Attributes:
         slots: Requests that its backend server works on at once, as published;
             0 if unknown.
+        state: What else is published of it, or None where that is unknown.
     """
 
     slots: int = 0
+    state: ServerState | None = None
 
 
 class LoadTell(Struct, frozen=True):
@@ -24,12 +49,15 @@
         running: Requests that have not been answered.
         pace_ms: Smoothed service time, ms; 0 if unknown.
         stopping: The agent is about to stop and to be started again.
+        state_revision: Revision of the newest ``ServerState`` that it has; 0
+            for none.
     """
 
     flows: int
     running: int
     pace_ms: int
     stopping: bool
+    state_revision: int = 0
 
 
 class FlowsAsk(Struct, frozen=True):
--- a/notchhoist/flows/model/notes.py
+++ b/notchhoist/flows/model/notes.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import math
 import zlib
 
 from msgspec import Struct
@@ -64,6 +65,10 @@
         TAKEN: From an agent, head only: its backend server accepted.
         REFUSED: From an agent: the opening packet comes back, nothing ran.
         RETURNED: From an agent: the packet comes back, the flow is not here.
+        FULL: From an agent: the opening packet comes back, nothing ran, and the
+            server is to get no new flow for the pause told instead of a pace.
+        PLACE_BOUNDED: As ``PLACE``, for a server that is cold and bears only so
+            much; an agent that knows no more waits for word of it.
     """
 
     NONE = 0
@@ -77,6 +82,8 @@
     TAKEN = 8
     REFUSED = 9
     RETURNED = 10
+    FULL = 11
+    PLACE_BOUNDED = 12
 
 
 _KINDS = tuple(NoteKind)
@@ -155,6 +162,23 @@
     )
 
 
+def full(load: Load, pause_s: float) -> int:
+    """Returns the note of an opening packet that a server cannot bear now.
+
+    Examples:
+        >>> pause_of(full(Load(40, 3, 64), 0.25))
+        0.256
+    """
+    steps = math.ceil(pause_s * 1000 / PACE_STEP_MS)
+    pause = min(steps, _BYTE_MAX) * PACE_STEP_MS
+    return to_balancer(NoteKind.FULL, Load(load.flows, load.running, pause))
+
+
+def pause_of(note: int) -> float:
+    """Returns the pause in a note of kind ``FULL``, seconds."""
+    return load_of(note).pace_ms / 1000
+
+
 def kind_of(note: int) -> NoteKind:
     """Returns the meaning of a note; ``NONE`` for one of no known kind."""
     index = note >> _KIND_SHIFT & _KIND_MASK
--- a/notchhoist/flows/model/records.py
+++ b/notchhoist/flows/model/records.py
@@ -5,7 +5,9 @@
 
 from msgspec import Struct, field
 
-REASONED = frozenset(["reset", "refuse", "give up finding", "leave to others"])
+REASONED = frozenset(
+    ["reset", "refuse", "turn away", "give up finding", "leave to others"]
+)
 REASONED_KEPT = 200
 """Decisions that cost a caller something are kept for questions: the last few
 seconds of a bad moment."""
@@ -60,8 +62,10 @@
     WRONG_SERVICE = "wrong_service"
     BACKEND_SILENT = "backend_silent"
     REQUESTS_BROKEN = "requests_broken"
+    TURNED_AWAY = "turned_away"
     REFUSED_AT_ONCE = "refused_at_once"
     CALLERS_LEFT = "callers_left"
+    BACKEND_REBORN = "backend_reborn"
     BACKEND_GONE = "backend_gone"
     DECISIONS_DROPPED = "decisions_dropped"
     TIMINGS_DROPPED = "timings_dropped"
--- a/notchhoist/flows/model/view.py
+++ b/notchhoist/flows/model/view.py
@@ -4,12 +4,27 @@
 
 from msgspec import Struct, field
 
-from notchhoist.flows.model.fleet import Route, RouteTable, ServerEntry
+from notchhoist.flows.model.fleet import (
+    ColdBound,
+    Route,
+    RouteTable,
+    ServerEntry,
+)
 
 REMOVED_KEPT = 1000
 """Removals remembered at the most; who is further behind is told everything."""
 
 
+class ZoneKey(Struct, frozen=True):
+    """Names an availability zone among the things that change."""
+
+    zone: str
+
+
+ViewKey = str | bytes | ZoneKey | None
+"""Id of a server, key of a route, a zone, or None for the configuration."""
+
+
 class ViewChange(Struct, frozen=True):
     """What changed between two revisions, as whole records.
 
@@ -24,6 +39,10 @@
         removed_servers: Ids of servers whose entries vanished.
         routes_total: Routes that the receiver has then.
         servers_total: Entries that it has then.
+        cold_bounds: Bounds of cold servers, with a new version.
+        evacuated: Zones whose evacuation was asked for, with the revision.
+        returned: Zones whose evacuation was withdrawn, likewise.
+        evacuated_total: Evacuated zones that it has then.
     """
 
     revision: int
@@ -36,6 +55,10 @@
     removed_servers: tuple[str, ...] = ()
     routes_total: int = 0
     servers_total: int = 0
+    cold_bounds: tuple[ColdBound, ...] = ()
+    evacuated: tuple[tuple[str, int], ...] = ()
+    returned: tuple[tuple[str, int], ...] = ()
+    evacuated_total: int = 0
 
 
 class FleetView(Struct, eq=False):
@@ -45,15 +68,20 @@
         revision: Everything up to this revision of the platform is known.
         table: The configuration, or None before the first.
         servers: Entries by id.
-        changed_at: Revision of the last change of each server, route key and
-            the table's version (under ``None``), removals too.
+        evacuated: Zones that are to get no new flows, with the revision at
+            which that was asked for.
+        changed_at: Revision of the last change of each server, route key, zone
+            and the table's version (under ``None``), removals too.
+        bounds_at: Revision at which bounds of cold servers last changed.
         forgotten_to: Removals up to this revision are no longer known.
     """
 
     revision: int = 0
     table: RouteTable | None = None
     servers: dict[str, ServerEntry] = field(default_factory=dict)
-    changed_at: dict[str | bytes | None, int] = field(default_factory=dict)
+    evacuated: dict[str, int] = field(default_factory=dict)
+    changed_at: dict[ViewKey, int] = field(default_factory=dict)
+    bounds_at: int = 0
     forgotten_to: int = 0
 
     def put_table(
@@ -77,6 +105,8 @@
             if old.get(key) != table.routes.get(key):
                 self.changed_at[key] = revision
         self.changed_at[None] = revision
+        if table.cold_bounds != (self.table.cold_bounds if self.table else ()):
+            self.bounds_at = revision
         self.table = table
         return True
 
@@ -96,6 +126,36 @@
         self._forget_removals()
         return self.servers.pop(server_id, None) is not None
 
+    def put_evacuation(self, zone: str, revision: int) -> bool:
+        """Takes word that a zone is to be evacuated, if that is news.
+
+        Examples:
+            >>> view = FleetView()
+            >>> view.put_evacuation("a", 7), view.remove_evacuation("a", 6)
+            (True, False)
+        """
+        if revision <= self.changed_at.get(ZoneKey(zone), 0):
+            return False
+        self.changed_at[ZoneKey(zone)] = revision
+        known = zone in self.evacuated
+        self.evacuated[zone] = revision
+        return not known
+
+    def remove_evacuation(self, zone: str, revision: int) -> bool:
+        """Takes word that an evacuation was withdrawn, if that is news."""
+        if revision <= self.changed_at.get(ZoneKey(zone), 0):
+            return False
+        self.changed_at[ZoneKey(zone)] = revision
+        return self.evacuated.pop(zone, None) is not None
+
+    def state_revision(self, entry: ServerEntry) -> int:
+        """Returns when what an agent should know of its server last changed."""
+        return max(
+            self.changed_at.get(entry.server_id, 0),
+            self.changed_at.get(ZoneKey(entry.zone), 0),
+            self.bounds_at,
+        )
+
     def note_dropped(self, keys: Iterable[bytes], revision: int) -> None:
         """Notes routes that were dropped, also such as were never known here.
 
@@ -146,10 +206,12 @@
         routes: Mapping[bytes, Route] = self.table.routes if self.table else {}
         keys = [key for key in changed if isinstance(key, bytes)]
         ids = [key for key in changed if isinstance(key, str)]
+        zones = [key.zone for key in changed if isinstance(key, ZoneKey)]
+        new_table = self.table is not None and None in changed
         return ViewChange(
             revision=self.revision,
             base=base,
-            version=self.table.version if self.table and None in changed else 0,
+            version=self.table.version if self.table and new_table else 0,
             idle_s=self.table.idle_s if self.table else 0.0,
             routes=tuple(routes[key] for key in keys if key in routes),
             removed_routes=tuple(key for key in keys if key not in routes),
@@ -163,4 +225,18 @@
             ),
             routes_total=len(routes),
             servers_total=len(self.servers),
+            cold_bounds=(
+                self.table.cold_bounds if self.table and new_table else ()
+            ),
+            evacuated=tuple(
+                (zone, self.evacuated[zone])
+                for zone in zones
+                if zone in self.evacuated
+            ),
+            returned=tuple(
+                (zone, self.changed_at[ZoneKey(zone)])
+                for zone in zones
+                if zone not in self.evacuated
+            ),
+            evacuated_total=len(self.evacuated),
         )
--- a/notchhoist/flows/published/fleet_keeper.py
+++ b/notchhoist/flows/published/fleet_keeper.py
@@ -4,8 +4,9 @@
 from collections.abc import Sequence
 
 from msgspec import Struct, field
+from msgspec.structs import replace
 
-from notchhoist.flows.boards.balancer_board import BalancerBoard
+from notchhoist.flows.boards.balancer_board import BalancerBoard, ZoneState
 from notchhoist.flows.model.fleet import (
     FOREVER,
     RouteTable,
@@ -61,7 +62,8 @@
         entries: Sequence[tuple[ServerEntry, int]],
         revision: int,
         now: float,
-        kept: frozenset[str] = frozenset(),
+        refused: Sequence[tuple[str, int]] = (),
+        evacuated: Sequence[tuple[str, int]] = (),
     ) -> None:
         """Takes the whole list of backend servers.
 
@@ -69,15 +71,20 @@
             entries: Their entries, with the revision of each.
             revision: Revision of the list.
             now: Runtime clock, seconds.
-            kept: Ids of servers that are listed with a wrong entry.
+            refused: Servers whose entries are wrong, with the revisions.
+            evacuated: Zones that are evacuated, with the revisions.
         """
+        self._take_evacuations(evacuated, revision, now)
         changed = [
             entry
             for entry, changed_at in entries
             if self._take_entry(entry, changed_at, now)
         ]
         self._index()
-        listed = {entry.server_id for entry, _ in entries} | kept
+        listed = {entry.server_id for entry, _ in entries}
+        for server_id, refused_at in refused:
+            listed.add(server_id)
+            self.on_refused(server_id, refused_at)
         for server_id in list(self.board.view.servers):
             if server_id not in listed:
                 self.on_removed(server_id, revision, now)
@@ -137,8 +144,13 @@
         if not board.view.put_server(entry, revision):
             return False
         server = board.servers.get(entry.server_id)
+        reborn = server is not None and not server.entry.is_same_as(entry)
+        if server is not None and reborn:
+            self._begin_anew(server, entry, now)
+            server = None
         if server is None:
             server = Server(entry, service_tag(entry.service), 0.0)
+            server.reborn = reborn
             server.began_cold = entry.warm_in_s > 0
             board.servers[entry.server_id] = server
             self.on_host.setdefault(entry.host, []).append(server)
@@ -150,6 +162,34 @@
             self._forget(server)
         return True
 
+    def _begin_anew(
+        self, former: Server, entry: ServerEntry, now: float
+    ) -> None:
+        """Sets a server aside whose id names another one from now on.
+
+        Where the new one is beside the same agent, the agent finds out which
+        flows are gone and says so. Else the former may live: the entry may be
+        another writer's. It gets no new flows and is still asked for its own.
+        """
+        board = self.board
+        board.records.decide(
+            "server",
+            b"",
+            "began anew",
+            server=entry.server_id,
+            server_host=entry.host,
+            host_before=former.entry.host,
+            born_ms=entry.born_ms,
+            born_before=former.entry.born_ms,
+        )
+        if former.entry.is_beside(entry):
+            return  # The index by host replaces it.
+        del board.servers[entry.server_id]
+        set_aside = f"{entry.server_id}@{former.entry.host}"
+        former.entry = replace(former.entry, server_id=set_aside)
+        former.unlisted_at = now
+        board.servers[set_aside] = former
+
     def _is_superseded(self, server: Server) -> bool:
         """Tells whether a newer server runs on the same host.
 
@@ -158,7 +198,9 @@
         for other in list(self.on_host.get(server.entry.host, ())):
             if other is server:
                 continue
-            if other.entry.created > server.entry.created:
+            same_id = other.entry.server_id == server.entry.server_id
+            newer = other.entry.created > server.entry.created
+            if newer and not same_id:
                 return True
             self._replace(other, server)
         return False
@@ -172,7 +214,8 @@
                 placement.server = new
 
     def _forget(self, server: Server) -> None:
-        del self.board.servers[server.entry.server_id]
+        if self.board.servers.get(server.entry.server_id) is server:
+            del self.board.servers[server.entry.server_id]
         self.on_host[server.entry.host].remove(server)
 
     def on_removed(self, server_id: str, revision: int, now: float) -> None:
@@ -186,6 +229,64 @@
             "server", b"", "unlisted", server=server_id, revision=revision
         )
 
+    def on_refused(self, server_id: str, revision: int) -> None:
+        """Takes word that a server's entry no longer names one.
+
+        It gets no new flows until it announces itself again; its open flows
+        stay where they are.
+        """
+        known = self.board.view.servers.get(server_id)
+        if known is None:
+            return
+        withdrawn = replace(known, draining=True)
+        if not self.board.view.put_server(withdrawn, revision):
+            return
+        server = self.board.servers.get(server_id)
+        if server is not None:
+            server.entry = withdrawn
+        self.board.records.decide(
+            "server", b"", "withdrawn", server=server_id, revision=revision
+        )
+
+    def on_evacuated(self, zone: str, revision: int, now: float) -> None:
+        """Takes word that an availability zone is to get no new flows."""
+        board = self.board
+        if not board.view.put_evacuation(zone, revision):
+            return
+        board.zones[zone] = ZoneState(evacuated_at=now)
+        self._log_zone(zone, "evacuated", revision)
+
+    def on_returned(self, zone: str, revision: int, now: float) -> None:
+        """Takes word that an evacuation was withdrawn.
+
+        The zone's servers may be cold although their entries do not say so
+        yet: they count as cold for as long as a start takes.
+        """
+        board = self.board
+        if not board.view.remove_evacuation(zone, revision):
+            return
+        state = board.zones.setdefault(zone, ZoneState())
+        state.evacuated_at = None
+        state.returned_at = now
+        self._log_zone(zone, "returned", revision)
+
+    def _log_zone(self, zone: str, outcome: str, revision: int) -> None:
+        zones = sorted(self.board.view.evacuated)
+        self.board.records.decide(
+            "zone", b"", outcome, zone=zone, revision=revision, evacuated=zones
+        )
+
+    def _take_evacuations(
+        self, evacuated: Sequence[tuple[str, int]], revision: int, now: float
+    ) -> None:
+        """Takes the whole list of evacuated zones."""
+        for zone, asked_at in evacuated:
+            self.on_evacuated(zone, asked_at, now)
+        listed = {zone for zone, _ in evacuated}
+        for zone in list(self.board.view.evacuated):
+            if zone not in listed:
+                self.on_returned(zone, revision, now)
+
     def on_change(self, change: ViewChange, now: float) -> None:
         """Takes what another balancer knows beyond this one."""
         board = self.board
@@ -200,14 +301,28 @@
             }
             for route in change.routes:
                 routes[route.service_key] = route
-            table = RouteTable(change.version, routes, change.idle_s)
+            table = RouteTable(
+                change.version,
+                routes,
+                change.idle_s,
+                cold_bounds=change.cold_bounds,
+            )
             newest = change.revision >= board.view.revision
             mends = change.base == 0 and newest
             self.on_table(table, change.revision, mends)
             board.view.note_dropped(change.removed_routes, change.revision)
         if change.base == 0:
-            self.on_listing(change.servers, change.revision, now)
+            self.on_listing(
+                change.servers,
+                change.revision,
+                now,
+                evacuated=change.evacuated,
+            )
             return
+        for zone, asked_at in change.evacuated:
+            self.on_evacuated(zone, asked_at, now)
+        for zone, withdrawn_at in change.returned:
+            self.on_returned(zone, withdrawn_at, now)
         for entry, revision in change.servers:
             self.on_entry(entry, revision, now)
         for server_id in change.removed_servers:
--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 
 from msgspec import Struct, field
+from msgspec.structs import replace
 
 from notchhoist.flows.boards.balancer_board import BalancerBoard
 from notchhoist.flows.model.effects import SendPeer
@@ -50,6 +51,17 @@
 """Least time between two questions for everything because views differ,
 seconds: a configuration of 1,600 routes fills a link of 5 Mbit/s for 0.7 s."""
 
+RECORDS = (
+    "evacuated",
+    "returned",
+    "cold_bounds",
+    "routes",
+    "servers",
+    "removed_routes",
+    "removed_servers",
+)
+"""Fields of a change that hold records."""
+
 PARTS_KEPT_S = 1.0
 FORGET_S = 60.0
 """A balancer that was not heard for so long is forgotten."""
@@ -199,9 +211,10 @@
         if view.revision != change.revision or now < self.mend_due:
             return
         routes = len(view.table.routes) if view.table else 0
-        if (routes, len(view.servers)) == (
+        if (routes, len(view.servers), len(view.evacuated)) == (
             change.routes_total,
             change.servers_total,
+            change.evacuated_total,
         ):
             return
         self.mend_due = now + MEND_EVERY_S
@@ -215,6 +228,8 @@
             routes_there=change.routes_total,
             servers=len(view.servers),
             servers_there=change.servers_total,
+            zones=len(view.evacuated),
+            zones_there=change.evacuated_total,
         )
         message = ViewAsk(0, self.link_mbps)
         self.board.outbox.append(SendPeer(host, message))
@@ -292,49 +307,23 @@
         ... )]
         [('a', 'b')]
     """
-    routes, servers = list(change.routes), list(change.servers)
-    keys, ids = list(change.removed_routes), list(change.removed_servers)
+    left = {name: list(getattr(change, name)) for name in RECORDS}
     parts: list[ViewChange] = []
-    while routes or servers or keys or ids or not parts:
-        taken: list[list] = []
+    while any(left.values()) or not parts:
+        taken: dict[str, tuple] = {}
         room = RECORDS_A_PART
-        for records in (routes, servers, keys, ids):
-            taken.append(records[:room])
-            del records[: len(taken[-1])]
-            room -= len(taken[-1])
-        parts.append(
-            ViewChange(
-                revision=change.revision,
-                base=change.base,
-                version=change.version,
-                idle_s=change.idle_s,
-                routes=tuple(taken[0]),
-                servers=tuple(taken[1]),
-                removed_routes=tuple(taken[2]),
-                removed_servers=tuple(taken[3]),
-                routes_total=change.routes_total,
-                servers_total=change.servers_total,
-            )
-        )
+        for name, records in left.items():
+            taken[name] = tuple(records[:room])
+            del records[:room]
+            room -= len(taken[name])
+        parts.append(replace(change, **taken))
     return parts
 
 
 def join(parts: list[ViewChange]) -> ViewChange:
     """Puts the parts of a change together again."""
-    first = parts[0]
-    return ViewChange(
-        revision=first.revision,
-        base=first.base,
-        version=first.version,
-        idle_s=first.idle_s,
-        routes=tuple(item for part in parts for item in part.routes),
-        removed_routes=tuple(
-            item for part in parts for item in part.removed_routes
-        ),
-        servers=tuple(item for part in parts for item in part.servers),
-        removed_servers=tuple(
-            item for part in parts for item in part.removed_servers
-        ),
-        routes_total=first.routes_total,
-        servers_total=first.servers_total,
-    )
+    whole = {
+        name: tuple(item for part in parts for item in getattr(part, name))
+        for name in RECORDS
+    }
+    return replace(parts[0], **whole)
--- a/notchhoist/platform/documents.py
+++ b/notchhoist/platform/documents.py
@@ -7,6 +7,7 @@
 
 from notchhoist.base.errors import ConfigurationRefusedError
 from notchhoist.flows.model.fleet import (
+    ColdBound,
     RequestKind,
     Route,
     RouteTable,
@@ -22,7 +23,9 @@
 
 MAX_MS = 86_400_000
 MAX_VERSION = 1 << 53
+MAX_COUNT = 1 << 63
 MAX_SLOTS = 100_000
+MAX_PER_S = 1e9
 
 DEFAULT_IDLE_MS = 60_000.0
 """Flows are kept for so long where the limit cannot be read, ms: as long as the
@@ -93,10 +96,34 @@
         version=version,
         routes=served,
         idle_s=_idle_ms(fields, problems) / 1000,
+        cold_bounds=_cold_bounds(fields, problems),
         problems=tuple(problems.found),
     )
 
 
+def _cold_bounds(fields: Fields, problems: Problems) -> tuple[ColdBound, ...]:
+    """Reads what cold servers bear; services without a bound are left out."""
+    if not fields.has("services"):
+        return ()
+    none: list[tuple[str, object]] = []
+    listed = problems.take(lambda: fields.elements("services"), none)
+    read = [
+        problems.take(partial(_cold_bound, value, place), None)
+        for place, value in listed
+    ]
+    bounds = [bound for bound in read if bound is not None and bound.per_s]
+    return tuple(sorted(bounds, key=lambda bound: bound.service))
+
+
+def _cold_bound(value: object, place: str) -> ColdBound:
+    fields = Fields(value, place)
+    return ColdBound(
+        service=fields.text("name"),
+        per_s=fields.number("cold_per_s", 0, MAX_PER_S, default=0),
+        lasts_s=fields.number("cold_start_s", 0, MAX_MS / 1000, default=0),
+    )
+
+
 def _idle_ms(fields: Fields, problems: Problems) -> float:
     return problems.take(
         lambda: fields.inner("limits").number("idle_timeout_ms", 1, MAX_MS),
@@ -152,6 +179,9 @@
 def decode_entry(server_id: str, text: bytes, created: int = 0) -> ServerEntry:
     """Decodes what a backend server announces of itself.
 
+    Fields that nothing here needs are checked too: an entry that lacks one, or
+    holds something else there, was not written by a backend server.
+
     Raises:
         FieldError: Something in it is wrong; the error says where.
     """
@@ -159,6 +189,8 @@
     fields = Fields(decode_json(text, place), place)
     host, _ = split_address(fields.text("address"), f"{place}.address")
     state = fields.choice("state", ("ready", "draining"))
+    fields.text("version")
+    fields.integer("seq", 0, MAX_COUNT)
     return ServerEntry(
         server_id=server_id,
         service=fields.text("service"),
@@ -166,7 +198,7 @@
         zone=fields.text("zone"),
         slots=fields.integer("slots", 0, MAX_SLOTS),
         draining=state == "draining",
-        warm_in_s=fields.number("cold_remaining_ms", 0, MAX_MS, default=0)
-        / 1000,
+        warm_in_s=fields.number("cold_remaining_ms", 0, MAX_MS) / 1000,
         created=created,
+        born_ms=fields.integer("born", 0, MAX_COUNT, default=0),
     )
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -109,7 +109,13 @@
                     self._note_problem(problem)
                 fleet.on_table(event.table, event.revision)
             case store.ServersListed():
-                fleet.on_listing(event.entries, event.revision, now, event.kept)
+                fleet.on_listing(
+                    event.entries,
+                    event.revision,
+                    now,
+                    refused=event.refused,
+                    evacuated=event.evacuated,
+                )
             case store.ServerPublished():
                 fleet.on_entry(event.entry, event.revision, now)
             case store.ServerRemoved():
@@ -117,7 +123,14 @@
             case store.TableRefused():
                 self.node.board.refused = str(event.error)
                 self._decide("refused", str(event.error))
-            case store.EntryRefused() | store.ItemRefused():
+            case store.EntryRefused():
+                self._note_problem(event.error.problem)
+                fleet.on_refused(event.server_id, event.revision)
+            case store.ZoneEvacuated():
+                fleet.on_evacuated(event.zone, event.revision, now)
+            case store.ZoneReturned():
+                fleet.on_returned(event.zone, event.revision, now)
+            case store.ItemRefused():
                 self._note_problem(event.error.problem)
 
     def _note_problem(self, problem: ConfigurationProblem) -> None:
--- a/notchhoist/platform/settings.py
+++ b/notchhoist/platform/settings.py
@@ -51,6 +51,11 @@
         store: The platform's store.
         drain_s: A leaving server must get no new work after this, seconds.
         apply_s: A configuration must be in force after this, seconds.
+        evacuate_s: An evacuated zone must get nothing new after this, seconds.
+        cold_overage: Factor up to which cold servers may get more than they
+            bear.
+        cold_slack: New flows that they may get besides in a second; None where
+            the platform sets no bound.
         grace_s: Time from a request to stop to a kill, seconds.
         first_start: The whole system starts for the first time.
         uses: Which mechanisms are in use.
@@ -74,6 +79,9 @@
     drain_s: float
     apply_s: float
     grace_s: float
+    evacuate_s: float = 3.0
+    cold_overage: float = 1.0
+    cold_slack: float | None = None
     first_start: bool = False
     uses: Mechanisms = ALL
     problems: tuple[ConfigurationProblem, ...] = ()
@@ -183,6 +191,11 @@
         drain_s=seconds("drain_ms", 0.001, 3000),
         apply_s=seconds("config_apply_ms", 0.001, 3000),
         grace_s=seconds("grace_s", 1.0, 6),
+        evacuate_s=seconds("evacuate_ms", 0.001, 3000),
+        cold_overage=spare.take(
+            lambda: bounds.number("cold_overage", 0, 1e6, default=1.0), 1.0
+        ),
+        cold_slack=spare.take(partial(_cold_slack, bounds), None),
         first_start=fields.values.get("bootstrap") is True,
         uses=mechanisms(spare),
     )
@@ -191,6 +204,12 @@
     return replace(settings, problems=tuple(spare.found))
 
 
+def _cold_slack(bounds: Fields) -> float | None:
+    if not bounds.has("cold_slack"):
+        return None
+    return bounds.number("cold_slack", 0, 1e9)
+
+
 def _roles(fields: Fields) -> tuple[str, ...]:
     roles = fields.texts("serves")
     if "front" not in roles and "side" not in roles:
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -22,6 +22,8 @@
 
 CONFIGURATION_KEY = "op/config"
 SERVERS_PREFIX = "servers/"
+EVACUATIONS_PREFIX = "op/evacuate/"
+"""An item under it asks that a zone be evacuated while it is there."""
 MAX_REVISION = 1 << 62
 
 WATCH_S = 2.0
@@ -93,12 +95,15 @@
     Attributes:
         entries: Their entries, with the revision of each.
         revision: Revision of the list.
-        kept: Ids of servers whose entries are wrong; they are still there.
+        refused: Servers whose entries are wrong, with the revision of each;
+            they are still there.
+        evacuated: Zones that are evacuated, likewise.
     """
 
     entries: tuple[tuple[ServerEntry, int], ...]
     revision: int
-    kept: frozenset[str] = frozenset()
+    refused: tuple[tuple[str, int], ...] = ()
+    evacuated: tuple[tuple[str, int], ...] = ()
 
 
 class ServerPublished(Struct, frozen=True):
@@ -116,10 +121,29 @@
 
 
 class EntryRefused(Struct, frozen=True):
-    """An entry that is wrong; what was known of the server stays."""
+    """An entry that is wrong, and when it was written.
+
+    Its server gets no new flows: whoever wrote the entry, nothing is known of
+    the server any more. Its open flows stay.
+    """
 
     server_id: str
     error: FieldError
+    revision: int = 0
+
+
+class ZoneEvacuated(Struct, frozen=True):
+    """An availability zone that is to get no new flows, and since when."""
+
+    zone: str
+    revision: int
+
+
+class ZoneReturned(Struct, frozen=True):
+    """An availability zone whose evacuation was withdrawn, and when."""
+
+    zone: str
+    revision: int
 
 
 class ItemRefused(Struct, frozen=True):
@@ -135,6 +159,8 @@
     | ServerPublished
     | ServerRemoved
     | EntryRefused
+    | ZoneEvacuated
+    | ZoneReturned
     | ItemRefused
 )
 
@@ -166,7 +192,8 @@
         calls: Calls so far.
         listed: Entries of the pages read so far.
         table: The configuration on them, held until all have come.
-        refused: Ids of servers on them whose entries are wrong.
+        refused: Servers on them whose entries are wrong, with the revisions.
+        evacuated: Zones on them that are evacuated, with the revisions.
         page_after: Where the next page starts, or empty.
         page_revision: Revision of the first page.
     """
@@ -180,7 +207,8 @@
     calls: int = 0
     listed: list[tuple[ServerEntry, int]] = field(default_factory=list)
     table: TablePublished | None = None
-    refused: set[str] = field(default_factory=set)
+    refused: dict[str, int] = field(default_factory=dict)
+    evacuated: dict[str, int] = field(default_factory=dict)
     page_after: str = ""
     page_revision: int = 0
 
@@ -232,7 +260,8 @@
     def _forget_pages(self) -> None:
         self.listed = []
         self.table = None
-        self.refused = set()
+        self.refused = {}
+        self.evacuated = {}
         self.page_after = ""
 
     def on_answer(
@@ -288,7 +317,10 @@
                 self.table = event
                 continue
             if isinstance(event, EntryRefused):
-                self.refused.add(event.server_id)
+                self.refused[event.server_id] = event.revision
+            if isinstance(event, ZoneEvacuated):
+                self.evacuated[event.zone] = event.revision
+                continue
             if event is not None:
                 events.append(event)
         self.due = now
@@ -296,7 +328,10 @@
             self.page_after = last_key
             return events
         listed = ServersListed(
-            tuple(self.listed), self.page_revision, frozenset(self.refused)
+            tuple(self.listed),
+            self.page_revision,
+            tuple(self.refused.items()),
+            tuple(self.evacuated.items()),
         )
         if self.table is not None:
             events.append(self.table)
@@ -368,9 +403,21 @@
         return _table_event(item)
     if key.startswith(SERVERS_PREFIX):
         return _server_event(key.removeprefix(SERVERS_PREFIX), item)
+    if key.startswith(EVACUATIONS_PREFIX):
+        return _zone_event(key.removeprefix(EVACUATIONS_PREFIX), item)
     return None
 
 
+def _zone_event(zone: str, item: Fields) -> StoreEvent:
+    """Reads an evacuation; that the item is there says all, not its value."""
+    try:
+        revision = item.integer("revision", 0, MAX_REVISION, default=0)
+        removed = item.boolean("removed", default=False)
+    except FieldError as error:
+        return ItemRefused(error)
+    return (ZoneReturned if removed else ZoneEvacuated)(zone, revision)
+
+
 def _table_event(item: Fields) -> StoreEvent | None:
     try:
         if item.boolean("removed", default=False):
@@ -385,6 +432,7 @@
 
 
 def _server_event(server_id: str, item: Fields) -> StoreEvent:
+    revision = 0
     try:
         revision = item.integer("revision", 0, MAX_REVISION, default=0)
         if item.boolean("removed", default=False):
@@ -393,5 +441,5 @@
         created = item.integer("created", 0, MAX_REVISION, default=0)
         entry = decode_entry(server_id, value, created)
     except FieldError as error:
-        return EntryRefused(server_id, error)
+        return EntryRefused(server_id, error, revision)
     return ServerPublished(entry, revision)
