Control passes uploads on thin links; what is told is as old as it is

Change: what belongs to no flow leaves before callers' large datagrams; questions are numbered, a tell names the newest it answers, and its age counts from when that was asked. Messages of an earlier version confirm nothing. Figures: a view of 40 parts behind eight full uploads is through 5 Mbit/s after 0.08 s (0.76 before; scheduler on a clock of its own).

--- a/notchhoist/flows/agent/__init__.py
+++ b/notchhoist/flows/agent/__init__.py
@@ -4,7 +4,8 @@
 
 * ``admitting``: shares out the slots of the backend server.
 * ``backend_watch``: notices when the backend server has ended.
-* ``load_counting``: counts its load.
+* ``load_counting``: counts its load; ``replies``: what goes back to balancers.
+* ``bearing``, ``offering``: which new flows the backend server gets.
 * ``telling``: tells balancers which flows are here.
 * ``node``: puts them together.
 """
--- a/notchhoist/flows/balancer/__init__.py
+++ b/notchhoist/flows/balancer/__init__.py
@@ -4,6 +4,7 @@
 
 * ``resetting``: ends flows; ``confirming``: asks the platform for what is new.
 * ``liveness``, ``health``, ``isolation``: who is there.
+* ``informing``: tells agents what is published of their servers.
 * ``opening``: new flows.
 * ``questions``, ``trying``, ``finding``: flows that are not known here.
 * ``node``: puts them together.
--- a/notchhoist/flows/balancer/isolation.py
+++ b/notchhoist/flows/balancer/isolation.py
@@ -56,9 +56,9 @@
             self._settle(False, now)
             if now - self.asked_at >= ASK_AGAIN_S:
                 self.asked_at = now
-                self.sharer.ask_widely()
+                self.sharer.ask_widely(now)
             return
-        self.sharer.ask_widely()
+        self.sharer.ask_widely(now)
         if now - self.asked_at >= SILENT_S and self.sharer.knows_others():
             self._settle(True, now)
 
--- a/notchhoist/flows/codec/flow.thrift
+++ b/notchhoist/flows/codec/flow.thrift
@@ -23,7 +23,7 @@
 }
 struct ColdBound { 1: string service_name, 2: double per_s, 3: double lasts_s }
 struct Zone { 1: string name, 2: i64 revision }
-struct ViewAsk { 1: i64 revision, 2: i32 link_mbps }
+struct ViewAsk { 1: i64 revision, 2: i32 link_mbps, 3: optional i64 number }
 struct Member { 1: string host, 2: i32 link_mbps, 3: i32 age_ms }
 struct ViewTell {
   1: i64 revision, 2: i64 base, 3: i32 age_ms, 4: list<Member> members,
@@ -32,7 +32,8 @@
   11: list<Server> servers, 12: list<string> removed_servers,
   13: i32 routes_total, 14: i32 servers_total,
   15: optional list<ColdBound> cold_bounds, 16: optional list<Zone> evacuated,
-  17: optional list<Zone> returned, 18: optional i32 evacuated_total
+  17: optional list<Zone> returned, 18: optional i32 evacuated_total,
+  19: optional i64 asked
 }
 
 /** heads: packets' heads to tell about; samples: packets to try. */
--- a/notchhoist/flows/codec/message_codec.py
+++ b/notchhoist/flows/codec/message_codec.py
@@ -39,7 +39,14 @@
     "LoadAsk": ("state",),
     "LoadTell": ("state_revision",),
     "Server": ("born_ms",),
-    "ViewTell": ("cold_bounds", "evacuated", "returned", "evacuated_total"),
+    "ViewAsk": ("number",),
+    "ViewTell": (
+        "asked",
+        "cold_bounds",
+        "evacuated",
+        "returned",
+        "evacuated_total",
+    ),
 }
 """Fields that processes of an earlier version do not send."""
 
@@ -72,7 +79,7 @@
             struct.flows_tell = _flows_struct(message)
         case ViewAsk():
             struct.view_ask = ttypes.ViewAsk(
-                message.revision, message.link_mbps
+                message.revision, message.link_mbps, message.number
             )
         case ViewTell():
             struct.view_tell = _view_struct(message)
@@ -133,6 +140,7 @@
         evacuated=[ttypes.Zone(*zone) for zone in change.evacuated],
         returned=[ttypes.Zone(*zone) for zone in change.returned],
         evacuated_total=change.evacuated_total,
+        asked=tell.asked,
     )
 
 
@@ -215,7 +223,7 @@
         return _flows_of(struct.flows_tell)
     if struct.view_ask is not None:
         view = struct.view_ask
-        return ViewAsk(view.revision, view.link_mbps)
+        return ViewAsk(view.revision, view.link_mbps, view.number or 0)
     if struct.view_tell is not None:
         return _view_of(struct.view_tell)
     raise ValueError("no known message")
@@ -299,7 +307,9 @@
     members = tuple(
         Member(m.host, m.link_mbps, m.age_ms) for m in struct.members
     )
-    return ViewTell(change, age_s, members, struct.part, struct.parts)
+    return ViewTell(
+        change, age_s, members, struct.part, struct.parts, struct.asked or 0
+    )
 
 
 def _route_of(struct: Any) -> Route:
--- a/notchhoist/flows/decisions/__init__.py
+++ b/notchhoist/flows/decisions/__init__.py
@@ -6,5 +6,6 @@
 * ``failing``: how well a backend server answers, by the times of its answers.
 * ``completeness``: whether every server that may hold a flow is known.
 * ``holding``: requests that wait for a slot; ``queueing``: who gets one.
+* ``bearing``: how many new flows a cold backend server gets.
 * ``early``: packets that come before a balancer knows any route.
 """
--- a/notchhoist/flows/model/messages.py
+++ b/notchhoist/flows/model/messages.py
@@ -120,10 +120,12 @@
     Attributes:
         revision: Everything up to this revision is known.
         link_mbps: What the asker's link carries, Mbit/s.
+        number: Number of the question, above 0.
     """
 
     revision: int
     link_mbps: int = 0
+    number: int = 0
 
 
 class ViewTell(Struct, frozen=True):
@@ -135,6 +137,8 @@
         members: Balancers that were heard lately, the sender too.
         part: Number of this part, from 0.
         parts: How many parts there are.
+        asked: Number of the newest question that its sender had had from the
+            receiver; 0 for none.
     """
 
     change: ViewChange
@@ -142,6 +146,7 @@
     members: tuple[Member, ...]
     part: int = 0
     parts: int = 1
+    asked: int = 0
 
 
 PeerMessage = LoadAsk | LoadTell | FlowsAsk | FlowsTell | ViewAsk | ViewTell
--- a/notchhoist/flows/published/__init__.py
+++ b/notchhoist/flows/published/__init__.py
@@ -1,5 +1,9 @@
 """How a balancer learns what the platform publishes.
 
+From the top down, each module imports only those above it:
+
 * ``fleet_keeper``: takes news into the blackboard; nothing goes back.
+* ``states``: what an agent is told of its backend server.
+* ``parts``: cuts a view into messages and puts it together again.
 * ``sharing``: balancers tell each other, so that only a few read the platform.
 """
--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -9,7 +9,6 @@
 from collections.abc import Iterable
 
 from msgspec import Struct, field
-from msgspec.structs import replace
 
 from notchhoist.flows.boards.balancer_board import BalancerBoard
 from notchhoist.flows.model.effects import SendPeer
@@ -17,6 +16,7 @@
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.view import ViewChange
 from notchhoist.flows.published.fleet_keeper import FleetKeeper
+from notchhoist.flows.published.parts import ViewParts, split
 
 READERS = 2
 """Balancers that read the store, so that one may be lost unnoticed."""
@@ -44,35 +44,24 @@
 """Balancers that are asked at once by one that hears no agent."""
 
 MEMBERS_TOLD = 16
-RECORDS_A_PART = 12
-"""Routes and servers in one message: about 1,100 bytes at 90 bytes each."""
-
 MEND_EVERY_S = 5.0
 """Least time between two questions for everything because views differ,
 seconds: a configuration of 1,600 routes fills a link of 5 Mbit/s for 0.7 s."""
 
-RECORDS = (
-    "evacuated",
-    "returned",
-    "cold_bounds",
-    "routes",
-    "servers",
-    "removed_routes",
-    "removed_servers",
-)
-"""Fields of a change that hold records."""
-
-PARTS_KEPT_S = 1.0
+ANSWERS_KEPT_S = 10.0
+"""A question is forgotten after this time, seconds: what is told in answer to
+an older one confirms nothing that matters any more."""
+
 FORGET_S = 60.0
 """A balancer that was not heard for so long is forgotten."""
 
 
-class _Parts(Struct, eq=False):
-    """The parts of one view that have come so far."""
+class _Question(Struct, eq=False):
+    """The newest question of another balancer, and what it knows."""
 
-    total: int
-    since: float
-    by_number: dict[int, ViewChange] = field(default_factory=dict)
+    at: float
+    revision: int
+    number: int
 
 
 class ViewSharer(Struct, eq=False):
@@ -86,14 +75,16 @@
         fresh_s: What was confirmed within this time need not be read again.
         members: When each balancer was last heard, by host.
         links: What their links carry.
-        askers: When each balancer last asked, and the revision it has.
+        askers: The newest question of each balancer.
+        asked_at: When each question was asked that may still be answered.
+        number: Number of the last question.
         confirmed_at: When the platform last confirmed what is known, seconds.
         pushed: Revision that the askers were last told.
         ask_due: When to ask next, seconds.
         turn: Counts the questions.
         mend_due: When a whole view may be asked for again, seconds.
         heard_at: When any other balancer was last heard, seconds.
-        incoming: Parts of views, by sender and revision.
+        parts: Views of which parts have come.
     """
 
     board: BalancerBoard
@@ -103,14 +94,16 @@
     fresh_s: float = FRESH_S
     members: dict[str, float] = field(default_factory=dict)
     links: dict[str, int] = field(default_factory=dict)
-    askers: dict[str, tuple[float, int]] = field(default_factory=dict)
+    askers: dict[str, _Question] = field(default_factory=dict)
+    asked_at: dict[int, float] = field(default_factory=dict)
+    number: int = 0
     confirmed_at: float = float("-inf")
     pushed: int = 0
     ask_due: float = 0.0
     turn: int = 0
     mend_due: float = float("-inf")
     heard_at: float = float("-inf")
-    incoming: dict[tuple[str, int], _Parts] = field(default_factory=dict)
+    parts: ViewParts = field(default_factory=ViewParts)
 
     def alive(self, now: float) -> list[str]:
         """Returns the balancers that are alive, the readers first."""
@@ -151,10 +144,11 @@
         """Answers another balancer."""
         self.members[host] = self.heard_at = now
         self.links[host] = ask.link_mbps
-        self.askers[host] = (now, ask.revision)
-        self._tell(host, ask.revision, now)
+        question = _Question(now, ask.revision, ask.number)
+        self.askers[host] = question
+        self._tell(host, question, now)
 
-    def _tell(self, host: str, revision: int, now: float) -> None:
+    def _tell(self, host: str, question: _Question, now: float) -> None:
         members = tuple(
             self._member(member, now)
             for member in self.alive(now)[:MEMBERS_TOLD]
@@ -162,9 +156,11 @@
         age_s = now - self.confirmed_at
         if not self.board.fleet_known:
             return
-        pieces = split(self.board.view.since(revision))
-        for number, piece in enumerate(pieces):
-            tell = ViewTell(piece, age_s, members, number, len(pieces))
+        pieces = split(self.board.view.since(question.revision))
+        for part, piece in enumerate(pieces):
+            tell = ViewTell(
+                piece, age_s, members, part, len(pieces), question.number
+            )
             self.board.outbox.append(SendPeer(host, tell))
 
     def _member(self, host: str, now: float) -> Member:
@@ -178,10 +174,10 @@
         if self.board.view.revision == self.pushed:
             return
         self.pushed = self.board.view.revision
-        for host, (asked_at, revision) in list(self.askers.items()):
-            if now - asked_at < ALIVE_S:
-                self._tell(host, revision, now)
-                self.askers[host] = (asked_at, self.pushed)
+        for host, question in list(self.askers.items()):
+            if now - question.at < ALIVE_S:
+                self._tell(host, question, now)
+                question.revision = self.pushed
             else:
                 del self.askers[host]
 
@@ -193,18 +189,29 @@
             known = self.members.get(member.host, float("-inf"))
             self.members[member.host] = max(known, heard_at)
             self.links[member.host] = member.link_mbps
-        change = self._whole(host, tell, now)
+        change = self.parts.whole(host, tell, now)
         if change is None:
             return
         before = self.board.view.revision
         self.fleet.on_change(change, now)
         if change.base <= before:
-            at = now - tell.age_s
-            self.confirmed_at = max(self.confirmed_at, at)
+            self._note_confirmed(tell)
             self._check(host, change, now)
         self.board.records.counters[Count.VIEWS_TOLD] += 1
         self._push(now)
 
+    def _note_confirmed(self, tell: ViewTell) -> None:
+        """Notes since when what was told is confirmed for certain.
+
+        The age is as of the telling, which came after the question that it
+        names. A tell may wait for a second before a full link; reckoned from
+        its arrival, what was told looked that much newer, and a balancer read
+        the platform itself only after the bound of a change.
+        """
+        asked_at = self.asked_at.get(tell.asked)
+        if asked_at is not None:
+            self.confirmed_at = max(self.confirmed_at, asked_at - tell.age_s)
+
     def _check(self, host: str, change: ViewChange, now: float) -> None:
         """Asks for everything where differences have not led to the same."""
         view = self.board.view
@@ -234,20 +241,6 @@
         message = ViewAsk(0, self.link_mbps)
         self.board.outbox.append(SendPeer(host, message))
 
-    def _whole(
-        self, host: str, tell: ViewTell, now: float
-    ) -> ViewChange | None:
-        """Returns a view once all its parts have come."""
-        if tell.parts == 1:
-            return tell.change
-        key = (host, tell.change.revision)
-        parts = self.incoming.setdefault(key, _Parts(tell.parts, now))
-        parts.by_number[tell.part] = tell.change
-        if len(parts.by_number) < parts.total:
-            return None
-        del self.incoming[key]
-        return join([parts.by_number[n] for n in range(parts.total)])
-
     def tick(self, now: float) -> None:
         """Asks one of the readers; forgets what is old."""
         if now < self.ask_due:
@@ -265,19 +258,23 @@
             hosts.append(seeds[self.turn // 4 % len(seeds)])
         if not self.board.fleet_known:
             hosts = [*asked, *seeds]
-        self._ask(hosts)
+        self._ask(hosts, now)
         for host in [
             h for h, at in self.members.items() if now - at > FORGET_S
         ]:
             del self.members[host]
             self.links.pop(host, None)
-        for key, parts in list(self.incoming.items()):
-            if now - parts.since > PARTS_KEPT_S:
-                del self.incoming[key]
+        for number, at in list(self.asked_at.items()):
+            if now - at > ANSWERS_KEPT_S:
+                del self.asked_at[number]
+        self.parts.sweep(now)
 
-    def _ask(self, hosts: Iterable[str]) -> None:
+    def _ask(self, hosts: Iterable[str], now: float) -> None:
         for host in dict.fromkeys(hosts):
-            message = ViewAsk(self.board.view.revision, self.link_mbps)
+            self.number += 1
+            self.asked_at[self.number] = now
+            revision = self.board.view.revision
+            message = ViewAsk(revision, self.link_mbps, self.number)
             self.board.outbox.append(SendPeer(host, message))
 
     def _others(self) -> list[str]:
@@ -289,41 +286,10 @@
         """Tells whether there are other balancers at all."""
         return bool(self._others())
 
-    def ask_widely(self) -> None:
+    def ask_widely(self, now: float) -> None:
         """Asks several balancers at once; any answer shows a path."""
-        self._ask(self._others()[:ASKED_WIDELY])
+        self._ask(self._others()[:ASKED_WIDELY], now)
 
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
         return self.ask_due
-
-
-def split(change: ViewChange) -> list[ViewChange]:
-    """Cuts a change into parts that fit a datagram each.
-
-    Examples:
-        >>> [part.removed_servers for part in split(
-        ...     ViewChange(9, removed_servers=("a", "b"))
-        ... )]
-        [('a', 'b')]
-    """
-    left = {name: list(getattr(change, name)) for name in RECORDS}
-    parts: list[ViewChange] = []
-    while any(left.values()) or not parts:
-        taken: dict[str, tuple] = {}
-        room = RECORDS_A_PART
-        for name, records in left.items():
-            taken[name] = tuple(records[:room])
-            del records[:room]
-            room -= len(taken[name])
-        parts.append(replace(change, **taken))
-    return parts
-
-
-def join(parts: list[ViewChange]) -> ViewChange:
-    """Puts the parts of a change together again."""
-    whole = {
-        name: tuple(item for part in parts for item in getattr(part, name))
-        for name in RECORDS
-    }
-    return replace(parts[0], **whole)
--- a/notchhoist/flows/published/tests/test_sharing.py
+++ b/notchhoist/flows/published/tests/test_sharing.py
@@ -9,7 +9,8 @@
 from notchhoist.flows.model.fleet import ColdBound
 from notchhoist.flows.model.messages import Member, ViewAsk, ViewTell
 from notchhoist.flows.model.view import FleetView, ViewChange
-from notchhoist.flows.published.sharing import ALIVE_S, FRESH_S, join, split
+from notchhoist.flows.published.parts import join, split
+from notchhoist.flows.published.sharing import ALIVE_S, FRESH_S
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.crafting import CODEC, entry
 
@@ -375,3 +376,32 @@
     fleet.nodes[HOSTS[3]] = newcomer
     fleet.carry(HOSTS[3], newcomer.tick(fleet.now))
     assert set(newcomer.board.view.evacuated) == {"b"}
+
+
+def test_a_tell_that_waited_before_a_link_is_as_old_as_it_is():
+    """Reckoned from its arrival it looked a second newer, past the bound."""
+    teller, asker = (make_balancer("a", CODEC, n, n, HOSTS) for n in HOSTS[:2])
+    teller.fleet.on_table(crafting.table(), 1)
+    teller.fleet.on_listing([(entry(1), 1)], 1, 0.0)
+    teller.sharer.on_confirmed(0.0)
+    [ask] = [
+        item.message
+        for item in asker.tick(10.0)
+        if isinstance(item, SendPeer) and item.host == HOSTS[0]
+    ]
+    teller.sharer.on_confirmed(10.0)
+    [tell] = [
+        item.message
+        for item in teller.on_peer(HOSTS[1], ask, 10.001)
+        if isinstance(item, SendPeer) and item.host == HOSTS[1]
+    ]
+    asker.on_peer(HOSTS[0], tell, 11.0)
+    assert asker.sharer.confirmed_at <= 10.0
+    assert asker.sharer.must_read(10.0 + FRESH_S)
+
+
+def test_an_answer_to_no_question_of_ours_confirms_nothing():
+    asker = make_balancer("a", CODEC, "n", HOSTS[1], HOSTS)
+    tell = ViewTell(ViewChange(1, version=1), 0.0, (), asked=77)
+    asker.on_peer(HOSTS[0], tell, 5.0)
+    assert asker.sharer.confirmed_at == float("-inf")
--- a/notchhoist/links/backlogs.py
+++ b/notchhoist/links/backlogs.py
@@ -61,11 +61,14 @@
 
 
 class FairBacklog(Struct, eq=False):
-    """Large datagrams leave in turn by flow; small ones pass them.
+    """Callers' large datagrams leave in turn by flow; others pass them.
 
-    All large datagrams are of nearly the same size, so one a turn shares the
-    link as fairly as counting bytes would. The newest of the flow that has the
-    most waiting is dropped.
+    Small ones go first, then what belongs to no flow: parts of a view, which
+    must be in force in time. While these took turns with the flows, a view of
+    40 parts behind eight full uploads was through a link of 5 Mbit/s after
+    0.76 s; it is after 0.08 s. All large datagrams are of nearly the same size,
+    so one a turn shares the link as fairly as counting bytes would. The newest
+    of the flow that has the most waiting is dropped.
 
     Examples:
         >>> backlog = FairBacklog()
@@ -80,10 +83,12 @@
 
     Attributes:
         small: Small datagrams, first in, first out.
+        control: Large ones that belong to no flow, likewise.
         by_flow: The others by flow, the flow whose turn it is first.
     """
 
     small: deque[Outgoing] = field(default_factory=deque)
+    control: deque[Outgoing] = field(default_factory=deque)
     by_flow: OrderedDict[bytes, deque[Outgoing]] = field(
         default_factory=OrderedDict
     )
@@ -93,20 +98,25 @@
         if packet.is_small:
             self.small.append(packet)
             return
+        if packet.is_control:
+            self.control.append(packet)
+            return
         self.by_flow.setdefault(packet.flow, deque()).append(packet)
 
     def next_size(self) -> int:
         """See ``Backlog``."""
-        if self.small:
-            return self.small[0].size
+        first = self.small or self.control
+        if first:
+            return first[0].size
         for queue in self.by_flow.values():
             return queue[0].size
         return 0
 
     def take(self) -> Outgoing:
         """See ``Backlog``."""
-        if self.small:
-            return self.small.popleft()
+        first = self.small or self.control
+        if first:
+            return first.popleft()
         flow, queue = next(iter(self.by_flow.items()))
         packet = queue.popleft()
         if queue:
@@ -118,7 +128,7 @@
     def drop(self) -> Outgoing:
         """See ``Backlog``."""
         if not self.by_flow:
-            return self.small.pop()
+            return (self.control or self.small).pop()
         flow = max(self.by_flow, key=lambda key: len(self.by_flow[key]))
         packet = self.by_flow[flow].pop()
         if not self.by_flow[flow]:
--- a/notchhoist/links/packets.py
+++ b/notchhoist/links/packets.py
@@ -42,6 +42,11 @@
         """Whether it may pass larger ones."""
         return len(self.datagram) <= SMALL_BYTES
 
+    @property
+    def is_control(self) -> bool:
+        """Whether it belongs to no caller's flow."""
+        return not self.flow
+
     @property
     def copy_key(self) -> tuple[Address, bytes, int, int] | None:
         """What it shares with its copies, or None where it has none."""
--- a/notchhoist/links/tests/test_scheduler.py
+++ b/notchhoist/links/tests/test_scheduler.py
@@ -159,3 +159,17 @@
             total += size
             room = scheduler.rate * (when - start + AHEAD_S)
             assert total <= room + 1260 + 1
+
+
+def test_parts_of_a_view_pass_full_uploads_and_are_not_dropped():
+    """They took turns with the uploads, and the last left after 0.4 s."""
+    scheduler = make_scheduler(5.0)
+    for number in range(600):
+        scheduler.offer(packet(1232, bytes([number % 8]), number), 0.0)
+    for number in range(20):
+        scheduler.offer(packet(1100, b"", number), 0.0)
+    left, now = [], 0.0
+    while now < 0.1:
+        now += STEP_S
+        left += [item for item in scheduler.take(now) if not item.flow]
+    assert [item.seq for item in left] == list(range(20))
