Servers that ended with their agents are told from agents that restart

The logs show 2,203 searches given up because of silent agents; their hosts had left before the outage, were still listed, and refuse connections, which was taken for a restart of the agent each time. Ruled out: a longest time for a restart (no figure holds for it on thin hosts); draining entries as evidence (agents of draining servers are restarted too). Change: after a refusal the backend server's own port is checked.

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -229,7 +229,7 @@
             case CheckBackend():
                 self._check_backend()
             case CheckHost():
-                self._check_host(effect.host)
+                self._check_host(effect)
             case ConfirmView():
                 if self.confirm is not None:
                     self.confirm()
@@ -252,17 +252,17 @@
 
         check_port(self.loop, backend, BACKEND_WAIT_S, on_checked)
 
-    def _check_host(self, host: str) -> None:
+    def _check_host(self, check: CheckHost) -> None:
         node = self.node
         if not isinstance(node, BalancerNode):
             return
 
         def on_checked(reach: Reach) -> None:
             now = self.loop.clock()
-            self.perform(node.on_host_checked(host, reach, now))
+            self.perform(node.on_host_checked(check, reach, now))
 
         # Every agent listens there as soon as it serves.
-        address = (host, METRICS_PORT)
+        address = (check.host, check.port or METRICS_PORT)
         check_port(self.loop, address, HOST_WAIT_S, on_checked)
 
     def _log_decisions(self) -> None:
