Flows tried at a backend server that has ended are told absent at once

These agents had started again and lived, their servers had ended; nothing returns a packet there, and callers waited for their next copy or their deadline. Ruled out: a shorter wait for samples (a slow server holds its flows). Change: an agent that hands a packet over on suspicion looks whether the server listens; if it does not, what was tried there is absent.

--- a/notchhoist/flows/agent/node.py
+++ b/notchhoist/flows/agent/node.py
@@ -138,7 +138,9 @@
             self.gate.reset_again(segment)
             return
         if held.phase is Phase.TRIED:
-            # Only the backend server can tell whether the flow is here.
+            # Only the backend server can tell whether the flow is here, if it
+            # has not ended: then nobody would say anything.
+            self.watch.check_soon(now)
             self._note_use(held, host, segment, now)
             board.outbox.append(SendBackend(self.codec.with_note(segment, 0)))
             return
@@ -237,12 +239,23 @@
     def on_checked(self, listens: bool, now: float) -> list[Effect]:
         """Takes the outcome of ``CheckBackend``."""
         was_gone = self.board.backend_gone
+        tried = self._tried_flows()
         if self.watch.on_checked(listens, now):
             self.offers.offered.clear()
+            for flow, held in tried:
+                self.teller.note_absent(held.balancer, flow, now)
         if was_gone and not self.board.backend_gone:
             self.bearing.note_began_anew(now)
         return self._drain()
 
+    def _tried_flows(self) -> list[tuple[bytes, HeldFlow]]:
+        """Returns flows that balancers wait for the server's word on."""
+        return [
+            (flow, held)
+            for flow, held in self.board.flows.items()
+            if held.phase is Phase.TRIED and held.balancer
+        ]
+
     def on_peer(
         self, host: str, message: PeerMessage, now: float
     ) -> list[Effect]:
--- a/notchhoist/flows/agent/tests/test_agent.py
+++ b/notchhoist/flows/agent/tests/test_agent.py
@@ -9,11 +9,14 @@
     SendCaller,
     SendPeer,
 )
+from notchhoist.flows.model.messages import FlowsAsk
 from notchhoist.flows.model.notes import NoteKind, service_tag
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.agents import (
+    BALANCER,
     SERVER_SEQ,
     START,
+    TAG,
     accept,
     agent,
     ask,
@@ -178,3 +181,19 @@
     node = make_agent(crafting.SERVICE, CODEC, START, sees_all=True)
     effects = send(node, request(data=b"x"), NoteKind.ASK)
     assert to_balancer(effects) == [NoteKind.ABSENT]
+
+
+def test_flows_tried_at_a_server_that_has_ended_are_told_absent():
+    """Nobody said anything, and callers waited to their deadlines."""
+    node = agent(known=False)
+    sample = CODEC.with_note(request(data=b"x", seq=9, port=7), 0)
+    effects = node.on_peer(BALANCER, FlowsAsk(1, TAG, (), (sample,)), START)
+    assert to_backend(effects)
+    assert any(isinstance(item, CheckBackend) for item in node.tick(START))
+    node.on_checked(False, START + 0.001)
+    told = [
+        item.message
+        for item in node.tick(START + 0.02)
+        if isinstance(item, SendPeer)
+    ]
+    assert [len(message.absent) for message in told] == [1]
