--- /dev/null
+++ b/notchhoist/daemon/tests/test_flow_state.py
@@ -0,0 +1,56 @@
+"""What a daemon says of evacuated zones, cold servers and starts."""
+
+import json
+
+from notchhoist.daemon.flow_state import answer_state
+from notchhoist.flows.agent.bearing import Limits
+from notchhoist.flows.agent.node import make_agent
+from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.model.fleet import ColdBound, RouteTable
+from notchhoist.flows.model.messages import LoadAsk, ServerState
+from notchhoist.flows.model.notes import NoteKind
+from notchhoist.flows.tests import crafting
+from notchhoist.flows.tests.agents import send
+from notchhoist.flows.tests.crafting import CODEC, SYN, entry, request
+
+
+def dump(node, section, now):
+    reply = answer_state(node, "h", "a", f"/dump/{section}", now)
+    return json.loads(reply.body)["entries"]
+
+
+def test_a_balancer_shows_zones_and_what_cold_servers_bear():
+    node = make_balancer("a", CODEC, "seed", "10.0.1.1")
+    bound = ColdBound(crafting.SERVICE, 6.0, 2.0)
+    routes = crafting.table().routes
+    node.fleet.on_table(RouteTable(1, routes, 15.0, cold_bounds=(bound,)), 1)
+    listed = [
+        (entry(1, zone="a", born_ms=7), 1),
+        (entry(2, zone="b", warm_in_s=2.0), 1),
+    ]
+    node.fleet.on_listing(listed, 1, 0.0)
+    node.fleet.on_evacuated("a", 5, 0.5)
+    [zone] = dump(node, "zones", 1.5)
+    assert zone == {
+        "zone": "a",
+        "evacuated": True,
+        "evacuated_s": 1.0,
+        "returned_s": None,
+        "revision": 5,
+    }
+    first, second = dump(node, "servers", 1.5)
+    assert (first["evacuated"], first["takes_new_flows"]) == (True, False)
+    assert (first["born_ms"], first["bears_per_s"]) == (7, None)
+    assert (second["bears_per_s"], second["cold_for_s"]) == (6.0, 0.5)
+    assert second["takes_new_flows"] is True
+
+
+def test_an_agent_shows_what_it_was_told_and_what_is_left_of_the_bound():
+    node = make_agent(crafting.SERVICE, CODEC, 0.0, limits=Limits(5.0, 1.5, 5))
+    state = ServerState(9, 7, cold_for_s=2.0, bound_per_s=6.0)
+    node.on_peer("10.0.1.1", LoadAsk(2, state), 100.0)
+    send(node, request(flags=SYN, port=1), NoteKind.PLACE, 100.5)
+    [row] = dump(node, "backend", 101.0)
+    assert (row["state_revision"], row["born_ms"]) == (9, 7)
+    assert (row["cold_s"], row["bound_per_s"], row["bound_used"]) == (1.0, 6, 1)
+    assert row["evacuated_s"] is None
