Revert: servers' own ports say nothing to other hosts

Ruled out: a fault of the check (agents do reach the same port on their host). Conclusion: reverted.

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -252,7 +252,7 @@
             case CheckBackend():
                 self._check_backend()
             case CheckHost():
-                self._check_host(effect)
+                self._check_host(effect.host)
             case ConfirmView():
                 if self.confirm is not None:
                     self.confirm()
@@ -275,14 +275,14 @@
 
         check_port(self.loop, backend, BACKEND_WAIT_S, on_checked)
 
-    def _check_host(self, check: CheckHost) -> None:
+    def _check_host(self, host: str) -> None:
 
         def on_checked(reach: Reach) -> None:
             now = self.loop.clock()
-            self.perform(self.balancer.on_host_checked(check, reach, now))
+            self.perform(self.balancer.on_host_checked(host, reach, now))
 
         # Every agent listens there as soon as it serves.
-        address = (check.host, check.port or METRICS_PORT)
+        address = (host, METRICS_PORT)
         check_port(self.loop, address, HOST_WAIT_S, on_checked)
 
     def _log_decisions(self) -> None:
--- a/notchhoist/flows/balancer/health.py
+++ b/notchhoist/flows/balancer/health.py
@@ -47,11 +47,6 @@
 before their flows are given up, seconds. One with 5 Mbit/s suspected 12 of 44
 agents within a second (incident inc-c48e), and all of them lived."""
 
-ENDED_AFTER_S = 0.3
-"""Silence after which a server is given up whose host refuses connections to it
-and to its agent, seconds: two probes unanswered, so that one connection refused
-by a host in between decides nothing."""
-
 RESTART_S = 3.0
 """How long an agent that announced a restart is waited for, seconds."""
 
@@ -174,6 +169,7 @@
         self._note_stall(now)
         judges = now >= self.judges_from
         trusts_silence = judges and self._hears_others(now)
+        lost_after_s = self._lost_after_s()
         for server_id, server in list(self.waiting.items()):
             if self.board.servers.get(server_id) is not server:
                 del self.waiting[server_id]
@@ -184,18 +180,15 @@
             if judges and silent >= SUSPECT_AFTER_S:
                 self.suspect(server, now, "no answer to probes")
                 self.hosts.look(server, now)
-            if trusts_silence and self._is_gone(server, silent, now):
+            if (
+                trusts_silence
+                and silent >= lost_after_s
+                and self.hosts.shows_loss(server, now)
+            ):
                 self._give_up(server, now)
             if now - server.probe_sent_at >= PROBE_EVERY_S:
                 self._probe(server, now)
 
-    def _is_gone(self, server: Server, silent: float, now: float) -> bool:
-        """Tells whether the flows of a silent agent's server are lost."""
-        if silent >= ENDED_AFTER_S and self.hosts.shows_end(server):
-            return True
-        late = silent >= self._lost_after_s()
-        return late and self.hosts.shows_loss(server, now)
-
     def _lost_after_s(self) -> float:
         """Returns how long an agent must be silent to be given up, seconds."""
         suspects = sum(item.suspected for item in self.waiting.values())
--- a/notchhoist/flows/balancer/liveness.py
+++ b/notchhoist/flows/balancer/liveness.py
@@ -5,12 +5,6 @@
 has power refuses a connection to a port where nobody listens; one without power
 or behind a cut says nothing. Only silence of both kinds shows that flows are
 lost.
-
-A host may also refuse because its backend server has ended and its agent with
-it. Then it refuses connections to the server's own port too, which shows at
-once that the server holds no flow. Taken for agents that were being restarted,
-13 such hosts kept balancers looking for dead flows for up to 8 s after a loss
-of power, and 1,020 of 19,421 requests on long flows waited to their deadline.
 """
 
 from msgspec import Struct, field
@@ -64,8 +58,6 @@
         server.checked_at = now
         if reach is not Reach.REFUSED:
             return
-        if server.entry.port:
-            self.board.outbox.append(CheckHost(host, server.entry.port))
         if now > server.restarting_until:
             self.board.records.counters[Count.AGENTS_AWAY] += 1
             self.board.records.decide(
@@ -78,33 +70,6 @@
             )
         server.restarting_until = max(server.restarting_until, now + AWAY_S)
 
-    def on_server_checked(
-        self, check: CheckHost, reach: Reach, now: float
-    ) -> None:
-        """Takes the outcome of a check of a backend server."""
-        server = self.board.by_host.get(check.host)
-        if server is None or server.entry.port != check.port:
-            return
-        if reach is not Reach.REFUSED:
-            server.ended_at = float("-inf")
-            return
-        if server.ended_at < (server.probed_at or 0.0):
-            self.board.records.decide(
-                "server ended",
-                b"",
-                "host refuses connections to it and its agent",
-                server=server.entry.server_id,
-                server_host=check.host,
-                silent_s=round(now - server.heard_at, 3),
-            )
-        server.ended_at = now
-
-    def shows_end(self, server: Server) -> bool:
-        """Tells whether its server has ended since the silence began."""
-        return (
-            server.probed_at is not None and server.ended_at >= server.probed_at
-        )
-
     def shows_loss(self, server: Server, now: float) -> bool:
         """Tells whether a check since its silence began speaks for its loss."""
         if now <= server.restarting_until or server.probed_at is None:
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -17,12 +17,7 @@
 from notchhoist.flows.boards.balancer_board import BalancerBoard, Placement
 from notchhoist.flows.decisions.early import EarlyPackets
 from notchhoist.flows.model import notes
-from notchhoist.flows.model.effects import (
-    CheckHost,
-    Effect,
-    Reach,
-    SendAgent,
-)
+from notchhoist.flows.model.effects import Effect, Reach, SendAgent
 from notchhoist.flows.model.fleet import Route
 from notchhoist.flows.model.mechanisms import ALL, Mechanisms
 from notchhoist.flows.model.messages import (
@@ -219,13 +214,10 @@
             self.finder.questions.on_heard(host, server.tag, now)
 
     def on_host_checked(
-        self, check: CheckHost, reach: Reach, now: float
+        self, host: str, reach: Reach, now: float
     ) -> list[Effect]:
-        """Takes the outcome of a check."""
-        if check.port:
-            self.health.hosts.on_server_checked(check, reach, now)
-        else:
-            self.health.hosts.on_checked(check.host, reach, now)
+        """Takes the outcome of ``CheckHost``."""
+        self.health.hosts.on_checked(host, reach, now)
         return self.take_effects()
 
     def on_published(self, now: float) -> None:
--- a/notchhoist/flows/codec/flow.thrift
+++ b/notchhoist/flows/codec/flow.thrift
@@ -19,7 +19,7 @@
 struct Server {
   1: string server_id, 2: string service_name, 3: string host, 4: string zone,
   5: i32 slots, 6: bool draining, 7: double warm_in_s, 8: i64 created,
-  9: i64 revision, 10: optional i64 born_ms, 11: optional i32 port
+  9: i64 revision, 10: optional i64 born_ms
 }
 struct ColdBound { 1: string service_name, 2: double per_s, 3: double lasts_s }
 struct Zone { 1: string name, 2: i64 revision }
--- a/notchhoist/flows/codec/message_codec.py
+++ b/notchhoist/flows/codec/message_codec.py
@@ -38,7 +38,7 @@
 _ADDED_LATER = {
     "LoadAsk": ("state",),
     "LoadTell": ("state_revision",),
-    "Server": ("born_ms", "port"),
+    "Server": ("born_ms",),
     "ViewAsk": ("number",),
     "ViewTell": (
         "asked",
@@ -168,7 +168,6 @@
         created=entry.created,
         revision=revision,
         born_ms=entry.born_ms,
-        port=entry.port,
     )
 
 
@@ -350,6 +349,5 @@
         warm_in_s=struct.warm_in_s,
         created=struct.created,
         born_ms=struct.born_ms or 0,
-        port=struct.port or 0,
     )
     return entry, struct.revision
--- a/notchhoist/platform/documents.py
+++ b/notchhoist/platform/documents.py
@@ -187,7 +187,7 @@
     """
     place = f"servers/{server_id}"
     fields = Fields(decode_json(text, place), place)
-    host, port = split_address(fields.text("address"), f"{place}.address")
+    host, _ = split_address(fields.text("address"), f"{place}.address")
     state = fields.choice("state", ("ready", "draining"))
     fields.text("version")
     fields.integer("seq", 0, MAX_COUNT)
@@ -201,5 +201,4 @@
         warm_in_s=fields.number("cold_remaining_ms", 0, MAX_MS) / 1000,
         created=created,
         born_ms=fields.integer("born", 0, MAX_COUNT, default=0),
-        port=port,
     )
--- a/notchhoist/testing/opaque/hosts.py
+++ b/notchhoist/testing/opaque/hosts.py
@@ -61,10 +61,3 @@
         if self.dark:
             return Reach.SILENT
         return Reach.REFUSED if self.node is None else Reach.ACCEPTED
-
-    def reach_server(self) -> Reach:
-        """Returns what a connection to its backend server meets."""
-        if self.dark:
-            return Reach.SILENT
-        lives = self.server is not None and self.server.alive
-        return Reach.ACCEPTED if lives else Reach.REFUSED
