--- a/notchhoist/flows/codec/message_codec.py
+++ b/notchhoist/flows/codec/message_codec.py
@@ -37,7 +37,7 @@
 
 _ADDED_LATER = {
     "LoadAsk": ("state",),
-    "LoadTell": ("state_revision",),
+    "LoadTell": ("state_revision", "ended"),
     "Server": ("born_ms",),
     "ViewAsk": ("number",),
     "ViewTell": (
@@ -70,6 +70,7 @@
                 message.pace_ms,
                 message.stopping,
                 message.state_revision,
+                message.ended,
             )
         case FlowsAsk(number, tag, heads, samples):
             struct.flows_ask = ttypes.FlowsAsk(
@@ -214,6 +215,7 @@
             told.pace_ms,
             told.stopping,
             told.state_revision or 0,
+            bool(told.ended),
         )
     if struct.flows_ask is not None:
         question = struct.flows_ask
