The soak evacuates zones, restarts servers under their ids, overwrites entries

Cause: the randomized soak knew none of the new matters. Ruled out: adding them to the plans of older seeds: regression seeds must stay. Change: three troubles for seeds from 500,000 on.

--- a/notchhoist/testing/soak/ends.py
+++ b/notchhoist/testing/soak/ends.py
@@ -157,9 +157,15 @@
             return None
         return frame
 
-    def start_server(self, place: ServerPlace) -> ServerModel:
+    def start_server(
+        self, place: ServerPlace, server_id: str = ""
+    ) -> ServerModel:
         """Starts a new incarnation of a backend server.
 
+        Args:
+            place: Its host.
+            server_id: Its id; a new one where this is empty.
+
         Raises:
             OSError: Its address cannot be bound.
         """
@@ -173,7 +179,7 @@
         listener.listen()
         to_agent = (place.daemon.own, addresses.OUTBOUND_PORT)
         server = ServerModel(
-            server_id=f"i{self.numbers:05}",
+            server_id=server_id or f"i{self.numbers:05}",
             service=place.daemon.service,
             rng=random.Random(self.rng.random()),
             judge=self.judge,
@@ -182,6 +188,7 @@
             workloads=self.requests,
             slots=place.slots,
             started_at=self.loop.clock(),
+            zone=place.zone,
         )
         place.server = server
         place.packets, place.listener = packets, listener
--- a/notchhoist/testing/soak/fleet.py
+++ b/notchhoist/testing/soak/fleet.py
@@ -176,9 +176,14 @@
         self.ends.places.append(place)
         self.start_server(place)
 
-    def start_server(self, place: ServerPlace) -> None:
-        """Starts a backend server, which announces itself."""
-        self.ends.start_server(place)
+    def start_server(self, place: ServerPlace, server_id: str = "") -> None:
+        """Starts a backend server, which announces itself.
+
+        Args:
+            place: Its host.
+            server_id: Its id; a new one where this is empty.
+        """
+        self.ends.start_server(place, server_id)
         self.announce(place)
 
     def announce(self, place: ServerPlace) -> None:
--- a/notchhoist/testing/soak/plan.py
+++ b/notchhoist/testing/soak/plan.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from notchhoist.testing.soak.troubles import TROUBLES
+from notchhoist.testing.soak.troubles import ALL_TROUBLES, TROUBLES
 
 PLANNED_SHARE = 0.25
 """Share of the seeds with planned work only, on which every bound holds all the
@@ -14,6 +14,9 @@
 SERIES_SHARE = 0.3
 """Share of the troubles that come again at once, in series."""
 
+LATER_SEEDS = 500_000
+"""Seeds from here on draw from all troubles, older ones from the first 22."""
+
 GAP_S = (0.1, 3.0)
 LAST_S = (0.5, 4.0)
 
@@ -46,9 +49,10 @@
     """
     rng = random.Random(f"plan {seed}")
     planned_only = rng.random() < PLANNED_SHARE
+    troubles = ALL_TROUBLES if seed >= LATER_SEEDS else TROUBLES
     names = [
         name
-        for name, trouble in TROUBLES.items()
+        for name, trouble in troubles.items()
         if trouble.planned or not planned_only
     ]
     steps: list[Step] = []
--- a/notchhoist/testing/soak/run.py
+++ b/notchhoist/testing/soak/run.py
@@ -18,7 +18,7 @@
 from notchhoist.testing.soak.plan import Step, make_plan
 from notchhoist.testing.soak.seeds import REGRESSIONS
 from notchhoist.testing.soak.store_port import store_server
-from notchhoist.testing.soak.troubles import TROUBLES
+from notchhoist.testing.soak.troubles import ALL_TROUBLES
 
 READY_S = 20.0
 """Time for the whole fleet to start, seconds."""
@@ -80,7 +80,7 @@
 
 
 def _begin(fleet: Fleet, step: Step) -> None:
-    trouble = TROUBLES[step.name]
+    trouble = ALL_TROUBLES[step.name]
     if not trouble.planned:
         fleet.disturb()
     heal = trouble.begin(fleet, random.Random(step.seed))
@@ -112,7 +112,7 @@
 
 
 def _lasts_s(step: Step) -> float:
-    trouble = TROUBLES[step.name]
+    trouble = ALL_TROUBLES[step.name]
     return max(trouble.takes_s, step.for_s if trouble.lasts else 0.0)
 
 
--- a/notchhoist/testing/soak/tests/test_soak.py
+++ b/notchhoist/testing/soak/tests/test_soak.py
@@ -6,10 +6,10 @@
 
 from notchhoist.testing.soak import promises
 from notchhoist.testing.soak.addresses import BLOCKS, Block
-from notchhoist.testing.soak.plan import make_plan
+from notchhoist.testing.soak.plan import LATER_SEEDS, make_plan
 from notchhoist.testing.soak.run import play
 from notchhoist.testing.soak.seeds import REGRESSIONS
-from notchhoist.testing.soak.troubles import TROUBLES
+from notchhoist.testing.soak.troubles import ALL_TROUBLES, TROUBLES
 
 SECONDS = 6.0
 
@@ -31,6 +31,12 @@
     assert names == set(TROUBLES)
 
 
+def test_every_later_trouble_comes_in_some_plan_of_a_later_seed():
+    seeds = range(LATER_SEEDS, LATER_SEEDS + 60)
+    names = {step.name for seed in seeds for step in make_plan(seed, 20.0)}
+    assert names == set(ALL_TROUBLES)
+
+
 def test_some_seeds_hold_planned_work_only():
     planned = [
         seed
--- a/notchhoist/testing/soak/troubles.py
+++ b/notchhoist/testing/soak/troubles.py
@@ -11,12 +11,16 @@
 from notchhoist.testing.soak.daemons import RESTART_S, Daemon
 from notchhoist.testing.soak.datagram_proxy import PORTS
 from notchhoist.testing.soak.ends import ServerPlace
-from notchhoist.testing.soak.fleet import WORKLOADS, Fleet
+from notchhoist.testing.soak.fleet import WORKLOADS, ZONES, Fleet
 from notchhoist.testing.soak.stream_proxy import StreamState
 
 LAPSE_S = 3.6
 """An entry vanishes after three missed heartbeats of 1.2 s."""
 
+HEARTBEAT_S = 1.2
+STRANGE: tuple[object, ...] = ({}, [], "x", {"service": 4}, {"state": "odd"})
+"""What another writer leaves in entries."""
+
 LEAVE_S = 5.0
 """A server that drains serves for this long, seconds."""
 
@@ -297,6 +301,47 @@
     return lambda: fleet.restore_route(port)
 
 
+# Zones, starts under one id, and other writers.
+
+
+def evacuate_zone(fleet: Fleet, rng: random.Random) -> Heal:
+    """Has a zone evacuated until it heals; it comes back warm."""
+    zone = rng.choice(ZONES)
+    fleet.store.put(f"op/evacuate/{zone}", {})
+    fleet.judge.evacuated[zone] = fleet.loop.clock()
+
+    def heal() -> None:
+        fleet.judge.evacuated.pop(zone, None)
+        fleet.store.remove(f"op/evacuate/{zone}")
+
+    return heal
+
+
+def restart_servers(fleet: Fleet, rng: random.Random) -> Heal:
+    """Ends a third of the servers; they start again under their ids."""
+    for place in _some(rng, fleet.ends.places, 0.34):
+        server = place.server
+        if server is None or not server.alive:
+            continue
+        fleet.ends.end_server(place)
+        fleet.loop.call_later(
+            rng.uniform(0.2, 1.0),
+            partial(fleet.start_server, place, server.server_id),
+        )
+    return _nothing
+
+
+def strange_entries(fleet: Fleet, rng: random.Random) -> Heal:
+    """Lets another writer overwrite entries until their servers write again."""
+    for place in _some(rng, fleet.ends.places, 0.34):
+        if place.server is None:
+            continue
+        key = f"servers/{place.server.server_id}"
+        fleet.store.put(key, rng.choice(STRANGE))
+        fleet.loop.call_later(HEARTBEAT_S, partial(fleet.announce, place))
+    return _nothing
+
+
 @attrs.frozen
 class Trouble:
     """One thing that can go wrong.
@@ -340,3 +385,12 @@
     "change-configuration": Trouble(change_configuration, planned=True),
     "drop-route": Trouble(drop_route, planned=True, lasts=True),
 }
+LATER_TROUBLES = {
+    "evacuate-zone": Trouble(evacuate_zone, planned=True, lasts=True),
+    "restart-servers": Trouble(restart_servers),
+    "strange-entries": Trouble(strange_entries, planned=True),
+}
+"""Seeds from ``plan.LATER_SEEDS`` on draw from these too; the plans of older
+seeds stay what they were."""
+
+ALL_TROUBLES = TROUBLES | LATER_TROUBLES
