--- a/notchhoist/testing/main_job.py
+++ b/notchhoist/testing/main_job.py
@@ -27,7 +27,7 @@
     SCOREDROP,
     ServicePlan,
 )
-from notchhoist.testing.history import History, Result, Violation
+from notchhoist.testing.history import History, Result, Told, Violation
 from notchhoist.testing.launcher import Deployment
 from notchhoist.testing.stand_in import BackendReport
 
@@ -125,6 +125,7 @@
         problems += report(deployments)
     for problem in problems:
         print("FAILED", problem)
+    print("A stream's time is all of its life, an upload's that of its blocks.")
     print("main job:", "failed" if problems else "every check held")
     return 1 if problems else 0
 
@@ -222,18 +223,29 @@
 ) -> None:
     """Prints the figures of one service."""
     results = collections.Counter(item.result.value for item in history.told)
+    print(f"{plan.name}: {len(history.told)} requests, {dict(results)}")
+    print(f"  own answers {count_own(history)}, broken {dict(history.broken)}")
+    print(f"  imbalance {imbalance(servers):.2f} (max over mean)")
+    for kind in sorted({item.kind for item in history.told}):
+        told = [item for item in history.told if item.kind == kind]
+        print(f"  {kind}: {len(told)}, {latencies_of(told)}")
+
+
+def latencies_of(told: Sequence[Told]) -> str:
+    """Returns percentiles of the time from the first packet to the last answer.
+
+    Examples:
+        >>> latencies_of([Told(0, "s", "r", Result.ANSWERED, "r", 0.05, "k")])
+        'p50 50 ms p90 50 ms p99 50 ms'
+    """
     histogram = HdrHistogram(1, MAX_LATENCY_US, 2)
-    for item in history.told:
+    for item in told:
         histogram.record_value(max(1, int(item.latency_s * 1e6)))
-    latencies = " ".join(
+    return " ".join(
         f"p{percentile:g} "
         f"{histogram.get_value_at_percentile(percentile) / 1000:.0f} ms"
         for percentile in PERCENTILES
     )
-    print(f"{plan.name}: {len(history.told)} requests, {dict(results)}")
-    print(f"  own answers {count_own(history)}, broken {dict(history.broken)}")
-    print(f"  imbalance {imbalance(servers):.2f} (max over mean)")
-    print(f"  latency {latencies}")
 
 
 def count_own(history: History) -> int:
