Only agents that have to know more are told it

Ruled out: the codec's cost alone (20 us more a message). Change: the state goes along where a zone was ever evacuated, the service has a bound, or the server has begun anew; elsewhere nothing is sent beyond what was.

--- a/notchhoist/flows/balancer/health.py
+++ b/notchhoist/flows/balancer/health.py
@@ -10,7 +10,7 @@
 from notchhoist.flows.model.messages import LoadAsk, LoadTell
 from notchhoist.flows.model.notes import Load
 from notchhoist.flows.model.records import Count
-from notchhoist.flows.published.states import state_of
+from notchhoist.flows.published.states import concerns_agent, state_of
 
 FRESH_S = 0.5
 """An agent that was heard within this time is not asked for its load."""
@@ -93,9 +93,11 @@
             server.probed_at = now
         server.probe_sent_at = now
         self.waiting[server.entry.server_id] = server
-        state = state_of(self.board, server, now)
-        server.state_told = state.revision
-        server.told_at = now
+        state = None
+        if concerns_agent(self.board, server):
+            state = state_of(self.board, server, now)
+            server.state_told = state.revision
+            server.told_at = now
         message = LoadAsk(server.entry.slots, state)
         self.board.outbox.append(SendPeer(server.entry.host, message))
 
--- a/notchhoist/flows/balancer/informing.py
+++ b/notchhoist/flows/balancer/informing.py
@@ -103,7 +103,7 @@
     def on_told(self, host: str, message: LoadTell, now: float) -> None:
         """Takes account of what an agent knows; tells it what it does not."""
         server = self.board.by_host.get(host)
-        if server is None:
+        if server is None or not concerns_agent(self.board, server):
             return
         newest = self.board.view.state_revision(server.entry)
         if message.state_revision >= newest:
