A leaving server that listens no more keeps its open flows

In the logs an agent finds its server refusing connections, resets all its flows, and gets SIGTERM 1.9 s later: a server that leaves closes its listener first and serves its flows until it ends. Elsewhere nothing made the agents look in those two seconds; on overloaded hosts copies of packets do. Ruled out: overload (the server never came back); two refusals in a row (the listener stays closed); trusting the entry alone (agents read none). Change: agents are told that their servers drain; a refused connection is then no proof. The host's end stops the agent, which says that the server has ended.

--- a/notchhoist/flows/agent/backend_watch.py
+++ b/notchhoist/flows/agent/backend_watch.py
@@ -50,6 +50,11 @@
         board.checking = False
         board.checked_at = now
         board.check_due = float("inf")
+        leaving = board.state is not None and board.state.draining
+        if leaving and not listens:
+            # It listens no more but serves its open flows for two seconds; up
+            # to 35 of them were reset. The end of its host ends the agent too.
+            return False
         if listens:
             if board.backend_gone:
                 board.records.decide("backend server", b"", "back")
--- a/notchhoist/flows/agent/tests/test_agent.py
+++ b/notchhoist/flows/agent/tests/test_agent.py
@@ -9,7 +9,7 @@
     SendCaller,
     SendPeer,
 )
-from notchhoist.flows.model.messages import FlowsAsk
+from notchhoist.flows.model.messages import FlowsAsk, LoadAsk, ServerState
 from notchhoist.flows.model.notes import NoteKind, service_tag
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.agents import (
@@ -209,3 +209,20 @@
             if isinstance(item, SendPeer)
         ]
         assert (told.stopping, told.ended) == (True, ended)
+
+
+@pytest.mark.parametrize("draining", [True, False])
+def test_a_leaving_server_that_listens_no_more_keeps_its_flows(draining):
+    """It serves open flows for two seconds more; 35 of them were reset."""
+    node = agent()
+    told = LoadAsk(2, ServerState(revision=7, draining=draining))
+    node.on_peer(BALANCER, told, START)
+    accept(node, 1)
+    ask(node, 1)
+    effects = node.on_checked(False, START + 1.0)
+    resets = [item for item in effects if isinstance(item, SendCaller)]
+    assert len(resets) == (0 if draining else 1)
+    assert bool(node.board.flows) is draining
+    more = request(data=b"more", seq=10, ack=SERVER_SEQ + 1, port=1)
+    sent = to_backend(send(node, more, NoteKind.HELD, START + 1.1))
+    assert bool(sent) is draining
--- a/notchhoist/flows/balancer/tests/test_evacuating.py
+++ b/notchhoist/flows/balancer/tests/test_evacuating.py
@@ -204,3 +204,12 @@
         if state.cold_for_s
     }
     assert cold == {"a"}
+
+
+def test_the_agent_of_a_leaving_server_is_told():
+    node = balancer()
+    node.fleet.on_entry(entry(1, zone="b", draining=True), 5, 1.0)
+    node.board.view.reach(5)
+    states = dict(told(node.tick(1.0)))
+    assert [state.draining for state in states.values()] == [True]
+    assert set(states) == {"10.0.0.1"}
--- a/notchhoist/flows/codec/flow.thrift
+++ b/notchhoist/flows/codec/flow.thrift
@@ -3,7 +3,8 @@
 /** What is optional came later: older processes neither send nor miss it. */
 struct ServerState {
   1: i64 revision, 2: i64 born_ms, 3: bool evacuated, 4: i32 evacuated_for_ms,
-  5: i32 cold_for_ms, 6: double bound_per_s, 7: double bound_lasts_s
+  5: i32 cold_for_ms, 6: double bound_per_s, 7: double bound_lasts_s,
+  8: optional bool draining
 }
 struct LoadAsk { 1: i32 slots, 2: optional ServerState state }
 struct LoadTell {
--- a/notchhoist/flows/codec/message_codec.py
+++ b/notchhoist/flows/codec/message_codec.py
@@ -39,6 +39,7 @@
     "LoadAsk": ("state",),
     "LoadTell": ("state_revision", "ended"),
     "Server": ("born_ms",),
+    "ServerState": ("draining",),
     "ViewAsk": ("number",),
     "ViewTell": (
         "asked",
@@ -100,6 +101,7 @@
         cold_for_ms=int(min(state.cold_for_s, AGE_MAX_S) * 1000),
         bound_per_s=state.bound_per_s,
         bound_lasts_s=state.bound_lasts_s,
+        draining=state.draining,
     )
 
 
@@ -253,6 +255,7 @@
         cold_for_s=max(0, struct.cold_for_ms) / 1000,
         bound_per_s=max(0.0, struct.bound_per_s),
         bound_lasts_s=max(0.0, struct.bound_lasts_s),
+        draining=bool(struct.draining),
     )
 
 
--- a/notchhoist/flows/model/messages.py
+++ b/notchhoist/flows/model/messages.py
@@ -17,6 +17,7 @@
         bound_per_s: New flows that it bears in a second while it is cold; 0 for
             no bound.
         bound_lasts_s: How long it is cold after a start, seconds.
+        draining: It has announced that it leaves.
     """
 
     revision: int
@@ -26,6 +27,7 @@
     cold_for_s: float = 0.0
     bound_per_s: float = 0.0
     bound_lasts_s: float = 0.0
+    draining: bool = False
 
 
 class LoadAsk(Struct, frozen=True):
--- a/notchhoist/flows/published/states.py
+++ b/notchhoist/flows/published/states.py
@@ -41,10 +41,11 @@
     """Tells whether an agent has to know what is published of its server.
 
     Most need not: their zone was never evacuated, they are bounded by nothing,
-    and they are the first of their id.
+    they are the first of their id, and they do not leave.
     """
-    known_zone = server.entry.zone in board.zones
-    return known_zone or server.reborn or bound_of(board, server).per_s > 0
+    entry = server.entry
+    special = entry.zone in board.zones or entry.draining or server.reborn
+    return special or bound_of(board, server).per_s > 0
 
 
 def state_of(board: BalancerBoard, server: Server, now: float) -> ServerState:
@@ -60,4 +61,5 @@
         cold_for_s=max(0.0, cold_until(board, server) - now),
         bound_per_s=bound.per_s,
         bound_lasts_s=bound.lasts_s,
+        draining=server.entry.draining,
     )
