Offers: keeping a flow until word comes is told from deciding on it

Cause: the last reading found a flag that was set and reset around a call. Ruled out: a parameter for it. Change: two functions in its place; no behaviour.

--- a/notchhoist/flows/agent/bearing.py
+++ b/notchhoist/flows/agent/bearing.py
@@ -53,13 +53,11 @@
         board: What the agent knows.
         limits: Bounds from the settings.
         handed: New flows that the server has got lately.
-        waits: New flows may be kept until something is told.
     """
 
     board: AgentBoard
     limits: Limits = Limits()
     handed: SlidingCount = field(default_factory=SlidingCount)
-    waits: bool = True
 
     def take_state(self, state: ServerState, now: float) -> bool:
         """Takes what a balancer tells; tells whether the server began anew.
@@ -106,7 +104,7 @@
         Args:
             bounded: Its balancer says that the server bears only so much.
         """
-        return self.waits and bounded and self.board.state is None
+        return bounded and self.board.state is None
 
     def note_began_anew(self, now: float) -> None:
         """Takes account of a start of the server that the agent noticed.
--- a/notchhoist/flows/agent/offering.py
+++ b/notchhoist/flows/agent/offering.py
@@ -63,12 +63,20 @@
             bounded: The balancer says that the server bears only so much.
             now: Runtime clock, seconds.
         """
+        known = self.board.flows.get(segment.flow)
+        new = known is None or known.phase in ENDED
+        if new and self.bearing.must_wait(bounded):
+            self._keep_untold(host, segment, now)
+        else:
+            self._decide(host, segment, bounded, now)
+
+    def _decide(
+        self, host: str, segment: Segment, bounded: bool, now: float
+    ) -> None:
+        """Offers a flow to the server, or turns it away."""
         board = self.board
         held = board.flows.get(segment.flow)
         new = held is None or held.phase in ENDED
-        if new and self.bearing.must_wait(bounded):
-            self._keep_untold(host, segment, now)
-            return
         pause_s = self._pause_s(held, new, bounded, now)
         if pause_s:
             self._turn_away(host, segment, held, pause_s, now)
@@ -146,17 +154,15 @@
             self.replies.tell_load(host, now)
 
     def on_told(self, now: float) -> None:
-        """Offers the flows that were kept until something was told."""
+        """Decides on the flows that were kept until something was told."""
         kept, self.untold = self.untold, {}
         for item in kept.values():
-            self.on_opening(item.host, item.segment, True, now)
+            self._decide(item.host, item.segment, True, now)
 
     def tick(self, now: float) -> None:
         """Decides on flows that nobody has said anything of in time."""
         if self.untold and now >= self._untold_due():
-            self.bearing.waits = False
             self.on_told(now)
-            self.bearing.waits = True
         late = [
             held
             for held in self.offered.values()
