--- a/notchhoist/flows/published/states.py
+++ b/notchhoist/flows/published/states.py
@@ -31,7 +31,7 @@
     return bound or ColdBound(service, 0.0, 0.0)
 
 
-def cold_per_s(board: BalancerBoard, server: Server, now: float) -> float:
+def borne_per_s(board: BalancerBoard, server: Server, now: float) -> float:
     """Returns what a server bears because it is cold; 0 for no bound."""
     bound = bound_of(board, server)
     return bound.per_s if now < cold_until(board, server) else 0.0
--- a/notchhoist/flows/published/tests/test_sharing.py
+++ b/notchhoist/flows/published/tests/test_sharing.py
@@ -6,10 +6,8 @@
 from notchhoist.flows.balancer.node import make_balancer
 from notchhoist.flows.codec.message_codec import decode_message, encode_message
 from notchhoist.flows.model.effects import SendPeer
-from notchhoist.flows.model.fleet import ColdBound
-from notchhoist.flows.model.messages import Member, ViewAsk, ViewTell
+from notchhoist.flows.model.messages import ViewTell
 from notchhoist.flows.model.view import FleetView, ViewChange
-from notchhoist.flows.published.parts import join, split
 from notchhoist.flows.published.sharing import ALIVE_S, FRESH_S
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.crafting import CODEC, entry
@@ -170,80 +168,6 @@
         assert not node.board.servers["s1"].listed
 
 
-@given(st.integers(0, 60), st.integers(0, 40), st.integers(0, 9))
-def test_parts_of_a_view_fit_a_datagram_and_join_again(routes, servers, gone):
-    change = ViewChange(
-        revision=7,
-        base=3,
-        version=2,
-        idle_s=15.0,
-        routes=tuple(crafting.route(port=1000 + n) for n in range(routes)),
-        servers=tuple((entry(n), n) for n in range(servers)),
-        removed_routes=tuple(bytes([n]) * 6 for n in range(gone)),
-        removed_servers=tuple(f"s{n}" for n in range(gone)),
-        cold_bounds=tuple(ColdBound(f"x{n}", 6.0, 2.0) for n in range(gone)),
-        evacuated=tuple((f"zone-{n}", n) for n in range(gone)),
-        returned=tuple((f"other-{n}", n) for n in range(gone)),
-    )
-    parts = split(change)
-    for part in parts:
-        tell = ViewTell(part, 0.5, (Member("10.0.0.1", 5),), 0, len(parts))
-        data = encode_message(tell)
-        assert len(data) < 1400
-        assert decode_message(data) == tell
-    assert join(parts) == change
-
-
-@given(st.lists(st.tuples(st.integers(1, 4), st.integers(0, 3)), max_size=30))
-def test_differences_lead_where_the_whole_view_leads(steps):
-    """A follower that applies differences ends with the leader's servers."""
-    leader, follower = FleetView(), FleetView()
-    for revision, (number, action) in enumerate(steps, 1):
-        if action == 0:
-            leader.remove_server(f"s{number}", revision)
-        else:
-            leader.put_server(entry(number, slots=action), revision)
-        leader.reach(revision)
-        if revision % 3 == 0:
-            change = leader.since(follower.revision)
-            for item, at in change.servers:
-                follower.put_server(item, at)
-            for server_id in change.removed_servers:
-                follower.remove_server(server_id, change.revision)
-            follower.reach(change.revision)
-            assert follower.servers == leader.servers
-
-
-@given(st.binary(max_size=200))
-def test_any_bytes_are_a_message_or_refused(data):
-    from notchhoist.base.errors import CodecError
-
-    try:
-        message = decode_message(data)
-    except CodecError:
-        return
-    assert decode_message(encode_message(message)) == message
-
-
-@given(st.integers(0, 400))
-def test_a_truncated_message_is_refused(length):
-    from notchhoist.base.errors import CodecError
-
-    whole = encode_message(
-        ViewTell(
-            ViewChange(3, routes=(crafting.route(),), servers=((entry(1), 2),)),
-            0.1,
-            (Member("10.0.0.1", 5),),
-        )
-    )
-    for data in (whole[:length], encode_message(ViewAsk(5, 6))[:length]):
-        try:
-            decode_message(data)
-        except CodecError:
-            continue
-        assert length >= len(data)
-
-
 def test_a_teller_that_has_just_started_tells_behind_ones_everything():
     """It knew no removals, and a dropped route was used for 14 s more."""
     behind, teller = (make_balancer("a", CODEC, n, n) for n in HOSTS[:2])
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -5,8 +5,9 @@
 from notchhoist.base.errors import ConfigurationProblem, PlatformError
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.flows.model.records import Count
-from notchhoist.platform import store
-from notchhoist.platform.store import StoreCall, StoreEvent, StoreReader
+from notchhoist.platform import items, store
+from notchhoist.platform.items import StoreEvent
+from notchhoist.platform.store import StoreCall, StoreReader
 
 RECONSIDER_S = 0.2
 """How often a balancer that is told enough looks whether it still is, seconds;
@@ -109,12 +110,12 @@
     def _apply(self, event: StoreEvent, now: float) -> None:
         fleet = self.node.fleet
         match event:
-            case store.TablePublished():
+            case items.TablePublished():
                 self.node.board.refused = ""
                 for problem in event.table.problems:
                     self._note_problem(problem)
                 fleet.on_table(event.table, event.revision)
-            case store.ServersListed():
+            case items.ServersListed():
                 fleet.on_listing(
                     event.entries,
                     event.revision,
@@ -122,21 +123,21 @@
                     refused=event.refused,
                     evacuated=event.evacuated,
                 )
-            case store.ServerPublished():
+            case items.ServerPublished():
                 fleet.on_entry(event.entry, event.revision, now)
-            case store.ServerRemoved():
+            case items.ServerRemoved():
                 fleet.on_removed(event.server_id, event.revision, now)
-            case store.TableRefused():
+            case items.TableRefused():
                 self.node.board.refused = str(event.error)
                 self._decide("refused", str(event.error))
-            case store.EntryRefused():
+            case items.EntryRefused():
                 self._note_problem(event.error.problem)
                 fleet.on_refused(event.server_id, event.revision)
-            case store.ZoneEvacuated():
+            case items.ZoneEvacuated():
                 fleet.on_evacuated(event.zone, event.revision, now)
-            case store.ZoneReturned():
+            case items.ZoneReturned():
                 fleet.on_returned(event.zone, event.revision, now)
-            case store.ItemRefused():
+            case items.ItemRefused():
                 self._note_problem(event.error.problem)
 
     def _note_problem(self, problem: ConfigurationProblem) -> None:
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -10,22 +10,21 @@
 from msgspec import Struct, field
 
 from notchhoist.base.draws import Draw
-from notchhoist.base.errors import ConfigurationRefusedError, PlatformError
-from notchhoist.flows.model.fleet import RouteTable, ServerEntry
+from notchhoist.base.errors import PlatformError
+from notchhoist.flows.model.fleet import ServerEntry
 from notchhoist.platform.checking import FieldError, Fields
-from notchhoist.platform.documents import (
-    decode_configuration,
-    decode_entry,
-    decode_json,
-    decode_value,
+from notchhoist.platform.documents import decode_json
+from notchhoist.platform.items import (
+    MAX_REVISION,
+    EntryRefused,
+    ServerPublished,
+    ServersListed,
+    StoreEvent,
+    TablePublished,
+    ZoneEvacuated,
+    read_item,
 )
 
-CONFIGURATION_KEY = "op/config"
-SERVERS_PREFIX = "servers/"
-EVACUATIONS_PREFIX = "op/evacuate/"
-"""An item under it asks that a zone be evacuated while it is there."""
-MAX_REVISION = 1 << 62
-
 WATCH_S = 2.0
 """How long the store may hold a watch, seconds, where a change must be in force
 within 3 s. A watch whose answer is lost says nothing more."""
@@ -84,95 +83,6 @@
     timeout_s: float
 
 
-class TablePublished(Struct, frozen=True):
-    """A configuration, and the revision of its change."""
-
-    table: RouteTable
-    revision: int
-
-
-class TableRefused(Struct, frozen=True):
-    """A configuration that is wrong; the last good one stays."""
-
-    error: ConfigurationRefusedError
-
-
-class ServersListed(Struct, frozen=True):
-    """All backend servers.
-
-    Attributes:
-        entries: Their entries, with the revision of each.
-        revision: Revision of the list.
-        refused: Servers whose entries are wrong, with the revision of each;
-            they are still there.
-        evacuated: Zones that are evacuated, likewise.
-    """
-
-    entries: tuple[tuple[ServerEntry, int], ...]
-    revision: int
-    refused: tuple[tuple[str, int], ...] = ()
-    evacuated: tuple[tuple[str, int], ...] = ()
-
-
-class ServerPublished(Struct, frozen=True):
-    """One backend server that is new or has changed, and when."""
-
-    entry: ServerEntry
-    revision: int
-
-
-class ServerRemoved(Struct, frozen=True):
-    """A backend server whose entry has vanished, and when."""
-
-    server_id: str
-    revision: int
-
-
-class EntryRefused(Struct, frozen=True):
-    """An entry that is wrong, and when it was written.
-
-    Its server gets no new flows: whoever wrote the entry, nothing is known of
-    the server any more. Its open flows stay.
-    """
-
-    server_id: str
-    error: FieldError
-    revision: int = 0
-
-
-class ZoneEvacuated(Struct, frozen=True):
-    """An availability zone that is to get no new flows, and since when."""
-
-    zone: str
-    revision: int
-
-
-class ZoneReturned(Struct, frozen=True):
-    """An availability zone whose evacuation was withdrawn, and when."""
-
-    zone: str
-    revision: int
-
-
-class ItemRefused(Struct, frozen=True):
-    """An item that cannot be read at all; it is left out."""
-
-    error: FieldError
-
-
-StoreEvent = (
-    TablePublished
-    | TableRefused
-    | ServersListed
-    | ServerPublished
-    | ServerRemoved
-    | EntryRefused
-    | ZoneEvacuated
-    | ZoneReturned
-    | ItemRefused
-)
-
-
 class StoreChanges(Struct, frozen=True):
     """What a watch has told.
 
@@ -328,7 +238,7 @@
         events: list[StoreEvent] = []
         last_key = ""
         for place, item in fields.elements("items"):
-            key, event = _read_item(place, item)
+            key, event = read_item(place, item)
             last_key = key or last_key
             if isinstance(event, ServerPublished):
                 self.listed.append((event.entry, event.revision))
@@ -384,7 +294,7 @@
 
 def _changes(fields: Fields) -> StoreChanges:
     items = fields.elements("events")
-    events = [_read_item(place, item)[1] for place, item in items]
+    events = [read_item(place, item)[1] for place, item in items]
     return StoreChanges(
         events=[event for event in events if event is not None],
         told=bool(items),
@@ -401,65 +311,3 @@
     from urllib.parse import quote
 
     return quote(key, safe="")
-
-
-def _read_item(place: str, value: object) -> tuple[str, StoreEvent | None]:
-    """Reads an item; what is wrong in it costs nothing else.
-
-    Returns:
-        Its key, empty where there is none, and what it tells; None for an item
-        of no concern.
-    """
-    try:
-        item = Fields(value, place)
-        key = item.text("key")
-    except FieldError as error:
-        return "", ItemRefused(error)
-    return key, _event(key, item)
-
-
-def _event(key: str, item: Fields) -> StoreEvent | None:
-    if key == CONFIGURATION_KEY:
-        return _table_event(item)
-    if key.startswith(SERVERS_PREFIX):
-        return _server_event(key.removeprefix(SERVERS_PREFIX), item)
-    if key.startswith(EVACUATIONS_PREFIX):
-        return _zone_event(key.removeprefix(EVACUATIONS_PREFIX), item)
-    return None
-
-
-def _zone_event(zone: str, item: Fields) -> StoreEvent:
-    """Reads an evacuation; that the item is there says all, not its value."""
-    try:
-        revision = item.integer("revision", 0, MAX_REVISION, default=0)
-        removed = item.boolean("removed", default=False)
-    except FieldError as error:
-        return ItemRefused(error)
-    return (ZoneReturned if removed else ZoneEvacuated)(zone, revision)
-
-
-def _table_event(item: Fields) -> StoreEvent | None:
-    try:
-        if item.boolean("removed", default=False):
-            return None  # The last good one stays.
-        revision = item.integer("revision", 0, MAX_REVISION, default=0)
-        value = decode_value(item.text("value"), CONFIGURATION_KEY)
-        return TablePublished(decode_configuration(value), revision)
-    except FieldError as error:
-        return TableRefused(ConfigurationRefusedError(-1, (error.problem,)))
-    except ConfigurationRefusedError as error:
-        return TableRefused(error)
-
-
-def _server_event(server_id: str, item: Fields) -> StoreEvent:
-    revision = 0
-    try:
-        revision = item.integer("revision", 0, MAX_REVISION, default=0)
-        if item.boolean("removed", default=False):
-            return ServerRemoved(server_id, revision)
-        value = decode_value(item.text("value"), SERVERS_PREFIX + server_id)
-        created = item.integer("created", 0, MAX_REVISION, default=0)
-        entry = decode_entry(server_id, value, created)
-    except FieldError as error:
-        return EntryRefused(server_id, error, revision)
-    return ServerPublished(entry, revision)
--- a/notchhoist/platform/tests/test_boundary.py
+++ b/notchhoist/platform/tests/test_boundary.py
@@ -9,6 +9,7 @@
 NAMES = re.compile(
     r"path_prefix|kv-(key|range|watch)|more_pages|allow_stale|datagram_addr"
     r"|cold_remaining_ms|internal_ports|NOTCHHOIST_NODE_FILE|as_of\b|op/config"
+    r"|cold_per_s|op/evacuate|\"born\"|evacuate_ms|cold_start_s"
     r"|BOUNCED|heartbeat_ms|target_latency_ms|grace_s\b.*\{"
 )
 
--- a/notchhoist/platform/tests/test_store.py
+++ b/notchhoist/platform/tests/test_store.py
@@ -9,7 +9,7 @@
 
 from notchhoist.base.draws import make_draw
 from notchhoist.base.errors import PlatformError
-from notchhoist.platform import store
+from notchhoist.platform import items, store
 from notchhoist.platform.tests.test_documents import (
     CONFIGURATION,
     ENTRY,
@@ -56,7 +56,7 @@
         200, page(item("op/config", CONFIGURATION), item("servers/i", ENTRY)), 0
     )
     kinds = [type(event) for event in events]
-    assert kinds == [store.TablePublished, store.ServersListed]
+    assert kinds == [items.TablePublished, items.ServersListed]
     assert "/kv-watch?path_prefix=&after=50&" in made.next_call().target
 
 
@@ -76,7 +76,7 @@
     made = listed()
     gone = {"key": "servers/i-1", "revision": 51, "removed": True}
     [event] = made.on_answer(200, changes(gone), 1.0)
-    assert event == store.ServerRemoved("i-1", 51)
+    assert event == items.ServerRemoved("i-1", 51)
     assert (made.revision, made.due) == (51, 1.0 + store.GATHER_S)
 
 
@@ -161,7 +161,7 @@
     good = item("servers/i-2", ENTRY)
     events = made.on_answer(200, changes(bad, good), 1.0)
     kinds = [type(event) for event in events]
-    assert kinds == [store.TableRefused, store.ServerPublished]
+    assert kinds == [items.TableRefused, items.ServerPublished]
 
 
 def test_a_bad_entry_in_a_listing_does_not_remove_its_server():
@@ -171,7 +171,7 @@
     body = page(item("servers/i-1", {"service": 4}), item("servers/i-2", ENTRY))
     events = made.on_answer(200, body, 0.0)
     refused, whole = events
-    assert isinstance(refused, store.EntryRefused)
+    assert isinstance(refused, items.EntryRefused)
     assert whole.refused == (("i-1", 1),)
 
 
@@ -212,7 +212,7 @@
     ids = [
         event.entry.server_id
         for event in events
-        if isinstance(event, store.ServerPublished)
+        if isinstance(event, items.ServerPublished)
     ]
     assert "i-2" in ids
 
@@ -250,9 +250,9 @@
     gone = {"key": "op/evacuate/a", "revision": 6, "removed": True}
     body = changes(zone_item("a", 5), gone, zone_item("a", 7))
     assert made.on_answer(200, body, 1.0) == [
-        store.ZoneEvacuated("a", 5),
-        store.ZoneReturned("a", 6),
-        store.ZoneEvacuated("a", 7),
+        items.ZoneEvacuated("a", 5),
+        items.ZoneReturned("a", 6),
+        items.ZoneEvacuated("a", 7),
     ]
 
 
