Revert: that a server refuses connections as its agent stops proves nothing

An agent gets SIGTERM at 33.70 s, its server refuses connections, balancers reset its flows at 34.06 to 34.38 s, and to the users' program the server still serves. Ruled out: a wrong server in the placements (the flows were at that one). No listener is not the end of a server that leaves. Conclusion: reverted; hosts that left remain searched for, see docs/design.

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -62,10 +62,6 @@
 LEAVE_SHARE = 0.6
 """The same as a share of the time until a kill, where that is short."""
 
-STOP_CHECK_S = 0.05
-"""How long an agent that stops waits for its backend server to accept or refuse
-a connection, seconds; on one host either takes less than a millisecond."""
-
 AGENT_LEAVE_S = 0.05
 """An agent only tells the balancers; then a quick restart serves best."""
 
@@ -94,7 +90,6 @@
         confirm: Reads the store at once; set where the process may call it.
         packets_read: Packets so far; some are timed.
         settings_changed_at: When the settings file last changed, nanoseconds.
-        stopping: A planned stop has been asked for.
     """
 
     settings: HostSettings
@@ -107,7 +102,6 @@
     confirm: Callable[[], None] | None = None
     packets_read: int = 0
     settings_changed_at: int = 0
-    stopping: bool = False
 
     @property
     def balancer(self) -> "BalancerNode":
@@ -352,34 +346,16 @@
         self.settings = replace(self.settings, peers=settings.peers)
         self.journal.log("reload", outcome="read", changed=changed)
 
-    def _stop_agent(self) -> None:
-        """Tells the balancers, also whether the backend server has ended.
-
-        The platform ends it first where its host is to go away.
-        """
-
-        def on_checked(reach: Reach) -> None:
-            ended = reach is Reach.REFUSED
-            self.perform(self.agent.stop(self.loop.clock(), ended))
-            self.loop.call_later(AGENT_LEAVE_S, self.loop.stop)
-
-        if self.settings.backend is None:
-            on_checked(Reach.SILENT)
-        else:
-            check_port(
-                self.loop, self.settings.backend, STOP_CHECK_S, on_checked
-            )
-
     def _on_signal(self, number: int) -> None:
         if number == signal.SIGHUP:
             self._reload()
             return
-        if self.stopping:
+        if self.node.board.stopping:
             return
-        self.stopping = True
         self.journal.log("stop", signal=signal.Signals(number).name)
         if not self.settings.balances:
-            self._stop_agent()
+            self.perform(self.agent.stop(self.loop.clock()))
+            self.loop.call_later(AGENT_LEAVE_S, self.loop.stop)
         else:
             self.balancer.stop()
             leave_s = min(LEAVE_S, LEAVE_SHARE * self.settings.grace_s)
--- a/notchhoist/flows/agent/node.py
+++ b/notchhoist/flows/agent/node.py
@@ -304,17 +304,12 @@
             self.gate.forget(flow, now)
         self.gate.sweep(now)
 
-    def stop(self, now: float, ended: bool = False) -> list[Effect]:
-        """Begins a planned stop and tells the balancers of it.
-
-        Args:
-            now: Runtime clock, seconds.
-            ended: The backend server has ended; its host goes away.
-        """
+    def stop(self, now: float) -> list[Effect]:
+        """Begins a planned stop and tells the balancers of it."""
         self.board.stopping = True
         for host, heard_at in self.board.balancers.items():
             if now - heard_at <= BALANCER_KEPT_S:
-                self.replies.tell_load(host, now, ended)
+                self.replies.tell_load(host, now)
         return self._drain()
 
     def due(self) -> float:
--- a/notchhoist/flows/agent/replies.py
+++ b/notchhoist/flows/agent/replies.py
@@ -60,14 +60,8 @@
         self.board.outbox.append(SendBalancer(host, datagram))
         self.board.records.counters[Count.TURNED_AWAY] += 1
 
-    def tell_load(self, host: str, now: float, ended: bool = False) -> None:
-        """Tells a balancer the load, and what is known of the server.
-
-        Args:
-            host: Host of the balancer.
-            now: Runtime clock, seconds.
-            ended: The backend server has ended.
-        """
+    def tell_load(self, host: str, now: float) -> None:
+        """Tells a balancer the load, and what is known of the server."""
         load = self.counter.load(now)
         state = self.board.state
         message = LoadTell(
@@ -76,6 +70,5 @@
             load.pace_ms,
             self.board.stopping,
             state.revision if state else 0,
-            ended,
         )
         self.board.outbox.append(SendPeer(host, message))
--- a/notchhoist/flows/balancer/health.py
+++ b/notchhoist/flows/balancer/health.py
@@ -125,30 +125,9 @@
         load = Load(message.flows, message.running, message.pace_ms)
         self.on_heard(host, load, now)
         server = self.board.by_host.get(host)
-        if server is None or not message.stopping:
-            return
-        server.suspected = True
-        if message.ended:
-            self._note_ended(server, now)
-        else:
+        if server is not None and message.stopping:
             server.restarting_until = now + RESTART_S
-
-    def _note_ended(self, server: Server, now: float) -> None:
-        """Gives a server up that has ended, on its agent's word.
-
-        Taken for a restart, or for silence to be judged, hosts that left after
-        planned work kept balancers looking for dead flows: 2,203 searches were
-        given up on a day with a loss of power, and 1,020 of 19,421 requests on
-        long flows waited to their deadline.
-        """
-        self.board.records.decide(
-            "server ended",
-            b"",
-            "its agent says so and stops",
-            server=server.entry.server_id,
-            server_host=server.entry.host,
-        )
-        self._give_up(server, now)
+            server.suspected = True
 
     def suspect(self, server: Server, now: float, reason: str) -> None:
         """Gives a server no new flows until its agent is heard again."""
--- a/notchhoist/flows/codec/message_codec.py
+++ b/notchhoist/flows/codec/message_codec.py
@@ -37,7 +37,7 @@
 
 _ADDED_LATER = {
     "LoadAsk": ("state",),
-    "LoadTell": ("state_revision", "ended"),
+    "LoadTell": ("state_revision",),
     "Server": ("born_ms",),
     "ServerState": ("draining",),
     "ViewAsk": ("number",),
@@ -71,7 +71,6 @@
                 message.pace_ms,
                 message.stopping,
                 message.state_revision,
-                message.ended,
             )
         case FlowsAsk(number, tag, heads, samples):
             struct.flows_ask = ttypes.FlowsAsk(
@@ -217,7 +216,6 @@
             told.pace_ms,
             told.stopping,
             told.state_revision or 0,
-            bool(told.ended),
         )
     if struct.flows_ask is not None:
         question = struct.flows_ask
--- a/notchhoist/testing/opaque/troubles.py
+++ b/notchhoist/testing/opaque/troubles.py
@@ -109,8 +109,6 @@
     def leave() -> None:
         server.alive = False
         world.store.remove(f"servers/{server.server_id}")
-        if isinstance(host.node, AgentNode):
-            world.perform(host, host.node.stop(world.now, ended=True))
         host.node = None
         world.hosts.pop(host.ip, None)
 
