Store calls: lost history, a store that is behind and its era are seen

Cause: on call nothing told why calls were refused, nor the store's own revision. Ruled out: reading it off the lists' lines alone; one of the 21 balancers kept some of them, the rest had been displaced. Change: log lines history lost, store behind, store era; gauges store_revision and store_era; a counter of lost histories. No decision changed.

--- a/notchhoist/daemon/flow_metrics.py
+++ b/notchhoist/daemon/flow_metrics.py
@@ -62,6 +62,8 @@
         "openings": len(board.openings),
         "configuration_version": board.table.version if board.table else 0,
         "view_revision": board.view.revision,
+        "store_revision": board.store_revision,
+        "store_era": board.store_era,
         "view_age_seconds": now - node.sharer.confirmed_at,
         "servers_suspected": sum(s.suspected for s in board.servers.values()),
         "servers_listed": sum(s.listed for s in board.servers.values()),
--- a/notchhoist/daemon/http_call.py
+++ b/notchhoist/daemon/http_call.py
@@ -35,8 +35,12 @@
     """Collects an answer; the parser calls the ``on_`` methods."""
 
     body: bytearray = field(default_factory=bytearray)
+    headers: dict[str, str] = field(default_factory=dict)
     complete: bool = False
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
     def on_body(self, data: bytes) -> None:
         self.body += data
 
@@ -53,7 +57,7 @@
         sock: The connection, or None.
         connected: It has been made.
         request: What is still to be sent.
-        answer: The answer under way.
+        answer: The answer under way, or the last one.
         parser: Its parser.
         timer: When the call is given up.
         on_done: Takes the answer.
@@ -71,6 +75,11 @@
     on_done: OnDone | None = None
     on_failed: OnFailed | None = None
 
+    @property
+    def headers(self) -> dict[str, str]:
+        """Headers of the last answer, by their names in small letters."""
+        return self.answer.headers
+
     def get(
         self,
         target: str,
--- a/notchhoist/daemon/store_calls.py
+++ b/notchhoist/daemon/store_calls.py
@@ -1,6 +1,6 @@
 """A balancer's calls to the platform's store, on the small loop."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from msgspec import Struct
 
@@ -57,7 +57,7 @@
         self,
         caller: HttpCaller,
         call: StoreCall,
-        on_answer: Callable[[int, bytes, float], None],
+        on_answer: Callable[[int, bytes, float, Mapping[str, str]], None],
         on_failed: Callable[[str, float], None],
     ) -> None:
         clock = self.loop.clock
@@ -66,7 +66,7 @@
         def done(status: int, body: bytes) -> None:
             outcome = f"{call.purpose} {status}"
             self.observe(Timing.STORE, outcome, called_at)
-            on_answer(status, body, clock())
+            on_answer(status, body, clock(), caller.headers)
             self._after(caller)
 
         def failed(reason: str) -> None:
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -118,6 +118,8 @@
         fleet_known: The list of servers has been read.
         known_since: When it was first read, seconds.
         store_failed_at: When the store last failed this process, seconds.
+        store_revision: Revision that the store named in its last answer.
+        store_era: Era of the store that its last answer was of.
         flows: Where flows are, least recently used first.
         openings: New flows that wait for a server.
         searches: Flows that are being looked for.
@@ -141,6 +143,8 @@
     fleet_known: bool = False
     known_since: float = float("inf")
     store_failed_at: float = float("-inf")
+    store_revision: int = 0
+    store_era: int = 0
     flows: collections.OrderedDict[bytes, Placement] = field(
         default_factory=collections.OrderedDict
     )
--- a/notchhoist/flows/model/records.py
+++ b/notchhoist/flows/model/records.py
@@ -48,6 +48,7 @@
     FINDS_GIVEN_UP = "finds_given_up"
     RESETS = "resets"
     VIEWS_CONFIRMED = "views_confirmed"
+    HISTORY_LOST = "history_lost"
     SUSPECTED = "suspected"
     LOST = "lost"
     AGENTS_AWAY = "agents_away"
--- a/notchhoist/platform/__init__.py
+++ b/notchhoist/platform/__init__.py
@@ -5,6 +5,7 @@
 * ``checking``: fields of decoded JSON, with errors that name the place.
 * ``packets``: the packets of flows.
 * ``documents``: the configuration and the backend servers' entries.
+* ``eras``: which state of the store an answer is of.
 * ``settings``: the settings file of a process.
 * ``store``: which call to make next to the platform's store, and what its
   answers mean.
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -1,18 +1,25 @@
 """Feeds a balancer with what the store holds; no I/O."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
+
 from msgspec import Struct
 
 from notchhoist.base.errors import ConfigurationProblem, PlatformError
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.flows.model.records import Count
 from notchhoist.platform import items, store
+from notchhoist.platform.checking import FieldError
+from notchhoist.platform.eras import read_era
 from notchhoist.platform.items import StoreEvent
-from notchhoist.platform.store import StoreCall, StoreReader
+from notchhoist.platform.store import HISTORY_GONE, StoreCall, StoreReader
 
 RECONSIDER_S = 0.2
 """How often a balancer that is told enough looks whether it still is, seconds;
 a fifteenth of the bound of a change."""
 
+NO_HEADERS: Mapping[str, str] = MappingProxyType({})
+
 PROBLEMS_KEPT = 200
 """Fields that were not understood are kept for questions; a page of them."""
 
@@ -44,13 +51,30 @@
             self.reader.resume(self.node.board.view.revision)
         return self.reader.next_call()
 
-    def on_answer(self, status: int, body: bytes, now: float) -> None:
-        """Takes an answer of the store."""
+    def on_answer(
+        self,
+        status: int,
+        body: bytes,
+        now: float,
+        headers: Mapping[str, str] = NO_HEADERS,
+    ) -> None:
+        """Takes an answer of the store.
+
+        Args:
+            status: HTTP status.
+            body: Its body.
+            now: Runtime clock, seconds.
+            headers: Its headers, by their names in small letters.
+        """
+        self._note_era(headers)
+        if status == HISTORY_GONE:
+            self._note_history_lost()
         try:
             events = self.reader.on_answer(status, body, now)
         except PlatformError as error:
             self._note_lost(str(error), now)
             return
+        self._note_revision()
         if self.lost:
             self.lost = False
             self._decide("store regained", "reading")
@@ -62,6 +86,35 @@
             self.node.sharer.on_confirmed(now)
             self.node.on_published(now)
 
+    def _note_era(self, headers: Mapping[str, str]) -> None:
+        """Notes which era of the store an answer is of."""
+        board = self.node.board
+        try:
+            era = read_era(headers)
+        except FieldError as error:
+            self._note_problem(error.problem)
+            return
+        if era != board.store_era:
+            self._decide("store era", f"{board.store_era} -> {era}")
+        board.store_era = era
+
+    def _note_history_lost(self) -> None:
+        """Logs that the store does not have the history that was asked for."""
+        board = self.node.board
+        board.records.counters[Count.HISTORY_LOST] += 1
+        self._decide("history lost", "listing")
+
+    def _note_revision(self) -> None:
+        """Notes the store's revision; logs when it falls behind what is known.
+
+        It cannot by itself: the store has come back with an older state.
+        """
+        board = self.node.board
+        before, after = board.store_revision, self.reader.seen_revision
+        board.store_revision = after
+        if after < board.view.revision and after != before:
+            self._decide("store behind", f"at {after}")
+
     def on_failed(self, reason: str, now: float, silent: bool = False) -> None:
         """Takes account of a call without an answer.
 
@@ -77,8 +130,15 @@
         """Returns the call that confirms what is known."""
         return self.reader.confirming_call(self.node.board.view.revision)
 
-    def on_confirmation(self, status: int, body: bytes, now: float) -> None:
-        """Takes the answer to a ``confirming_call``."""
+    def on_confirmation(
+        self,
+        status: int,
+        body: bytes,
+        now: float,
+        headers: Mapping[str, str] = NO_HEADERS,
+    ) -> None:
+        """Takes the answer to a ``confirming_call``; see ``on_answer``."""
+        self._note_era(headers)
         try:
             changes = store.read_confirmation(status, body)
         except PlatformError as error:
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -25,6 +25,9 @@
     read_item,
 )
 
+HISTORY_GONE = 410
+"""Status of a watch from a revision that the store does not have."""
+
 WATCH_S = 2.0
 """How long the store may hold a watch, seconds, where a change must be in force
 within 3 s. A watch whose answer is lost says nothing more."""
@@ -114,6 +117,7 @@
         evacuated: Zones on them that are evacuated, with the revisions.
         page_after: Where the next page starts, or empty.
         page_revision: Revision of the first page.
+        seen_revision: Revision of the store in its last answer.
     """
 
     draw: Draw
@@ -129,6 +133,7 @@
     evacuated: dict[str, int] = field(default_factory=dict)
     page_after: str = ""
     page_revision: int = 0
+    seen_revision: int = 0
 
     def next_call(self) -> StoreCall:
         """Returns the call to make when ``due`` has come."""
@@ -211,7 +216,7 @@
             PlatformError: The answer is of no use; ``on_failed`` has been
                 called.
         """
-        if status == 410 and self.want is Want.CHANGES:
+        if status == HISTORY_GONE and self.want is Want.CHANGES:
             self.want = Want.LISTING
             self.due = now
             return ()
@@ -233,6 +238,7 @@
 
     def _on_page(self, fields: Fields, now: float) -> list[StoreEvent]:
         revision = fields.integer("as_of", 0, MAX_REVISION)
+        self.seen_revision = revision
         if not self.page_after:
             self.page_revision = revision
         events: list[StoreEvent] = []
@@ -273,6 +279,7 @@
 
     def _on_changes(self, fields: Fields, now: float) -> list[StoreEvent]:
         changes = _changes(fields)
+        self.seen_revision = changes.revision
         self.revision = max(self.revision, changes.revision)
         self.due = now + GATHER_S if changes.told else now
         return changes.events
--- a/notchhoist/platform/tests/test_feeding.py
+++ b/notchhoist/platform/tests/test_feeding.py
@@ -65,3 +65,27 @@
     board = feeder.node.board
     assert board.table.version == 7
     assert "routes" in board.refused
+
+
+def lines_of(feeder, event):
+    decisions = feeder.node.board.records.decisions
+    return [item.outcome for item in decisions if item.event == event]
+
+
+def test_a_store_that_is_behind_what_is_known_is_logged():
+    feeder = fed(item("op/config", CONFIGURATION), item("servers/i-1", ENTRY))
+    feeder.on_answer(410, b"", 1.0, {"store-era": "2"})
+    feeder.on_answer(200, page(as_of=44), 1.1, {"store-era": "2"})
+    assert lines_of(feeder, "history lost") == ["listing"]
+    assert lines_of(feeder, "store era") == ["0 -> 2"]
+    assert lines_of(feeder, "store behind") == ["at 44"]
+    board = feeder.node.board
+    assert board.store_revision == 44
+    assert board.records.counters[Count.HISTORY_LOST] == 1
+
+
+def test_an_era_that_is_no_count_is_logged_and_left_out():
+    feeder = fed(item("op/config", CONFIGURATION), item("servers/i-1", ENTRY))
+    feeder.on_answer(200, changes(), 1.0, {"store-era": "later"})
+    assert logged(feeder) == ["store-era: expected a whole number, got 'later'"]
+    assert feeder.node.board.store_era == 0
