A test that fails: flows at servers that leave after the store's restore

Cause: shown by the test: the store comes back from a copy with lower revisions, watches from ours are refused, its lists passed over as older, and once its counter has passed ours the numbers in between are never told. Ruled out: lost words between balancers and requests held by agents: the stand-in loses nothing here and all four balancers miss it alike.

--- a/notchhoist/testing/opaque/published.py
+++ b/notchhoist/testing/opaque/published.py
@@ -36,7 +36,7 @@
         "zone": host.zone,
         "version": "v1",
         "slots": server.slots,
-        "state": "draining" if server.draining else "ready",
+        "state": server.state,
         "cold_remaining_ms": int(cold_s * 1000),
         "seq": 1,
         "born": int((EPOCH_S + server.started_at) * 1000),
--- a/notchhoist/testing/opaque/scenarios.py
+++ b/notchhoist/testing/opaque/scenarios.py
@@ -107,6 +107,22 @@
     world.later(4.0, lambda: setattr(world.store, "down", ""))
 
 
+def store_from_a_copy(world: OpaqueWorld) -> None:
+    """Brings the store back from a copy; servers leave in calm after that.
+
+    Three configurations came after the copy, only the newest is written again:
+    the store's revisions pass the known ones as the servers announce that they
+    leave.
+    """
+    copy = world.store.copy()
+    for version in (2, 3, 4):
+        world.later(0.2 * version, partial(world.publish, version))
+    restore = partial(troubles.restore_store, world, copy, 4, 1.5)
+    world.later(1.0, restore)
+    for host in _backends(world)[:2]:
+        world.later(7.0, partial(troubles.retire, world, host))
+
+
 def cut_host(world: OpaqueWorld) -> None:
     """Cuts one backend server's host off from the balancers."""
     host = _backends(world)[0]
@@ -186,6 +202,7 @@
     "crash-servers": crash_servers,
     "slow-server": slow_server,
     "store-silent": store_silent,
+    "store-from-a-copy": store_from_a_copy,
     "cut-host": cut_host,
     "freeze-agents": freeze_agents,
     "evacuate": evacuate,
--- a/notchhoist/testing/opaque/servers.py
+++ b/notchhoist/testing/opaque/servers.py
@@ -91,6 +91,11 @@
         """When it last became cold, seconds."""
         return max(self.started_at, self.returned_at)
 
+    @property
+    def state(self) -> str:
+        """What it says of itself."""
+        return "draining" if self.draining else "ready"
+
     def is_cold(self, now: float) -> bool:
         """Tells whether it is cold."""
         return now - self.cold_since < COLD_S
--- a/notchhoist/testing/opaque/store.py
+++ b/notchhoist/testing/opaque/store.py
@@ -4,6 +4,7 @@
 import json
 import random
 import threading
+from typing import Any
 
 import attrs
 
@@ -17,6 +18,23 @@
     item: dict[str, object]
 
 
+@attrs.frozen
+class StoreCopy:
+    """What the store held at one moment.
+
+    Attributes:
+        items: The items by key.
+        revision: Its revision.
+        history: The changes that it remembered.
+        compacted_to: See ``StoreModel``.
+    """
+
+    items: dict[str, dict[str, object]]
+    revision: int
+    history: list[Change]
+    compacted_to: int
+
+
 @attrs.define(eq=False)
 class StoreModel:
     """Items, their history, and disturbances.
@@ -30,6 +48,7 @@
         page_size: Items of one page.
         calls: Calls so far, refused ones too.
         answer_s: Time to an answer, seconds.
+        era: How often it has come back from a copy, from 1.
         down: ``""``, ``silent``, ``busy`` (503), ``many`` (429) or ``reset``.
         down_for: Hosts that it is down for; all of them where this is empty.
         lost_share: Share of the answers that are lost.
@@ -45,6 +64,7 @@
     page_size: int = 500
     calls: int = 0
     answer_s: float = 0.004
+    era: int = 1
     down: str = ""
     down_for: frozenset[str] = frozenset()
     lost_share: float = 0.0
@@ -77,12 +97,46 @@
             item = {"key": key, "revision": self.revision, "removed": True}
             self.history.append(Change(self.revision, key, item))
 
+    def value(self, key: str) -> dict[str, Any] | None:
+        """Returns what an item holds, or None where there is no such item."""
+        item = self.items.get(key)
+        if item is None:
+            return None
+        held: dict[str, Any] = json.loads(base64.b64decode(str(item["value"])))
+        return held
+
     def compact(self) -> None:
         """Forgets the history."""
         with self.lock:
             self.compacted_to = self.revision
             self.history.clear()
 
+    def copy(self) -> StoreCopy:
+        """Returns what it holds now, to come back from."""
+        with self.lock:
+            return StoreCopy(
+                dict(self.items),
+                self.revision,
+                list(self.history),
+                self.compacted_to,
+            )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Comes back from a copy: what was written since is gone.
+
+        Its revisions are given out again, to other changes.
+        """
+        with self.lock:
+            self.items = dict(copy.items)
+            self.revision = copy.revision
+            self.history = list(copy.history)
+            self.compacted_to = copy.compacted_to
+            self.era += 1
+
+    def headers(self) -> dict[str, str]:
+        """Returns the headers of an answer, names in small letters."""
+        return {"store-era": str(self.era)}
+
     def trouble_for(self, host: str) -> str:
         """Returns how it fails a host, or an empty text."""
         if self.down and (not self.down_for or host in self.down_for):
@@ -114,7 +168,7 @@
 
     def _read_changes(self, query: dict[str, str]) -> tuple[int, bytes | None]:
         after = int(query["after"])
-        if after < self.compacted_to:
+        if not self.compacted_to <= after <= self.revision:
             return 410, b""
         events = [
             change.item
--- a/notchhoist/testing/opaque/store_link.py
+++ b/notchhoist/testing/opaque/store_link.py
@@ -83,7 +83,8 @@
                 query = dict(parse_qsl(urlsplit(call.target).query))
                 status, body = self.world.store.read_changes(query)
                 body = self.world.store.no_changes() if body is None else body
-                feeder.on_confirmation(status, body, now)
+                headers = self.world.store.headers()
+                feeder.on_confirmation(status, body, now, headers)
             self.world.perform(host, feeder.node.take_effects())
 
         self.world.later(delay, take)
@@ -127,7 +128,8 @@
             return
         host.calling += 1
         if host.feeder is not None:
-            host.feeder.on_answer(status, body, self.world.now)
+            headers = self.world.store.headers()
+            host.feeder.on_answer(status, body, self.world.now, headers)
         self._call_again(host, generation)
 
     def _on_no_answer(
--- a/notchhoist/testing/opaque/troubles.py
+++ b/notchhoist/testing/opaque/troubles.py
@@ -5,6 +5,7 @@
 from notchhoist.flows.agent.node import AgentNode
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.testing.opaque.hosts import START_S, Host
+from notchhoist.testing.opaque.store import StoreCopy
 from notchhoist.testing.opaque.world import OpaqueWorld
 
 HEARTBEAT_S = 1.2
@@ -105,6 +106,7 @@
         return
     server.draining = True
     world.announce(host, server)
+    world.judge.on_leaving(server.server_id, world.now)
 
     def leave() -> None:
         server.alive = False
@@ -171,6 +173,42 @@
     world.later(HEARTBEAT_S, partial(_announce_again, world, host))
 
 
+def restore_store(
+    world: OpaqueWorld, copy: StoreCopy, version: int, away_s: float
+) -> None:
+    """Takes the store away; it comes back from a copy.
+
+    Args:
+        world: The world.
+        copy: What it comes back with.
+        version: Newest configuration; its operator writes it again.
+        away_s: How long it is away, seconds.
+    """
+    world.judge.disturb(world.now)
+    world.store.down = "silent"
+
+    def come_back() -> None:
+        world.judge.disturb(world.now)
+        world.store.down = ""
+        world.store.restore(copy)
+        world.publish(version)
+        _write_entries_again(world)
+
+    world.later(away_s, come_back)
+
+
+def _write_entries_again(world: OpaqueWorld) -> None:
+    """Lets servers write what the store has lost, within a heartbeat."""
+    for host in list(world.hosts.values()):
+        server = host.server
+        if server is None or not server.alive:
+            continue
+        held = world.store.value(f"servers/{server.server_id}")
+        if held is None or held["state"] != server.state:
+            delay = world.rng.uniform(0.0, HEARTBEAT_S)
+            world.later(delay, partial(_announce_again, world, host))
+
+
 def cut(world: OpaqueWorld, one: str, other: str, for_s: float) -> None:
     """Cuts two IP numbers apart; the same twice cuts it from the store."""
     world.judge.disturb(world.now)
--- a/notchhoist/testing/opaque/world.py
+++ b/notchhoist/testing/opaque/world.py
@@ -336,6 +336,8 @@
         self.later(0.01, lambda: self._tick_node(host, generation))
 
     def _tick_models(self) -> None:
+        if self.store.down or self.store.lost_share:
+            self.judge.core_disturbed_at = self.now
         for caller in self.callers.values():
             caller.tick(self.now)
         for host in self.hosts.values():
--- a/notchhoist/testing/soak/store_port.py
+++ b/notchhoist/testing/soak/store_port.py
@@ -52,6 +52,8 @@
                 status, body = _wait_for_changes(model, query, stopping)
             with contextlib.suppress(OSError):
                 self.send_response(status)
+                for name, value in model.headers().items():
+                    self.send_header(name, value)
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
                 self.wfile.write(body)
