Revisions are ordered over restores of the platform's store

Cause: the store came back from a copy and gave its revisions out again; here a revision was a bare count, so its lists looked older than what was known, its watch went on from a count that named other changes, and what was written in between was told to nobody. Class: a position believed beyond the life of what issued it (as a fencing token without its epoch). Ruled out: that a listing alone heals it (entries with lower counts were passed over, and the reader went back to the higher count after each). Change: revisions are a count within an era, read off the store's answers in platform/ and carried as two fields between processes; an answer of another era than its question is of no use; a refused watch, a first page or a teller of an earlier era confirm nothing; the first list of an era takes nothing back until the store has settled, and then everything is read once more; a configuration that is written again is told whole. Second line for leaving servers: their agents hand new flows back after half of the bound, as for evacuated zones. Parts of two answers that begin elsewhere are not mixed any more.

--- a/notchhoist/daemon/flow_metrics.py
+++ b/notchhoist/daemon/flow_metrics.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, cast
 
 from notchhoist.flows.model.records import BUCKETS_S, Histogram, Series, Timing
+from notchhoist.flows.model.revisions import count_of, era_of
 from notchhoist.links.scheduler import LinkScheduler
 
 if TYPE_CHECKING:
@@ -61,8 +62,9 @@
         "searches": len(board.searches),
         "openings": len(board.openings),
         "configuration_version": board.table.version if board.table else 0,
-        "view_revision": board.view.revision,
-        "store_revision": board.store_revision,
+        "view_revision": count_of(board.view.revision),
+        "view_era": era_of(board.view.revision),
+        "store_revision": count_of(board.store_revision),
         "store_era": board.store_era,
         "view_age_seconds": now - node.sharer.confirmed_at,
         "servers_suspected": sum(s.suspected for s in board.servers.values()),
--- a/notchhoist/daemon/flow_runner.py
+++ b/notchhoist/daemon/flow_runner.py
@@ -88,7 +88,12 @@
         now,
         settings.uses,
         settings.first_start,
-        Limits(settings.evacuate_s, settings.cold_overage, settings.cold_slack),
+        Limits(
+            settings.evacuate_s,
+            settings.cold_overage,
+            settings.cold_slack,
+            settings.drain_s,
+        ),
     )
 
 
--- a/notchhoist/flows/agent/offering.py
+++ b/notchhoist/flows/agent/offering.py
@@ -103,9 +103,9 @@
         if held is None or new:
             return bearing.pause_s(now, bounded)
         if held.phase is Phase.OFFERED:
-            return bearing.evacuated_pause_s()
+            return bearing.closed_pause_s(now)
         if held.phase is Phase.ACCEPTED and bearing.is_overdue(now):
-            return bearing.evacuated_pause_s()
+            return bearing.closed_pause_s(now)
         return 0.0
 
     def _turn_away(
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -31,6 +31,7 @@
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.segments import Segment, SegmentCodec
 from notchhoist.flows.model.wishes import Wish
+from notchhoist.flows.published.eras import EraKeeper
 from notchhoist.flows.published.fleet_keeper import FleetKeeper
 from notchhoist.flows.published.sharing import ViewSharer
 
@@ -297,7 +298,7 @@
     early = EarlyPackets()
     resetter = FlowResetter(board, codec)
     health = HealthKeeper(board, resetter, HostWatch(board), link_mbps)
-    fleet = FleetKeeper(board)
+    fleet = FleetKeeper(board, EraKeeper(board))
     sharer = ViewSharer(board, fleet, seeds, link_mbps)
     informer = AgentInformer(board, sharer)
     questions = make_questions(board, codec)
--- a/notchhoist/flows/boards/agent_board.py
+++ b/notchhoist/flows/boards/agent_board.py
@@ -31,6 +31,8 @@
         checked_at: When the last look ended, seconds.
         state: What is published of the backend server, as last told, or None.
         evacuated_since: Since when its zone is evacuated, seconds, or None.
+        leaving_since: Since when it is known here that the backend server
+            leaves, seconds, or None.
         cold_until: When it is warm, as told, seconds.
         balancers: When each balancer was last heard, by host.
         records: Counters and decisions.
@@ -54,6 +56,7 @@
     checked_at: float = float("-inf")
     state: ServerState | None = None
     evacuated_since: float | None = None
+    leaving_since: float | None = None
     cold_until: float = float("-inf")
     balancers: dict[str, float] = field(default_factory=dict)
     records: Records = field(default_factory=Records)
--- a/notchhoist/flows/codec/flow.thrift
+++ b/notchhoist/flows/codec/flow.thrift
@@ -1,15 +1,17 @@
 /** Control messages of opaque flows. Field numbers are permanent. */
 
+/** An era belongs to the revision beside it; without it, it is 0. */
+
 /** What is optional came later: older processes neither send nor miss it. */
 struct ServerState {
   1: i64 revision, 2: i64 born_ms, 3: bool evacuated, 4: i32 evacuated_for_ms,
   5: i32 cold_for_ms, 6: double bound_per_s, 7: double bound_lasts_s,
-  8: optional bool draining
+  8: optional bool draining, 9: optional i64 era
 }
 struct LoadAsk { 1: i32 slots, 2: optional ServerState state }
 struct LoadTell {
   1: i32 flows, 2: i32 running, 3: i32 pace_ms, 4: bool stopping,
-  5: optional i64 state_revision
+  5: optional i64 state_revision, 6: optional i64 state_era
 }
 
 struct Target { 1: string service_name, 2: i32 weight }
@@ -20,11 +22,14 @@
 struct Server {
   1: string server_id, 2: string service_name, 3: string host, 4: string zone,
   5: i32 slots, 6: bool draining, 7: double warm_in_s, 8: i64 created,
-  9: i64 revision, 10: optional i64 born_ms
+  9: i64 revision, 10: optional i64 born_ms, 11: optional i64 era,
+  12: optional i64 created_era, 13: optional bool withdrawn
 }
 struct ColdBound { 1: string service_name, 2: double per_s, 3: double lasts_s }
-struct Zone { 1: string name, 2: i64 revision }
-struct ViewAsk { 1: i64 revision, 2: i32 link_mbps, 3: optional i64 number }
+struct Zone { 1: string name, 2: i64 revision, 3: optional i64 era }
+struct ViewAsk {
+  1: i64 revision, 2: i32 link_mbps, 3: optional i64 number, 4: optional i64 era
+}
 struct Member { 1: string host, 2: i32 link_mbps, 3: i32 age_ms }
 struct ViewTell {
   1: i64 revision, 2: i64 base, 3: i32 age_ms, 4: list<Member> members,
@@ -34,7 +39,7 @@
   13: i32 routes_total, 14: i32 servers_total,
   15: optional list<ColdBound> cold_bounds, 16: optional list<Zone> evacuated,
   17: optional list<Zone> returned, 18: optional i32 evacuated_total,
-  19: optional i64 asked
+  19: optional i64 asked, 20: optional i64 era
 }
 
 /** heads: packets' heads to tell about; samples: packets to try. */
--- a/notchhoist/flows/codec/message_codec.py
+++ b/notchhoist/flows/codec/message_codec.py
@@ -28,6 +28,11 @@
     ViewAsk,
     ViewTell,
 )
+from notchhoist.flows.model.revisions import (
+    count_of,
+    era_of,
+    make_revision,
+)
 from notchhoist.flows.model.view import ViewChange
 
 PROTOCOL_VERSION = 1
@@ -37,12 +42,14 @@
 
 _ADDED_LATER = {
     "LoadAsk": ("state",),
-    "LoadTell": ("state_revision",),
-    "Server": ("born_ms",),
-    "ServerState": ("draining",),
-    "ViewAsk": ("number",),
+    "LoadTell": ("state_revision", "state_era"),
+    "Server": ("born_ms", "era", "created_era", "withdrawn"),
+    "ServerState": ("draining", "era"),
+    "ViewAsk": ("number", "era"),
+    "Zone": ("era",),
     "ViewTell": (
         "asked",
+        "era",
         "cold_bounds",
         "evacuated",
         "returned",
@@ -70,7 +77,8 @@
                 message.running,
                 message.pace_ms,
                 message.stopping,
-                message.state_revision,
+                count_of(message.state_revision),
+                era_of(message.state_revision),
             )
         case FlowsAsk(number, tag, heads, samples):
             struct.flows_ask = ttypes.FlowsAsk(
@@ -80,7 +88,10 @@
             struct.flows_tell = _flows_struct(message)
         case ViewAsk():
             struct.view_ask = ttypes.ViewAsk(
-                message.revision, message.link_mbps, message.number
+                count_of(message.revision),
+                message.link_mbps,
+                message.number,
+                era_of(message.revision),
             )
         case ViewTell():
             struct.view_tell = _view_struct(message)
@@ -93,7 +104,8 @@
     if state is None:
         return None
     return ttypes.ServerState(
-        revision=state.revision,
+        revision=count_of(state.revision),
+        era=era_of(state.revision),
         born_ms=state.born_ms,
         evacuated=state.evacuated,
         evacuated_for_ms=int(min(state.evacuated_for_s, AGE_MAX_S) * 1000),
@@ -119,8 +131,9 @@
 def _view_struct(tell: ViewTell) -> Any:
     change = tell.change
     return ttypes.ViewTell(
-        revision=change.revision,
-        base=change.base,
+        revision=count_of(change.revision),
+        era=era_of(change.revision),
+        base=count_of(change.base),
         age_ms=int(min(tell.age_s, AGE_MAX_S) * 1000),
         members=[
             ttypes.Member(m.host, m.link_mbps, m.age_ms) for m in tell.members
@@ -139,13 +152,17 @@
             ttypes.ColdBound(bound.service, bound.per_s, bound.lasts_s)
             for bound in change.cold_bounds
         ],
-        evacuated=[ttypes.Zone(*zone) for zone in change.evacuated],
-        returned=[ttypes.Zone(*zone) for zone in change.returned],
+        evacuated=[_zone_struct(*zone) for zone in change.evacuated],
+        returned=[_zone_struct(*zone) for zone in change.returned],
         evacuated_total=change.evacuated_total,
         asked=tell.asked,
     )
 
 
+def _zone_struct(name: str, revision: int) -> Any:
+    return ttypes.Zone(name, count_of(revision), era_of(revision))
+
+
 def _route_struct(route: Route) -> Any:
     return ttypes.Route(
         name=route.name,
@@ -167,9 +184,12 @@
         slots=entry.slots,
         draining=entry.draining,
         warm_in_s=entry.warm_in_s,
-        created=entry.created,
-        revision=revision,
+        created=count_of(entry.created),
+        created_era=era_of(entry.created),
+        revision=count_of(revision),
+        era=era_of(revision),
         born_ms=entry.born_ms,
+        withdrawn=entry.withdrawn,
     )
 
 
@@ -215,7 +235,7 @@
             told.running,
             told.pace_ms,
             told.stopping,
-            told.state_revision or 0,
+            make_revision(told.state_era or 0, told.state_revision or 0),
         )
     if struct.flows_ask is not None:
         question = struct.flows_ask
@@ -225,7 +245,8 @@
         return _flows_of(struct.flows_tell)
     if struct.view_ask is not None:
         view = struct.view_ask
-        return ViewAsk(view.revision, view.link_mbps, view.number or 0)
+        known = make_revision(view.era or 0, view.revision)
+        return ViewAsk(known, view.link_mbps, view.number or 0)
     if struct.view_tell is not None:
         return _view_of(struct.view_tell)
     raise ValueError("no known message")
@@ -246,7 +267,7 @@
         return None
     _check_whole(struct)
     return ServerState(
-        revision=struct.revision,
+        revision=make_revision(struct.era or 0, struct.revision),
         born_ms=struct.born_ms,
         evacuated=struct.evacuated,
         evacuated_for_s=max(0, struct.evacuated_for_ms) / 1000,
@@ -260,7 +281,10 @@
 def _zones_of(structs: Any) -> tuple[tuple[str, int], ...]:
     for struct in structs or ():
         _check_whole(struct)
-    return tuple((struct.name, struct.revision) for struct in structs or ())
+    return tuple(
+        (struct.name, make_revision(struct.era or 0, struct.revision))
+        for struct in structs or ()
+    )
 
 
 def _bounds_of(structs: Any) -> tuple[ColdBound, ...]:
@@ -288,9 +312,10 @@
     _check_whole(struct)
     if not 0 <= struct.part < struct.parts <= MAX_RECORDS:
         raise ValueError(f"part {struct.part} of {struct.parts}")
+    era = struct.era or 0
     change = ViewChange(
-        revision=struct.revision,
-        base=struct.base,
+        revision=make_revision(era, struct.revision),
+        base=make_revision(era, struct.base) if struct.base else 0,
         version=struct.version,
         idle_s=struct.idle_s,
         routes=tuple(_route_of(item) for item in struct.routes),
@@ -350,7 +375,8 @@
         slots=struct.slots,
         draining=struct.draining,
         warm_in_s=struct.warm_in_s,
-        created=struct.created,
+        created=make_revision(struct.created_era or 0, struct.created),
         born_ms=struct.born_ms or 0,
+        withdrawn=bool(struct.withdrawn),
     )
-    return entry, struct.revision
+    return entry, make_revision(struct.era or 0, struct.revision)
--- a/notchhoist/flows/model/fleet.py
+++ b/notchhoist/flows/model/fleet.py
@@ -146,6 +146,8 @@
         created: Grows with the order in which entries were created.
         born_ms: When it started by its own clock, Unix ms; 0 if not told. Only
             good for telling one incarnation from another.
+        withdrawn: It drains because its entry could not be read, not because
+            it has said so.
     """
 
     server_id: str
@@ -157,6 +159,7 @@
     warm_in_s: float = 0.0
     created: int = 0
     born_ms: int = 0
+    withdrawn: bool = False
 
     def is_same_as(self, other: "ServerEntry") -> bool:
         """Tells whether two entries of one id are of the same incarnation."""
--- a/notchhoist/flows/model/view.py
+++ b/notchhoist/flows/model/view.py
@@ -10,6 +10,7 @@
     RouteTable,
     ServerEntry,
 )
+from notchhoist.flows.model.revisions import era_of
 
 REMOVED_KEPT = 1000
 """Removals remembered at the most; who is further behind is told everything."""
@@ -96,6 +97,8 @@
                 version.
         """
         known = self.table.version if self.table is not None else -1
+        if table.version == known:
+            self._note_republished(revision)
         if table.version < known or (table.version == known and not mends):
             return False
         if self.table == table:
@@ -110,6 +113,18 @@
         self.table = table
         return True
 
+    def _note_republished(self, revision: int) -> None:
+        """Notes that the platform has published the same version once more.
+
+        After a restore it may have held an older one. Whoever has read that
+        must be told all of this one, by the revision that it has now: told
+        differences from there, they would keep the older one.
+        """
+        known = self.changed_at[None]
+        if era_of(revision) > era_of(known):
+            self.changed_at[None] = revision
+            self.forgotten_to = max(self.forgotten_to, revision)
+
     def put_server(self, entry: ServerEntry, revision: int) -> bool:
         """Takes an entry if it is newer than what is known."""
         if revision <= self.changed_at.get(entry.server_id, 0):
--- a/notchhoist/flows/published/fleet_keeper.py
+++ b/notchhoist/flows/published/fleet_keeper.py
@@ -15,6 +15,7 @@
 )
 from notchhoist.flows.model.notes import service_tag
 from notchhoist.flows.model.view import ViewChange
+from notchhoist.flows.published.eras import EraKeeper, newest_word
 
 UNLISTED_KEPT_S = 60.0
 """How long a server whose entry vanished is still asked for its flows; the
@@ -26,10 +27,12 @@
 
     Attributes:
         board: What the balancer knows.
+        eras: Carries what is known over restores of the platform's store.
         on_host: Its servers by host.
     """
 
     board: BalancerBoard
+    eras: EraKeeper
     on_host: dict[str, list[Server]] = field(default_factory=dict)
 
     def on_table(
@@ -74,7 +77,10 @@
             refused: Servers whose entries are wrong, with the revisions.
             evacuated: Zones that are evacuated, with the revisions.
         """
-        self._take_evacuations(evacuated, revision, now)
+        if self.eras.begins(revision):
+            entries = self.eras.begin(entries, revision, now)
+        settled = self.eras.is_settled(now)
+        self._take_evacuations(evacuated, revision, now, settled)
         changed = [
             entry
             for entry, changed_at in entries
@@ -85,9 +91,11 @@
         for server_id, refused_at in refused:
             listed.add(server_id)
             self.on_refused(server_id, refused_at)
-        for server_id in list(self.board.view.servers):
-            if server_id not in listed:
-                self.on_removed(server_id, revision, now)
+        if settled:
+            for server_id in list(self.board.view.servers):
+                if server_id not in listed:
+                    self.on_removed(server_id, revision, now)
+            self.eras.unsettled = False
         self.board.view.note_whole(revision)
         self._log_listing(entries, changed, revision)
         if not self.board.fleet_known:
@@ -143,10 +151,14 @@
         board = self.board
         known = board.view.servers.get(entry.server_id)
         if known is not None and self._is_strange(known, entry):
-            entry = replace(known, draining=True)
+            entry = replace(known, draining=True, withdrawn=True)
+        server = board.servers.get(entry.server_id)
+        unchanged = False
+        if server is not None and self.eras.is_first_word(entry, revision):
+            entry = newest_word(server.entry, entry)
+            unchanged = entry == replace(server.entry, created=entry.created)
         if not board.view.put_server(entry, revision):
             return False
-        server = board.servers.get(entry.server_id)
         reborn = server is not None and not server.entry.is_same_as(entry)
         if server is not None and reborn:
             self._begin_anew(server, entry, now)
@@ -159,7 +171,8 @@
             self.on_host.setdefault(entry.host, []).append(server)
         server.entry = entry
         server.unlisted_at = FOREVER
-        server.warm_at = now + entry.warm_in_s
+        if not unchanged:
+            server.warm_at = now + entry.warm_in_s
         if self._is_superseded(server):
             # An entry outlives its server by three heartbeats.
             self._forget(server)
@@ -255,7 +268,7 @@
         known = self.board.view.servers.get(server_id)
         if known is None:
             return
-        withdrawn = replace(known, draining=True)
+        withdrawn = replace(known, draining=True, withdrawn=True)
         if not self.board.view.put_server(withdrawn, revision):
             return
         server = self.board.servers.get(server_id)
@@ -294,16 +307,26 @@
         )
 
     def _take_evacuations(
-        self, evacuated: Sequence[tuple[str, int]], revision: int, now: float
+        self,
+        evacuated: Sequence[tuple[str, int]],
+        revision: int,
+        now: float,
+        settled: bool,
     ) -> None:
         """Takes the whole list of evacuated zones."""
         for zone, asked_at in evacuated:
             self.on_evacuated(zone, asked_at, now)
+        if not settled:
+            return
         listed = {zone for zone, _ in evacuated}
         for zone in list(self.board.view.evacuated):
             if zone not in listed:
                 self.on_returned(zone, revision, now)
 
+    def must_list_again(self, now: float) -> bool:
+        """Tells whether everything is to be read once more after a restore."""
+        return self.eras.unsettled and self.eras.is_settled(now)
+
     def on_change(self, change: ViewChange, now: float) -> None:
         """Takes what another balancer knows beyond this one."""
         board = self.board
--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -14,6 +14,7 @@
 from notchhoist.flows.model.effects import SendPeer
 from notchhoist.flows.model.messages import Member, ViewAsk, ViewTell
 from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.revisions import era_of
 from notchhoist.flows.model.view import ViewChange
 from notchhoist.flows.published.fleet_keeper import FleetKeeper
 from notchhoist.flows.published.parts import ViewParts, split
@@ -203,7 +204,7 @@
             self.members[member.host] = max(known, heard_at)
             self.links[member.host] = member.link_mbps
         change = self.parts.whole(host, tell, now)
-        if change is None:
+        if change is None or self._is_of_earlier_era(change):
             return
         before = self.board.view.revision
         self.fleet.on_change(change, now)
@@ -213,6 +214,13 @@
         self.board.records.counters[Count.VIEWS_TOLD] += 1
         self._push(now)
 
+    def _is_of_earlier_era(self, change: ViewChange) -> bool:
+        """Tells whether a teller has not heard of a restore of the store.
+
+        What it takes for confirmed lately was so before the restore.
+        """
+        return era_of(change.revision) < era_of(self.board.view.revision)
+
     def _note_confirmed(self, tell: ViewTell) -> None:
         """Notes since when what was told is confirmed for certain.
 
--- a/notchhoist/flows/published/states.py
+++ b/notchhoist/flows/published/states.py
@@ -61,5 +61,5 @@
         cold_for_s=max(0.0, cold_until(board, server) - now),
         bound_per_s=bound.per_s,
         bound_lasts_s=bound.lasts_s,
-        draining=server.entry.draining,
+        draining=server.entry.draining and not server.entry.withdrawn,
     )
--- /dev/null
+++ b/notchhoist/flows/published/tests/test_eras.py
@@ -0,0 +1,267 @@
+"""What balancers know is carried over restores of the platform's store."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.model.messages import ViewTell
+from notchhoist.flows.model.revisions import era_of, make_revision
+from notchhoist.flows.published.eras import SETTLE_S
+from notchhoist.flows.tests import crafting
+from notchhoist.flows.tests.crafting import CODEC, entry
+
+HOSTS = ("10.9.0.1", "10.9.0.2", "10.9.0.3")
+
+
+def at(count, era=1):
+    return make_revision(era, count)
+
+
+def listed(node, entries, revision, now=0.0, **fields):
+    node.fleet.on_listing(entries, revision, now, **fields)
+    return node
+
+
+def knowing(*entries, host=HOSTS[0]):
+    """A balancer that knows some entries at 63 of the first era."""
+    node = make_balancer("a", CODEC, host, host)
+    node.fleet.on_table(crafting.table(4), at(60))
+    return listed(node, [(item, at(41)) for item in entries], at(63))
+
+
+def test_a_server_that_leaves_does_not_become_ready_by_a_copy():
+    node = knowing(entry(1, draining=True))
+    listed(node, [(entry(1), at(40, 2))], at(57, 2), 1.0)
+    assert node.board.servers["s1"].entry.draining
+    assert node.board.view.servers["s1"].draining
+
+
+def test_one_whose_removal_was_known_does_not_either():
+    node = knowing(entry(1, draining=True))
+    node.fleet.on_removed("s1", at(64), 0.5)
+    listed(node, [(entry(1), at(40, 2))], at(57, 2), 1.0)
+    assert node.board.servers["s1"].entry.draining
+
+
+def test_an_entry_that_could_not_be_read_counts_as_the_copy_has_it():
+    node = knowing(entry(1))
+    node.fleet.on_refused("s1", at(64))
+    listed(node, [(entry(1), at(40, 2))], at(57, 2), 1.0)
+    assert not node.board.servers["s1"].entry.draining
+
+
+def test_a_server_that_started_again_is_not_the_former_one_again():
+    node = knowing(entry(1, born_ms=9))
+    server = node.board.servers["s1"]
+    listed(node, [(entry(1, born_ms=5), at(40, 2))], at(57, 2), 1.0)
+    assert node.board.servers["s1"] is server
+    assert server.entry.born_ms == 9
+
+
+def test_a_warm_server_does_not_turn_cold_by_a_copy():
+    node = knowing(entry(1, warm_in_s=2.0))
+    warm_at = node.board.servers["s1"].warm_at
+    copied = entry(1, warm_in_s=2.0, created=at(40, 2))
+    listed(node, [(copied, at(40, 2))], at(57, 2), 30.0)
+    assert node.board.servers["s1"].warm_at == warm_at
+
+
+def test_an_evacuation_holds_until_the_store_has_settled():
+    node = knowing(entry(1))
+    node.fleet.on_evacuated("a", at(64), 0.5)
+    listed(node, [(entry(1), at(40, 2))], at(57, 2), 1.0)
+    assert set(node.board.view.evacuated) == {"a"}
+    assert not node.fleet.must_list_again(1.0 + SETTLE_S - 0.1)
+    assert node.fleet.must_list_again(1.0 + SETTLE_S)
+    listed(node, [(entry(1), at(40, 2))], at(57, 2), 1.0 + SETTLE_S)
+    assert not node.board.view.evacuated
+    assert not node.fleet.must_list_again(10.0)
+
+
+def test_a_former_server_in_the_copy_does_not_replace_the_one_after_it():
+    """The copy's entries were created before what was lost with it."""
+    new = entry(1, server_id="new", created=at(60))
+    node = knowing(new)
+    old = entry(1, server_id="old", created=at(40, 2))
+    listed(node, [(old, at(40, 2))], at(57, 2), 1.0)
+    assert node.board.by_host["10.0.0.1"].entry.server_id == "new"
+    again = entry(1, server_id="new", created=at(58, 2))
+    node.fleet.on_entry(again, at(58, 2), 1.5)
+    assert node.board.by_host["10.0.0.1"].entry.server_id == "new"
+
+
+def test_servers_created_after_the_restore_replace_those_before():
+    """Its count, 58, was lower than that of the server it came after."""
+    node = knowing(entry(1, server_id="old", created=at(60)))
+    listed(node, [], at(57, 2), 1.0)
+    new = entry(1, server_id="new", created=at(58, 2))
+    node.fleet.on_entry(new, at(58, 2), 1.5)
+    assert node.board.by_host["10.0.0.1"].entry.server_id == "new"
+
+
+def tell(source, target, now=1.0):
+    known = target.board.view.revision
+    change = source.board.view.since(known)
+    target.sharer.on_tell(source.board.host, ViewTell(change, 0.0, ()), now)
+
+
+def test_a_balancer_that_has_not_heard_of_the_restore_confirms_nothing():
+    behind = knowing(entry(1), host=HOSTS[1])
+    node = listed(knowing(entry(1)), [(entry(1), at(41, 2))], at(57, 2), 1.0)
+    node.sharer.asked_at[7] = 1.0
+    change = behind.board.view.since(node.board.view.revision)
+    node.sharer.on_tell(HOSTS[1], ViewTell(change, 0.0, (), asked=7), 1.1)
+    assert node.sharer.confirmed_at == float("-inf")
+    assert era_of(node.board.view.revision) == 2
+
+
+def test_who_read_an_older_configuration_is_told_the_one_written_again():
+    """It asked from beyond our revision of it, and was told nothing."""
+    node = knowing(entry(1))
+    started = make_balancer("a", CODEC, "n", HOSTS[1])
+    started.fleet.on_table(crafting.table(3), at(30, 2))
+    for one in (node, started):
+        listed(one, [(entry(1), at(41, 2))], at(57, 2), 1.0)
+    node.fleet.on_table(crafting.table(4), at(58, 2))
+    node.board.view.reach(at(58, 2))
+    tell(node, started)
+    assert started.board.table.version == 4
+
+
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["leave", "come", "publish", "evacuate", "copy", "restore"]
+            + 2 * ["read"]
+            + 3 * ["tell"]
+            + ["restart"]
+        ),
+        st.integers(0, 2),
+        st.integers(0, 2),
+        st.integers(0, 4),
+    ),
+    max_size=40,
+)
+
+
+class Published:
+    """A platform's store that can come back from a copy."""
+
+    def __init__(self):
+        self.era = 1
+        self.count = 1
+        self.version, self.version_at = 1, 1
+        self.entries = {}
+        self.zones = {}
+        self.copied = self.state()
+
+    def state(self):
+        return (
+            self.count,
+            (self.version, self.version_at),
+            dict(self.entries),
+            dict(self.zones),
+        )
+
+    def put(self, number, **fields):
+        self.count += 1
+        name = f"s{number}"
+        created = self.entries[name][1] if name in self.entries else self.count
+        self.entries[name] = (fields, created, self.count)
+
+    def restore(self):
+        """Comes back from the copy; what was lost is written again.
+
+        The order is another one, so that counts name other changes.
+        """
+        _, (version, _), entries, zones = self.state()
+        self.count, (old, at_old), self.entries, self.zones = self.copied
+        self.version, self.version_at = old, at_old
+        self.era += 1
+        names = list(entries)
+        random.Random(len(names)).shuffle(names)
+        for name in names:
+            held = self.entries.get(name)
+            if held is None or held[0] != entries[name][0]:
+                self.put(name.removeprefix("s"), **entries[name][0])
+        for name in set(self.entries) - set(entries):
+            self.count += 1
+            del self.entries[name]
+        for zone in set(zones) ^ set(self.zones):
+            self.evacuate(zone)
+        if version > self.version:
+            self.count += 1
+            self.version, self.version_at = version, self.count
+        self.copied = self.state()
+
+    def evacuate(self, zone):
+        self.count += 1
+        if self.zones.pop(zone, None) is None:
+            self.zones[zone] = self.count
+
+    def read(self, node, now):
+        era = self.era
+        table = crafting.table(self.version)
+        node.fleet.on_table(table, at(self.version_at, era))
+        entries = [
+            (
+                entry(int(name[1:]), created=at(created, era), **fields),
+                at(changed, era),
+            )
+            for name, (fields, created, changed) in self.entries.items()
+        ]
+        zones = [(zone, at(when, era)) for zone, when in self.zones.items()]
+        listed(node, entries, at(self.count, era), now, evacuated=zones)
+
+
+@settings(max_examples=150, deadline=None)
+@given(steps)
+def test_whatever_is_restored_the_newest_is_known_everywhere(steps):
+    """Restores, reads, tells and restarts in any order."""
+    platform = Published()
+    nodes = [make_balancer("a", CODEC, str(n), HOSTS[n]) for n in range(3)]
+    now = 0.0
+    for action, one, other, number in steps:
+        now += 0.3
+        match action:
+            case "leave" if f"s{number}" in platform.entries:
+                platform.put(number, draining=True)
+            case "come":
+                platform.put(number)
+            case "publish":
+                platform.count += 1
+                platform.version += 1
+                platform.version_at = platform.count
+            case "evacuate":
+                platform.evacuate(f"z{number}")
+            case "copy":
+                platform.copied = platform.state()
+            case "restore":
+                platform.restore()
+            case "read":
+                platform.read(nodes[one], now)
+            case "restart":
+                nodes[one] = make_balancer("a", CODEC, "x", HOSTS[one])
+            case "tell" if one != other and nodes[one].board.fleet_known:
+                tell(nodes[one], nodes[other], now)
+    for _ in range(2):
+        now += 2 * SETTLE_S
+        platform.read(nodes[0], now)
+        for node in nodes[1:]:
+            tell(nodes[0], node, now)
+    for node in nodes:
+        assert node.board.table.version == platform.version
+        assert set(node.board.view.evacuated) == set(platform.zones)
+        assert set(node.board.view.servers) == set(platform.entries)
+        leaving = {
+            name
+            for name, (fields, _, _) in platform.entries.items()
+            if fields.get("draining")
+        }
+        assert leaving <= {
+            name
+            for name, known in node.board.view.servers.items()
+            if known.draining
+        }
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -8,6 +8,7 @@
 from notchhoist.base.errors import ConfigurationProblem, PlatformError
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.revisions import count_of, era_of
 from notchhoist.platform import items, store
 from notchhoist.platform.checking import FieldError
 from notchhoist.platform.eras import read_era
@@ -47,8 +48,11 @@
         if not self.node.sharer.must_read(now):
             self.reader.due = now + RECONSIDER_S
             return None
-        if self.node.board.fleet_known:
-            self.reader.resume(self.node.board.view.revision)
+        board = self.node.board
+        if board.fleet_known:
+            self.reader.resume(board.view.revision)
+        if self.node.fleet.must_list_again(now):
+            self.reader.list_anew()
         return self.reader.next_call()
 
     def on_answer(
@@ -66,11 +70,11 @@
             now: Runtime clock, seconds.
             headers: Its headers, by their names in small letters.
         """
-        self._note_era(headers)
+        era = self._note_era(headers)
         if status == HISTORY_GONE:
             self._note_history_lost()
         try:
-            events = self.reader.on_answer(status, body, now)
+            events = self.reader.on_answer(status, body, now, era)
         except PlatformError as error:
             self._note_lost(str(error), now)
             return
@@ -81,22 +85,24 @@
         for event in events:
             self._apply(event, now)
         board = self.node.board
-        if board.fleet_known:
+        # A refused watch or a first page of several confirms nothing.
+        if board.fleet_known and self.reader.confirms:
             board.view.reach(self.reader.revision)
             self.node.sharer.on_confirmed(now)
             self.node.on_published(now)
 
-    def _note_era(self, headers: Mapping[str, str]) -> None:
-        """Notes which era of the store an answer is of."""
+    def _note_era(self, headers: Mapping[str, str]) -> int:
+        """Notes and returns which era of the store an answer is of."""
         board = self.node.board
         try:
             era = read_era(headers)
         except FieldError as error:
             self._note_problem(error.problem)
-            return
+            return board.store_era
         if era != board.store_era:
             self._decide("store era", f"{board.store_era} -> {era}")
-        board.store_era = era
+        board.store_era = max(era, board.store_era)
+        return era
 
     def _note_history_lost(self) -> None:
         """Logs that the store does not have the history that was asked for."""
@@ -112,8 +118,9 @@
         board = self.node.board
         before, after = board.store_revision, self.reader.seen_revision
         board.store_revision = after
-        if after < board.view.revision and after != before:
-            self._decide("store behind", f"at {after}")
+        known = board.view.revision
+        if count_of(after) < count_of(known) and after != before:
+            self._decide("store behind", f"at {count_of(after)}")
 
     def on_failed(self, reason: str, now: float, silent: bool = False) -> None:
         """Takes account of a call without an answer.
@@ -138,18 +145,31 @@
         headers: Mapping[str, str] = NO_HEADERS,
     ) -> None:
         """Takes the answer to a ``confirming_call``; see ``on_answer``."""
-        self._note_era(headers)
+        era = self._note_era(headers)
+        board = self.node.board
         try:
-            changes = store.read_confirmation(status, body)
+            changes = store.read_confirmation(status, body, era)
+            self._check_era_of_view(era)
         except PlatformError as error:
             self.on_confirmation_failed(str(error), now)
             return
         for event in changes.events:
             self._apply(event, now)
-        self.node.board.view.reach(changes.revision)
+        board.view.reach(changes.revision)
         self.node.sharer.on_confirmed(now)
         self.node.finder.on_view_confirmed(now)
 
+    def _check_era_of_view(self, era: int) -> None:
+        """Checks that what is known is of the era of an answer.
+
+        Raises:
+            PlatformError: It is not, so the answer does not say what came after
+                it. The watch under way ends with the same news.
+        """
+        known = era_of(self.node.board.view.revision)
+        if known != era:
+            raise PlatformError("confirmation", f"of era {era}, not {known}")
+
     def on_confirmation_failed(self, reason: str, now: float) -> None:
         """Takes account of a ``confirming_call`` without a usable answer."""
         self.node.board.store_failed_at = now
--- a/notchhoist/platform/items.py
+++ b/notchhoist/platform/items.py
@@ -4,6 +4,7 @@
 
 from notchhoist.base.errors import ConfigurationRefusedError
 from notchhoist.flows.model.fleet import RouteTable, ServerEntry
+from notchhoist.flows.model.revisions import COUNTS_AN_ERA, make_revision
 from notchhoist.platform.checking import FieldError, Fields
 from notchhoist.platform.documents import (
     decode_configuration,
@@ -15,7 +16,7 @@
 SERVERS_PREFIX = "servers/"
 EVACUATIONS_PREFIX = "op/evacuate/"
 """An item under it asks that a zone be evacuated while it is there."""
-MAX_REVISION = 1 << 62
+MAX_REVISION = COUNTS_AN_ERA - 1
 
 
 class TablePublished(Struct, frozen=True):
@@ -107,9 +108,16 @@
 )
 
 
-def read_item(place: str, value: object) -> tuple[str, StoreEvent | None]:
+def read_item(
+    place: str, value: object, era: int = 0
+) -> tuple[str, StoreEvent | None]:
     """Reads an item; what is wrong in it costs nothing else.
 
+    Args:
+        place: Where it stands, for errors.
+        value: The item.
+        era: Era of the store that its revisions are of.
+
     Returns:
         Its key, empty where there is none, and what it tells; None for an item
         of no concern.
@@ -119,34 +127,38 @@
         key = item.text("key")
     except FieldError as error:
         return "", ItemRefused(error)
-    return key, _event(key, item)
+    return key, _event(key, item, era)
 
 
-def _event(key: str, item: Fields) -> StoreEvent | None:
+def _event(key: str, item: Fields, era: int) -> StoreEvent | None:
     if key == CONFIGURATION_KEY:
-        return _table_event(item)
+        return _table_event(item, era)
     if key.startswith(SERVERS_PREFIX):
-        return _server_event(key.removeprefix(SERVERS_PREFIX), item)
+        return _server_event(key.removeprefix(SERVERS_PREFIX), item, era)
     if key.startswith(EVACUATIONS_PREFIX):
-        return _zone_event(key.removeprefix(EVACUATIONS_PREFIX), item)
+        return _zone_event(key.removeprefix(EVACUATIONS_PREFIX), item, era)
     return None
 
 
-def _zone_event(zone: str, item: Fields) -> StoreEvent:
+def _revision(item: Fields, name: str, era: int) -> int:
+    return make_revision(era, item.integer(name, 0, MAX_REVISION, default=0))
+
+
+def _zone_event(zone: str, item: Fields, era: int) -> StoreEvent:
     """Reads an evacuation; that the item is there says all, not its value."""
     try:
-        revision = item.integer("revision", 0, MAX_REVISION, default=0)
+        revision = _revision(item, "revision", era)
         removed = item.boolean("removed", default=False)
     except FieldError as error:
         return ItemRefused(error)
     return (ZoneReturned if removed else ZoneEvacuated)(zone, revision)
 
 
-def _table_event(item: Fields) -> StoreEvent | None:
+def _table_event(item: Fields, era: int) -> StoreEvent | None:
     try:
         if item.boolean("removed", default=False):
             return None  # The last good one stays.
-        revision = item.integer("revision", 0, MAX_REVISION, default=0)
+        revision = _revision(item, "revision", era)
         value = decode_value(item.text("value"), CONFIGURATION_KEY)
         return TablePublished(decode_configuration(value), revision)
     except FieldError as error:
@@ -155,14 +167,14 @@
         return TableRefused(error)
 
 
-def _server_event(server_id: str, item: Fields) -> StoreEvent:
+def _server_event(server_id: str, item: Fields, era: int) -> StoreEvent:
     revision = 0
     try:
-        revision = item.integer("revision", 0, MAX_REVISION, default=0)
+        revision = _revision(item, "revision", era)
         if item.boolean("removed", default=False):
             return ServerRemoved(server_id, revision)
         value = decode_value(item.text("value"), SERVERS_PREFIX + server_id)
-        created = item.integer("created", 0, MAX_REVISION, default=0)
+        created = _revision(item, "created", era)
         entry = decode_entry(server_id, value, created)
     except FieldError as error:
         return EntryRefused(server_id, error, revision)
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -12,6 +12,7 @@
 from notchhoist.base.draws import Draw
 from notchhoist.base.errors import PlatformError
 from notchhoist.flows.model.fleet import ServerEntry
+from notchhoist.flows.model.revisions import count_of, era_of, make_revision
 from notchhoist.platform.checking import FieldError, Fields
 from notchhoist.platform.documents import decode_json
 from notchhoist.platform.items import (
@@ -108,6 +109,8 @@
         watch_s: How long the store may hold a watch, seconds.
         want: What the next call reads.
         revision: Everything up to this revision of the store is known.
+        era: Era of the store that its last answer was of.
+        confirms: The last answer told all that is newer than what was known.
         due: When to make the next call, seconds.
         failures: Failed calls in a row.
         calls: Calls so far.
@@ -124,6 +127,8 @@
     watch_s: float = WATCH_S
     want: Want = Want.LISTING
     revision: int = 0
+    era: int = 0
+    confirms: bool = False
     due: float = 0.0
     failures: int = 0
     calls: int = 0
@@ -144,7 +149,7 @@
                 target += f"&after={_quoted(self.page_after)}"
             return StoreCall("listing", target, self._listing_timeout_s())
         target = (
-            f"/kv-watch?path_prefix=&after={self.revision}"
+            f"/kv-watch?path_prefix=&after={count_of(self.revision)}"
             f"&wait_ms={int(self.watch_s * 1000)}"
         )
         return StoreCall("watch", target, self.watch_s + ANSWER_S)
@@ -155,7 +160,8 @@
         It goes beside the others and does not change what comes next.
         """
         self.calls += 1
-        target = f"/kv-watch?path_prefix=&after={revision}&wait_ms=1"
+        after = count_of(revision)
+        target = f"/kv-watch?path_prefix=&after={after}&wait_ms=1"
         return StoreCall("confirmation", target, CONFIRM_TIMEOUT_S)
 
     def _listing_timeout_s(self) -> float:
@@ -172,12 +178,48 @@
         return self.revision > 0
 
     def resume(self, revision: int) -> None:
-        """Notes that everything up to a revision is known from elsewhere."""
-        if revision > self.revision:
+        """Notes that everything up to a revision is known from elsewhere.
+
+        What is known of an earlier era than the store's is no place to go on
+        from: the store has never told what it says there now.
+        """
+        if revision > self.revision and era_of(revision) >= self.era:
             self.revision = revision
+            self.era = era_of(revision)
             self.want = Want.CHANGES
             self._forget_pages()
 
+    def list_anew(self) -> None:
+        """Has the next call read everything, unless that is under way."""
+        if self.want is Want.CHANGES:
+            self.list_again()
+
+    def list_again(self) -> None:
+        """Has the next call begin to read everything."""
+        self.want = Want.LISTING
+        self._forget_pages()
+
+    def see_era(self, era: int) -> bool:
+        """Takes account of the era that an answer is of.
+
+        Returns:
+            Whether the answer is of use. What was asked for in another era is
+            not: its revisions name other changes.
+
+        Raises:
+            PlatformError: The answer is of an earlier era than another one.
+        """
+        if era < self.era:
+            raise PlatformError(
+                self.want.value, f"of era {era}, not {self.era}"
+            )
+        if era == self.era:
+            return True
+        self.era = era
+        first_page = self.want is Want.LISTING and not self.page_after
+        self.list_again()
+        return first_page
+
     def on_failed(self, now: float, silent: bool = False) -> None:
         """Takes account of a call without a usable answer.
 
@@ -200,7 +242,7 @@
         self.page_after = ""
 
     def on_answer(
-        self, status: int, body: bytes, now: float
+        self, status: int, body: bytes, now: float, era: int = 0
     ) -> Sequence[StoreEvent]:
         """Takes an answer.
 
@@ -208,6 +250,7 @@
             status: HTTP status.
             body: Its body.
             now: Runtime clock, seconds.
+            era: Era of the store that it is of.
 
         Returns:
             What it tells.
@@ -216,8 +259,15 @@
             PlatformError: The answer is of no use; ``on_failed`` has been
                 called.
         """
-        if status == HISTORY_GONE and self.want is Want.CHANGES:
-            self.want = Want.LISTING
+        self.confirms = False
+        try:
+            useful = self.see_era(era)
+        except PlatformError:
+            self.on_failed(now)
+            raise
+        lost = status == HISTORY_GONE and self.want is Want.CHANGES
+        if lost or not useful:
+            self.list_again()
             self.due = now
             return ()
         if status != 200:
@@ -237,14 +287,15 @@
         return events
 
     def _on_page(self, fields: Fields, now: float) -> list[StoreEvent]:
-        revision = fields.integer("as_of", 0, MAX_REVISION)
+        count = fields.integer("as_of", 0, MAX_REVISION)
+        revision = make_revision(self.era, count)
         self.seen_revision = revision
         if not self.page_after:
             self.page_revision = revision
         events: list[StoreEvent] = []
         last_key = ""
         for place, item in fields.elements("items"):
-            key, event = read_item(place, item)
+            key, event = read_item(place, item, self.era)
             last_key = key or last_key
             if isinstance(event, ServerPublished):
                 self.listed.append((event.entry, event.revision))
@@ -275,37 +326,45 @@
         self._forget_pages()
         self.revision = self.page_revision
         self.want = Want.CHANGES
+        self.confirms = True
         return events
 
     def _on_changes(self, fields: Fields, now: float) -> list[StoreEvent]:
-        changes = _changes(fields)
+        changes = _changes(fields, self.era)
+        self.confirms = True
         self.seen_revision = changes.revision
         self.revision = max(self.revision, changes.revision)
         self.due = now + GATHER_S if changes.told else now
         return changes.events
 
 
-def read_confirmation(status: int, body: bytes) -> StoreChanges:
+def read_confirmation(status: int, body: bytes, era: int = 0) -> StoreChanges:
     """Reads the answer to a ``confirming_call``.
 
+    Args:
+        status: HTTP status.
+        body: Its body.
+        era: Era of the store that it is of.
+
     Raises:
         PlatformError: The answer is of no use.
     """
     if status != 200:
         raise PlatformError("confirmation", f"status {status}")
     try:
-        return _changes(Fields(decode_json(body, "answer"), "answer"))
+        return _changes(Fields(decode_json(body, "answer"), "answer"), era)
     except FieldError as error:
         raise PlatformError("confirmation", str(error)) from error
 
 
-def _changes(fields: Fields) -> StoreChanges:
+def _changes(fields: Fields, era: int) -> StoreChanges:
     items = fields.elements("events")
-    events = [read_item(place, item)[1] for place, item in items]
+    events = [read_item(place, item, era)[1] for place, item in items]
+    count = fields.integer("as_of", 0, MAX_REVISION)
     return StoreChanges(
         events=[event for event in events if event is not None],
         told=bool(items),
-        revision=fields.integer("as_of", 0, MAX_REVISION),
+        revision=make_revision(era, count),
     )
 
 
--- a/notchhoist/platform/tests/test_feeding.py
+++ b/notchhoist/platform/tests/test_feeding.py
@@ -5,6 +5,7 @@
 from notchhoist.base.draws import make_draw
 from notchhoist.flows.balancer.node import make_balancer
 from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.revisions import make_revision
 from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.platform.store import StoreReader
@@ -80,7 +81,7 @@
     assert lines_of(feeder, "store era") == ["0 -> 2"]
     assert lines_of(feeder, "store behind") == ["at 44"]
     board = feeder.node.board
-    assert board.store_revision == 44
+    assert board.store_revision == make_revision(2, 44)
     assert board.records.counters[Count.HISTORY_LOST] == 1
 
 
--- /dev/null
+++ b/notchhoist/testing/opaque/tests/test_leaving.py
@@ -0,0 +1,26 @@
+"""Servers that leave while balancers do not heed it: agents stop them."""
+
+from notchhoist.flows.agent.bearing import OpeningGate
+from notchhoist.flows.decisions import placing
+from notchhoist.testing.opaque.experiment import play
+
+
+def heedless(servers, now):
+    """Places as if nobody had announced that it leaves."""
+    return [server for server in servers if server.listed]
+
+
+def late_flows(monkeypatch, agents):
+    monkeypatch.setattr(placing, "usable", heedless)
+    if not agents:
+        monkeypatch.setattr(OpeningGate, "has_left", lambda *_: False)
+    world = play("release", seed=7, seconds=12.0)
+    return [text for text in world.judge.broken if "DRAIN" in text]
+
+
+def test_agents_stop_balancers_that_do_not_heed_a_leave(monkeypatch):
+    assert not late_flows(monkeypatch, agents=True)
+
+
+def test_without_the_agents_such_balancers_send_late_flows(monkeypatch):
+    assert late_flows(monkeypatch, agents=False)
--- a/notchhoist/testing/opaque/world.py
+++ b/notchhoist/testing/opaque/world.py
@@ -30,6 +30,7 @@
 from notchhoist.testing.opaque.judge import (
     COLD_OVERAGE,
     COLD_SLACK,
+    DRAIN_S,
     EVACUATE_S,
     Judge,
 )
@@ -177,7 +178,7 @@
         host.link = make_link(mbps, self.paced)
         if host.service:
             slack = COLD_SLACK if self.cold_per_s else None
-            limits = Limits(EVACUATE_S, COLD_OVERAGE, slack)
+            limits = Limits(EVACUATE_S, COLD_OVERAGE, slack, DRAIN_S)
             host.node = make_agent(
                 host.service, self.codec, self.now, limits=limits
             )
