Questions are numbered anew in each life; parts of two answers stay apart

Parts of two answers with the same revision and different bases were joined into one view that lacked records. Ruled out: that hosts tell lives apart: they are the same before and after. Change: numbers begin at a place of the process's own; views are gathered by sender, base and revision; an answer of the store without an era counts as of the known one. Split: platform/changes, codec/view_codec, published/zones, soak/store_troubles. A test counted questions by their number; it counts them by their counter now.

--- a/notchhoist/base/draws.py
+++ b/notchhoist/base/draws.py
@@ -9,6 +9,10 @@
 Draw = Callable[[], float]
 """Returns numbers in [0, 1)."""
 
+FIRST_NUMBERS = 1 << 30
+"""Where the numbers of a process's questions may begin; they are sent in 32
+bits, and a billion questions more fit in."""
+
 
 def make_draw(seed: str) -> Draw:
     """Returns a source of draws that follows from a seed.
@@ -27,3 +31,17 @@
         return (state >> 11) / (1 << 53)
 
     return draw
+
+
+def first_number(draw: Draw) -> int:
+    """Returns where a process begins to number its questions.
+
+    Processes start again on the same host, and answers to their former life
+    still arrive: numbered from 1 in each life, they were taken for answers to
+    the new questions with the same numbers.
+
+    Examples:
+        >>> 0 <= first_number(make_draw("life 1")) < FIRST_NUMBERS
+        True
+    """
+    return int(draw() * FIRST_NUMBERS)
--- a/notchhoist/daemon/tests/test_flow_state.py
+++ b/notchhoist/daemon/tests/test_flow_state.py
@@ -29,7 +29,7 @@
         (entry(2, zone="b", warm_in_s=2.0), 1),
     ]
     node.fleet.on_listing(listed, 1, 0.0)
-    node.fleet.on_evacuated("a", 5, 0.5)
+    node.fleet.zones.on_evacuated("a", 5, 0.5)
     [zone] = dump(node, "zones", 1.5)
     assert zone == {
         "zone": "a",
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -3,7 +3,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from notchhoist.base.draws import make_draw
+from notchhoist.base.draws import first_number, make_draw
 from notchhoist.flows.balancer.confirming import ViewConfirmer
 from notchhoist.flows.balancer.finding import FlowFinder
 from notchhoist.flows.balancer.health import HealthKeeper
@@ -34,6 +34,7 @@
 from notchhoist.flows.published.eras import EraKeeper
 from notchhoist.flows.published.fleet_keeper import FleetKeeper
 from notchhoist.flows.published.sharing import ViewSharer
+from notchhoist.flows.published.zones import ZoneKeeper
 
 SWEEP_S = 1.0
 CLOSED_KEPT_S = 3.0
@@ -298,10 +299,13 @@
     early = EarlyPackets()
     resetter = FlowResetter(board, codec)
     health = HealthKeeper(board, resetter, HostWatch(board), link_mbps)
-    fleet = FleetKeeper(board, EraKeeper(board))
-    sharer = ViewSharer(board, fleet, seeds, link_mbps)
+    fleet = FleetKeeper(board, EraKeeper(board), ZoneKeeper(board))
+    numbers = make_draw(f"numbers of {seed}")
+    sharer = ViewSharer(
+        board, fleet, seeds, link_mbps, number=first_number(numbers)
+    )
     informer = AgentInformer(board, sharer)
-    questions = make_questions(board, codec)
+    questions = make_questions(board, codec, first_number(numbers))
     return BalancerNode(
         board=board,
         codec=codec,
--- a/notchhoist/flows/balancer/questions.py
+++ b/notchhoist/flows/balancer/questions.py
@@ -64,7 +64,7 @@
         codec: Codec of the packets.
         lines: What is asked, by host and tag of the service.
         by_number: The lines whose questions are under way.
-        count: Questions so far; numbers them.
+        count: Number of the last question; see ``first_number``.
     """
 
     board: BalancerBoard
@@ -202,6 +202,14 @@
         self.board.outbox.append(SendPeer(host, question))
 
 
-def make_questions(board: BalancerBoard, codec: SegmentCodec) -> Questions:
-    """Makes a balancer's questions; nothing is asked yet."""
-    return Questions(board, codec)
+def make_questions(
+    board: BalancerBoard, codec: SegmentCodec, count: int = 0
+) -> Questions:
+    """Makes a balancer's questions; nothing is asked yet.
+
+    Args:
+        board: What the balancer knows.
+        codec: Codec of the packets.
+        count: Where their numbers begin.
+    """
+    return Questions(board, codec, count=count)
--- a/notchhoist/flows/balancer/tests/test_evacuating.py
+++ b/notchhoist/flows/balancer/tests/test_evacuating.py
@@ -33,7 +33,7 @@
 
 
 def evacuate(node, zone, revision, now):
-    node.fleet.on_evacuated(zone, revision, now)
+    node.fleet.zones.on_evacuated(zone, revision, now)
     node.board.view.reach(revision)
 
 
@@ -62,16 +62,16 @@
 
 def test_an_evacuated_zone_gets_no_new_flow():
     node = balancer()
-    node.fleet.on_evacuated("a", 2, 0.5)
+    node.fleet.zones.on_evacuated("a", 2, 0.5)
     assert placed(node) == {"b", "c"}
-    node.fleet.on_returned("a", 3, 2.0)
+    node.fleet.zones.on_returned("a", 3, 2.0)
     assert "a" in placed(node, now=3.0)
 
 
 def test_open_flows_of_an_evacuated_zone_stay():
     node = balancer()
     host = open_flow(node)
-    node.fleet.on_evacuated(node.board.by_host[host].entry.zone, 2, 0.5)
+    node.fleet.zones.on_evacuated(node.board.by_host[host].entry.zone, 2, 0.5)
     more = request(data=b"x", seq=1, ack=1)
     [(to, _)] = packets(node.on_caller(more, 0.6))
     assert to == host
@@ -80,7 +80,7 @@
 def test_where_all_zones_are_evacuated_callers_are_told_at_once():
     node = balancer()
     for number, zone in enumerate(ZONES):
-        node.fleet.on_evacuated(zone, 2 + number, 0.5)
+        node.fleet.zones.on_evacuated(zone, 2 + number, 0.5)
     [reset] = resets(node.on_caller(request(flags=SYN), 0.6))
     assert reset
     assert not node.board.openings
@@ -88,24 +88,24 @@
 
 def test_evacuated_withdrawn_and_evacuated_again_within_a_second():
     node = balancer()
-    node.fleet.on_evacuated("a", 2, 0.1)
-    node.fleet.on_returned("a", 3, 0.2)
-    node.fleet.on_evacuated("a", 4, 0.3)
-    node.fleet.on_returned("a", 3, 0.4)  # Late word of what is over.
+    node.fleet.zones.on_evacuated("a", 2, 0.1)
+    node.fleet.zones.on_returned("a", 3, 0.2)
+    node.fleet.zones.on_evacuated("a", 4, 0.3)
+    node.fleet.zones.on_returned("a", 3, 0.4)  # Late word of what is over.
     assert placed(node) == {"b", "c"}
     assert node.board.zones["a"].evacuated_at == 0.3
 
 
 def test_a_zone_that_nobody_is_in_changes_nothing():
     node = balancer()
-    node.fleet.on_evacuated("nowhere/else", 2, 0.1)
+    node.fleet.zones.on_evacuated("nowhere/else", 2, 0.1)
     assert placed(node) == set(ZONES)
 
 
 def test_a_whole_list_withdraws_what_it_does_not_name():
     node = balancer()
-    node.fleet.on_evacuated("a", 2, 0.1)
-    node.fleet.on_evacuated("b", 3, 0.1)
+    node.fleet.zones.on_evacuated("a", 2, 0.1)
+    node.fleet.zones.on_evacuated("b", 3, 0.1)
     entries = [(item, 1) for item in node.board.view.servers.values()]
     node.fleet.on_listing(entries, 9, 0.2, evacuated=[("b", 3)])
     assert set(node.board.view.evacuated) == {"b"}
@@ -195,7 +195,7 @@
 def test_a_zone_that_is_used_again_counts_as_cold_for_a_start():
     node = balancer(ColdBound(crafting.SERVICE, 6.0, 2.0))
     evacuate(node, "a", 2, 1.0)
-    node.fleet.on_returned("a", 3, 5.0)
+    node.fleet.zones.on_returned("a", 3, 5.0)
     node.board.view.reach(3)
     states = dict(told(node.tick(5.0)))
     cold = {
--- a/notchhoist/flows/balancer/tests/test_questions.py
+++ b/notchhoist/flows/balancer/tests/test_questions.py
@@ -10,6 +10,7 @@
 )
 from notchhoist.flows.model.effects import SendPeer
 from notchhoist.flows.model.messages import FlowsAsk, FlowsTell, LoadTell
+from notchhoist.flows.model.records import Count
 from notchhoist.flows.tests import agents
 from notchhoist.flows.tests.agents import START, TAG, to_backend
 from notchhoist.flows.tests.balancing import balancer
@@ -48,7 +49,7 @@
         tell = FlowsTell(question.number, absent=tuple(flows))
         asked += questions(node.on_peer(HOST, tell, 0.01))
     assert heads == 100
-    assert node.finder.questions.count <= 3 * 5
+    assert node.board.records.counters[Count.QUESTIONS] <= 3 * 5
 
 
 def test_a_silent_agent_is_asked_less_and_less():
--- a/notchhoist/flows/codec/tests/test_versions.py
+++ b/notchhoist/flows/codec/tests/test_versions.py
@@ -21,6 +21,7 @@
     ViewAsk,
     ViewTell,
 )
+from notchhoist.flows.model.revisions import make_revision
 from notchhoist.flows.model.view import ViewChange
 from notchhoist.flows.tests.crafting import entry, route
 
@@ -91,3 +92,36 @@
     buffer = TTransport.TMemoryBuffer()
     struct.write(TCompactProtocol.TCompactProtocol(buffer))
     assert type(decode_message(buffer.getvalue())) is type(message)
+
+
+def in_era(era):
+    revision = make_revision(era, 9)
+    change = ViewChange(
+        revision,
+        base=make_revision(era, 3),
+        servers=((entry(1, created=revision, withdrawn=True), revision),),
+        evacuated=(("a", revision),),
+        returned=(("b", revision),),
+    )
+    return [
+        LoadAsk(3, ServerState(revision)),
+        LoadTell(1, 1, 1, False, revision),
+        ViewAsk(revision),
+        ViewTell(change, 0.5, ()),
+    ]
+
+
+@pytest.mark.parametrize("era", [0, 1, 1 << 40])
+def test_eras_travel_with_their_revisions(era):
+    for message in in_era(era):
+        assert decode_message(encode_message(message)) == message
+
+
+def test_a_process_that_knows_no_eras_reads_the_platforms_counts():
+    """While both versions run it goes on as if there were one history."""
+    for message in in_era(1):
+        struct = ttypes.FlowMessage()
+        buffer = TTransport.TMemoryBuffer(encode_message(message))
+        struct.read(TCompactProtocol.TCompactProtocol(buffer))
+        for body in (struct.view_ask, struct.view_tell):
+            assert body is None or body.revision == 9
--- /dev/null
+++ b/notchhoist/flows/codec/view_codec.py
@@ -0,0 +1,212 @@
+"""Thrift structs of views, and the check that all messages share."""
+
+from typing import Any
+
+from notchhoist.flows.codec.generated import ttypes
+from notchhoist.flows.model.fleet import (
+    ColdBound,
+    RequestKind,
+    Route,
+    ServerEntry,
+)
+from notchhoist.flows.model.messages import Member, ViewTell
+from notchhoist.flows.model.revisions import (
+    count_of,
+    era_of,
+    make_revision,
+)
+from notchhoist.flows.model.view import ViewChange
+
+MAX_RECORDS = 10_000
+AGE_MAX_S = 1e6
+
+_ADDED_LATER = {
+    "LoadAsk": ("state",),
+    "LoadTell": ("state_revision", "state_era"),
+    "Server": ("born_ms", "era", "created_era", "withdrawn"),
+    "ServerState": ("draining", "era"),
+    "ViewAsk": ("number", "era"),
+    "Zone": ("era",),
+    "ViewTell": (
+        "asked",
+        "era",
+        "cold_bounds",
+        "evacuated",
+        "returned",
+        "evacuated_total",
+    ),
+}
+"""Fields that processes of an earlier version do not send."""
+
+
+def check_whole(struct: Any) -> None:
+    """Raises ValueError where a field is missing that has always been there."""
+    later = _ADDED_LATER.get(type(struct).__name__, ())
+    for entry in struct.thrift_spec:
+        if not entry or entry[2] in later:
+            continue
+        if getattr(struct, entry[2]) is None:
+            raise ValueError(f"{type(struct).__name__}.{entry[2]} is missing")
+
+
+def view_struct(tell: ViewTell) -> Any:
+    """Returns the Thrift struct of a part of a view."""
+    change = tell.change
+    return ttypes.ViewTell(
+        revision=count_of(change.revision),
+        era=era_of(change.revision),
+        base=count_of(change.base),
+        age_ms=int(min(tell.age_s, AGE_MAX_S) * 1000),
+        members=[
+            ttypes.Member(m.host, m.link_mbps, m.age_ms) for m in tell.members
+        ],
+        part=tell.part,
+        parts=tell.parts,
+        version=change.version,
+        idle_s=change.idle_s,
+        routes=[_route_struct(route) for route in change.routes],
+        removed_routes=list(change.removed_routes),
+        servers=[_server_struct(*item) for item in change.servers],
+        removed_servers=list(change.removed_servers),
+        routes_total=change.routes_total,
+        servers_total=change.servers_total,
+        cold_bounds=[
+            ttypes.ColdBound(bound.service, bound.per_s, bound.lasts_s)
+            for bound in change.cold_bounds
+        ],
+        evacuated=[_zone_struct(*zone) for zone in change.evacuated],
+        returned=[_zone_struct(*zone) for zone in change.returned],
+        evacuated_total=change.evacuated_total,
+        asked=tell.asked,
+    )
+
+
+def _zone_struct(name: str, revision: int) -> Any:
+    return ttypes.Zone(name, count_of(revision), era_of(revision))
+
+
+def _route_struct(route: Route) -> Any:
+    return ttypes.Route(
+        name=route.name,
+        service_key=route.service_key,
+        kind=route.kind.value,
+        targets=[ttypes.Target(*target) for target in route.targets],
+        priority=route.priority,
+        objective_ms=route.objective_ms,
+        timeout_ms=route.timeout_ms,
+    )
+
+
+def _server_struct(entry: ServerEntry, revision: int) -> Any:
+    return ttypes.Server(
+        server_id=entry.server_id,
+        service_name=entry.service,
+        host=entry.host,
+        zone=entry.zone,
+        slots=entry.slots,
+        draining=entry.draining,
+        warm_in_s=entry.warm_in_s,
+        created=count_of(entry.created),
+        created_era=era_of(entry.created),
+        revision=count_of(revision),
+        era=era_of(revision),
+        born_ms=entry.born_ms,
+        withdrawn=entry.withdrawn,
+    )
+
+
+def _zones_of(structs: Any) -> tuple[tuple[str, int], ...]:
+    for struct in structs or ():
+        check_whole(struct)
+    return tuple(
+        (struct.name, make_revision(struct.era or 0, struct.revision))
+        for struct in structs or ()
+    )
+
+
+def _bounds_of(structs: Any) -> tuple[ColdBound, ...]:
+    for struct in structs or ():
+        check_whole(struct)
+    return tuple(
+        ColdBound(struct.service_name, struct.per_s, struct.lasts_s)
+        for struct in structs or ()
+    )
+
+
+def view_of(struct: Any) -> ViewTell:
+    """Returns the part of a view that a Thrift struct holds.
+
+    Raises:
+        ValueError: Something in it is missing or impossible.
+    """
+    check_whole(struct)
+    if not 0 <= struct.part < struct.parts <= MAX_RECORDS:
+        raise ValueError(f"part {struct.part} of {struct.parts}")
+    era = struct.era or 0
+    change = ViewChange(
+        revision=make_revision(era, struct.revision),
+        base=make_revision(era, struct.base) if struct.base else 0,
+        version=struct.version,
+        idle_s=struct.idle_s,
+        routes=tuple(_route_of(item) for item in struct.routes),
+        removed_routes=tuple(struct.removed_routes),
+        servers=tuple(_server_of(item) for item in struct.servers),
+        removed_servers=tuple(struct.removed_servers),
+        routes_total=struct.routes_total,
+        servers_total=struct.servers_total,
+        cold_bounds=_bounds_of(struct.cold_bounds),
+        evacuated=_zones_of(struct.evacuated),
+        returned=_zones_of(struct.returned),
+        evacuated_total=struct.evacuated_total or 0,
+    )
+    age_s = struct.age_ms / 1000
+    for item in struct.members:
+        check_whole(item)
+    members = tuple(
+        Member(m.host, m.link_mbps, m.age_ms) for m in struct.members
+    )
+    return ViewTell(
+        change, age_s, members, struct.part, struct.parts, struct.asked or 0
+    )
+
+
+def _route_of(struct: Any) -> Route:
+    check_whole(struct)
+    for target in struct.targets:
+        check_whole(target)
+    if sum(target.weight for target in struct.targets) <= 0:
+        raise ValueError(f"route {struct.name} leads nowhere")
+    return Route(
+        name=struct.name,
+        service_key=struct.service_key,
+        kind=_kind_of(struct.kind),
+        targets=tuple((t.service_name, t.weight) for t in struct.targets),
+        priority=struct.priority,
+        objective_ms=struct.objective_ms,
+        timeout_ms=struct.timeout_ms,
+    )
+
+
+def _kind_of(name: str) -> RequestKind:
+    """Returns a kind; one that only newer processes know is once-only."""
+    try:
+        return RequestKind(name)
+    except ValueError:
+        return RequestKind.ONCE_ONLY
+
+
+def _server_of(struct: Any) -> tuple[ServerEntry, int]:
+    check_whole(struct)
+    entry = ServerEntry(
+        server_id=struct.server_id,
+        service=struct.service_name,
+        host=struct.host,
+        zone=struct.zone,
+        slots=struct.slots,
+        draining=struct.draining,
+        warm_in_s=struct.warm_in_s,
+        created=make_revision(struct.created_era or 0, struct.created),
+        born_ms=struct.born_ms or 0,
+        withdrawn=bool(struct.withdrawn),
+    )
+    return entry, make_revision(struct.era or 0, struct.revision)
--- a/notchhoist/flows/published/fleet_keeper.py
+++ b/notchhoist/flows/published/fleet_keeper.py
@@ -6,7 +6,7 @@
 from msgspec import Struct, field
 from msgspec.structs import replace
 
-from notchhoist.flows.boards.balancer_board import BalancerBoard, ZoneState
+from notchhoist.flows.boards.balancer_board import BalancerBoard
 from notchhoist.flows.model.fleet import (
     FOREVER,
     RouteTable,
@@ -16,6 +16,7 @@
 from notchhoist.flows.model.notes import service_tag
 from notchhoist.flows.model.view import ViewChange
 from notchhoist.flows.published.eras import EraKeeper, newest_word
+from notchhoist.flows.published.zones import ZoneKeeper
 
 UNLISTED_KEPT_S = 60.0
 """How long a server whose entry vanished is still asked for its flows; the
@@ -28,11 +29,13 @@
     Attributes:
         board: What the balancer knows.
         eras: Carries what is known over restores of the platform's store.
+        zones: Keeps which availability zones are evacuated.
         on_host: Its servers by host.
     """
 
     board: BalancerBoard
     eras: EraKeeper
+    zones: ZoneKeeper
     on_host: dict[str, list[Server]] = field(default_factory=dict)
 
     def on_table(
@@ -80,7 +83,7 @@
         if self.eras.begins(revision):
             entries = self.eras.begin(entries, revision, now)
         settled = self.eras.is_settled(now)
-        self._take_evacuations(evacuated, revision, now, settled)
+        self.zones.on_listing(evacuated, revision, now, settled)
         changed = [
             entry
             for entry, changed_at in entries
@@ -278,51 +281,6 @@
             "server", b"", "withdrawn", server=server_id, revision=revision
         )
 
-    def on_evacuated(self, zone: str, revision: int, now: float) -> None:
-        """Takes word that an availability zone is to get no new flows."""
-        board = self.board
-        if not board.view.put_evacuation(zone, revision):
-            return
-        board.zones[zone] = ZoneState(evacuated_at=now)
-        self._log_zone(zone, "evacuated", revision)
-
-    def on_returned(self, zone: str, revision: int, now: float) -> None:
-        """Takes word that an evacuation was withdrawn.
-
-        The zone's servers may be cold although their entries do not say so
-        yet: they count as cold for as long as a start takes.
-        """
-        board = self.board
-        if not board.view.remove_evacuation(zone, revision):
-            return
-        state = board.zones.setdefault(zone, ZoneState())
-        state.evacuated_at = None
-        state.returned_at = now
-        self._log_zone(zone, "returned", revision)
-
-    def _log_zone(self, zone: str, outcome: str, revision: int) -> None:
-        zones = sorted(self.board.view.evacuated)
-        self.board.records.decide(
-            "zone", b"", outcome, zone=zone, revision=revision, evacuated=zones
-        )
-
-    def _take_evacuations(
-        self,
-        evacuated: Sequence[tuple[str, int]],
-        revision: int,
-        now: float,
-        settled: bool,
-    ) -> None:
-        """Takes the whole list of evacuated zones."""
-        for zone, asked_at in evacuated:
-            self.on_evacuated(zone, asked_at, now)
-        if not settled:
-            return
-        listed = {zone for zone, _ in evacuated}
-        for zone in list(self.board.view.evacuated):
-            if zone not in listed:
-                self.on_returned(zone, revision, now)
-
     def must_list_again(self, now: float) -> bool:
         """Tells whether everything is to be read once more after a restore."""
         return self.eras.unsettled and self.eras.is_settled(now)
@@ -360,9 +318,9 @@
             )
             return
         for zone, asked_at in change.evacuated:
-            self.on_evacuated(zone, asked_at, now)
+            self.zones.on_evacuated(zone, asked_at, now)
         for zone, withdrawn_at in change.returned:
-            self.on_returned(zone, withdrawn_at, now)
+            self.zones.on_returned(zone, withdrawn_at, now)
         for entry, revision in change.servers:
             self.on_entry(entry, revision, now)
         for server_id in change.removed_servers:
--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -78,7 +78,7 @@
         links: What their links carry.
         askers: The newest question of each balancer.
         asked_at: When each question was asked that may still be answered.
-        number: Number of the last question.
+        number: Number of the last question; see ``first_number``.
         confirmed_at: When the platform last confirmed what is known, seconds.
         pushed: Revision that the askers were last told.
         ask_due: When to ask next, seconds.
--- a/notchhoist/flows/published/tests/test_eras.py
+++ b/notchhoist/flows/published/tests/test_eras.py
@@ -70,7 +70,7 @@
 
 def test_an_evacuation_holds_until_the_store_has_settled():
     node = knowing(entry(1))
-    node.fleet.on_evacuated("a", at(64), 0.5)
+    node.fleet.zones.on_evacuated("a", at(64), 0.5)
     listed(node, [(entry(1), at(40, 2))], at(57, 2), 1.0)
     assert set(node.board.view.evacuated) == {"a"}
     assert not node.fleet.must_list_again(1.0 + SETTLE_S - 0.1)
--- a/notchhoist/flows/published/tests/test_parts.py
+++ b/notchhoist/flows/published/tests/test_parts.py
@@ -7,7 +7,7 @@
 from notchhoist.flows.model.fleet import ColdBound
 from notchhoist.flows.model.messages import Member, ViewAsk, ViewTell
 from notchhoist.flows.model.view import FleetView, ViewChange
-from notchhoist.flows.published.parts import join, split
+from notchhoist.flows.published.parts import ViewParts, join, split
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.crafting import entry
 
@@ -84,3 +84,19 @@
         except CodecError:
             continue
         assert length >= len(data)
+
+
+def test_parts_of_two_answers_that_begin_elsewhere_are_not_mixed():
+    """Joined, they lacked what only the other halves told."""
+    parts = ViewParts()
+    early = split(ViewChange(9, base=3, removed_servers=letters("a", 24)))
+    late = split(ViewChange(9, base=6, removed_servers=letters("b", 24)))
+    assert parts.whole("h", ViewTell(early[0], 0.0, (), 0, 2), 0.0) is None
+    assert parts.whole("h", ViewTell(late[1], 0.0, (), 1, 2), 0.0) is None
+    whole = parts.whole("h", ViewTell(late[0], 0.0, (), 0, 2), 0.0)
+    assert whole is not None
+    assert whole.removed_servers == letters("b", 24)
+
+
+def letters(letter, count):
+    return tuple(f"{letter}{number}" for number in range(count))
--- a/notchhoist/flows/published/tests/test_sharing.py
+++ b/notchhoist/flows/published/tests/test_sharing.py
@@ -280,11 +280,11 @@
     fleet = calm_fleet()
     [reader, *_] = fleet.readers()
     node = fleet.nodes[reader]
-    node.fleet.on_evacuated("b", 5, fleet.now)
+    node.fleet.zones.on_evacuated("b", 5, fleet.now)
     fleet.publish(reader, revision=5)
     for other in fleet.nodes.values():
         assert set(other.board.view.evacuated) == {"b"}
-    node.fleet.on_returned("b", 6, fleet.now)
+    node.fleet.zones.on_returned("b", 6, fleet.now)
     fleet.publish(reader, revision=6)
     for other in fleet.nodes.values():
         assert not other.board.view.evacuated
@@ -294,7 +294,7 @@
 def test_a_balancer_that_has_just_started_hears_of_evacuated_zones():
     fleet = calm_fleet()
     for node in fleet.nodes.values():
-        node.fleet.on_evacuated("b", 5, fleet.now)
+        node.fleet.zones.on_evacuated("b", 5, fleet.now)
         node.board.view.reach(5)
     newcomer = make_balancer("a", CODEC, "n", HOSTS[3], HOSTS[:3])
     fleet.nodes[HOSTS[3]] = newcomer
--- a/notchhoist/platform/__init__.py
+++ b/notchhoist/platform/__init__.py
@@ -7,6 +7,7 @@
 * ``documents``: the configuration and the backend servers' entries.
 * ``eras``: which state of the store an answer is of.
 * ``settings``: the settings file of a process.
+* ``changes``: what watches on the store have told.
 * ``store``: which call to make next to the platform's store, and what its
   answers mean.
 * ``feeding``: when a balancer calls it, and what it then learns.
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -9,7 +9,8 @@
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.revisions import count_of, era_of
-from notchhoist.platform import items, store
+from notchhoist.platform import items
+from notchhoist.platform.changes import read_confirmation
 from notchhoist.platform.checking import FieldError
 from notchhoist.platform.eras import read_era
 from notchhoist.platform.items import StoreEvent
@@ -95,7 +96,7 @@
         """Notes and returns which era of the store an answer is of."""
         board = self.node.board
         try:
-            era = read_era(headers)
+            era = read_era(headers, board.store_era)
         except FieldError as error:
             self._note_problem(error.problem)
             return board.store_era
@@ -148,7 +149,7 @@
         era = self._note_era(headers)
         board = self.node.board
         try:
-            changes = store.read_confirmation(status, body, era)
+            changes = read_confirmation(status, body, era)
             self._check_era_of_view(era)
         except PlatformError as error:
             self.on_confirmation_failed(str(error), now)
@@ -214,9 +215,9 @@
                 self._note_problem(event.error.problem)
                 fleet.on_refused(event.server_id, event.revision)
             case items.ZoneEvacuated():
-                fleet.on_evacuated(event.zone, event.revision, now)
+                fleet.zones.on_evacuated(event.zone, event.revision, now)
             case items.ZoneReturned():
-                fleet.on_returned(event.zone, event.revision, now)
+                fleet.zones.on_returned(event.zone, event.revision, now)
             case items.ItemRefused():
                 self._note_problem(event.error.problem)
 
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -13,6 +13,7 @@
 from notchhoist.base.errors import PlatformError
 from notchhoist.flows.model.fleet import ServerEntry
 from notchhoist.flows.model.revisions import count_of, era_of, make_revision
+from notchhoist.platform.changes import read_changes
 from notchhoist.platform.checking import FieldError, Fields
 from notchhoist.platform.documents import decode_json
 from notchhoist.platform.items import (
@@ -87,20 +88,6 @@
     timeout_s: float
 
 
-class StoreChanges(Struct, frozen=True):
-    """What a watch has told.
-
-    Attributes:
-        events: What concerns this system.
-        told: There was anything at all.
-        revision: Everything up to this revision is known now.
-    """
-
-    events: list[StoreEvent]
-    told: bool
-    revision: int
-
-
 class StoreReader(Struct, eq=False):
     """Decides the next call and reads the answers.
 
@@ -330,7 +317,7 @@
         return events
 
     def _on_changes(self, fields: Fields, now: float) -> list[StoreEvent]:
-        changes = _changes(fields, self.era)
+        changes = read_changes(fields, self.era)
         self.confirms = True
         self.seen_revision = changes.revision
         self.revision = max(self.revision, changes.revision)
@@ -338,36 +325,6 @@
         return changes.events
 
 
-def read_confirmation(status: int, body: bytes, era: int = 0) -> StoreChanges:
-    """Reads the answer to a ``confirming_call``.
-
-    Args:
-        status: HTTP status.
-        body: Its body.
-        era: Era of the store that it is of.
-
-    Raises:
-        PlatformError: The answer is of no use.
-    """
-    if status != 200:
-        raise PlatformError("confirmation", f"status {status}")
-    try:
-        return _changes(Fields(decode_json(body, "answer"), "answer"), era)
-    except FieldError as error:
-        raise PlatformError("confirmation", str(error)) from error
-
-
-def _changes(fields: Fields, era: int) -> StoreChanges:
-    items = fields.elements("events")
-    events = [read_item(place, item, era)[1] for place, item in items]
-    count = fields.integer("as_of", 0, MAX_REVISION)
-    return StoreChanges(
-        events=[event for event in events if event is not None],
-        told=bool(items),
-        revision=make_revision(era, count),
-    )
-
-
 def _quoted(key: str) -> str:
     """Returns a key as a query holds it.
 
--- a/notchhoist/platform/tests/test_eras.py
+++ b/notchhoist/platform/tests/test_eras.py
@@ -126,11 +126,18 @@
 @given(st.text(max_size=12))
 def test_an_era_is_a_count_or_an_error(text):
     try:
-        assert read_era({"store-era": text}) == int(text)
+        assert read_era({"store-era": text}, 1) == int(text)
     except FieldError as error:
         assert error.problem.place == "store-era"
 
 
+def test_an_answer_that_names_no_era_is_of_the_known_one():
+    """Somebody between may answer in the store's place."""
+    feeder = known()
+    feeder.on_answer(200, changes(item("servers/i-1", LEAVING, 64)), 1.0)
+    assert is_leaving(feeder)
+
+
 def test_everything_is_read_once_more_when_the_store_has_settled():
     """What only the time before the restore knew is kept until then."""
     feeder = known()
--- a/notchhoist/testing/soak/fleet.py
+++ b/notchhoist/testing/soak/fleet.py
@@ -29,6 +29,9 @@
 APPLY_S = 3.0
 """A configuration is in force after this, seconds."""
 
+LAPSE_S = 3.6
+"""An entry vanishes after three missed heartbeats of 1.2 s."""
+
 TICK_S = 0.02
 TEND_S = 0.05
 SEEDS = 3
@@ -196,6 +199,10 @@
     def publish(self) -> None:
         """Publishes a new version of the configuration."""
         self.version += 1
+        self.write_configuration()
+
+    def write_configuration(self) -> None:
+        """Writes the newest version into the store."""
         kinds = [item for item in WORKLOADS if not self.drops[item.port]]
         text = published.configuration_of(self.version, kinds)
         self.store.put("op/config", text)
--- a/notchhoist/testing/soak/plan.py
+++ b/notchhoist/testing/soak/plan.py
@@ -1,11 +1,16 @@
 """Which troubles come when, by seed."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import attrs
 
-from notchhoist.testing.soak.troubles import ALL_TROUBLES, TROUBLES
+from notchhoist.testing.soak.troubles import (
+    ALL_TROUBLES,
+    LATER_TROUBLES,
+    TROUBLES,
+    Trouble,
+)
 
 PLANNED_SHARE = 0.25
 """Share of the seeds with planned work only, on which every bound holds all the
@@ -15,7 +20,10 @@
 """Share of the troubles that come again at once, in series."""
 
 LATER_SEEDS = 500_000
-"""Seeds from here on draw from all troubles, older ones from the first 22."""
+"""Seeds from here on draw from three more troubles than older ones."""
+
+NEWEST_SEEDS = 600_000
+"""Seeds from here on draw from restores of the store too."""
 
 GAP_S = (0.1, 3.0)
 LAST_S = (0.5, 4.0)
@@ -38,6 +46,12 @@
     seed: float
 
 
+def _troubles_of(seed: int) -> Mapping[str, Trouble]:
+    if seed >= NEWEST_SEEDS:
+        return ALL_TROUBLES
+    return TROUBLES | (LATER_TROUBLES if seed >= LATER_SEEDS else {})
+
+
 def make_plan(seed: int, length_s: float) -> Sequence[Step]:
     """Returns the troubles of a seed, in the order of time.
 
@@ -49,7 +63,7 @@
     """
     rng = random.Random(f"plan {seed}")
     planned_only = rng.random() < PLANNED_SHARE
-    troubles = ALL_TROUBLES if seed >= LATER_SEEDS else TROUBLES
+    troubles = _troubles_of(seed)
     names = [
         name
         for name, trouble in troubles.items()
--- a/notchhoist/testing/soak/tests/test_soak.py
+++ b/notchhoist/testing/soak/tests/test_soak.py
@@ -6,10 +6,18 @@
 
 from notchhoist.testing.soak import promises
 from notchhoist.testing.soak.addresses import BLOCKS, Block
-from notchhoist.testing.soak.plan import LATER_SEEDS, make_plan
+from notchhoist.testing.soak.plan import (
+    LATER_SEEDS,
+    NEWEST_SEEDS,
+    make_plan,
+)
 from notchhoist.testing.soak.run import play
 from notchhoist.testing.soak.seeds import REGRESSIONS
-from notchhoist.testing.soak.troubles import ALL_TROUBLES, TROUBLES
+from notchhoist.testing.soak.troubles import (
+    ALL_TROUBLES,
+    LATER_TROUBLES,
+    TROUBLES,
+)
 
 SECONDS = 6.0
 
@@ -34,6 +42,12 @@
 def test_every_later_trouble_comes_in_some_plan_of_a_later_seed():
     seeds = range(LATER_SEEDS, LATER_SEEDS + 60)
     names = {step.name for seed in seeds for step in make_plan(seed, 20.0)}
+    assert names == set(TROUBLES | LATER_TROUBLES)
+
+
+def test_every_trouble_comes_in_some_plan_of_the_newest_seeds():
+    seeds = range(NEWEST_SEEDS, NEWEST_SEEDS + 60)
+    names = {step.name for seed in seeds for step in make_plan(seed, 20.0)}
     assert names == set(ALL_TROUBLES)
 
 
--- a/notchhoist/testing/soak/troubles.py
+++ b/notchhoist/testing/soak/troubles.py
@@ -1,7 +1,7 @@
 """What can go wrong in a run: each trouble begins, lasts and heals."""
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from functools import partial
 
 import attrs
@@ -11,11 +11,17 @@
 from notchhoist.testing.soak.daemons import RESTART_S, Daemon
 from notchhoist.testing.soak.datagram_proxy import PORTS
 from notchhoist.testing.soak.ends import ServerPlace
-from notchhoist.testing.soak.fleet import WORKLOADS, ZONES, Fleet
-from notchhoist.testing.soak.stream_proxy import StreamState
-
-LAPSE_S = 3.6
-"""An entry vanishes after three missed heartbeats of 1.2 s."""
+from notchhoist.testing.soak.fleet import LAPSE_S, WORKLOADS, ZONES, Fleet
+from notchhoist.testing.soak.healing import Heal, nothing, some
+from notchhoist.testing.soak.store_troubles import (
+    connections_reset,
+    connections_silent,
+    history_forgotten,
+    store_gone,
+    store_partly_gone,
+    store_restored,
+    store_slow,
+)
 
 HEARTBEAT_S = 1.2
 STRANGE: tuple[object, ...] = ({}, [], "x", {"service": 4}, {"state": "odd"})
@@ -31,29 +37,17 @@
 DELAY_S = 0.04
 GARBAGE = (b"", b"x", b"\xff" * 31, b"\0" * 64, bytes(range(256)) * 5)
 
-Heal = Callable[[], None]
-
-
-def _nothing() -> None:
-    """Heals what heals by itself."""
-
-
-def _some(rng: random.Random, items: Sequence, share: float) -> list:
-    """Returns a random part of a list, at least one item."""
-    return rng.sample(list(items), max(1, round(len(items) * share)))
-
-
 # Processes.
 
 
 def kill_balancers(fleet: Fleet, rng: random.Random) -> Heal:
     """Kills half of the balancers."""
-    return _kill(fleet, _some(rng, fleet.balancers, 0.5), rng)
+    return _kill(fleet, some(rng, fleet.balancers, 0.5), rng)
 
 
 def kill_agents(fleet: Fleet, rng: random.Random) -> Heal:
     """Kills a third of the agents; their backend servers live on."""
-    return _kill(fleet, _some(rng, fleet.agents, 0.34), rng)
+    return _kill(fleet, some(rng, fleet.agents, 0.34), rng)
 
 
 def kill_all(fleet: Fleet, rng: random.Random) -> Heal:
@@ -66,12 +60,12 @@
     down_s = rng.choice((RESTART_S, 1.0))
     for daemon in daemons:
         daemon.kill(now, down_s)
-    return _nothing
+    return nothing
 
 
 def pause_some(fleet: Fleet, rng: random.Random) -> Heal:
     """Lets a quarter of the daemons stand still."""
-    daemons = _some(rng, fleet.daemons, 0.25)
+    daemons = some(rng, fleet.daemons, 0.25)
     for daemon in daemons:
         daemon.pause()
 
@@ -91,14 +85,14 @@
             daemon.stop(fleet.loop.clock())
 
         fleet.loop.call_later(number * ROLL_GAP_S, stop)
-    return _nothing
+    return nothing
 
 
 def reload_all(fleet: Fleet, _: random.Random) -> Heal:
     """Lets every daemon read its settings anew."""
     for daemon in fleet.daemons:
         daemon.reload(fleet.loop.clock())
-    return _nothing
+    return nothing
 
 
 # Paths between daemons.
@@ -127,22 +121,22 @@
 
 def cut_off(fleet: Fleet, rng: random.Random) -> Heal:
     """Cuts a fifth of the daemons off from all others."""
-    return _cut(fleet, _links(fleet, _some(rng, fleet.daemons, 0.2), True))
+    return _cut(fleet, _links(fleet, some(rng, fleet.daemons, 0.2), True))
 
 
 def cut_one_way(fleet: Fleet, rng: random.Random) -> Heal:
     """Lets nothing out of a fifth of the daemons."""
-    return _cut(fleet, _links(fleet, _some(rng, fleet.daemons, 0.2), False))
+    return _cut(fleet, _links(fleet, some(rng, fleet.daemons, 0.2), False))
 
 
 def split(fleet: Fleet, rng: random.Random) -> Heal:
     """Cuts the fleet into halves."""
-    return _cut(fleet, _links(fleet, _some(rng, fleet.daemons, 0.5), True))
+    return _cut(fleet, _links(fleet, some(rng, fleet.daemons, 0.5), True))
 
 
 def lossy(fleet: Fleet, rng: random.Random) -> Heal:
     """Loses and delays datagrams of half of the daemons."""
-    links = _links(fleet, _some(rng, fleet.daemons, 0.5), True)
+    links = _links(fleet, some(rng, fleet.daemons, 0.5), True)
     for source, target in links:
         state = fleet.proxy.link(source, target)
         state.loss, state.delay_s = LOSS, DELAY_S
@@ -163,70 +157,7 @@
             for data in (*GARBAGE, rng.randbytes(200)):
                 datagrams.send(sock, data, (daemon.own, port))
     sock.close()
-    return _nothing
-
-
-# The store.
-
-
-def _store(fleet: Fleet, daemons: list[Daemon], state: StreamState) -> Heal:
-    for daemon in daemons:
-        fleet.streams[daemon.name].state = state
-
-    def heal() -> None:
-        for daemon in daemons:
-            fleet.streams[daemon.name].state = StreamState.WELL
-
-    return heal
-
-
-def store_gone(fleet: Fleet, rng: random.Random) -> Heal:
-    """Takes the store away from every balancer; some entries lapse."""
-    state = rng.choice((StreamState.RESET, StreamState.SILENT))
-    places = _some(rng, fleet.ends.places, 0.3) if rng.random() < 0.5 else []
-    for place in places:
-        if place.server is not None:
-            fleet.store.remove(f"servers/{place.server.server_id}")
-    heal_paths = _store(fleet, fleet.balancers, state)
-
-    def heal() -> None:
-        heal_paths()
-        for place in places:
-            delay = rng.uniform(0.1, 1.8)
-            fleet.loop.call_later(delay, partial(fleet.announce, place))
-
-    return heal
-
-
-def store_partly_gone(fleet: Fleet, rng: random.Random) -> Heal:
-    """Takes the store away from some balancers."""
-    state = rng.choice(list(StreamState)[1:])
-    return _store(fleet, _some(rng, fleet.balancers, 0.5), state)
-
-
-def store_slow(fleet: Fleet, _: random.Random) -> Heal:
-    """Delays every answer of the store."""
-    return _store(fleet, fleet.balancers, StreamState.SLOW)
-
-
-def connections_silent(fleet: Fleet, _: random.Random) -> Heal:
-    """Lets every open connection to the store go silent; new ones work."""
-    for stream in fleet.streams.values():
-        stream.silence_open()
-    return _nothing
-
-
-def connections_reset(fleet: Fleet, _: random.Random) -> Heal:
-    """Resets every open connection to the store."""
-    for stream in fleet.streams.values():
-        stream.reset_open()
-    return _nothing
-
-
-def history_forgotten(fleet: Fleet, _: random.Random) -> Heal:
-    """Lets the store forget its history."""
-    fleet.store.compact()
-    return _nothing
+    return nothing
 
 
 # Backend servers and configurations.
@@ -234,9 +165,9 @@
 
 def crash_servers(fleet: Fleet, rng: random.Random) -> Heal:
     """Crashes backend servers; new ones start in their place."""
-    for place in _some(rng, fleet.ends.places, 0.25):
+    for place in some(rng, fleet.ends.places, 0.25):
         _crash(fleet, place, rng.uniform(0.2, 2.0))
-    return _nothing
+    return nothing
 
 
 def _crash(fleet: Fleet, place: ServerPlace, down_s: float) -> None:
@@ -262,20 +193,21 @@
     now = fleet.loop.clock()
     for daemon in fleet.daemons:
         daemon.kill(now, down_s)
-    return _nothing
+    return nothing
 
 
 def replace_servers(fleet: Fleet, rng: random.Random) -> Heal:
     """Drains some backend servers; then new ones start in their place."""
-    for place in _some(rng, fleet.ends.places, 0.25):
+    for place in some(rng, fleet.ends.places, 0.25):
         server = place.server
         if server is None or not server.alive or server.draining:
             continue
         server.draining = True
         place.draining_since = fleet.loop.clock()
+        fleet.judge.on_leaving(server.server_id, place.draining_since)
         fleet.announce(place)
         fleet.loop.call_later(LEAVE_S, partial(_leave, fleet, place))
-    return _nothing
+    return nothing
 
 
 def _leave(fleet: Fleet, place: ServerPlace) -> None:
@@ -291,7 +223,7 @@
     """Publishes versions in quick succession."""
     for number in range(5):
         fleet.loop.call_later(number * 0.1, fleet.publish)
-    return _nothing
+    return nothing
 
 
 def drop_route(fleet: Fleet, rng: random.Random) -> Heal:
@@ -319,7 +251,7 @@
 
 def restart_servers(fleet: Fleet, rng: random.Random) -> Heal:
     """Ends a third of the servers; they start again under their ids."""
-    for place in _some(rng, fleet.ends.places, 0.34):
+    for place in some(rng, fleet.ends.places, 0.34):
         server = place.server
         if server is None or not server.alive:
             continue
@@ -328,18 +260,18 @@
             rng.uniform(0.2, 1.0),
             partial(fleet.start_server, place, server.server_id),
         )
-    return _nothing
+    return nothing
 
 
 def strange_entries(fleet: Fleet, rng: random.Random) -> Heal:
     """Lets another writer overwrite entries until their servers write again."""
-    for place in _some(rng, fleet.ends.places, 0.34):
+    for place in some(rng, fleet.ends.places, 0.34):
         if place.server is None:
             continue
         key = f"servers/{place.server.server_id}"
         fleet.store.put(key, rng.choice(STRANGE))
         fleet.loop.call_later(HEARTBEAT_S, partial(fleet.announce, place))
-    return _nothing
+    return nothing
 
 
 @attrs.frozen
@@ -393,4 +325,7 @@
 """Seeds from ``plan.LATER_SEEDS`` on draw from these too; the plans of older
 seeds stay what they were."""
 
-ALL_TROUBLES = TROUBLES | LATER_TROUBLES
+NEWEST_TROUBLES = {"store-restored": Trouble(store_restored, lasts=True)}
+"""Likewise, for seeds from ``plan.NEWEST_SEEDS`` on."""
+
+ALL_TROUBLES = TROUBLES | LATER_TROUBLES | NEWEST_TROUBLES
