A restore that the store does not name is noticed by its lists

Ruled out: an era per outage: each balancer would count its own. Change: a list that shows less than was known when it was asked for is of the next era (the store's answers are linearizable); after an outage readers list once.

--- a/notchhoist/platform/__init__.py
+++ b/notchhoist/platform/__init__.py
@@ -10,6 +10,7 @@
 * ``changes``: what watches on the store have told.
 * ``store``: which call to make next to the platform's store, and what its
   answers mean.
+* ``unnamed_eras``: restores of a store that does not say so.
 * ``feeding``: when a balancer calls it, and what it then learns.
 * ``readiness``: the question whether a process is ready.
 
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -1,6 +1,6 @@
 """Feeds a balancer with what the store holds; no I/O."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from types import MappingProxyType
 
 from msgspec import Struct
@@ -12,9 +12,10 @@
 from notchhoist.platform import items
 from notchhoist.platform.changes import read_confirmation
 from notchhoist.platform.checking import FieldError
-from notchhoist.platform.eras import read_era
+from notchhoist.platform.eras import ERA_HEADER, read_era
 from notchhoist.platform.items import StoreEvent
 from notchhoist.platform.store import HISTORY_GONE, StoreCall, StoreReader
+from notchhoist.platform.unnamed_eras import went_back
 
 RECONSIDER_S = 0.2
 """How often a balancer that is told enough looks whether it still is, seconds;
@@ -33,11 +34,16 @@
         node: The balancer.
         reader: Decides which call is next.
         lost: The last call had no usable answer.
+        asked_from: What was known when the list under way was asked for.
+        confirmed_era: Era of what was known when the confirmation under way was
+            asked for.
     """
 
     node: BalancerNode
     reader: StoreReader
     lost: bool = False
+    asked_from: int = 0
+    confirmed_era: int = 0
 
     def next_call(self, now: float) -> StoreCall | None:
         """Returns the call to make now.
@@ -54,6 +60,8 @@
             self.reader.resume(board.view.revision)
         if self.node.fleet.must_list_again(now):
             self.reader.list_anew()
+        if not self.reader.page_after:
+            self.asked_from = board.view.revision
         return self.reader.next_call()
 
     def on_answer(
@@ -71,7 +79,7 @@
             now: Runtime clock, seconds.
             headers: Its headers, by their names in small letters.
         """
-        era = self._note_era(headers)
+        era = self._note_era(headers, self.reader.era)
         if status == HISTORY_GONE:
             self._note_history_lost()
         try:
@@ -80,9 +88,11 @@
             self._note_lost(str(error), now)
             return
         self._note_revision()
+        if ERA_HEADER not in headers and self._is_unnamed_era(events):
+            self._begin_unnamed_era(now)
+            return
         if self.lost:
-            self.lost = False
-            self._decide("store regained", "reading")
+            self._note_regained(headers)
         for event in events:
             self._apply(event, now)
         board = self.node.board
@@ -92,14 +102,51 @@
             self.node.sharer.on_confirmed(now)
             self.node.on_published(now)
 
-    def _note_era(self, headers: Mapping[str, str]) -> int:
-        """Notes and returns which era of the store an answer is of."""
+    def _note_regained(self, headers: Mapping[str, str]) -> None:
+        """Takes account of the end of an outage.
+
+        A store that names no era may have come back from a copy and be ahead of
+        what was known again: only a list shows that.
+        """
+        self.lost = False
+        self._decide("store regained", "reading")
+        if ERA_HEADER not in headers:
+            self.reader.list_anew()
+
+    def _is_unnamed_era(self, events: Sequence[StoreEvent]) -> bool:
+        """Tells whether an answer without an era is of a new one."""
+        view = self.node.board.view
+        return any(
+            isinstance(event, items.ServersListed)
+            and went_back(event, view, self.asked_from)
+            for event in events
+        )
+
+    def _begin_unnamed_era(self, now: float) -> None:
+        """Counts a new era that the store does not name; lists in it.
+
+        All balancers that knew the former one count alike, and the others are
+        told by them.
+        """
+        era = self.reader.era + 1
+        self._decide("store era", f"{self.reader.era} -> {era}, not named")
+        self.reader.see_era(era)
+        self.reader.due = now
+        self.node.board.store_era = era
+
+    def _note_era(self, headers: Mapping[str, str], known: int) -> int:
+        """Notes and returns which era of the store an answer is of.
+
+        Args:
+            headers: Headers of the answer.
+            known: Era of an answer that names none.
+        """
         board = self.node.board
         try:
-            era = read_era(headers, board.store_era)
+            era = read_era(headers, known)
         except FieldError as error:
             self._note_problem(error.problem)
-            return board.store_era
+            return known
         if era != board.store_era:
             self._decide("store era", f"{board.store_era} -> {era}")
         board.store_era = max(era, board.store_era)
@@ -136,7 +183,9 @@
 
     def confirming_call(self) -> StoreCall:
         """Returns the call that confirms what is known."""
-        return self.reader.confirming_call(self.node.board.view.revision)
+        known = self.node.board.view.revision
+        self.confirmed_era = era_of(known)
+        return self.reader.confirming_call(known)
 
     def on_confirmation(
         self,
@@ -146,7 +195,7 @@
         headers: Mapping[str, str] = NO_HEADERS,
     ) -> None:
         """Takes the answer to a ``confirming_call``; see ``on_answer``."""
-        era = self._note_era(headers)
+        era = self._note_era(headers, self.confirmed_era)
         board = self.node.board
         try:
             changes = read_confirmation(status, body, era)
--- a/notchhoist/testing/opaque/restores.py
+++ b/notchhoist/testing/opaque/restores.py
@@ -226,9 +226,15 @@
                 yield f"{name}: {server_id} leaves: {leaving}"
 
 
-def play(seed: int) -> Day:
-    """Plays the day of a seed."""
+def play(seed: int, names_era: bool = True) -> Day:
+    """Plays the day of a seed.
+
+    Args:
+        seed: Seed of every draw.
+        names_era: The store's answers say that it came back from a copy.
+    """
     world = make_world(seed)
+    world.store.names_era = names_era
     start_traffic(world, LEAD_S + SECONDS)
     day = Day(world, random.Random(seed))
     day.plan()
@@ -245,10 +251,12 @@
     Attributes:
         seed: The first seed.
         count: How many seeds are played.
+        unnamed: The store does not say that it came back from a copy.
     """
 
     seed: Annotated[int, cappa.Arg(long=True)] = 1
     count: Annotated[int, cappa.Arg(long=True)] = 1
+    unnamed: Annotated[bool, cappa.Arg(long=True)] = False
 
 
 def main() -> int:
@@ -256,7 +264,7 @@
     command = cappa.parse(Command)
     broken = 0
     for seed in range(command.seed, command.seed + command.count):
-        day = play(seed)
+        day = play(seed, not command.unnamed)
         faults = list(day.faults())
         broken += bool(faults)
         worth = day.world.judge.worth(day.world.workloads)
--- a/notchhoist/testing/opaque/store.py
+++ b/notchhoist/testing/opaque/store.py
@@ -49,6 +49,7 @@
         calls: Calls so far, refused ones too.
         answer_s: Time to an answer, seconds.
         era: How often it has come back from a copy, from 1.
+        names_era: Its answers say so.
         down: ``""``, ``silent``, ``busy`` (503), ``many`` (429) or ``reset``.
         down_for: Hosts that it is down for; all of them where this is empty.
         lost_share: Share of the answers that are lost.
@@ -65,6 +66,7 @@
     calls: int = 0
     answer_s: float = 0.004
     era: int = 1
+    names_era: bool = True
     down: str = ""
     down_for: frozenset[str] = frozenset()
     lost_share: float = 0.0
@@ -135,7 +137,7 @@
 
     def headers(self) -> dict[str, str]:
         """Returns the headers of an answer, names in small letters."""
-        return {"store-era": str(self.era)}
+        return {"store-era": str(self.era)} if self.names_era else {}
 
     def trouble_for(self, host: str) -> str:
         """Returns how it fails a host, or an empty text."""
