After an outage, and after being told for long, a store without eras is listed

Ruled out: an era per outage (each balancer would count its own). Change: what is unsure is kept until a list has come; whoever had no answer for as long as a told view is fresh lists first. Only where the store names no era.

--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -13,7 +13,7 @@
 from notchhoist.platform.changes import read_confirmation
 from notchhoist.platform.checking import FieldError
 from notchhoist.platform.eras import ERA_HEADER, read_era
-from notchhoist.platform.items import StoreEvent
+from notchhoist.platform.items import ServersListed, StoreEvent
 from notchhoist.platform.store import HISTORY_GONE, StoreCall, StoreReader
 from notchhoist.platform.unnamed_eras import went_back
 
@@ -34,6 +34,9 @@
         node: The balancer.
         reader: Decides which call is next.
         lost: The last call had no usable answer.
+        unsure: An outage may have hidden a restore; a list shows whether.
+        named: The last answer named its era, so that no list is needed.
+        answered_at: When the last usable answer came, seconds.
         asked_from: What was known when the list under way was asked for.
         confirmed_era: Era of what was known when the confirmation under way was
             asked for.
@@ -42,6 +45,9 @@
     node: BalancerNode
     reader: StoreReader
     lost: bool = False
+    unsure: bool = False
+    named: bool = False
+    answered_at: float = float("-inf")
     asked_from: int = 0
     confirmed_era: int = 0
 
@@ -58,7 +64,7 @@
         board = self.node.board
         if board.fleet_known:
             self.reader.resume(board.view.revision)
-        if self.node.fleet.must_list_again(now):
+        if self._is_unsure(now) or self.node.fleet.must_list_again(now):
             self.reader.list_anew()
         if not self.reader.page_after:
             self.asked_from = board.view.revision
@@ -88,11 +94,15 @@
             self._note_lost(str(error), now)
             return
         self._note_revision()
-        if ERA_HEADER not in headers and self._is_unnamed_era(events):
+        listed = _list_in(events)
+        self.named = ERA_HEADER in headers
+        self.answered_at = now
+        if not self.named and self._is_unnamed_era(listed):
             self._begin_unnamed_era(now)
             return
         if self.lost:
-            self._note_regained(headers)
+            self._note_regained()
+        self.unsure = self.unsure and listed is None
         for event in events:
             self._apply(event, now)
         board = self.node.board
@@ -102,25 +112,26 @@
             self.node.sharer.on_confirmed(now)
             self.node.on_published(now)
 
-    def _note_regained(self, headers: Mapping[str, str]) -> None:
-        """Takes account of the end of an outage.
-
-        A store that names no era may have come back from a copy and be ahead of
-        what was known again: only a list shows that.
-        """
+    def _note_regained(self) -> None:
+        """Takes account of the end of an outage."""
         self.lost = False
+        self.unsure = not self.named
         self._decide("store regained", "reading")
-        if ERA_HEADER not in headers:
-            self.reader.list_anew()
 
-    def _is_unnamed_era(self, events: Sequence[StoreEvent]) -> bool:
-        """Tells whether an answer without an era is of a new one."""
+    def _is_unsure(self, now: float) -> bool:
+        """Tells whether a restore may have been missed.
+
+        A store that names no era may have come back from a copy, during an
+        outage or while this process was told by others, and be ahead of what
+        was known again: only a list shows that.
+        """
+        told = now - self.answered_at > self.node.sharer.fresh_s
+        return self.unsure or (told and not self.named)
+
+    def _is_unnamed_era(self, listed: ServersListed | None) -> bool:
+        """Tells whether a list without an era is of a new one."""
         view = self.node.board.view
-        return any(
-            isinstance(event, items.ServersListed)
-            and went_back(event, view, self.asked_from)
-            for event in events
-        )
+        return listed is not None and went_back(listed, view, self.asked_from)
 
     def _begin_unnamed_era(self, now: float) -> None:
         """Counts a new era that the store does not name; lists in it.
@@ -279,3 +290,9 @@
             return
         board.problems.append(text)
         self._decide("not understood", text)
+
+
+def _list_in(events: Sequence[StoreEvent]) -> ServersListed | None:
+    """Returns the whole list among what an answer told, or None."""
+    lists = [event for event in events if isinstance(event, ServersListed)]
+    return lists[0] if lists else None
--- a/notchhoist/platform/tests/test_unnamed_eras.py
+++ b/notchhoist/platform/tests/test_unnamed_eras.py
@@ -62,3 +62,32 @@
     feeder.on_answer(200, body, 1.6)
     assert feeder.node.board.store_era == 0
     assert feeder.node.board.view.revision == 64
+
+
+def test_a_list_is_asked_for_though_others_tell_meanwhile():
+    """What they told came first, and the reader went on from it."""
+    feeder = known()
+    feeder.on_failed("reset", 1.0)
+    feeder.next_call(1.5)
+    feeder.on_answer(200, changes(as_of=63), 1.5)
+    feeder.node.board.view.reach(66)
+    assert "/kv-range" in feeder.next_call(1.6).target
+
+
+def test_one_list_is_enough_for_who_knows_nothing():
+    """A store that was away at a start was listed twice on narrow links."""
+    feeder = fed()
+    feeder.on_failed("reset", 0.5)
+    feeder.reader.list_again()
+    feeder.next_call(1.0)
+    feeder.on_answer(200, page(TABLE, as_of=70), 1.0)
+    assert "after=70" in feeder.next_call(1.1).target
+
+
+def test_who_was_told_by_others_for_long_lists_before_it_watches():
+    """It made no call while the store came back, and went on from its count."""
+    feeder = known()
+    feeder.next_call(0.6)
+    assert "/kv-watch" in feeder.next_call(0.6).target
+    later = 0.6 + feeder.node.sharer.fresh_s + 0.1
+    assert "/kv-range" in feeder.next_call(later).target
--- a/notchhoist/testing/opaque/tests/test_restores.py
+++ b/notchhoist/testing/opaque/tests/test_restores.py
@@ -11,6 +11,6 @@
     assert not list(play(seed).faults())
 
 
-@pytest.mark.parametrize("seed", [5, 1006])
+@pytest.mark.parametrize("seed", [5, 8])
 def test_a_restore_is_noticed_that_the_store_does_not_name(seed):
     assert not list(play(seed, names_era=False).faults())
