--- a/notchhoist/flows/published/fleet_keeper.py
+++ b/notchhoist/flows/published/fleet_keeper.py
@@ -200,9 +200,8 @@
     ) -> None:
         """Sets a server aside whose id names another one from now on.
 
-        Where the new one is beside the same agent, the agent finds out which
-        flows are gone and says so. Else the former may live: the entry may be
-        another writer's. It gets no new flows and is still asked for its own.
+        Beside the same agent, the agent says which flows are gone. Else the
+        former may live: another writer's entry. It is asked for its flows only.
         """
         board = self.board
         board.records.decide(
