A server that left and started again under its id is not leaving

Cause: soak was called broken (DRAIN, 11.8 s and later): its server announced its end at 2313.85 s, ended, and began anew under its id at 2315.25 s, as all three balancers log; the judge went on counting from the former life. Ruled out: late flows at the leaving server: it had ended before them. Conclusion: a check mended by a trace; what leaves and lives is judged as before.

--- a/notchhoist/testing/opaque/judge.py
+++ b/notchhoist/testing/opaque/judge.py
@@ -153,6 +153,10 @@
         if self._is_core_calm(now):
             self.leaving[server_id] = now
 
+    def on_started(self, server_id: str) -> None:
+        """Notes that a server starts; one of its id that left has ended."""
+        self.leaving.pop(server_id, None)
+
     def _is_core_calm(self, now: float) -> bool:
         return now - self.core_disturbed_at >= CONTACT_S
 
--- a/notchhoist/testing/opaque/servers.py
+++ b/notchhoist/testing/opaque/servers.py
@@ -86,6 +86,9 @@
     running: int = 0
     queue: list[tuple[FlowEnds, Request]] = attrs.Factory(list)
 
+    def __attrs_post_init__(self) -> None:
+        self.judge.on_started(self.server_id)
+
     @property
     def cold_since(self) -> float:
         """When it last became cold, seconds."""
--- a/notchhoist/testing/opaque/tests/test_leaving.py
+++ b/notchhoist/testing/opaque/tests/test_leaving.py
@@ -2,7 +2,8 @@
 
 from notchhoist.flows.agent.bearing import OpeningGate
 from notchhoist.flows.decisions import placing
-from notchhoist.testing.opaque.experiment import play
+from notchhoist.testing.opaque import troubles
+from notchhoist.testing.opaque.experiment import make_world, play
 
 
 def heedless(servers, now):
@@ -24,3 +25,15 @@
 
 def test_without_the_agents_such_balancers_send_late_flows(monkeypatch):
     assert late_flows(monkeypatch, agents=False)
+
+
+def test_a_server_that_left_and_started_again_may_get_new_flows():
+    """A run was called broken for flows at the next life of a server's id."""
+    world = make_world(seed=1)
+    host = next(host for host in world.hosts.values() if host.service)
+    troubles.retire(world, host)
+    left = host.server.server_id
+    assert left in world.judge.leaving
+    world.start_server(host, server_id=left)
+    world.judge.on_opening(left, host.zone, cold=False, now=99.0)
+    assert not world.judge.broken
--- a/notchhoist/testing/soak/seeds.py
+++ b/notchhoist/testing/soak/seeds.py
@@ -8,6 +8,7 @@
     105: "The soak: a reset on a dropped route counted as a broken promise.",
     109: "The soak: the same, twice.",
     110: "The soak: the same, among kills and an absent store.",
+    600_005: "The soak: a server that left and started again still counted.",
     244: "A request to reload ended daemons that had just been started.",
 }
 """By seed, at 20 s of troubles."""
