--- /dev/null
+++ b/notchhoist/testing/opaque/tests/hard_load.py
@@ -0,0 +1,75 @@
+"""Loads of many short requests on the stand-in, and what callers get."""
+
+import random
+
+from notchhoist.flows.agent.node import AgentNode
+from notchhoist.flows.model.mechanisms import ALL
+from notchhoist.flows.model.records import Count
+from notchhoist.testing.opaque.experiment import LEAD_S, start_traffic
+from notchhoist.testing.opaque.traffic import Workload
+from notchhoist.testing.opaque.world import OpaqueWorld
+
+ZONES = ("a", "b", "c", "d")
+SERVERS = 16
+BALANCERS = 8
+CAPACITY_PER_S = SERVERS / 0.024
+"""Requests a second that fill all slots: one a server, 24 ms the mean work."""
+
+LISTING = Workload(
+    *("listing", "safe", "agenda", 8443, 0.65 * CAPACITY_PER_S, 22, 60, 1000),
+    *(0.226, 2.8, 2, 1.0, 0.3),
+)
+BOOKING = Workload(
+    *("booking", "unsafe", "agenda", 8080, 0.35 * CAPACITY_PER_S, 28, 900, 600),
+    *(0.228, 3.4, 1, 2.0, 0.6),
+)
+
+
+def make_world(load, seed=7, uses=ALL, trouble=None, trouble_at_s=2.0):
+    """Makes a service of one-slot servers with a share of its full load."""
+    workloads = tuple(
+        Workload(
+            *(item.name, item.kind, item.service, item.port),
+            item.per_s * load,
+            *(item.work_ms, item.request_bytes, item.answer_bytes, item.aim_s),
+            *(item.deadline_s, item.priority, item.worth, item.late_worth),
+        )
+        for item in (LISTING, BOOKING)
+    )
+    world = OpaqueWorld(random.Random(seed), ZONES, workloads, uses=uses)
+    world.publish(1)
+    for number in range(BALANCERS):
+        world.add_host(ZONES[number % len(ZONES)])
+    for number in range(SERVERS):
+        world.add_host(ZONES[number % len(ZONES)], "agenda", slots=1)
+    if trouble is not None:
+        world.later(LEAD_S + trouble_at_s, lambda: trouble(world))
+    return world
+
+
+def play(world, seconds):
+    """Plays callers for a time, and lets what they asked end."""
+    start_traffic(world, LEAD_S + seconds)
+    world.run_until(LEAD_S + seconds + 4.0)
+    return world
+
+
+def agents(world):
+    return [
+        host.node
+        for host in world.hosts.values()
+        if isinstance(host.node, AgentNode)
+    ]
+
+
+def held_share(world):
+    """Returns the share of the requests that waited for a slot."""
+    held = sum(
+        node.board.records.counters[Count.HELD] for node in agents(world)
+    )
+    return held / sum(tally.asked for tally in world.judge.tallies.values())
+
+
+def latency_s(world, kind, percentile):
+    histogram = world.judge.tallies[kind].latency
+    return histogram.get_value_at_percentile(percentile) / 1e6
