New flows are offered first to servers with a free slot

Cause: what a balancer knows of a server is 0.07 to 0.13 s old, a request takes 0.022 s there.

Change: PLACE_IF_FREE and BUSY. An agent of the former version takes the offer for an ordinary one.

--- a/notchhoist/flows/agent/__init__.py
+++ b/notchhoist/flows/agent/__init__.py
@@ -5,6 +5,7 @@
 * ``admitting``: shares out the slots of the backend server.
 * ``backend_watch``: notices when the backend server has ended.
 * ``load_counting``: counts its load; ``replies``: what goes back to balancers.
+* ``vacancies``: counts the slots that are free for new flows.
 * ``bearing``, ``offering``: which new flows the backend server gets.
 * ``telling``: tells balancers which flows are here.
 * ``node``: puts them together.
--- a/notchhoist/flows/agent/admitting.py
+++ b/notchhoist/flows/agent/admitting.py
@@ -71,6 +71,8 @@
             opening: The packet ends the handshake.
             now: Runtime clock, seconds.
         """
+        if segment.size:
+            self.board.promised.pop(segment.flow, None)
         waiting = self.board.waiting.get(segment.flow)
         if waiting is not None and self._has_left(waiting, segment, now):
             self._let_go(waiting, segment, now)
@@ -115,6 +117,7 @@
             wish = structs.replace(wish, may_be_retry=False)
         request = HeldRequest(segment.flow, held, [segment], now, wish, opening)
         self.board.waiting[segment.flow] = request
+        self.board.promised.pop(segment.flow, None)
         self.board.records.counters[Count.HELD] += 1
 
     def _begin(
@@ -195,6 +198,7 @@
     def forget(self, flow: bytes, now: float) -> None:
         """Takes account of the end of a flow."""
         self.board.waiting.pop(flow, None)
+        self.board.promised.pop(flow, None)
         held = self.board.flows.get(flow)
         if held is not None:
             held.running_since = None
@@ -301,6 +305,7 @@
         """
         board = self.board
         board.active.clear()
+        board.promised.clear()
         board.pace_s = 0.0
         self.times = AnswerTimes()
         for request in list(board.waiting.values()):
--- a/notchhoist/flows/agent/node.py
+++ b/notchhoist/flows/agent/node.py
@@ -9,6 +9,7 @@
 from notchhoist.flows.agent.offering import FlowOffers
 from notchhoist.flows.agent.replies import Replies
 from notchhoist.flows.agent.telling import FlowTeller
+from notchhoist.flows.agent.vacancies import SlotVacancies
 from notchhoist.flows.boards.agent_board import AgentBoard
 from notchhoist.flows.decisions.queueing import SlotQueue
 from notchhoist.flows.model import notes
@@ -98,8 +99,7 @@
             self.watch.check_soon(now)
             self.replies.give_back(host, segment, "backend server gone", now)
         elif segment.opens:
-            bounded = kind is NoteKind.PLACE_BOUNDED
-            self.offers.on_opening(host, segment, bounded, now)
+            self.offers.on_opening(host, segment, kind, now)
         else:
             self._hand_over(host, segment, kind, now)
         return self._drain()
@@ -354,7 +354,8 @@
     teller = FlowTeller(board, codec)
     bearing = OpeningGate(board, limits)
     replies = Replies(board, codec, counter)
-    offers = FlowOffers(board, codec, bearing, replies, watch)
+    vacancies = SlotVacancies(board)
+    offers = FlowOffers(board, codec, bearing, vacancies, replies, watch)
     return AgentNode(
         board, codec, gate, watch, counter, bearing, replies, offers, teller
     )
--- a/notchhoist/flows/agent/offering.py
+++ b/notchhoist/flows/agent/offering.py
@@ -5,6 +5,7 @@
 from notchhoist.flows.agent.backend_watch import BackendWatch
 from notchhoist.flows.agent.bearing import UNTOLD_S, OpeningGate
 from notchhoist.flows.agent.replies import Replies
+from notchhoist.flows.agent.vacancies import SlotVacancies
 from notchhoist.flows.boards.agent_board import AgentBoard
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import SendBackend
@@ -38,6 +39,7 @@
         board: What the agent knows.
         codec: Codec of the packets.
         bearing: Says which new flows the backend server may get.
+        vacancies: Says whether a slot is free for one.
         replies: Answers balancers.
         watch: Notices when the backend server has ended.
         offered: Flows that the backend server has not accepted yet.
@@ -47,29 +49,43 @@
     board: AgentBoard
     codec: SegmentCodec
     bearing: OpeningGate
+    vacancies: SlotVacancies
     replies: Replies
     watch: BackendWatch
     offered: dict[bytes, HeldFlow] = field(default_factory=dict)
     untold: dict[bytes, UntoldOpening] = field(default_factory=dict)
 
     def on_opening(
-        self, host: str, segment: Segment, bounded: bool, now: float
+        self, host: str, segment: Segment, kind: NoteKind, now: float
     ) -> None:
         """Takes an opening packet or a copy of one.
 
         Args:
             host: Host of the balancer that sent it.
             segment: The packet.
-            bounded: The balancer says that the server bears only so much.
+            kind: How the balancer offers it.
             now: Runtime clock, seconds.
         """
+        bounded = kind is NoteKind.PLACE_BOUNDED
         known = self.board.flows.get(segment.flow)
         new = known is None or known.phase in ENDED
         if new and self.bearing.must_wait(bounded):
             self._keep_untold(host, segment, now)
+        elif new and self._finds_busy(kind, now):
+            self.replies.tell_busy(host, segment, now)
         else:
             self._decide(host, segment, bounded, now)
 
+    def _finds_busy(self, kind: NoteKind, now: float) -> bool:
+        """Tells whether a new flow goes back because no slot is free for it.
+
+        A server that is to get nothing at all says that instead.
+        """
+        if kind is not NoteKind.PLACE_IF_FREE:
+            return False
+        closed = self.bearing.closed_pause_s(now) > 0
+        return not closed and not self.vacancies.has_free(now)
+
     def _decide(
         self, host: str, segment: Segment, bounded: bool, now: float
     ) -> None:
@@ -86,6 +102,8 @@
             board.flows[segment.flow] = held
             self.replies.counter.note_offer()
             self.bearing.note_handed(now)
+            if not notes.wish_of(segment.note).upload:
+                self.vacancies.promise(segment.flow, now)
         held.balancer = host
         if held.wish is None:
             held.wish = notes.wish_of(segment.note)
@@ -135,6 +153,7 @@
     def forget(self, flow: bytes) -> None:
         """Forgets a flow that was offered."""
         self.board.flows.pop(flow, None)
+        self.board.promised.pop(flow, None)
         self.offered.pop(flow, None)
 
     def on_accepted(self, held: HeldFlow, segment: Segment, now: float) -> None:
@@ -178,6 +197,7 @@
             return
         self.board.records.counters[Count.BACKEND_SILENT] += 1
         self.offered.pop(segment.flow, None)
+        self.board.promised.pop(segment.flow, None)
         self.watch.check_soon(now)
         self.replies.give_back(held.balancer, segment, "server is silent", now)
 
--- a/notchhoist/flows/agent/replies.py
+++ b/notchhoist/flows/agent/replies.py
@@ -60,6 +60,13 @@
         self.board.outbox.append(SendBalancer(host, datagram))
         self.board.records.counters[Count.TURNED_AWAY] += 1
 
+    def tell_busy(self, host: str, segment: Segment, now: float) -> None:
+        """Sends a new flow back that would have to wait for a slot."""
+        note = notes.to_balancer(NoteKind.BUSY, self.counter.load(now))
+        datagram = self.codec.with_note(segment, note)
+        self.board.outbox.append(SendBalancer(host, datagram))
+        self.board.records.counters[Count.FOUND_BUSY] += 1
+
     def tell_load(self, host: str, now: float) -> None:
         """Tells a balancer the load, and what is known of the server."""
         load = self.counter.load(now)
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -181,6 +181,8 @@
                 self.opener.on_accepted(host, segment, now)
             case NoteKind.FULL:
                 self.opener.on_full(host, segment, now)
+            case NoteKind.BUSY:
+                self.opener.on_busy(host, segment, now)
             case NoteKind.REFUSED:
                 self.opener.on_refused(host, segment, now)
             case NoteKind.RETURNED:
--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -17,7 +17,7 @@
 from notchhoist.flows.decisions.early import EarlyPackets
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import SendAgent
-from notchhoist.flows.model.fleet import Route, Server
+from notchhoist.flows.model.fleet import RequestKind, Route, Server
 from notchhoist.flows.model.notes import NoteKind
 from notchhoist.flows.model.records import Count, Timing
 from notchhoist.flows.model.segments import Segment, SegmentCodec
@@ -93,6 +93,10 @@
         fresh = self._untried(
             opening, [item for item in servers if item in few]
         )
+        if_free = bool(fresh) and self._asks_if_free(opening)
+        if not if_free:
+            # The loads of those that were asked are news, other loads are not.
+            fresh = self._found_busy(opening, servers) or fresh
         fresh = fresh or self._untried(opening, servers)
         server = placing.choose(
             fresh,
@@ -109,6 +113,8 @@
         self._end_offer(opening)
         opening.tried.append(server.entry.server_id)
         opening.sent_at = now
+        if_free = if_free and bound_of(board, server).per_s == 0
+        opening.if_free = if_free
         board.records.counters[
             Count.PLACED_AGAIN if again else Count.PLACED
         ] += 1
@@ -123,13 +129,35 @@
             load_age_s=round(now - server.heard_at, 3),
             choices=len(fresh),
             again=again,
+            if_free=if_free,
+            found_busy=len(opening.busy),
         )
         server.note_offer()
         self.informer.before_offer(server, now)
         self._remember(opening, server, now)
         age_s = now - opening.asked_since
         wish = opening.route.wish(age_s, opening.may_be_retry)
-        self._send(server, opening.segment, wish, now)
+        self._send(server, opening.segment, wish, now, if_free)
+
+    def _asks_if_free(self, opening: Opening) -> bool:
+        """Tells whether the next server gets a flow only if a slot is free."""
+        board = self.board
+        if not board.uses.if_free or opening.route.kind is RequestKind.UPLOAD:
+            return False
+        attempts = board.busy_shares.attempts(opening.service)
+        return len(opening.busy) < attempts
+
+    def _found_busy(
+        self, opening: Opening, servers: Sequence[Server]
+    ) -> list[Server]:
+        """Returns the servers where a flow may wait, as it was told there.
+
+        Once it has been offered to one of them it is past that choice.
+        """
+        if not opening.if_free:
+            return []
+        busy = opening.busy
+        return [item for item in servers if item.entry.server_id in busy]
 
     def _end_offer(self, opening: Opening) -> None:
         if not opening.tried:
@@ -157,10 +185,19 @@
             flows.popitem(last=False)
 
     def _send(
-        self, server: Server, segment: Segment, wish: Wish, now: float
+        self,
+        server: Server,
+        segment: Segment,
+        wish: Wish,
+        now: float,
+        if_free: bool = False,
     ) -> None:
-        bounded = bound_of(self.board, server).per_s > 0
-        kind = NoteKind.PLACE_BOUNDED if bounded else NoteKind.PLACE
+        kind = NoteKind.PLACE
+        if bound_of(self.board, server).per_s > 0:
+            kind = NoteKind.PLACE_BOUNDED
+        elif if_free:
+            kind = NoteKind.PLACE_IF_FREE
+            self.board.records.counters[Count.OFFERED_IF_FREE] += 1
         note = notes.to_agent(kind, server.tag, wish)
         datagram = self.codec.with_note(segment, note)
         self.board.outbox.append(SendAgent(server.entry.host, datagram))
@@ -199,6 +236,8 @@
         if opening is not None:
             self._end_offer(opening)
             self._observe(opening, "accepted", now)
+            if opening.if_free:
+                self.board.busy_shares.note(opening.service, busy=False)
         placement = self.board.flows.get(segment.flow)
         if placement is None:
             return
@@ -228,6 +267,23 @@
             del self.board.flows[segment.flow]
             self.resetter.reset(segment, "no slot in time", server_host=host)
 
+    def on_busy(self, host: str, segment: Segment, now: float) -> None:
+        """Takes a flow back from a server without a free slot."""
+        opening = self.board.openings.get(segment.flow)
+        placement = self.board.flows.get(segment.flow)
+        if opening is None or not opening.if_free:
+            return
+        if placement is None or placement.server.entry.host != host:
+            return
+        counters = self.board.records.counters
+        counters[Count.FOUND_BUSY] += 1
+        self.board.busy_shares.note(opening.service, busy=True)
+        opening.busy.append(placement.server.entry.server_id)
+        self._observe(opening, "busy", now)
+        self.offer(opening, now)
+        if not opening.if_free:
+            counters[Count.FOUND_NONE_FREE] += 1
+
     def on_full(self, host: str, segment: Segment, now: float) -> None:
         """Takes a flow back from a server that bears none for a while."""
         server = self.board.by_host.get(host)
--- a/notchhoist/flows/boards/agent_board.py
+++ b/notchhoist/flows/boards/agent_board.py
@@ -24,6 +24,8 @@
             nobody has told.
         active: Flows whose request holds a slot.
         waiting: Requests that wait for a slot, by flow.
+        promised: Accepted flows whose first request is about to come and takes
+            a slot, and until when it is expected, seconds.
         pace_s: Smoothed service time, seconds; 0 if unknown.
         backend_gone: The backend server does not listen any more.
         check_due: When to look at a silent backend server, or ``inf``.
@@ -49,6 +51,7 @@
     slots: int = 0
     active: set[bytes] = field(default_factory=set)
     waiting: dict[bytes, HeldRequest] = field(default_factory=dict)
+    promised: dict[bytes, float] = field(default_factory=dict)
     pace_s: float = 0.0
     backend_gone: bool = False
     check_due: float = float("inf")
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct, field
 
+from notchhoist.flows.decisions.attempts import BusyShares
 from notchhoist.flows.model.effects import Effect
 from notchhoist.flows.model.fleet import Route, RouteTable, Server
 from notchhoist.flows.model.mechanisms import ALL, Mechanisms
@@ -43,6 +44,8 @@
         route: Its route.
         sent_at: When it was last offered, seconds.
         tried: Ids of the servers that it was offered to.
+        busy: Ids of those of them that had no free slot for it.
+        if_free: It was last offered on the condition that a slot is free.
         may_be_retry: See ``Wish``.
     """
 
@@ -52,6 +55,8 @@
     route: Route
     sent_at: float
     tried: list[str]
+    busy: list[str] = field(default_factory=list)
+    if_free: bool = False
     may_be_retry: bool = False
 
 
@@ -122,6 +127,7 @@
         store_era: Era of the store that its last answer was of.
         flows: Where flows are, least recently used first.
         openings: New flows that wait for a server.
+        busy_shares: How often new flows find no free slot.
         searches: Flows that are being looked for.
         records: Counters and decisions.
         outbox: What is to be done.
@@ -149,6 +155,7 @@
         default_factory=collections.OrderedDict
     )
     openings: dict[bytes, Opening] = field(default_factory=dict)
+    busy_shares: BusyShares = field(default_factory=BusyShares)
     searches: dict[bytes, Search] = field(default_factory=dict)
     records: Records = field(default_factory=Records)
     outbox: list[Effect] = field(default_factory=list)
--- a/notchhoist/flows/decisions/__init__.py
+++ b/notchhoist/flows/decisions/__init__.py
@@ -3,6 +3,7 @@
 Nothing here sends anything or reads a clock. From the top down:
 
 * ``placing``: pure functions that choose a backend server.
+* ``attempts``: how many servers are asked for a free slot.
 * ``failing``: how well a backend server answers, by the times of its answers.
 * ``completeness``: whether every server that may hold a flow is known.
 * ``holding``: requests that wait for a slot; ``queueing``: who gets one.
--- a/notchhoist/flows/model/mechanisms.py
+++ b/notchhoist/flows/model/mechanisms.py
@@ -36,6 +36,7 @@
         leavers: Callers that close their flow no longer wait.
         opening_wish: Agents keep what the opening packet said.
         expected: Flows that were just offered count as requests.
+        if_free: New flows are first offered to servers with a free slot.
     """
 
     load: bool = True
@@ -60,6 +61,7 @@
     leavers: bool = True
     opening_wish: bool = True
     expected: bool = True
+    if_free: bool = True
 
     def without(self, names: Iterable[str]) -> "Mechanisms":
         """Returns the same with some out of use; names must be known.
--- a/notchhoist/flows/model/notes.py
+++ b/notchhoist/flows/model/notes.py
@@ -69,6 +69,10 @@
             server is to get no new flow for the pause told instead of a pace.
         PLACE_BOUNDED: As ``PLACE``, for a server that bears only so much while
             it is cold; an agent that knows no more waits for word of it.
+        PLACE_IF_FREE: As ``PLACE``, but only if a slot is free for it. An agent
+            of a version that does not know this takes it for ``PLACE``.
+        BUSY: Answer to ``PLACE_IF_FREE``: the opening packet comes back, every
+            slot is taken, and nothing ran.
     """
 
     NONE = 0
@@ -84,6 +88,8 @@
     RETURNED = 10
     FULL = 11
     PLACE_BOUNDED = 12
+    PLACE_IF_FREE = 13
+    BUSY = 14
 
 
 _KINDS = tuple(NoteKind)
--- a/notchhoist/testing/opaque/world.py
+++ b/notchhoist/testing/opaque/world.py
@@ -14,6 +14,7 @@
 from notchhoist.flows.balancer.node import BalancerNode, make_balancer
 from notchhoist.flows.codec.message_codec import encode_message
 from notchhoist.flows.model import effects
+from notchhoist.flows.model.mechanisms import ALL, Mechanisms
 from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.platform.store import StoreReader
@@ -62,6 +63,7 @@
         link_mbps: What the links of entry hosts carry, Mbit/s; 0 for all.
         paced: Balancers let no more leave than their links carry.
         cold_per_s: New flows that a cold server bears in a second; 0 for all.
+        uses: Mechanisms of the daemons that are in use.
         judge: What was seen.
         store: The platform's store.
         store_link: Carries calls to it.
@@ -84,6 +86,7 @@
     link_mbps: float = 0.0
     paced: bool = True
     cold_per_s: float = 0.0
+    uses: Mechanisms = ALL
     judge: Judge = attrs.Factory(Judge)
     store: StoreModel = attrs.field(init=False)
     store_link: StoreLink = attrs.field(init=False)
@@ -180,12 +183,13 @@
             slack = COLD_SLACK if self.cold_per_s else None
             limits = Limits(EVACUATE_S, COLD_OVERAGE, slack, DRAIN_S)
             host.node = make_agent(
-                host.service, self.codec, self.now, limits=limits
+                host.service, self.codec, self.now, self.uses, limits=limits
             )
         else:
             name = f"{host.name}/{host.generation}"
+            seeds = self._seeds()
             node = make_balancer(
-                host.zone, self.codec, name, host.ip, self._seeds()
+                host.zone, self.codec, name, host.ip, seeds, uses=self.uses
             )
             host.node = node
             host.feeder = StoreFeeder(node, StoreReader(make_draw(name)))
