Attempts: a failing server is not free; fewer attempts only in overload

Change: an agent whose server fails counts as busy, but for one new flow a second; a service is full above 0.97 of attempts in vain, and is then asked by three.

--- a/notchhoist/flows/agent/node.py
+++ b/notchhoist/flows/agent/node.py
@@ -354,7 +354,7 @@
     teller = FlowTeller(board, codec)
     bearing = OpeningGate(board, limits)
     replies = Replies(board, codec, counter)
-    vacancies = SlotVacancies(board)
+    vacancies = SlotVacancies(board, gate)
     offers = FlowOffers(board, codec, bearing, vacancies, replies, watch)
     return AgentNode(
         board, codec, gate, watch, counter, bearing, replies, offers, teller
--- a/notchhoist/flows/agent/tests/test_vacancies.py
+++ b/notchhoist/flows/agent/tests/test_vacancies.py
@@ -80,6 +80,20 @@
     assert to_backend(offer(node, 1, START + 0.02))
 
 
+def test_a_server_that_fails_is_not_free_but_is_tried_now_and_then():
+    """Failures take no time, so it was free always and drew the flows of all."""
+    node = agent(slots=2)
+    for _ in range(10):
+        node.gate.times.note_failure()
+    node.gate.times.news()
+    tried = [
+        number
+        for number in range(30)
+        if to_backend(offer(node, number, START + number * 0.1))
+    ]
+    assert tried == [0, 10, 20]
+
+
 def test_an_upload_takes_no_slot():
     node = agent(slots=1)
     offer(node, 1, kind=NoteKind.PLACE, wish=Wish(upload=True))
--- a/notchhoist/flows/agent/vacancies.py
+++ b/notchhoist/flows/agent/vacancies.py
@@ -2,9 +2,14 @@
 
 from msgspec import Struct
 
+from notchhoist.flows.agent.admitting import RequestGate
 from notchhoist.flows.boards.agent_board import AgentBoard
 from notchhoist.flows.model.held import EXPECTED_S
 
+FAILING_PAUSE_S = 1.0
+"""Time between two new flows for a server that fails, seconds: enough to notice
+that it is well again."""
+
 
 class SlotVacancies(Struct, eq=False):
     """Tells whether a new flow would get a slot without waiting.
@@ -13,11 +18,18 @@
     trip later, and two balancers that offer a flow meanwhile would otherwise
     both find the slot free.
 
+    A server that fails its requests is free nearly always, since failures take
+    little time, and would draw the flows of all. It counts as busy.
+
     Attributes:
         board: What the agent knows.
+        gate: Knows whether the server fails.
+        tried_at: When a failing server last got a flow, seconds.
     """
 
     board: AgentBoard
+    gate: RequestGate
+    tried_at: float = float("-inf")
 
     def promise(self, flow: bytes, now: float) -> None:
         """Keeps a slot for the first request of a flow."""
@@ -29,6 +41,8 @@
         Where the number of slots is not known nobody waits here either.
         """
         board = self.board
+        if self.gate.times.is_failing and not self._tries_failing(now):
+            return False
         if not board.slots:
             return True
         promised = board.promised
@@ -39,3 +53,10 @@
             del promised[flow]
         taken = len(board.active) + len(board.waiting) + len(promised)
         return taken < board.slots
+
+    def _tries_failing(self, now: float) -> bool:
+        """Tells whether it is time to see if a failing server is well again."""
+        if now - self.tried_at < FAILING_PAUSE_S:
+            return False
+        self.tried_at = now
+        return True
--- a/notchhoist/flows/balancer/tests/test_attempts.py
+++ b/notchhoist/flows/balancer/tests/test_attempts.py
@@ -113,7 +113,7 @@
 
 def test_a_full_service_is_asked_less():
     node = balancer(servers=8, routes=ONCE)
-    for _ in range(100):
+    for _ in range(200):
         node.board.busy_shares.note(SERVICE, busy=True)
     syn, host, _ = begin(node)
     for _ in range(FULL_ATTEMPTS - 1):
--- a/notchhoist/flows/decisions/attempts.py
+++ b/notchhoist/flows/decisions/attempts.py
@@ -14,16 +14,17 @@
 """Servers that are asked for a free slot. Where half of the slots are taken,
 one flow in 64 finds none."""
 
-FULL_ATTEMPTS = 2
-"""The same where hardly any slot is free: the shorter one of two queues gives
-most of the balance there is to gain."""
+FULL_ATTEMPTS = 3
+"""The same where hardly any slot is free: the shortest of three queues gives most
+of the balance there is to gain."""
 
-FULL_SHARE = 0.9
-"""Share of attempts that find no free slot above which a service is full."""
+FULL_SHARE = 0.97
+"""Share of attempts that find no free slot above which a service is full. At a
+load of 0.95 it is still lower, and asking all six is worth its messages."""
 
-SHARE_GAIN = 0.05
-"""Weight of one answer in that share: about the last 40, less than a second of
-a balancer with 50 new flows a second."""
+SHARE_GAIN = 0.02
+"""Weight of one answer in that share: about the last 100, less than a second of
+a balancer with 50 new flows a second that are handed back three times each."""
 
 
 class BusyShares(Struct, eq=False):
@@ -33,10 +34,10 @@
         >>> shares = BusyShares()
         >>> shares.attempts("feed")
         6
-        >>> for _ in range(100):
+        >>> for _ in range(200):
         ...     shares.note("feed", busy=True)
         >>> shares.attempts("feed")
-        2
+        3
 
     Attributes:
         by_service: Smoothed share of the attempts.
