--- a/notchhoist/daemon/__main__.py
+++ b/notchhoist/daemon/__main__.py
@@ -22,6 +22,7 @@
 
 
 def _run_on_platform(check: bool) -> int:
+    started_ms = int(time.time() * 1000)
     from notchhoist.daemon.lean_imports import load_msgspec
 
     load_msgspec()
@@ -51,7 +52,7 @@
     from notchhoist.daemon.flow_runner import run_host
 
     try:
-        run_host(settings, time.monotonic, time.time)
+        run_host(settings, time.monotonic, time.time, started_ms)
     except OSError as error:
         print(f"{settings.name}: {error}", file=sys.stderr)
         return EXIT_CANNOT_BIND
