--- a/notchhoist/daemon/__main__.py
+++ b/notchhoist/daemon/__main__.py
@@ -22,7 +22,6 @@
 
 
 def _run_on_platform(check: bool) -> int:
-    started_ms = int(time.time() * 1000)
     from notchhoist.daemon.lean_imports import load_msgspec
 
     load_msgspec()
@@ -52,7 +51,7 @@
     from notchhoist.daemon.flow_runner import run_host
 
     try:
-        run_host(settings, time.monotonic, time.time, started_ms)
+        run_host(settings, time.monotonic, time.time)
     except OSError as error:
         print(f"{settings.name}: {error}", file=sys.stderr)
         return EXIT_CANNOT_BIND
--- a/notchhoist/daemon/flow_runner.py
+++ b/notchhoist/daemon/flow_runner.py
@@ -27,19 +27,10 @@
 
 
 def make_daemon(
-    settings: HostSettings,
-    loop: Loop,
-    journal: FlowJournal,
-    started_ms: int = 0,
+    settings: HostSettings, loop: Loop, journal: FlowJournal
 ) -> FlowDaemon:
     """Opens the sockets of a process.
 
-    Args:
-        settings: What the platform told.
-        loop: Runs the process.
-        journal: Takes its log.
-        started_ms: Time of day when it started, Unix ms; 0 if unknown.
-
     Raises:
         OSError: An address cannot be bound.
     """
@@ -50,7 +41,7 @@
         node = _make_balancer(settings, codec)
     else:
         packets = settings.outbound or settings.packets
-        node = _make_agent(settings, codec, loop.clock(), started_ms)
+        node = _make_agent(settings, codec, loop.clock())
     first = settings.peer_ports[0]
     return FlowDaemon(
         settings=settings,
@@ -86,7 +77,7 @@
 
 
 def _make_agent(
-    settings: HostSettings, codec: PacketCodec, now: float, started_ms: int
+    settings: HostSettings, codec: PacketCodec, now: float
 ) -> AgentNode:
     from notchhoist.flows.agent.bearing import Limits
     from notchhoist.flows.agent.node import make_agent
@@ -103,20 +94,16 @@
             settings.cold_slack,
             settings.drain_s,
         ),
-        started_ms,
     )
 
 
-def run_host(
-    settings: HostSettings, clock: Clock, wall: Clock, started_ms: int
-) -> None:
+def run_host(settings: HostSettings, clock: Clock, wall: Clock) -> None:
     """Runs a process until it is told to stop.
 
     Args:
         settings: What the platform told.
         clock: The runtime's clock.
         wall: Time of day.
-        started_ms: The same when the process started, Unix ms.
 
     Raises:
         OSError: An address cannot be bound.
@@ -125,7 +112,7 @@
 
     loop = Loop(clock)
     journal = FlowJournal(settings.name, clock, wall, write_to_stdout)
-    daemon = make_daemon(settings, loop, journal, started_ms)
+    daemon = make_daemon(settings, loop, journal)
     daemon.start()
     gc.enable()
     if settings.balances:
--- a/notchhoist/flows/agent/node.py
+++ b/notchhoist/flows/agent/node.py
@@ -335,7 +335,6 @@
     uses: Mechanisms = ALL,
     sees_all: bool = False,
     limits: Limits = NO_LIMITS,
-    started_ms: int = 0,
 ) -> AgentNode:
     """Makes the decisions of an agent that starts now.
 
@@ -346,10 +345,9 @@
         uses: Which mechanisms are in use.
         sees_all: The whole system starts for the first time.
         limits: Bounds from the settings.
-        started_ms: Time of day at the start of the process, Unix ms.
     """
     tag = notes.service_tag(service)
-    board = AgentBoard(service, tag, now, started_ms, sees_all, uses=uses)
+    board = AgentBoard(service, tag, now, sees_all, uses=uses)
     gate = RequestGate(board, codec, queue=SlotQueue(uses))
     watch = BackendWatch(board, codec, gate)
     counter = LoadCounter(board, gate)
--- a/notchhoist/flows/agent/telling.py
+++ b/notchhoist/flows/agent/telling.py
@@ -75,7 +75,6 @@
             flows=load.flows,
             running=load.running,
             pace_ms=load.pace_ms,
-            started_ms=self.board.started_ms if NoteKind.UNSURE in told else 0,
         )
         self.board.outbox.append(SendPeer(host, answer))
 
--- a/notchhoist/flows/balancer/finding.py
+++ b/notchhoist/flows/balancer/finding.py
@@ -19,10 +19,7 @@
     Search,
 )
 from notchhoist.flows.decisions import placing
-from notchhoist.flows.decisions.completeness import (
-    is_complete,
-    saw_every_flow,
-)
+from notchhoist.flows.decisions.completeness import is_complete
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import SendAgent
 from notchhoist.flows.model.messages import FlowsTell
@@ -154,21 +151,9 @@
             tried = search is not None and host in search.trying
             if flow in asked or (tried and not tell.number):
                 self._take_answer(host, NoteKind.ABSENT, flow, now)
-        unsure = self._meaning_of_unsure(host, tell)
         for flow in tell.unsure:
             if flow in asked:
-                self._take_answer(host, unsure, flow, now)
-
-    def _meaning_of_unsure(self, host: str, tell: FlowsTell) -> NoteKind:
-        """Returns what it means that an agent cannot tell of a flow."""
-        server = self.board.by_host.get(host)
-        if server is None or not self.board.uses.births:
-            return NoteKind.UNSURE
-        if not saw_every_flow(tell.started_ms, server.entry.born_ms):
-            return NoteKind.UNSURE
-        counters = self.board.records.counters
-        counters[Count.RULED_OUT_BY_START] += len(tell.unsure)
-        return NoteKind.ABSENT
+                self._take_answer(host, NoteKind.UNSURE, flow, now)
 
     def _take_answer(
         self, host: str, kind: NoteKind, flow: bytes, now: float
--- a/notchhoist/flows/boards/agent_board.py
+++ b/notchhoist/flows/boards/agent_board.py
@@ -17,7 +17,6 @@
         service: Service of the backend server.
         tag: Tag of that service.
         started_at: When the agent started, seconds.
-        started_ms: The same by its host's time of day, Unix ms; 0 if unknown.
         sees_all: It started with the whole system: every flow of its server
             has begun before its eyes.
         flows: Flows of the backend server.
@@ -47,7 +46,6 @@
     service: str
     tag: int
     started_at: float
-    started_ms: int = 0
     sees_all: bool = False
     flows: dict[bytes, HeldFlow] = field(default_factory=dict)
     slots: int = 0
--- a/notchhoist/flows/codec/flow.thrift
+++ b/notchhoist/flows/codec/flow.thrift
@@ -44,14 +44,10 @@
 
 /** heads: packets' heads to tell about; samples: packets to try. */
 struct FlowsAsk { 1: i32 number, 2: i32 tag, 3: list<binary> heads, 4: list<binary> samples }
-/**
- * Keys of flows; number: of the question, 0 for the outcome of samples;
- * started_ms: when an agent that is unsure started, Unix ms.
- */
+/** Keys of flows; number: of the question, 0 for the outcome of samples. */
 struct FlowsTell {
   1: i32 number, 2: list<binary> present, 3: list<binary> absent,
-  4: list<binary> unsure, 5: i32 flows, 6: i32 running, 7: i32 pace_ms,
-  8: optional i64 started_ms
+  4: list<binary> unsure, 5: i32 flows, 6: i32 running, 7: i32 pace_ms
 }
 
 struct FlowMessage {
--- a/notchhoist/flows/codec/message_codec.py
+++ b/notchhoist/flows/codec/message_codec.py
@@ -104,7 +104,6 @@
         flows=tell.flows,
         running=tell.running,
         pace_ms=tell.pace_ms,
-        started_ms=tell.started_ms or None,
     )
 
 
@@ -192,5 +191,4 @@
         flows=struct.flows,
         running=struct.running,
         pace_ms=struct.pace_ms,
-        started_ms=struct.started_ms or 0,
     )
--- a/notchhoist/flows/codec/view_codec.py
+++ b/notchhoist/flows/codec/view_codec.py
@@ -21,7 +21,6 @@
 AGE_MAX_S = 1e6
 
 _ADDED_LATER = {
-    "FlowsTell": ("started_ms",),
     "LoadAsk": ("state",),
     "LoadTell": ("state_revision", "state_era"),
     "Server": ("born_ms", "era", "created_era", "withdrawn"),
--- a/notchhoist/flows/decisions/completeness.py
+++ b/notchhoist/flows/decisions/completeness.py
@@ -16,37 +16,6 @@
 store's return; a tenth more for clocks and delays."""
 
 
-STARTED_TOGETHER_MS = 300
-"""An agent that started within this time of its backend server has had no
-forerunner beside it, ms: a process that ends is away for longer before it is
-started again and has loaded."""
-
-
-def saw_every_flow(started_ms: int, born_ms: int) -> bool:
-    """Tells whether an agent has seen every flow of its backend server begin.
-
-    After a loss of power both start at once. Without this each flow that was
-    lost had to be tried at every server of its service, which took more than a
-    second for half of them where a service has 46.
-
-    Times of day are compared, but those of one host only. One that lies far
-    from the other proves nothing, whichever is later: a clock may have jumped.
-
-    Examples:
-        >>> saw_every_flow(started_ms=2_000_200, born_ms=2_000_000)
-        True
-        >>> saw_every_flow(2_005_000, 2_000_000), saw_every_flow(2_000_000, 0)
-        (False, False)
-
-    Args:
-        started_ms: When the agent started, Unix ms; 0 if it has not told.
-        born_ms: When the server started, as published, Unix ms; 0 if unknown.
-    """
-    if not started_ms or not born_ms:
-        return False
-    return abs(started_ms - born_ms) < STARTED_TOGETHER_MS
-
-
 def is_complete(
     servers: Sequence[Server],
     known_since: float,
--- a/notchhoist/flows/model/mechanisms.py
+++ b/notchhoist/flows/model/mechanisms.py
@@ -37,7 +37,6 @@
         leavers: Callers that close their flow no longer wait.
         opening_wish: Agents keep what the opening packet said.
         expected: Flows that were just offered count as requests.
-        births: Agents that started with their server know all its flows.
         if_free: New flows are first offered to servers with a free slot.
     """
 
@@ -64,7 +63,6 @@
     leavers: bool = True
     opening_wish: bool = True
     expected: bool = True
-    births: bool = True
     if_free: bool = True
 
     def without(self, names: Iterable[str]) -> "Mechanisms":
--- a/notchhoist/flows/model/messages.py
+++ b/notchhoist/flows/model/messages.py
@@ -90,8 +90,6 @@
         flows: See ``LoadTell``.
         running: See ``LoadTell``.
         pace_ms: See ``LoadTell``.
-        started_ms: When an agent that is unsure started by its host's time of
-            day, Unix ms; 0 if not told.
     """
 
     number: int
@@ -101,7 +99,6 @@
     flows: int = 0
     running: int = 0
     pace_ms: int = 0
-    started_ms: int = 0
 
 
 class Member(Struct, frozen=True):
--- a/notchhoist/flows/model/records.py
+++ b/notchhoist/flows/model/records.py
@@ -48,7 +48,6 @@
     FINDS = "finds"
     FOUND = "found"
     FOUND_NOWHERE = "found_nowhere"
-    RULED_OUT_BY_START = "ruled_out_by_start"
     FINDS_GIVEN_UP = "finds_given_up"
     RESETS = "resets"
     VIEWS_CONFIRMED = "views_confirmed"
--- a/notchhoist/testing/opaque/hosts.py
+++ b/notchhoist/testing/opaque/hosts.py
@@ -17,9 +17,6 @@
 START_S = 0.3
 """From power to serving, seconds; about what a thin entry host takes."""
 
-LOAD_S = 0.2
-"""How long before it serves a process has read the time of day, seconds."""
-
 
 @attrs.define(eq=False)
 class Host:
--- a/notchhoist/testing/opaque/world.py
+++ b/notchhoist/testing/opaque/world.py
@@ -27,7 +27,7 @@
     encode_frame,
     is_genuine,
 )
-from notchhoist.testing.opaque.hosts import LOAD_S, Host
+from notchhoist.testing.opaque.hosts import Host
 from notchhoist.testing.opaque.judge import (
     COLD_OVERAGE,
     COLD_SLACK,
@@ -183,12 +183,7 @@
             slack = COLD_SLACK if self.cold_per_s else None
             limits = Limits(EVACUATE_S, COLD_OVERAGE, slack, DRAIN_S)
             host.node = make_agent(
-                host.service,
-                self.codec,
-                self.now,
-                self.uses,
-                limits=limits,
-                started_ms=self._wall_ms(self.now - LOAD_S),
+                host.service, self.codec, self.now, self.uses, limits=limits
             )
         else:
             name = f"{host.name}/{host.generation}"
@@ -201,9 +196,6 @@
             self.store_link.call(host, host.generation)
         self._tick_node(host, host.generation)
 
-    def _wall_ms(self, when: float) -> int:
-        return int((published.EPOCH_S + when) * 1000)
-
     def _seeds(self) -> tuple[str, ...]:
         """Returns the balancers that settings name: the first three."""
         entries = [host for host in self.hosts.values() if not host.service]
