Flows lost with a whole service's power are told after one round of questions

Change: unsure agents tell for how long they have run, balancers since when any of them may have placed a flow. Where every server of a service was still cold when first seen, an agent that had started by then, or within 0.3 s of it, has seen all flows of its server. A balancer that starts alone hears from the others that flows have been placed for longer, and tries as before; so it does with an agent that was restarted, or of a former version.

--- a/notchhoist/flows/agent/telling.py
+++ b/notchhoist/flows/agent/telling.py
@@ -75,9 +75,13 @@
             flows=load.flows,
             running=load.running,
             pace_ms=load.pace_ms,
+            age_ms=self._age_ms(now) if NoteKind.UNSURE in told else 0,
         )
         self.board.outbox.append(SendPeer(host, answer))
 
+    def _age_ms(self, now: float) -> int:
+        return max(1, int(self.board.age_s(now) * 1000))
+
     def decode(self, packets: tuple[bytes, ...]) -> list[Segment]:
         """Returns the packets of a question; bad ones are only counted."""
         segments = []
--- a/notchhoist/flows/agent/tests/test_vacancies.py
+++ b/notchhoist/flows/agent/tests/test_vacancies.py
@@ -81,7 +81,7 @@
 
 
 def test_a_server_that_fails_is_not_free_but_is_tried_now_and_then():
-    """Failures take no time, so it was free always and drew the flows of all."""
+    """Failures take no time: it was always free and drew the flows of all."""
     node = agent(slots=2)
     for _ in range(10):
         node.gate.times.note_failure()
--- a/notchhoist/flows/balancer/finding.py
+++ b/notchhoist/flows/balancer/finding.py
@@ -19,7 +19,10 @@
     Search,
 )
 from notchhoist.flows.decisions import placing
-from notchhoist.flows.decisions.completeness import is_complete
+from notchhoist.flows.decisions.completeness import (
+    is_complete,
+    saw_all_since_power,
+)
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import SendAgent
 from notchhoist.flows.model.messages import FlowsTell
@@ -151,9 +154,25 @@
             tried = search is not None and host in search.trying
             if flow in asked or (tried and not tell.number):
                 self._take_answer(host, NoteKind.ABSENT, flow, now)
+        unsure = self._meaning_of_unsure(host, tell, now)
         for flow in tell.unsure:
             if flow in asked:
-                self._take_answer(host, NoteKind.UNSURE, flow, now)
+                self._take_answer(host, unsure, flow, now)
+
+    def _meaning_of_unsure(
+        self, host: str, tell: FlowsTell, now: float
+    ) -> NoteKind:
+        """Returns what it means that an agent cannot tell of a flow."""
+        board = self.board
+        server = board.by_host.get(host)
+        if not tell.age_ms or server is None or not board.uses.anew:
+            return NoteKind.UNSURE
+        servers = board.by_service.get(server.entry.service, [])
+        started_at = now - tell.age_ms / 1000
+        if not saw_all_since_power(servers, started_at, board.placing_since):
+            return NoteKind.UNSURE
+        board.records.counters[Count.RULED_OUT_BY_AGE] += len(tell.unsure)
+        return NoteKind.ABSENT
 
     def _take_answer(
         self, host: str, kind: NoteKind, flow: bytes, now: float
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -122,6 +122,8 @@
         zones: Availability zones that are or were evacuated, by name.
         fleet_known: The list of servers has been read.
         known_since: When it was first read, seconds.
+        placing_since: When any balancer that is known of may first have placed
+            a flow, seconds.
         store_failed_at: When the store last failed this process, seconds.
         store_revision: Revision that the store named in its last answer.
         store_era: Era of the store that its last answer was of.
@@ -148,6 +150,7 @@
     zones: dict[str, ZoneState] = field(default_factory=dict)
     fleet_known: bool = False
     known_since: float = float("inf")
+    placing_since: float = float("inf")
     store_failed_at: float = float("-inf")
     store_revision: int = 0
     store_era: int = 0
--- a/notchhoist/flows/codec/flow.thrift
+++ b/notchhoist/flows/codec/flow.thrift
@@ -39,15 +39,19 @@
   13: i32 routes_total, 14: i32 servers_total,
   15: optional list<ColdBound> cold_bounds, 16: optional list<Zone> evacuated,
   17: optional list<Zone> returned, 18: optional i32 evacuated_total,
-  19: optional i64 asked, 20: optional i64 era
+  19: optional i64 asked, 20: optional i64 era, 21: optional i32 placing_for_ms
 }
 
 /** heads: packets' heads to tell about; samples: packets to try. */
 struct FlowsAsk { 1: i32 number, 2: i32 tag, 3: list<binary> heads, 4: list<binary> samples }
-/** Keys of flows; number: of the question, 0 for the outcome of samples. */
+/**
+ * Keys of flows; number: of the question, 0 for the outcome of samples;
+ * age_ms: since when an agent that is unsure has run.
+ */
 struct FlowsTell {
   1: i32 number, 2: list<binary> present, 3: list<binary> absent,
-  4: list<binary> unsure, 5: i32 flows, 6: i32 running, 7: i32 pace_ms
+  4: list<binary> unsure, 5: i32 flows, 6: i32 running, 7: i32 pace_ms,
+  8: optional i32 age_ms
 }
 
 struct FlowMessage {
--- a/notchhoist/flows/codec/message_codec.py
+++ b/notchhoist/flows/codec/message_codec.py
@@ -104,6 +104,7 @@
         flows=tell.flows,
         running=tell.running,
         pace_ms=tell.pace_ms,
+        age_ms=tell.age_ms or None,
     )
 
 
@@ -191,4 +192,5 @@
         flows=struct.flows,
         running=struct.running,
         pace_ms=struct.pace_ms,
+        age_ms=struct.age_ms or 0,
     )
--- a/notchhoist/flows/codec/view_codec.py
+++ b/notchhoist/flows/codec/view_codec.py
@@ -21,6 +21,7 @@
 AGE_MAX_S = 1e6
 
 _ADDED_LATER = {
+    "FlowsTell": ("age_ms",),
     "LoadAsk": ("state",),
     "LoadTell": ("state_revision", "state_era"),
     "Server": ("born_ms", "era", "created_era", "withdrawn"),
@@ -30,6 +31,7 @@
     "ViewTell": (
         "asked",
         "era",
+        "placing_for_ms",
         "cold_bounds",
         "evacuated",
         "returned",
@@ -78,6 +80,7 @@
         returned=[_zone_struct(*zone) for zone in change.returned],
         evacuated_total=change.evacuated_total,
         asked=tell.asked,
+        placing_for_ms=tell.placing_for_ms or None,
     )
 
 
@@ -166,7 +169,13 @@
         Member(m.host, m.link_mbps, m.age_ms) for m in struct.members
     )
     return ViewTell(
-        change, age_s, members, struct.part, struct.parts, struct.asked or 0
+        change,
+        age_s,
+        members,
+        struct.part,
+        struct.parts,
+        struct.asked or 0,
+        struct.placing_for_ms or 0,
     )
 
 
--- a/notchhoist/flows/decisions/attempts.py
+++ b/notchhoist/flows/decisions/attempts.py
@@ -15,8 +15,8 @@
 one flow in 64 finds none."""
 
 FULL_ATTEMPTS = 3
-"""The same where hardly any slot is free: the shortest of three queues gives most
-of the balance there is to gain."""
+"""The same where hardly any slot is free: the shortest of three queues gives
+most of the balance there is to gain."""
 
 FULL_SHARE = 0.97
 """Share of attempts that find no free slot above which a service is full. At a
--- a/notchhoist/flows/decisions/completeness.py
+++ b/notchhoist/flows/decisions/completeness.py
@@ -16,6 +16,35 @@
 store's return; a tenth more for clocks and delays."""
 
 
+LEAST_AWAY_S = 0.3
+"""A process that ends is away for at least this long until it is started again
+and answers, seconds."""
+
+
+def saw_all_since_power(
+    servers: Sequence[Server], started_at: float, placing_since: float
+) -> bool:
+    """Tells whether an agent has seen every flow of its server begin.
+
+    Where every server of a service was still slow from its start when it was
+    first seen, the whole service has started anew, and its flows are no older
+    than the first balancer that could place one. An agent that had started by
+    then has seen them all, and so has one that came a moment later: another
+    before it could not have ended in between.
+
+    Without this each flow lost with the power was tried at every server of its
+    service, 47 of them; half of the callers were told after more than 0.6 s.
+
+    Args:
+        servers: Known servers of the service.
+        started_at: When the agent started, seconds.
+        placing_since: When any balancer may first have placed a flow, seconds.
+    """
+    if started_at > placing_since + LEAST_AWAY_S:
+        return False
+    return bool(servers) and all(server.began_cold for server in servers)
+
+
 def is_complete(
     servers: Sequence[Server],
     known_since: float,
--- a/notchhoist/flows/model/mechanisms.py
+++ b/notchhoist/flows/model/mechanisms.py
@@ -37,6 +37,7 @@
         leavers: Callers that close their flow no longer wait.
         opening_wish: Agents keep what the opening packet said.
         expected: Flows that were just offered count as requests.
+        anew: Agents that started with a whole service know all its flows.
         if_free: New flows are first offered to servers with a free slot.
     """
 
@@ -63,6 +64,7 @@
     leavers: bool = True
     opening_wish: bool = True
     expected: bool = True
+    anew: bool = True
     if_free: bool = True
 
     def without(self, names: Iterable[str]) -> "Mechanisms":
--- a/notchhoist/flows/model/messages.py
+++ b/notchhoist/flows/model/messages.py
@@ -90,6 +90,7 @@
         flows: See ``LoadTell``.
         running: See ``LoadTell``.
         pace_ms: See ``LoadTell``.
+        age_ms: For how long an agent that is unsure has run, ms; 0 if not told.
     """
 
     number: int
@@ -99,6 +100,7 @@
     flows: int = 0
     running: int = 0
     pace_ms: int = 0
+    age_ms: int = 0
 
 
 class Member(Struct, frozen=True):
@@ -141,6 +143,8 @@
         parts: How many parts there are.
         asked: Number of the newest question that its sender had had from the
             receiver; 0 for none.
+        placing_for_ms: For how long at least flows may have been placed by any
+            balancer that the sender knows of, ms; 0 if not told.
     """
 
     change: ViewChange
@@ -149,6 +153,7 @@
     part: int = 0
     parts: int = 1
     asked: int = 0
+    placing_for_ms: int = 0
 
 
 PeerMessage = LoadAsk | LoadTell | FlowsAsk | FlowsTell | ViewAsk | ViewTell
--- a/notchhoist/flows/model/records.py
+++ b/notchhoist/flows/model/records.py
@@ -48,6 +48,7 @@
     FINDS = "finds"
     FOUND = "found"
     FOUND_NOWHERE = "found_nowhere"
+    RULED_OUT_BY_AGE = "ruled_out_by_age"
     FINDS_GIVEN_UP = "finds_given_up"
     RESETS = "resets"
     VIEWS_CONFIRMED = "views_confirmed"
--- a/notchhoist/flows/published/fleet_keeper.py
+++ b/notchhoist/flows/published/fleet_keeper.py
@@ -104,6 +104,7 @@
         if not self.board.fleet_known:
             self.board.fleet_known = True
             self.board.known_since = now
+            self.board.placing_since = min(self.board.placing_since, now)
 
     def _log_listing(
         self,
--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -173,10 +173,20 @@
         pieces = split(self.board.view.since(question.revision))
         for part, piece in enumerate(pieces):
             tell = ViewTell(
-                piece, age_s, members, part, len(pieces), question.number
+                piece,
+                age_s,
+                members,
+                part,
+                len(pieces),
+                question.number,
+                self._placing_for_ms(now),
             )
             self.board.outbox.append(SendPeer(host, tell))
 
+    def _placing_for_ms(self, now: float) -> int:
+        since = self.board.placing_since
+        return max(1, int((now - since) * 1000)) if since <= now else 0
+
     def _member(self, host: str, now: float) -> Member:
         if host == self.board.host:
             return Member(host, self.link_mbps)
@@ -203,6 +213,9 @@
             known = self.members.get(member.host, float("-inf"))
             self.members[member.host] = max(known, heard_at)
             self.links[member.host] = member.link_mbps
+        if tell.placing_for_ms:
+            since = now - tell.placing_for_ms / 1000
+            self.board.placing_since = min(self.board.placing_since, since)
         change = self.parts.whole(host, tell, now)
         if change is None or self._is_of_earlier_era(change):
             return
