Revert: any difference in speed counts

Slow servers have the waits of fast ones then (p90 0.36 and 0.36 s; 1.17 and 0.21 s without), so the goal for utilisation is met; but the tops of the wave ask for 1.07 times the capacity, and there equal shares make everybody a little late (442 late at fast servers in eight seconds, 65 without), where the unequal ones confine it to a third of the servers.

--- a/notchhoist/flows/agent/admitting.py
+++ b/notchhoist/flows/agent/admitting.py
@@ -5,7 +5,6 @@
 from notchhoist.flows.boards.agent_board import AgentBoard
 from notchhoist.flows.decisions.failing import AnswerTimes
 from notchhoist.flows.decisions.holding import HeldRequest
-from notchhoist.flows.decisions.pacing import WorkPace
 from notchhoist.flows.decisions.queueing import SlotQueue, hopeless
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import SendBackend, SendBalancer, SendCaller
@@ -45,7 +44,6 @@
         board: What the agent knows.
         codec: Codec of the packets.
         times: Judges the backend server's answers.
-        pace: Learns how fast it works.
         queue: Picks who gets a slot.
         shed_due: When to look next for requests that wait in vain, seconds.
     """
@@ -53,7 +51,6 @@
     board: AgentBoard
     codec: SegmentCodec
     times: AnswerTimes = field(default_factory=AnswerTimes)
-    pace: WorkPace = field(default_factory=WorkPace)
     queue: SlotQueue = field(default_factory=SlotQueue)
     shed_due: float = 0.0
 
@@ -147,7 +144,6 @@
         good = self.times.note_answer(segment.service_key, took_s)
         if good:
             self._note_pace(elapsed)
-            self.pace.note(segment.service_key, elapsed, now)
         outcome = "answered" if good else "too quick"
         board.records.observe(Timing.SERVICE, board.service, outcome, elapsed)
         self._log_failing()
@@ -182,12 +178,10 @@
         """
         return self.board.pace_s or GUESSED_PACE_S
 
-    def told_pace_s(self, now: float) -> float:
+    def told_pace_s(self) -> float:
         """Returns the service time that balancers are told, seconds."""
         slowdown = self.times.slowdown() if self.board.uses.failing else 1.0
-        if not self.board.uses.rates:
-            return self.board.pace_s * slowdown
-        return self.pace.usual_s(now) * slowdown
+        return self.board.pace_s * slowdown
 
     def _log_failing(self) -> None:
         news = self.times.news()
@@ -314,7 +308,6 @@
         board.promised.clear()
         board.pace_s = 0.0
         self.times = AnswerTimes()
-        self.pace = WorkPace()
         for request in list(board.waiting.values()):
             if request.unopened:
                 self._refuse(request, now, "backend server began anew")
--- a/notchhoist/flows/agent/load_counting.py
+++ b/notchhoist/flows/agent/load_counting.py
@@ -59,4 +59,4 @@
             flows += held.phase in _TAKEN
             running += held.is_busy(now, stuck_s, expected_s)
         running += len(self.board.waiting)
-        return Load(flows, running, round(self.gate.told_pace_s(now) * 1000))
+        return Load(flows, running, int(self.gate.told_pace_s() * 1000))
--- a/notchhoist/flows/decisions/placing.py
+++ b/notchhoist/flows/decisions/placing.py
@@ -130,22 +130,12 @@
     return answering or [server for server in willing if not server.lost]
 
 
-def capacity(
-    server: Server, median_ms: float, least_ratio: float = 0.0
-) -> float:
-    """Returns the slots of usual speed that a server is worth.
-
-    Args:
-        server: The server.
-        median_ms: Usual service time, ms; 0 if unknown.
-        least_ratio: Servers that take less than this many times the usual time
-            count as any other.
-    """
+def capacity(server: Server, median_ms: float) -> float:
+    """Returns how many requests a server works on at once, by its pace."""
     slots = float(max(1, server.entry.slots))
-    if not median_ms or not server.pace_ms:
-        return slots
-    ratio = server.pace_ms / median_ms
-    return slots / ratio if ratio > least_ratio else slots
+    if median_ms and server.pace_ms > OUTLIER_RATIO * median_ms:
+        slots *= median_ms / server.pace_ms
+    return slots
 
 
 def choose(
@@ -179,8 +169,7 @@
     median_ms = median([item.pace_ms for item in servers if item.pace_ms])
     if not uses.pace:
         median_ms = 0.0
-    least_ratio = 0.0 if uses.rates else OUTLIER_RATIO
-    sizes = [capacity(server, median_ms, least_ratio) for server in servers]
+    sizes = [capacity(server, median_ms) for server in servers]
     mean = sum(server.flows for server in servers) / sum(sizes)
     best = None
     best_score = float("inf")
@@ -191,7 +180,7 @@
             score = _fullness(server, size, mean, far)
         else:
             far_wait = FAR_WAITS[kind] if far else 0.0
-            score = _finish(server, size, mean) + far_wait
+            score = _wait(server, size, mean) + far_wait
         score += draw() * 1e-6
         if score < best_score:
             best, best_score = server, score
@@ -206,11 +195,8 @@
     return now >= server.warm_at and size < WELL_SHARE * server.entry.slots
 
 
-def _finish(server: Server, size: float, mean: float) -> float:
-    """Returns when a request would be done there, in usual service times."""
-    slots = max(1, server.entry.slots)
-    takes = slots / size
-    queue = max(0.0, server.running + 1 - slots) / slots
-    busy = 0.5 * server.running / slots
+def _wait(server: Server, size: float, mean: float) -> float:
+    queue = max(0.0, server.running + 1 - size) / size
     relative = server.flows / size / mean if mean else 0.0
-    return takes * (1.0 + queue + busy) + FLOWS_WEIGHT * relative
+    busy = 0.5 * server.running / size
+    return queue + busy + FLOWS_WEIGHT * relative
