--- a/notchhoist/flows/agent/admitting.py
+++ b/notchhoist/flows/agent/admitting.py
@@ -2,20 +2,18 @@
 
 from msgspec import Struct, field, structs
 
+from notchhoist.flows.agent.refusing import Refuser
 from notchhoist.flows.boards.agent_board import AgentBoard
 from notchhoist.flows.decisions.failing import AnswerTimes
 from notchhoist.flows.decisions.holding import HeldRequest
 from notchhoist.flows.decisions.queueing import SlotQueue, hopeless
-from notchhoist.flows.model import notes
-from notchhoist.flows.model.effects import SendBackend, SendBalancer, SendCaller
+from notchhoist.flows.model.effects import SendBackend
 from notchhoist.flows.model.held import (
     PACE_GAIN,
     STUCK_PACES,
     STUCK_S,
     HeldFlow,
-    Phase,
 )
-from notchhoist.flows.model.notes import Load, NoteKind
 from notchhoist.flows.model.records import Count, Timing
 from notchhoist.flows.model.segments import Segment, SegmentCodec
 from notchhoist.flows.model.wishes import Wish
@@ -43,6 +41,7 @@
     Attributes:
         board: What the agent knows.
         codec: Codec of the packets.
+        refuser: Tells callers that get no slot.
         times: Judges the backend server's answers.
         queue: Picks who gets a slot.
         shed_due: When to look next for requests that wait in vain, seconds.
@@ -50,6 +49,7 @@
 
     board: AgentBoard
     codec: SegmentCodec
+    refuser: Refuser
     times: AnswerTimes = field(default_factory=AnswerTimes)
     queue: SlotQueue = field(default_factory=SlotQueue)
     shed_due: float = 0.0
@@ -75,7 +75,7 @@
             self.board.promised.pop(segment.flow, None)
         waiting = self.board.waiting.get(segment.flow)
         if waiting is not None and self._has_left(waiting, segment, now):
-            self._let_go(waiting, segment, now)
+            self.refuser.let_go(waiting, segment, now)
             return
         if segment.resets:
             self._note_given_up(held, now)
@@ -219,7 +219,7 @@
     def _release(self, request: HeldRequest, now: float, outcome: str) -> None:
         board = self.board
         del board.waiting[request.flow]
-        self._observe_wait(request, outcome, now)
+        board.observe_wait(request, outcome, now)
         board.records.decide(
             "release",
             request.flow,
@@ -249,53 +249,17 @@
             over = now >= request.last_start(pace_s)
             if request.unopened and (over or board.uses.at_once):
                 board.records.counters[Count.REFUSED_AT_ONCE] += 1
-                self._refuse(request, now)
+                self.refuser.refuse(request, now)
             elif over:
                 # The backend server queues it, or rejects it with an answer.
                 board.records.counters[Count.HELD_TOO_LONG] += 1
                 self._release(request, now, "waited too long")
 
-    def _let_go(
-        self, request: HeldRequest, segment: Segment, now: float
-    ) -> None:
-        """Ends the flow of a caller that has given up; nothing has run."""
-        board = self.board
-        del board.waiting[request.flow]
-        self._observe_wait(request, "caller left", now)
-        board.records.counters[Count.CALLERS_LEFT] += 1
-        request.held.phase = Phase.REFUSED
-        self.reset_again(segment)
-        board.records.decide(
-            "reset",
-            request.flow,
-            "caller left",
-            waited_s=round(now - request.arrived_at, 3),
-            left_s=round(request.ends_at - now, 3),
-            waiting=len(board.waiting),
-        )
-
-    def reset_again(self, segment: Segment) -> None:
-        """Resets a flow that never opened; an earlier reset may be lost."""
-        if segment.resets:
-            return
-        reset = self.codec.make_reset(segment)
-        self.board.outbox.append(SendCaller(segment.caller, reset))
-
-    def _observe_wait(
-        self, request: HeldRequest, outcome: str, now: float
-    ) -> None:
-        self.board.records.observe(
-            Timing.WAITING,
-            self.board.service,
-            outcome,
-            now - request.arrived_at,
-        )
-
     def refuse_unopened(self, reason: str, now: float) -> None:
         """Refuses all that wait and have not opened; none of them has run."""
         for request in list(self.board.waiting.values()):
             if request.unopened:
-                self._refuse(request, now, reason)
+                self.refuser.refuse(request, now, reason)
 
     def begin_anew(self, now: float) -> None:
         """Forgets the load of a backend server that has ended.
@@ -310,36 +274,11 @@
         self.times = AnswerTimes()
         for request in list(board.waiting.values()):
             if request.unopened:
-                self._refuse(request, now, "backend server began anew")
+                self.refuser.refuse(request, now, "backend server began anew")
             else:
                 self._release(request, now, "backend server began anew")
         board.active.clear()
 
-    def _refuse(
-        self,
-        request: HeldRequest,
-        now: float,
-        reason: str = "no slot in time",
-    ) -> None:
-        """Lets the balancer reset a flow that has not opened."""
-        board = self.board
-        del board.waiting[request.flow]
-        self._observe_wait(request, "refused", now)
-        request.held.phase = Phase.REFUSED
-        load = Load(len(board.flows), len(board.waiting) + len(board.active))
-        note = notes.to_balancer(NoteKind.REFUSED, load)
-        segment = request.segments[-1]
-        datagram = self.codec.head_with_note(segment, note)
-        board.outbox.append(SendBalancer(request.held.balancer, datagram))
-        board.records.decide(
-            "refuse",
-            request.flow,
-            reason,
-            waited_s=round(now - request.arrived_at, 3),
-            waiting=len(board.waiting),
-            slots=board.slots,
-        )
-
     def sweep(self, now: float) -> None:
         """Frees slots of requests whose answer never came."""
         for flow in list(self.board.active):
--- a/notchhoist/flows/agent/node.py
+++ b/notchhoist/flows/agent/node.py
@@ -5,8 +5,10 @@
 from notchhoist.flows.agent.admitting import RequestGate
 from notchhoist.flows.agent.backend_watch import BackendWatch
 from notchhoist.flows.agent.bearing import Limits, OpeningGate
+from notchhoist.flows.agent.handover import FlowHandover
 from notchhoist.flows.agent.load_counting import LoadCounter
 from notchhoist.flows.agent.offering import FlowOffers
+from notchhoist.flows.agent.refusing import Refuser
 from notchhoist.flows.agent.replies import Replies
 from notchhoist.flows.agent.telling import FlowTeller
 from notchhoist.flows.agent.vacancies import SlotVacancies
@@ -15,7 +17,6 @@
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import (
     Effect,
-    SendBackend,
     SendCaller,
 )
 from notchhoist.flows.model.held import (
@@ -61,6 +62,7 @@
         replies: Answers balancers.
         offers: Offers new flows to the backend server.
         teller: Tells balancers which flows are here.
+        handover: Takes packets of flows that should be here.
     """
 
     board: AgentBoard
@@ -72,6 +74,7 @@
     replies: Replies
     offers: FlowOffers
     teller: FlowTeller
+    handover: FlowHandover
     sweep_due: float = 0.0
 
     @property
@@ -101,7 +104,7 @@
         elif segment.opens:
             self.offers.on_opening(host, segment, kind, now)
         else:
-            self._hand_over(host, segment, kind, now)
+            self.handover.take(host, segment, kind, now)
         return self._drain()
 
     def _answer(self, host: str, segment: Segment, now: float) -> None:
@@ -115,64 +118,11 @@
             if question.tag != self.board.tag or self.board.backend_gone:
                 self.teller.note_absent(host, segment.flow, now)
                 continue
-            self._hand_over(host, segment, NoteKind.TRY, now)
+            self.handover.take(host, segment, NoteKind.TRY, now)
             held = self.board.flows.get(segment.flow)
             if held is not None:
                 held.sampled = held.phase is Phase.TRIED
 
-    def _hand_over(
-        self, host: str, segment: Segment, kind: NoteKind, now: float
-    ) -> None:
-        board = self.board
-        held = board.flows.get(segment.flow)
-        if held is None or not self.teller.is_here(held, segment):
-            if held is not None or (
-                kind is not NoteKind.TRY and self.teller.knows_all(now)
-            ):
-                self.replies.give_back(host, segment, "flow not here", now)
-                return
-            held = HeldFlow(Phase.TRIED, host, now, now)
-            board.flows[segment.flow] = held
-        if held.phase is Phase.REFUSED:
-            held.last_at = now
-            self.gate.reset_again(segment)
-            return
-        if held.phase is Phase.TRIED:
-            # Only the backend server can tell whether the flow is here, if it
-            # has not ended: then nobody would say anything.
-            self.watch.check_soon(now)
-            self._note_use(held, host, segment, now)
-            board.outbox.append(SendBackend(self.codec.with_note(segment, 0)))
-            return
-        opening = held.phase is Phase.ACCEPTED
-        if opening and self.bearing.is_overdue(now):
-            held.phase = Phase.REFUSED
-            self.gate.reset_again(segment)
-            board.records.decide("reset", segment.flow, "zone evacuated")
-            return
-        self._note_use(held, host, segment, now)
-        wish = notes.wish_of(segment.note)
-        first = opening or held.request_end is None
-        if first and self.board.uses.opening_wish:
-            wish = held.wish_now(wish, now)
-        self.gate.take(held, segment, wish, opening, now)
-
-    def _note_use(
-        self, held: HeldFlow, host: str, segment: Segment, now: float
-    ) -> None:
-        held.balancer = host
-        held.last_at = now
-        held.sample = segment
-        if held.phase is Phase.ACCEPTED:
-            held.phase = Phase.OPEN
-            held.since = now
-            held.opening = None
-        if segment.size and not held.is_new(segment):
-            # A copy: the backend server may not have had the first one.
-            self.watch.check_soon(now)
-        if segment.resets:
-            held.phase = Phase.CLOSED
-
     def on_backend(self, segment: Segment, now: float) -> list[Effect]:
         """Takes a packet that the backend server sent or gave back."""
         board = self.board
@@ -348,7 +298,8 @@
     """
     tag = notes.service_tag(service)
     board = AgentBoard(service, tag, now, sees_all, uses=uses)
-    gate = RequestGate(board, codec, queue=SlotQueue(uses))
+    refuser = Refuser(board, codec)
+    gate = RequestGate(board, codec, refuser, queue=SlotQueue(uses))
     watch = BackendWatch(board, codec, gate)
     counter = LoadCounter(board, gate)
     teller = FlowTeller(board, codec)
@@ -357,5 +308,16 @@
     vacancies = SlotVacancies(board, gate)
     offers = FlowOffers(board, codec, bearing, vacancies, replies, watch)
     return AgentNode(
-        board, codec, gate, watch, counter, bearing, replies, offers, teller
+        board=board,
+        codec=codec,
+        gate=gate,
+        watch=watch,
+        counter=counter,
+        bearing=bearing,
+        replies=replies,
+        offers=offers,
+        teller=teller,
+        handover=FlowHandover(
+            board, codec, gate, refuser, watch, bearing, replies, teller
+        ),
     )
--- /dev/null
+++ b/notchhoist/flows/agent/refusing.py
@@ -0,0 +1,75 @@
+"""An agent's controller that tells callers that their requests get no slot."""
+
+from msgspec import Struct
+
+from notchhoist.flows.boards.agent_board import AgentBoard
+from notchhoist.flows.decisions.holding import HeldRequest
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.effects import SendBalancer, SendCaller
+from notchhoist.flows.model.held import Phase
+from notchhoist.flows.model.notes import Load, NoteKind
+from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.segments import Segment, SegmentCodec
+
+
+class Refuser(Struct, eq=False):
+    """Ends flows of which nothing has run and nothing will.
+
+    Attributes:
+        board: What the agent knows.
+        codec: Codec of the packets.
+    """
+
+    board: AgentBoard
+    codec: SegmentCodec
+
+    def refuse(
+        self,
+        request: HeldRequest,
+        now: float,
+        reason: str = "no slot in time",
+    ) -> None:
+        """Lets the balancer reset a flow that has not opened."""
+        board = self.board
+        del board.waiting[request.flow]
+        board.observe_wait(request, "refused", now)
+        request.held.phase = Phase.REFUSED
+        load = Load(len(board.flows), len(board.waiting) + len(board.active))
+        note = notes.to_balancer(NoteKind.REFUSED, load)
+        segment = request.segments[-1]
+        datagram = self.codec.head_with_note(segment, note)
+        board.outbox.append(SendBalancer(request.held.balancer, datagram))
+        board.records.decide(
+            "refuse",
+            request.flow,
+            reason,
+            waited_s=round(now - request.arrived_at, 3),
+            waiting=len(board.waiting),
+            slots=board.slots,
+        )
+
+    def let_go(
+        self, request: HeldRequest, segment: Segment, now: float
+    ) -> None:
+        """Ends the flow of a caller that has given up; nothing has run."""
+        board = self.board
+        del board.waiting[request.flow]
+        board.observe_wait(request, "caller left", now)
+        board.records.counters[Count.CALLERS_LEFT] += 1
+        request.held.phase = Phase.REFUSED
+        self.reset_again(segment)
+        board.records.decide(
+            "reset",
+            request.flow,
+            "caller left",
+            waited_s=round(now - request.arrived_at, 3),
+            left_s=round(request.ends_at - now, 3),
+            waiting=len(board.waiting),
+        )
+
+    def reset_again(self, segment: Segment) -> None:
+        """Resets a flow that never opened; an earlier reset may be lost."""
+        if segment.resets:
+            return
+        reset = self.codec.make_reset(segment)
+        self.board.outbox.append(SendCaller(segment.caller, reset))
--- /dev/null
+++ b/notchhoist/flows/balancer/evidence.py
@@ -0,0 +1,58 @@
+"""What a balancer may conclude from what agents and the platform have told."""
+
+from msgspec import Struct, field
+
+from notchhoist.flows.boards.balancer_board import BalancerBoard
+from notchhoist.flows.decisions.completeness import (
+    is_complete,
+    saw_all_since_power,
+)
+from notchhoist.flows.model.messages import FlowsTell
+from notchhoist.flows.model.notes import NoteKind
+from notchhoist.flows.model.records import Count
+
+
+class Evidence(Struct, eq=False):
+    """Judges whether a flow that nobody names can still be somewhere.
+
+    Attributes:
+        board: What the balancer knows.
+        complete: By service, whether every living server is known. Kept for one
+            moment, in which hundreds of searches may ask.
+        complete_at: When that was found out, seconds.
+    """
+
+    board: BalancerBoard
+    complete: dict[str, bool] = field(default_factory=dict)
+    complete_at: float = float("-inf")
+
+    def is_complete(self, service: str, now: float) -> bool:
+        """Tells whether every living server of a service is known."""
+        if now != self.complete_at:
+            self.complete_at = now
+            self.complete.clear()
+        known = self.complete.get(service)
+        if known is None:
+            board = self.board
+            known = self.complete[service] = is_complete(
+                board.by_service.get(service, []),
+                board.known_since,
+                board.store_failed_at,
+                now,
+            )
+        return known
+
+    def meaning_of_unsure(
+        self, host: str, tell: FlowsTell, now: float
+    ) -> NoteKind:
+        """Returns what it means that an agent cannot tell of a flow."""
+        board = self.board
+        server = board.by_host.get(host)
+        if not tell.age_ms or server is None or not board.uses.anew:
+            return NoteKind.UNSURE
+        servers = board.by_service.get(server.entry.service, [])
+        started_at = now - tell.age_ms / 1000
+        if not saw_all_since_power(servers, started_at, board.placing_since):
+            return NoteKind.UNSURE
+        board.records.counters[Count.RULED_OUT_BY_AGE] += len(tell.unsure)
+        return NoteKind.ABSENT
--- a/notchhoist/flows/balancer/finding.py
+++ b/notchhoist/flows/balancer/finding.py
@@ -6,25 +6,21 @@
 of them has denied is the flow reset.
 """
 
-from msgspec import Struct, field
+from msgspec import Struct
 
 from notchhoist.flows.balancer.confirming import ViewConfirmer
+from notchhoist.flows.balancer.evidence import Evidence
 from notchhoist.flows.balancer.health import HealthKeeper
 from notchhoist.flows.balancer.questions import Questions
+from notchhoist.flows.balancer.rejoining import FlowRejoiner
 from notchhoist.flows.balancer.resetting import FlowResetter
-from notchhoist.flows.balancer.trying import FlowTrier, request_note
+from notchhoist.flows.balancer.trying import FlowTrier
 from notchhoist.flows.boards.balancer_board import (
     BalancerBoard,
-    Placement,
     Search,
 )
 from notchhoist.flows.decisions import placing
-from notchhoist.flows.decisions.completeness import (
-    is_complete,
-    saw_all_since_power,
-)
 from notchhoist.flows.model import notes
-from notchhoist.flows.model.effects import SendAgent
 from notchhoist.flows.model.messages import FlowsTell
 from notchhoist.flows.model.notes import Load, NoteKind
 from notchhoist.flows.model.records import Count, Timing
@@ -69,11 +65,11 @@
         confirmer: Has the list of servers confirmed.
         questions: Asks the agents.
         trier: Lets unsure agents find out.
+        rejoiner: Takes up flows that were found.
+        evidence: Says what may be concluded from what was told.
         look_due: When a search next needs attention, or earlier, seconds. Kept,
             since it is asked for after each packet: among 300 searches looking
             for it took a quarter of the processor time.
-        complete: By service, whether every living server is known.
-        complete_at: When that was found out, seconds.
     """
 
     board: BalancerBoard
@@ -83,9 +79,9 @@
     confirmer: ViewConfirmer
     questions: Questions
     trier: FlowTrier
+    rejoiner: FlowRejoiner
+    evidence: Evidence
     look_due: float = float("inf")
-    complete: dict[str, bool] = field(default_factory=dict)
-    complete_at: float = float("-inf")
 
     def on_unknown(
         self, service: str, segment: Segment, now: float, absent_at: str = ""
@@ -149,7 +145,7 @@
         if segment.flow in self.board.searches:
             self._take_answer(host, kind, segment.flow, now)
         elif kind is NoteKind.PRESENT:
-            self._learn(host, segment, now)
+            self.rejoiner.learn(host, segment, now)
 
     def on_tell(self, host: str, tell: FlowsTell, now: float) -> None:
         """Takes an agent's answer about several flows."""
@@ -163,26 +159,11 @@
             tried = search is not None and host in search.trying
             if flow in asked or (tried and not tell.number):
                 self._take_answer(host, NoteKind.ABSENT, flow, now)
-        unsure = self._meaning_of_unsure(host, tell, now)
+        unsure = self.evidence.meaning_of_unsure(host, tell, now)
         for flow in tell.unsure:
             if flow in asked:
                 self._take_answer(host, unsure, flow, now)
 
-    def _meaning_of_unsure(
-        self, host: str, tell: FlowsTell, now: float
-    ) -> NoteKind:
-        """Returns what it means that an agent cannot tell of a flow."""
-        board = self.board
-        server = board.by_host.get(host)
-        if not tell.age_ms or server is None or not board.uses.anew:
-            return NoteKind.UNSURE
-        servers = board.by_service.get(server.entry.service, [])
-        started_at = now - tell.age_ms / 1000
-        if not saw_all_since_power(servers, started_at, board.placing_since):
-            return NoteKind.UNSURE
-        board.records.counters[Count.RULED_OUT_BY_AGE] += len(tell.unsure)
-        return NoteKind.ABSENT
-
     def _take_answer(
         self, host: str, kind: NoteKind, flow: bytes, now: float
     ) -> None:
@@ -214,13 +195,6 @@
         tag = notes.service_tag(search.service)
         self.questions.forget(flow, search.asked, tag)
 
-    def _learn(self, host: str, segment: Segment, now: float) -> None:
-        """Takes word of a flow after its search has ended."""
-        server = self.board.by_host.get(host)
-        if server is not None and segment.flow not in self.board.flows:
-            placement = Placement(server, True, now, segment)
-            self.board.flows[segment.flow] = placement
-
     def on_returned(self, host: str, segment: Segment, now: float) -> None:
         """Takes a packet back whose flow is not at an agent's server."""
         flow = segment.flow
@@ -243,22 +217,8 @@
         self._end(flow, search)
         if server is None:
             return
-        self.board.records.counters[Count.FOUND] += 1
         self._observe(search, "found", now)
-        self.board.records.decide(
-            "find", flow, server.entry.server_id, rounds=search.rounds
-        )
-        last = search.waiting[-1]
-        self.board.flows[flow] = Placement(server, True, now, last)
-        note = request_note(self.board, search, NoteKind.HELD, now)
-        for segment in search.waiting:
-            datagram = self.codec.with_note(segment, note)
-            self.board.outbox.append(
-                SendAgent(
-                    server.entry.host, datagram, segment.flow, segment.seq
-                )
-            )
-        self.health.expect(server, now)
+        self.rejoiner.rejoin(flow, search, server, now)
 
     def _next(self, flow: bytes, search: Search, now: float) -> None:
         """Asks more agents, tries unsure ones, or ends the search."""
@@ -277,29 +237,13 @@
         """Ends a search that every agent has denied, once it may."""
         if not self.board.uses.confirming or search.denied_at is None:
             return
-        if not self._is_complete(search.service, now):
+        if not self.evidence.is_complete(search.service, now):
             return
         if self.confirmer.known_at >= search.since:
             self._settle(flow, search, now)
         else:
             self.confirmer.want(now)
 
-    def _is_complete(self, service: str, now: float) -> bool:
-        """Tells whether every living server of a service is known."""
-        if now != self.complete_at:
-            self.complete_at = now
-            self.complete.clear()
-        known = self.complete.get(service)
-        if known is None:
-            board = self.board
-            known = self.complete[service] = is_complete(
-                board.by_service.get(service, []),
-                board.known_since,
-                board.store_failed_at,
-                now,
-            )
-        return known
-
     def on_view_confirmed(self, now: float) -> None:
         """Takes account of a confirmation by the platform."""
         self.confirmer.on_confirmed()
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -5,6 +5,7 @@
 
 from notchhoist.base.draws import first_number, make_draw
 from notchhoist.flows.balancer.confirming import ViewConfirmer
+from notchhoist.flows.balancer.evidence import Evidence
 from notchhoist.flows.balancer.finding import FlowFinder
 from notchhoist.flows.balancer.health import HealthKeeper
 from notchhoist.flows.balancer.informing import AgentInformer
@@ -12,6 +13,7 @@
 from notchhoist.flows.balancer.liveness import HostWatch
 from notchhoist.flows.balancer.opening import FlowOpener
 from notchhoist.flows.balancer.questions import make_questions
+from notchhoist.flows.balancer.rejoining import FlowRejoiner
 from notchhoist.flows.balancer.resetting import FlowResetter
 from notchhoist.flows.balancer.trying import FlowTrier
 from notchhoist.flows.boards.balancer_board import BalancerBoard, Placement
@@ -325,6 +327,8 @@
             ViewConfirmer(board),
             questions,
             FlowTrier(board, codec, questions),
+            FlowRejoiner(board, codec, health),
+            Evidence(board),
         ),
         sharer=sharer,
         informer=informer,
--- a/notchhoist/flows/boards/agent_board.py
+++ b/notchhoist/flows/boards/agent_board.py
@@ -7,7 +7,7 @@
 from notchhoist.flows.model.held import HeldFlow
 from notchhoist.flows.model.mechanisms import ALL, Mechanisms
 from notchhoist.flows.model.messages import ServerState
-from notchhoist.flows.model.records import Records
+from notchhoist.flows.model.records import Records, Timing
 
 
 class AgentBoard(Struct, eq=False):
@@ -67,6 +67,13 @@
     stopping: bool = False
     uses: Mechanisms = ALL
 
+    def observe_wait(
+        self, request: HeldRequest, outcome: str, now: float
+    ) -> None:
+        """Counts how long a request has waited for a slot."""
+        waited_s = now - request.arrived_at
+        self.records.observe(Timing.WAITING, self.service, outcome, waited_s)
+
     def age_s(self, now: float) -> float:
         """Returns how long ago the agent started, seconds."""
         return now - self.started_at
