A repeated question keeps its number, so a late answer counts

A question was repeated under a new number after 0.1 s, and what came to the former one was passed over.

Change: a repeat carries the same flows under the same number; those gathered since wait for the next question, as they did. A flow that was forgotten and searched for again is not in the answer's reach, as before.

Test: seen failing first.

--- a/notchhoist/flows/balancer/questions.py
+++ b/notchhoist/flows/balancer/questions.py
@@ -163,9 +163,8 @@
                 del self.lines[key]
             elif line.number and now - line.sent_at >= line.repeat_s:
                 line.repeat_s = min(2 * line.repeat_s, REPEAT_MOST_S)
-                self._free(line)
                 self.board.records.counters[Count.QUESTIONS_REPEATED] += 1
-                self._send(*key, line, now)
+                self._repeat(*key, line, now)
 
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
@@ -191,6 +190,20 @@
         self.count += 1
         line.number = self.count
         self.by_number[line.number] = (host, tag)
+        self._emit(host, tag, line, now)
+
+    def _repeat(self, host: str, tag: int, line: Line, now: float) -> None:
+        """Sends the question under way once more, under its number.
+
+        An answer to the first one then counts, however late it comes.
+        """
+        if line.asked or line.tried:
+            self._emit(host, tag, line, now)
+        else:
+            self._free(line)
+            self._send(host, tag, line, now)
+
+    def _emit(self, host: str, tag: int, line: Line, now: float) -> None:
         line.sent_at = now
         question = FlowsAsk(
             number=line.number,
--- a/notchhoist/flows/balancer/tests/test_questions.py
+++ b/notchhoist/flows/balancer/tests/test_questions.py
@@ -65,6 +65,22 @@
     assert sent <= 2 + 2.0 / REPEAT_MOST_S + 2
 
 
+def test_an_answer_that_comes_after_the_repeat_counts():
+    """On a full link each came too late for its question and was passed over.
+
+    A balancer heard agents all the time and found out nothing for 3.6 s.
+    """
+    node = balancer(servers=1)
+    [question] = questions(node.on_caller(lost_flow(1), 0.0))
+    repeats = []
+    for step in range(1, 36):
+        repeats += questions(node.tick(0.01 * step))
+    assert len(repeats) >= 2
+    lost = lost_flow(1).flow
+    node.on_peer(HOST, FlowsTell(question.number, absent=(lost,)), 0.36)
+    assert node.board.searches[lost].denied_at == 0.36
+
+
 def test_an_answer_to_an_earlier_search_proves_nothing():
     """The flow may have been opened between the two."""
     node = balancer(servers=1)
