show pressure: how pressed each service is, as each balancer sees it

Missing so far: an operator could not see whether flows meet free slots. A row has the servers that take new flows, their slots, what runs there by words of which age, the share of attempts in vain and how many are made.

--- a/notchhoist/cli/asking_flows.py
+++ b/notchhoist/cli/asking_flows.py
@@ -109,6 +109,7 @@
     "services": services,
     "servers": servers,
     "zones": _from("zones", "balancer"),
+    "pressure": _from("pressure", "balancer"),
     "flows": _from("flows"),
     "requests": _from("requests", "agent"),
     "revisions": revisions,
--- a/notchhoist/daemon/flow_state.py
+++ b/notchhoist/daemon/flow_state.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from notchhoist.daemon.flow_journal import flow_text
+from notchhoist.daemon.flow_pressure import pressure_rows
 from notchhoist.daemon.http_port import Reply
 from notchhoist.flows.agent.node import AgentNode
 from notchhoist.flows.balancer.node import BalancerNode
@@ -321,6 +322,7 @@
     "flows": _placements,
     "services": _routes,
     "zones": _zones,
+    "pressure": pressure_rows,
     "problems": _problems,
     "peers": _balancers,
     "counters": _counters,
--- a/notchhoist/daemon/tests/test_flow_state.py
+++ b/notchhoist/daemon/tests/test_flow_state.py
@@ -54,3 +54,18 @@
     assert (row["state_revision"], row["born_ms"]) == (9, 7)
     assert (row["cold_s"], row["bound_per_s"], row["bound_used"]) == (1.0, 6, 1)
     assert row["evacuated_s"] is None
+
+
+def test_a_balancer_shows_how_pressed_a_service_is():
+    node = make_balancer("a", CODEC, "seed", "10.0.1.1")
+    node.fleet.on_table(crafting.table(), 1)
+    listed = [(entry(1), 1), (entry(2), 1), (entry(3, draining=True), 1)]
+    node.fleet.on_listing(listed, 1, 0.0)
+    node.on_caller(request(flags=SYN, port=1), 1.0)
+    for _ in range(10):
+        node.board.busy_shares.note(crafting.SERVICE, busy=True)
+    [row] = dump(node, "pressure", 1.0)
+    assert (row["servers"], row["takes_new_flows"], row["slots"]) == (3, 2, 6)
+    assert (row["running"], row["openings"], row["attempts"]) == (1, 1, 6)
+    assert 0.1 < row["found_busy"] < 0.3
+    assert row["load_age_s"] is None
