--- a/notchhoist/daemon/tests/test_flow_processes.py
+++ b/notchhoist/daemon/tests/test_flow_processes.py
@@ -317,6 +317,10 @@
     code, text = ask_tool(reader, capsys, "wait until revision 3 for 5 s")
     assert (code, "in force everywhere" in text) == (0, True)
     assert rows(reader, capsys, "show counters where counter = placed")
+    asked = "show counters where counter = offered_if_free"
+    assert rows(reader, capsys, asked)
+    [pressed] = rows(reader, capsys, "show pressure order by found_busy desc")
+    assert (pressed["service"], pressed["found_busy"]) == ("hallbook", 0.0)
 
 
 def test_a_refused_flow_is_explained(fleet, sockets, reader, capsys):
