Opening: offer() in two; searches look again after a confirmation

And a fault seen when reading: since the time of the next look is kept, a search that is denied while the platform is being asked would be looked at 0.7 s later, not as soon as the next call is allowed.

Change: what is logged of an offer is a function; the next look is worked out anew after each confirmation.

--- a/notchhoist/flows/balancer/evidence.py
+++ b/notchhoist/flows/balancer/evidence.py
@@ -26,6 +26,11 @@
     complete: dict[str, bool] = field(default_factory=dict)
     complete_at: float = float("-inf")
 
+    def hosts_of(self, service: str) -> set[str]:
+        """Returns the hosts whose agents may hold a flow of a service."""
+        servers = self.board.by_service.get(service, [])
+        return {item.entry.host for item in servers if not item.lost}
+
     def is_complete(self, service: str, now: float) -> bool:
         """Tells whether every living server of a service is known."""
         if now != self.complete_at:
--- a/notchhoist/flows/balancer/finding.py
+++ b/notchhoist/flows/balancer/finding.py
@@ -15,10 +15,7 @@
 from notchhoist.flows.balancer.rejoining import FlowRejoiner
 from notchhoist.flows.balancer.resetting import FlowResetter
 from notchhoist.flows.balancer.trying import FlowTrier
-from notchhoist.flows.boards.balancer_board import (
-    BalancerBoard,
-    Search,
-)
+from notchhoist.flows.boards.balancer_board import BalancerBoard, Search
 from notchhoist.flows.decisions import placing
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.messages import FlowsTell
@@ -118,14 +115,6 @@
         if not hosts:
             self._next(segment.flow, search, now)
 
-    def _hosts_of(self, service: str) -> set[str]:
-        """Returns the hosts whose agents may hold a flow of a service."""
-        return {
-            server.entry.host
-            for server in self.board.by_service.get(service, [])
-            if not server.lost
-        }
-
     def _ask(self, flow: bytes, search: Search, now: float) -> None:
         search.sent_at = now
         search.rounds += 1
@@ -248,6 +237,7 @@
         self.confirmer.on_confirmed()
         for flow, search in list(self.board.searches.items()):
             self._settle_if_known(flow, search, now)
+        self._look_again()
 
     def _observe(self, search: Search, outcome: str, now: float) -> None:
         self.board.records.observe(
@@ -273,7 +263,7 @@
 
     def _widen(self, flow: bytes, search: Search, now: float) -> bool:
         """Asks all agents that were not asked yet; tells whether any are."""
-        fresh = self._hosts_of(search.service) - search.asked
+        fresh = self.evidence.hosts_of(search.service) - search.asked
         if not fresh:
             return False
         search.denied_at = None
@@ -318,11 +308,7 @@
                     self._next(flow, search, now)
             elif now - search.sent_at >= LOOK_EVERY_S:
                 self._look(flow, search, now)
-        next_call = self.confirmer.due()
-        self.look_due = min(
-            (_due(item, next_call) for item in self.board.searches.values()),
-            default=float("inf"),
-        )
+        self._look_again()
 
     def _look(self, flow: bytes, search: Search, now: float) -> None:
         """Looks at the agents that have not answered yet."""
@@ -343,7 +329,16 @@
         """Returns when ``tick`` is next needed, seconds."""
         return min(self.look_due, self.questions.due())
 
+    def _look_again(self) -> None:
+        """Works out which search needs attention next."""
+        next_call = self.confirmer.due()
+        self.look_due = min(
+            (_due(item, next_call) for item in self.board.searches.values()),
+            default=float("inf"),
+        )
+
     def _note_due(self, search: Search) -> None:
+        """Takes account of a search that may need attention before others."""
         due = _due(search, self.confirmer.due())
         self.look_due = min(self.look_due, due)
 
--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -82,24 +82,26 @@
         )
 
     def offer(self, opening: Opening, now: float) -> None:
-        """Offers a flow to the best server that it was not offered to."""
+        """Offers a flow to the best server that it was not offered to.
+
+        It is offered to a few on the condition that a slot is free, and then
+        to the best of those that had none: what they have told is news, and
+        what is known of others is older than a request takes.
+        """
         board = self.board
         known = placing.open_to_new(
             board.by_service.get(opening.service, []), board.view.evacuated
         )
-        flow = opening.segment.flow
         servers = placing.usable(known, now)
-        few = placing.candidates(flow, known, board.zone)
-        fresh = self._untried(
-            opening, [item for item in servers if item in few]
+        few = placing.candidates(opening.segment.flow, known, board.zone)
+        near = self._untried(opening, [item for item in servers if item in few])
+        if_free = bool(near) and self._asks_if_free(opening)
+        choices = (
+            near if if_free else self._found_busy(opening, servers) or near
         )
-        if_free = bool(fresh) and self._asks_if_free(opening)
-        if not if_free:
-            # The loads of those that were asked are news, other loads are not.
-            fresh = self._found_busy(opening, servers) or fresh
-        fresh = fresh or self._untried(opening, servers)
+        choices = choices or self._untried(opening, servers)
         server = placing.choose(
-            fresh,
+            choices,
             opening.route.kind,
             board.zone,
             now,
@@ -109,35 +111,38 @@
         if server is None:
             self._refuse(opening, len(servers), now)
             return
-        again = len(opening.tried)
         self._end_offer(opening)
+        opening.if_free = if_free and bound_of(board, server).per_s == 0
+        self._log_offer(opening, server, len(choices), now)
         opening.tried.append(server.entry.server_id)
         opening.sent_at = now
-        if_free = if_free and bound_of(board, server).per_s == 0
-        opening.if_free = if_free
-        board.records.counters[
-            Count.PLACED_AGAIN if again else Count.PLACED
-        ] += 1
-        board.records.decide(
+        server.note_offer()
+        self.informer.before_offer(server, now)
+        self._remember(opening, server, now)
+        age_s = now - opening.asked_since
+        wish = opening.route.wish(age_s, opening.may_be_retry)
+        self._send(server, opening.segment, wish, now, opening.if_free)
+
+    def _log_offer(
+        self, opening: Opening, server: Server, choices: int, now: float
+    ) -> None:
+        again = len(opening.tried)
+        count = Count.PLACED_AGAIN if again else Count.PLACED
+        self.board.records.counters[count] += 1
+        self.board.records.decide(
             "place",
-            flow,
+            opening.segment.flow,
             server.entry.server_id,
             service=opening.service,
             flows=server.flows,
             running=server.running,
             pace_ms=server.pace_ms,
             load_age_s=round(now - server.heard_at, 3),
-            choices=len(fresh),
+            choices=choices,
             again=again,
-            if_free=if_free,
+            if_free=opening.if_free,
             found_busy=len(opening.busy),
         )
-        server.note_offer()
-        self.informer.before_offer(server, now)
-        self._remember(opening, server, now)
-        age_s = now - opening.asked_since
-        wish = opening.route.wish(age_s, opening.may_be_retry)
-        self._send(server, opening.segment, wish, now, if_free)
 
     def _asks_if_free(self, opening: Opening) -> bool:
         """Tells whether the next server gets a flow only if a slot is free."""
