--- a/notchhoist/testing/opaque/tests/hard_load.py
+++ b/notchhoist/testing/opaque/tests/hard_load.py
@@ -24,6 +24,12 @@
     *(0.228, 3.4, 1, 2.0, 0.6),
 )
 
+FEED = Workload(
+    *("feed", "safe", "albums", 8443, 190, 52, 60, 1000),
+    *(0.486, 2.1, 2, 1.0, 0.5, True),
+)
+"""Requests on flows that stay open from one to the next."""
+
 
 def make_world(load, seed=7, uses=ALL, trouble=None, trouble_at_s=2.0):
     """Makes a service of one-slot servers with a share of its full load."""
@@ -47,6 +53,17 @@
     return world
 
 
+def make_feed_world(seed=7, uses=ALL):
+    """Makes a service whose callers keep their flows."""
+    world = OpaqueWorld(random.Random(seed), ZONES, (FEED,), uses=uses)
+    world.publish(1)
+    for number in range(BALANCERS):
+        world.add_host(ZONES[number % len(ZONES)])
+    for number in range(SERVERS):
+        world.add_host(ZONES[number % len(ZONES)], "albums", slots=2)
+    return world
+
+
 def play(world, seconds):
     """Plays callers for a time, and lets what they asked end."""
     start_traffic(world, LEAD_S + seconds)
--- a/notchhoist/testing/opaque/tests/test_hard_load.py
+++ b/notchhoist/testing/opaque/tests/test_hard_load.py
@@ -3,10 +3,13 @@
 import pytest
 
 from notchhoist.flows.model.mechanisms import ALL
+from notchhoist.flows.model.records import Count
 from notchhoist.testing.opaque import troubles
+from notchhoist.testing.opaque.experiment import LEAD_S
 from notchhoist.testing.opaque.tests.hard_load import (
     held_share,
     latency_s,
+    make_feed_world,
     make_world,
     play,
 )
@@ -52,3 +55,30 @@
     world = play(make_world(HALF, trouble=trouble), SECONDS)
     assert not world.judge.broken
     assert world.judge.worth(world.workloads) > 0.9
+
+
+def _questions_after_power_off(uses):
+    """Plays a loss of power for all; returns questions and what was told."""
+    world = make_feed_world(uses=uses)
+    off_at = LEAD_S + 2.0
+    for host in list(world.hosts.values()):
+        world.later(off_at, lambda h=host: troubles.power_off(world, h, 1.0))
+    play(world, SECONDS)
+    assert not world.judge.broken
+    counters = [
+        host.node.board.records.counters
+        for host in world.hosts.values()
+        if not host.service
+    ]
+    names = (Count.QUESTIONS, Count.FOUND_NOWHERE)
+    return [sum(item[name] for item in counters) for name in names]
+
+
+def test_flows_lost_with_the_power_cost_few_questions():
+    """One round instead of two: no agent could tell of any, so each was tried."""
+    asked, told = _questions_after_power_off(ALL)
+    asked_before, told_before = _questions_after_power_off(
+        ALL.without(["anew"])
+    )
+    assert told >= 0.9 * told_before > 0
+    assert asked < 0.7 * asked_before
