--- a/notchhoist/testing/opaque/tests/test_hard_load.py
+++ b/notchhoist/testing/opaque/tests/test_hard_load.py
@@ -75,7 +75,7 @@
 
 
 def test_flows_lost_with_the_power_cost_few_questions():
-    """One round instead of two: no agent could tell of any, so each was tried."""
+    """One round instead of two: no agent could tell, so each was tried."""
     asked, told = _questions_after_power_off(ALL)
     asked_before, told_before = _questions_after_power_off(
         ALL.without(["anew"])
