Interfaces of the parts for two new customers

Cause: routes that split, flows that rest, servers of one slot and far zones need parts that are built side by side. Ruled out: one part after the other; they meet in the balancer's searches and openings only. Conclusion: the parts can begin.

--- a/notchhoist/flows/balancer/__init__.py
+++ b/notchhoist/flows/balancer/__init__.py
@@ -3,6 +3,7 @@
 From the top down, each module imports only those above it:
 
 * ``resetting``: ends flows; ``confirming``: asks the platform for what is new.
+* ``distances``: how far agents are.
 * ``liveness``, ``health``, ``isolation``: who is there.
 * ``informing``: tells agents what is published of their servers.
 * ``opening``: new flows.
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -18,6 +18,7 @@
 from notchhoist.flows.balancer.trying import FlowTrier
 from notchhoist.flows.boards.balancer_board import BalancerBoard, Placement
 from notchhoist.flows.decisions.early import EarlyPackets
+from notchhoist.flows.decisions.splitting import pick_target
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import Effect, Reach, SendAgent
 from notchhoist.flows.model.fleet import Route
@@ -137,7 +138,7 @@
     def _forward(self, route: Route, segment: Segment, now: float) -> None:
         placement = self.board.flows.get(segment.flow)
         if placement is None:
-            service = route.service_for(segment.flow)
+            service = pick_target(segment.flow, route.targets)
             self.finder.on_unknown(service, segment, now)
             return
         self.board.flows.move_to_end(segment.flow)
--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -15,6 +15,7 @@
 )
 from notchhoist.flows.decisions import placing
 from notchhoist.flows.decisions.early import EarlyPackets
+from notchhoist.flows.decisions.splitting import pick_target
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import SendAgent
 from notchhoist.flows.model.fleet import RequestKind, Route, Server
@@ -75,7 +76,7 @@
             asked_since=since,
             may_be_retry=self.early.may_be_retry(since),
             segment=segment,
-            service=route.service_for(segment.flow),
+            service=pick_target(segment.flow, route.targets),
             route=route,
             sent_at=now,
             tried=[],
--- a/notchhoist/flows/model/fleet.py
+++ b/notchhoist/flows/model/fleet.py
@@ -1,7 +1,6 @@
 """Routes and backend servers as the platform publishes them."""
 
 import enum
-import zlib
 from collections.abc import Mapping
 
 from msgspec import Struct
@@ -74,23 +73,6 @@
             return 0.0
         return max(LEAST_LEFT_S, self.timeout_ms / 1000 - age_s)
 
-    def service_for(self, flow: bytes) -> str:
-        """Returns the service of a new flow; the same one for each copy.
-
-        Examples:
-            >>> kind = RequestKind.UPLOAD
-            >>> Route("r", b"", kind, (("a", 1),)).service_for(b"flow")
-            'a'
-        """
-        if len(self.targets) == 1:
-            return self.targets[0][0]
-        point = zlib.crc32(flow) % sum(weight for _, weight in self.targets)
-        for service, weight in self.targets:
-            point -= weight
-            if point < 0:
-                return service
-        return self.targets[-1][0]
-
 
 class ColdBound(Struct, frozen=True):
     """What the backend servers of a service bear while they are cold.
--- a/notchhoist/flows/model/mechanisms.py
+++ b/notchhoist/flows/model/mechanisms.py
@@ -38,6 +38,11 @@
         expected: Flows that were just offered count as requests.
         anew: Agents that started with a whole service know all its flows.
         if_free: New flows are first offered to servers with a free slot.
+        splits: Where routes split, flows are searched for at all services.
+        resting: Flows that rest are reset when their server is gone.
+        parking: Where servers have one slot, what finds none free waits at its
+            balancer and goes to the server that is free first.
+        distances: Offers reckon with the measured distance between zones.
     """
 
     load: bool = True
@@ -64,6 +69,10 @@
     expected: bool = True
     anew: bool = True
     if_free: bool = True
+    splits: bool = True
+    resting: bool = True
+    parking: bool = True
+    distances: bool = True
 
     def without(self, names: Iterable[str]) -> "Mechanisms":
         """Returns the same with some out of use; names must be known.
--- a/notchhoist/platform/tests/test_documents.py
+++ b/notchhoist/platform/tests/test_documents.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from notchhoist.base.errors import ConfigurationRefusedError
+from notchhoist.flows.decisions.splitting import pick_target
 from notchhoist.flows.model.fleet import ColdBound, RequestKind
 from notchhoist.platform.checking import FieldError
 from notchhoist.platform.documents import (
@@ -83,9 +84,11 @@
     split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
     text = changed(CONFIGURATION, ["routes", 0, "split"], split)
     [route] = decode_configuration(text).routes.values()
-    chosen = [route.service_for(number.to_bytes(12)) for number in range(500)]
+    chosen = [
+        pick_target(number.to_bytes(12), route.targets) for number in range(500)
+    ]
     assert 20 < chosen.count("b") < 100
-    assert chosen[7] == route.service_for((7).to_bytes(12))
+    assert chosen[7] == pick_target((7).to_bytes(12), route.targets)
 
 
 @pytest.mark.parametrize(
