Splits: a service without a living server leaves its share to the rest

Cause: a new flow whose drawn service has no server was refused at once, though the route allows another service that serves.

Ruled out: refusing the share (its callers draw another flow and succeed at the second or third try, so the weights do not hold either); moving the share of a service whose servers are full or suspected (suspicion is local and short, and an overloaded share would take the rest with it).

Change: weights hold among services with a server that is listed, takes new flows, lies in a zone that is not evacuated and is not lost. Weight 0 gets nothing even where nobody else serves.

--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -8,6 +8,7 @@
 from notchhoist.flows.balancer.health import HealthKeeper
 from notchhoist.flows.balancer.informing import AgentInformer
 from notchhoist.flows.balancer.resetting import FlowResetter
+from notchhoist.flows.balancer.targeting import service_for
 from notchhoist.flows.boards.balancer_board import (
     BalancerBoard,
     Opening,
@@ -15,7 +16,6 @@
 )
 from notchhoist.flows.decisions import placing
 from notchhoist.flows.decisions.early import EarlyPackets
-from notchhoist.flows.decisions.splitting import pick_target
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import SendAgent
 from notchhoist.flows.model.fleet import RequestKind, Route, Server
@@ -76,7 +76,7 @@
             asked_since=since,
             may_be_retry=self.early.may_be_retry(since),
             segment=segment,
-            service=pick_target(segment.flow, route.targets),
+            service=service_for(self.board, route, segment.flow, now),
             route=route,
             sent_at=now,
             tried=[],
--- /dev/null
+++ b/notchhoist/flows/balancer/targeting.py
@@ -0,0 +1,39 @@
+"""The service of a new flow, among those of its route that can take it."""
+
+from notchhoist.flows.boards.balancer_board import BalancerBoard
+from notchhoist.flows.decisions import placing
+from notchhoist.flows.decisions.splitting import pick_target
+from notchhoist.flows.model.fleet import Route
+
+
+def service_for(
+    board: BalancerBoard, route: Route, flow: bytes, now: float
+) -> str:
+    """Returns the service that a new flow goes to.
+
+    The operator's weights hold among the services that have a living server; a
+    service without one leaves its share to the rest. One whose servers are full
+    keeps its share: to move that would overload the rest too.
+
+    Args:
+        board: What the balancer knows.
+        route: Route of the flow.
+        flow: Key of the flow.
+        now: Runtime clock, seconds.
+    """
+    if len(route.targets) == 1:
+        return route.targets[0][0]
+    served = [
+        (service, weight)
+        for service, weight in route.targets
+        if weight and _is_served(board, service, now)
+    ]
+    return pick_target(flow, served or route.targets)
+
+
+def _is_served(board: BalancerBoard, service: str, now: float) -> bool:
+    servers = board.by_service.get(service, ())
+    return any(
+        placing.is_willing(server, now) and not server.lost
+        for server in placing.open_to_new(servers, board.view.evacuated)
+    )
--- a/notchhoist/flows/decisions/placing.py
+++ b/notchhoist/flows/decisions/placing.py
@@ -109,6 +109,12 @@
     return [item for item in servers if item.entry.zone not in evacuated]
 
 
+def is_willing(server: Server, now: float) -> bool:
+    """Tells whether a server takes new flows, as far as the platform tells."""
+    lives = server.listed or now - server.unlisted_at < LAPSED_S
+    return lives and not server.entry.draining
+
+
 def usable(servers: Sequence[Server], now: float) -> list[Server]:
     """Returns the servers that may get a new flow, the best class only.
 
@@ -116,12 +122,7 @@
         servers: Known servers of a service, in zones that take new flows.
         now: Runtime clock, seconds.
     """
-    willing = [
-        server
-        for server in servers
-        if not server.entry.draining
-        and (server.listed or now - server.unlisted_at < LAPSED_S)
-    ]
+    willing = [server for server in servers if is_willing(server, now)]
     listed = [server for server in willing if server.listed]
     if len(listed) >= HEALTHY_SHARE * len(willing):
         willing = listed
--- a/notchhoist/flows/tests/crafting.py
+++ b/notchhoist/flows/tests/crafting.py
@@ -69,12 +69,17 @@
     return CODEC.decode_request(CODEC.head_with_note(segment, note))
 
 
-def route(kind=RequestKind.IDEMPOTENT, service=SERVICE, port=SERVICE_PORT):
+def route(
+    kind=RequestKind.IDEMPOTENT,
+    service=SERVICE,
+    port=SERVICE_PORT,
+    targets=(),
+):
     return Route(
         name=f"r-{port}",
         service_key=service_key(SERVICE_HOST, port),
         kind=kind,
-        targets=((service, 1),),
+        targets=targets or ((service, 1),),
         priority=2,
         objective_ms=225.0,
     )
