Splits: a flow is looked for wherever it may be

Cause: a search asked the agents of the one service that today's weights draw. A flow that was opened under other weights was "found nowhere" by a balancer that had just started, and reset while its server served. Where all agents were asked it was found, but the packet bore the searched service's tag, and the agent gave it back as of another service.

Ruled out: a history in each balancer (one that has just started has none); asking all agents at once (4,300 for each unknown flow).

Change: a search names services. First the candidates of the likely service, then all services that the route names, then, where any route splits or one changed its services while a flow may live (balancers tell each other how long ago), all agents of the platform, bounded by questions under way; beyond the bound the search is left to the caller's next copy. Questions, samples and rejoined packets bear the tag of the server at each host, and a host whose server is of another service by then is asked again. A flow is dead only where every service searched is complete.

--- a/notchhoist/flows/balancer/evidence.py
+++ b/notchhoist/flows/balancer/evidence.py
@@ -1,5 +1,7 @@
 """What a balancer may conclude from what agents and the platform have told."""
 
+from collections.abc import Iterable
+
 from msgspec import Struct, field
 
 from notchhoist.flows.boards.balancer_board import BalancerBoard
@@ -26,13 +28,21 @@
     complete: dict[str, bool] = field(default_factory=dict)
     complete_at: float = float("-inf")
 
-    def hosts_of(self, service: str) -> set[str]:
-        """Returns the hosts whose agents may hold a flow of a service."""
-        servers = self.board.by_service.get(service, [])
-        return {item.entry.host for item in servers if not item.lost}
+    def hosts_of(self, services: Iterable[str]) -> set[str]:
+        """Returns the hosts whose agents may hold a flow of some services."""
+        by_service = self.board.by_service
+        return {
+            server.entry.host
+            for service in services
+            for server in by_service.get(service, ())
+            if not server.lost
+        }
+
+    def is_complete(self, services: Iterable[str], now: float) -> bool:
+        """Tells whether every living server of some services is known."""
+        return all(self._is_complete(service, now) for service in services)
 
-    def is_complete(self, service: str, now: float) -> bool:
-        """Tells whether every living server of a service is known."""
+    def _is_complete(self, service: str, now: float) -> bool:
         if now != self.complete_at:
             self.complete_at = now
             self.complete.clear()
--- a/notchhoist/flows/balancer/finding.py
+++ b/notchhoist/flows/balancer/finding.py
@@ -2,25 +2,28 @@
 
 The backend server knows which flows it holds and its agent sees them, so the
 balancer asks agents by a packet's head: first those beside the servers that
-the flow is placed among, then all others of the service. Only where every one
-of them has denied is the flow reset.
+the flow is placed among, then all others that may hold it. Only where every
+one of them has denied is the flow reset.
 """
 
+from collections.abc import Mapping
+
 from msgspec import Struct
 
+from notchhoist.flows.balancer import search_records
 from notchhoist.flows.balancer.confirming import ViewConfirmer
 from notchhoist.flows.balancer.evidence import Evidence
 from notchhoist.flows.balancer.health import HealthKeeper
 from notchhoist.flows.balancer.questions import Questions
 from notchhoist.flows.balancer.rejoining import FlowRejoiner
 from notchhoist.flows.balancer.resetting import FlowResetter
+from notchhoist.flows.balancer.scope import SearchScope
 from notchhoist.flows.balancer.trying import FlowTrier
 from notchhoist.flows.boards.balancer_board import BalancerBoard, Search
 from notchhoist.flows.decisions import placing
-from notchhoist.flows.model import notes
 from notchhoist.flows.model.messages import FlowsTell
 from notchhoist.flows.model.notes import Load, NoteKind
-from notchhoist.flows.model.records import Count, Timing
+from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.segments import Segment, SegmentCodec
 
 WAITING_MAX = 16
@@ -32,7 +35,7 @@
 
 LOOK_EVERY_S = 0.1
 """Time between two looks at who is silent, seconds; 30 round trips. After the
-first, all agents of the service are asked."""
+first, more agents are asked."""
 
 SEARCH_S = 4.0
 """Time for agents to answer before a search is given up, seconds. The copies of
@@ -64,6 +67,7 @@
         trier: Lets unsure agents find out.
         rejoiner: Takes up flows that were found.
         evidence: Says what may be concluded from what was told.
+        scope: Chooses the agents that are asked.
         look_due: When a search next needs attention, or earlier, seconds. Kept,
             since it is asked for after each packet.
     """
@@ -77,6 +81,7 @@
     trier: FlowTrier
     rejoiner: FlowRejoiner
     evidence: Evidence
+    scope: SearchScope
     look_due: float = float("inf")
 
     def on_unknown(
@@ -85,7 +90,7 @@
         """Looks for the flow of a packet.
 
         Args:
-            service: Its service.
+            service: The service that most likely holds it.
             segment: The packet; it waits for the outcome.
             now: Runtime clock, seconds.
             absent_at: Host of an agent that has denied already.
@@ -106,25 +111,36 @@
             few += placing.candidates(segment.flow, others, board.zone)
         hosts = {item.entry.host for item in few if not item.lost}
         hosts.discard(absent_at)
-        asked = hosts | {absent_at}
-        search = Search(service, [segment], hosts, [], since=now, asked=asked)
+        services = self.scope.services(service, segment)
+        denied = self.scope.tags_of([absent_at])
+        search = Search(services, [segment], set(), [], since=now, asked=denied)
         board.searches[segment.flow] = search
         board.records.counters[Count.FINDS] += 1
-        self._ask(segment.flow, search, now)
+        self._ask(search, self.scope.tags_of(hosts), now)
         self._note_due(search)
         if not hosts:
             self._next(segment.flow, search, now)
 
-    def _ask(self, flow: bytes, search: Search, now: float) -> None:
+    def _ask(
+        self, search: Search, fresh: Mapping[str, int], now: float
+    ) -> bool:
+        """Asks agents, each under its tag; tells whether there are any."""
+        if not fresh:
+            return False
+        search.denied_at = None
         search.sent_at = now
         search.rounds += 1
-        tag = notes.service_tag(search.service)
-        hosts = sorted(search.unanswered)
-        self.questions.ask(hosts, tag, search.waiting[0], now)
-        for host in hosts:
-            server = self.board.by_host.get(host)
-            if server is not None:
-                self.health.expect(server, now)
+        search.unanswered.update(fresh)
+        search.asked.update(fresh)
+        for host in sorted(fresh):
+            self.questions.ask([host], fresh[host], search.waiting[0], now)
+            self.health.expect(self.board.by_host[host], now)
+        return True
+
+    def _ask_rest(self, search: Search, now: float) -> bool:
+        """Asks all others that may hold the flow; tells whether any are."""
+        fresh = self.scope.unasked(search) or self.scope.widen(search, now)
+        return self._ask(search, fresh, now)
 
     def on_answer(
         self, host: str, kind: NoteKind, segment: Segment, now: float
@@ -180,8 +196,9 @@
     def _end(self, flow: bytes, search: Search) -> None:
         """Ends a search, whatever came of it."""
         del self.board.searches[flow]
-        tag = notes.service_tag(search.service)
-        self.questions.forget(flow, search.asked, tag)
+        self.scope.on_ended(search)
+        for host, tag in search.asked.items():
+            self.questions.forget(flow, {host}, tag)
 
     def on_returned(self, host: str, segment: Segment, now: float) -> None:
         """Takes a packet back whose flow is not at an agent's server."""
@@ -205,17 +222,23 @@
         self._end(flow, search)
         if server is None:
             return
-        self._observe(search, "found", now)
+        search_records.observe(self.board, search, "found", now)
         self.rejoiner.rejoin(flow, search, server, now)
 
     def _next(self, flow: bytes, search: Search, now: float) -> None:
         """Asks more agents, tries unsure ones, or ends the search."""
-        if self._widen(flow, search, now) or self.trier.try_unsure(search, now):
+        more = (
+            self._ask(search, self.scope.unasked(search), now)
+            or self.trier.try_unsure(search, now)
+            or self._ask(search, self.scope.widen(search, now), now)
+        )
+        if more:
             self._note_due(search)
             return
-        if search.silent:
-            # Whoever was tried may hold the flow and be slow: leave it alone.
-            self._give_up(flow, search, "tried agents", now)
+        if search.silent or search.partial:
+            # Whoever was tried or not asked may hold the flow: leave it alone.
+            reason = "tried agents" if search.silent else "agents not asked"
+            self._give_up(flow, search, reason, now)
             return
         search.denied_at = now
         self._settle_if_known(flow, search, now)
@@ -225,7 +248,7 @@
         """Ends a search that every agent has denied, once it may."""
         if not self.board.uses.confirming or search.denied_at is None:
             return
-        if not self.evidence.is_complete(search.service, now):
+        if not self.evidence.is_complete(search.services, now):
             return
         if self.confirmer.known_at >= search.since:
             self._settle(flow, search, now)
@@ -239,56 +262,28 @@
             self._settle_if_known(flow, search, now)
         self._look_again()
 
-    def _observe(self, search: Search, outcome: str, now: float) -> None:
-        self.board.records.observe(
-            Timing.FINDING, search.service, outcome, now - search.since
-        )
-
     def _give_up(
-        self, flow: bytes, search: Search, silent: str, now: float
+        self, flow: bytes, search: Search, reason: str, now: float
     ) -> None:
         """Ends a search without a reset; the caller's next copy starts anew."""
         self._end(flow, search)
-        self._observe(search, "given up", now)
-        self.board.records.counters[Count.FINDS_GIVEN_UP] += 1
-        self.board.records.decide(
-            "give up finding",
-            flow,
-            silent,
-            silent=sorted(search.unanswered | search.silent),
-            asked=len(search.asked),
-            searched_s=round(now - search.since, 3),
-            rounds=search.rounds,
-        )
-
-    def _widen(self, flow: bytes, search: Search, now: float) -> bool:
-        """Asks all agents that were not asked yet; tells whether any are."""
-        fresh = self.evidence.hosts_of(search.service) - search.asked
-        if not fresh:
-            return False
-        search.denied_at = None
-        search.unanswered |= fresh
-        search.asked |= fresh
-        self._ask(flow, search, now)
-        return True
+        search_records.note_given_up(self.board, flow, search, reason, now)
 
     def _settle(self, flow: bytes, search: Search, now: float) -> None:
         """Asks servers that have become known meanwhile, or resets."""
-        if self._widen(flow, search, now):
+        if self._ask_rest(search, now):
+            return
+        if search.partial:
+            self._give_up(flow, search, "agents not asked", now)
             return
         self._end(flow, search)
         self.board.records.counters[Count.FOUND_NOWHERE] += 1
-        self._observe(search, "found nowhere", now)
+        search_records.observe(self.board, search, "found nowhere", now)
+        known_at = self.confirmer.known_at
         self.resetter.reset(
             search.waiting[-1],
             "found nowhere",
-            service=search.service,
-            searched_s=round(now - search.since, 3),
-            answered_s=round(search.answered_s, 3),
-            denied_s=round((search.denied_at or now) - search.since, 3),
-            confirmed=self.confirmer.known_at >= search.since,
-            rounds=search.rounds,
-            asked=len(search.asked),
+            **search_records.nowhere_inputs(search, known_at, now),
             revision=self.board.view.revision,
         )
 
@@ -323,7 +318,7 @@
             # An agent that restarts may hold the flow: leave it alone.
             self._give_up(flow, search, "silent agents", now)
         else:
-            self._widen(flow, search, now)
+            self._ask_rest(search, now)
 
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -15,10 +15,11 @@
 from notchhoist.flows.balancer.questions import make_questions
 from notchhoist.flows.balancer.rejoining import FlowRejoiner
 from notchhoist.flows.balancer.resetting import FlowResetter
+from notchhoist.flows.balancer.scope import SearchScope
+from notchhoist.flows.balancer.targeting import service_for
 from notchhoist.flows.balancer.trying import FlowTrier
 from notchhoist.flows.boards.balancer_board import BalancerBoard, Placement
 from notchhoist.flows.decisions.early import EarlyPackets
-from notchhoist.flows.decisions.splitting import pick_target
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import Effect, Reach, SendAgent
 from notchhoist.flows.model.fleet import Route
@@ -36,6 +37,7 @@
 from notchhoist.flows.model.wishes import Wish
 from notchhoist.flows.published.eras import EraKeeper
 from notchhoist.flows.published.fleet_keeper import FleetKeeper
+from notchhoist.flows.published.reroutings import Reroutings
 from notchhoist.flows.published.sharing import ViewSharer
 from notchhoist.flows.published.zones import ZoneKeeper
 
@@ -56,6 +58,7 @@
         health: Watches over the agents.
         opener: Places new flows.
         finder: Finds flows that are not known here.
+        reroutings: Notices routes that no longer name a service.
         sharer: Shares with other balancers what is published.
         informer: Tells agents what is published of their servers.
         isolation: Notices when nobody else is heard.
@@ -70,6 +73,7 @@
     health: HealthKeeper
     opener: FlowOpener
     finder: FlowFinder
+    reroutings: Reroutings
     sharer: ViewSharer
     informer: AgentInformer
     isolation: IsolationKeeper
@@ -138,7 +142,7 @@
     def _forward(self, route: Route, segment: Segment, now: float) -> None:
         placement = self.board.flows.get(segment.flow)
         if placement is None:
-            service = pick_target(segment.flow, route.targets)
+            service = service_for(self.board, route, segment.flow, now)
             self.finder.on_unknown(service, segment, now)
             return
         self.board.flows.move_to_end(segment.flow)
@@ -212,7 +216,7 @@
                 self.sharer.on_ask(host, message, now)
             case ViewTell():
                 self.sharer.on_tell(host, message, now)
-        self._serve_early(now)
+        self.on_published(now)
         return self.take_effects()
 
     def _note_life(self, host: str, now: float) -> None:
@@ -228,12 +232,14 @@
         return self.take_effects()
 
     def on_published(self, now: float) -> None:
-        """Takes account of news that the platform itself has told."""
+        """Takes account of news of what the platform publishes."""
+        self.reroutings.look(now)
         self._serve_early(now)
 
     def tick(self, now: float) -> list[Effect]:
         """Does what is due."""
         self.early.note_start(now)
+        self.reroutings.look(now)
         self.opener.tick(now)
         self.finder.tick(now)
         self.health.tick(now)
@@ -311,6 +317,7 @@
     )
     informer = AgentInformer(board, sharer)
     questions = make_questions(board, codec, first_number(numbers))
+    evidence = Evidence(board)
     return BalancerNode(
         board=board,
         codec=codec,
@@ -329,8 +336,10 @@
             questions,
             FlowTrier(board, codec, questions),
             FlowRejoiner(board, codec, health),
-            Evidence(board),
+            evidence,
+            SearchScope(board, evidence),
         ),
+        reroutings=Reroutings(board),
         sharer=sharer,
         informer=informer,
         isolation=IsolationKeeper(board, health, sharer),
--- a/notchhoist/flows/balancer/rejoining.py
+++ b/notchhoist/flows/balancer/rejoining.py
@@ -35,11 +35,17 @@
         """Takes up a flow whose search has ended at a server."""
         self.board.records.counters[Count.FOUND] += 1
         self.board.records.decide(
-            "find", flow, server.entry.server_id, rounds=search.rounds
+            "find",
+            flow,
+            server.entry.server_id,
+            service=server.entry.service,
+            services=" ".join(search.services),
+            asked=len(search.asked),
+            rounds=search.rounds,
         )
         last = search.waiting[-1]
         self.board.flows[flow] = Placement(server, True, now, last)
-        note = request_note(self.board, search, NoteKind.HELD, now)
+        note = request_note(self.board, search, NoteKind.HELD, server.tag, now)
         for segment in search.waiting:
             datagram = self.codec.with_note(segment, note)
             self.board.outbox.append(
--- a/notchhoist/flows/balancer/trying.py
+++ b/notchhoist/flows/balancer/trying.py
@@ -49,10 +49,13 @@
             return False
         search.trying.update(hosts)
         sample = min(search.waiting, key=_cost_to_try)
-        note = request_note(self.board, search, NoteKind.TRY, now)
-        datagram = self.codec.with_note(sample, note)
-        tag = notes.service_tag(search.service)
-        self.questions.try_packet(hosts, tag, sample.flow, datagram, now)
+        by_tag: dict[int, list[str]] = {}
+        for host in hosts:
+            by_tag.setdefault(self.board.by_host[host].tag, []).append(host)
+        for tag, beside in by_tag.items():
+            note = request_note(self.board, search, NoteKind.TRY, tag, now)
+            datagram = self.codec.with_note(sample, note)
+            self.questions.try_packet(beside, tag, sample.flow, datagram, now)
         search.answered_s = now - search.since
         waits_s = TRY_WAITS * search.answered_s
         search.try_s = min(max(TRY_WAIT_S, waits_s), TRY_WAIT_MOST_S)
@@ -60,12 +63,18 @@
 
 
 def request_note(
-    board: BalancerBoard, search: Search, kind: NoteKind, now: float
+    board: BalancerBoard,
+    search: Search,
+    kind: NoteKind,
+    tag: int,
+    now: float,
 ) -> int:
     """Returns a note for an agent with what a flow's requests wish for.
 
-    Without the wish a request that changed balancers counted as late from the
-    start: on days where daemons come back one by one nearly all do.
+    It bears the tag of the agent's own service, as a flow may be at another one
+    than its route names now. Without the wish a request that changed balancers
+    counted as late from the start: on days where daemons come back one by one
+    nearly all do.
     """
     table = board.table
     service_key = search.waiting[0].service_key
@@ -73,7 +82,7 @@
     wish = notes.NO_WISH
     if route is not None and board.uses.kept_wish:
         wish = route.wish(now - search.since)
-    return notes.to_agent(kind, notes.service_tag(search.service), wish)
+    return notes.to_agent(kind, tag, wish)
 
 
 def _cost_to_try(segment: Segment) -> tuple[bool, bool, int]:
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -64,7 +64,8 @@
     """A flow that is being looked for.
 
     Attributes:
-        service: Its service.
+        services: Services that may hold it, the likely one first; logs and
+            metrics name that one.
         waiting: Packets that wait for the outcome.
         unanswered: Hosts of agents that have not answered.
         unsure: Hosts of agents that cannot tell.
@@ -75,12 +76,16 @@
         sent_at: When it was last asked for, seconds.
         rounds: How many times it was asked for.
         since: When it began, seconds.
-        asked: Hosts of all agents that were asked.
+        asked: Hosts of all agents that were asked, each with the tag of the
+            service that it was asked under.
+        wide: How many of them are beside servers of services that its route
+            does not name.
+        partial: Some of these were not asked, since too many were already.
         silent: Hosts of agents that were tried and have shown nothing.
         denied_at: When every known agent had denied, or None.
     """
 
-    service: str
+    services: tuple[str, ...]
     waiting: list[Segment]
     unanswered: set[str]
     unsure: list[str]
@@ -90,7 +95,9 @@
     sent_at: float = 0.0
     rounds: int = 0
     since: float = 0.0
-    asked: set[str] = field(default_factory=set)
+    asked: dict[str, int] = field(default_factory=dict)
+    wide: int = 0
+    partial: bool = False
     silent: set[str] = field(default_factory=set)
     denied_at: float | None = None
 
@@ -124,6 +131,9 @@
         known_since: When it was first read, seconds.
         placing_since: When any balancer that is known of may first have placed
             a flow, seconds.
+        splits: A route names several services.
+        rerouted_at: When a route last named a service that it no longer names,
+            seconds.
         store_failed_at: When the store last failed this process, seconds.
         store_revision: Revision that the store named in its last answer.
         store_era: Era of the store that its last answer was of.
@@ -151,6 +161,8 @@
     fleet_known: bool = False
     known_since: float = float("inf")
     placing_since: float = float("inf")
+    splits: bool = False
+    rerouted_at: float = float("-inf")
     store_failed_at: float = float("-inf")
     store_revision: int = 0
     store_era: int = 0
--- a/notchhoist/flows/codec/flow.thrift
+++ b/notchhoist/flows/codec/flow.thrift
@@ -39,7 +39,8 @@
   13: i32 routes_total, 14: i32 servers_total,
   15: optional list<ColdBound> cold_bounds, 16: optional list<Zone> evacuated,
   17: optional list<Zone> returned, 18: optional i32 evacuated_total,
-  19: optional i64 asked, 20: optional i64 era, 21: optional i32 placing_for_ms
+  19: optional i64 asked, 20: optional i64 era, 21: optional i32 placing_for_ms,
+  22: optional i32 rerouted_for_ms
 }
 
 /** heads: packets' heads to tell about; samples: packets to try. */
--- a/notchhoist/flows/codec/view_codec.py
+++ b/notchhoist/flows/codec/view_codec.py
@@ -32,6 +32,7 @@
         "asked",
         "era",
         "placing_for_ms",
+        "rerouted_for_ms",
         "cold_bounds",
         "evacuated",
         "returned",
@@ -81,6 +82,7 @@
         evacuated_total=change.evacuated_total,
         asked=tell.asked,
         placing_for_ms=tell.placing_for_ms or None,
+        rerouted_for_ms=tell.rerouted_for_ms or None,
     )
 
 
@@ -176,6 +178,7 @@
         struct.parts,
         struct.asked or 0,
         struct.placing_for_ms or 0,
+        struct.rerouted_for_ms or 0,
     )
 
 
--- a/notchhoist/flows/model/fleet.py
+++ b/notchhoist/flows/model/fleet.py
@@ -46,6 +46,11 @@
     objective_ms: float = 0.0
     timeout_ms: float = 0.0
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """The services that it names, also those of weight 0."""
+        return tuple(service for service, _ in self.targets)
+
     @property
     def long_lived(self) -> bool:
         """Whether a flow carries many requests."""
--- a/notchhoist/flows/model/messages.py
+++ b/notchhoist/flows/model/messages.py
@@ -145,6 +145,8 @@
             receiver; 0 for none.
         placing_for_ms: For how long at least flows may have been placed by any
             balancer that the sender knows of, ms; 0 if not told.
+        rerouted_for_ms: How long ago a route last named a service that it no
+            longer names, or any route several, ms; 0 if not lately.
     """
 
     change: ViewChange
@@ -154,6 +156,7 @@
     parts: int = 1
     asked: int = 0
     placing_for_ms: int = 0
+    rerouted_for_ms: int = 0
 
 
 PeerMessage = LoadAsk | LoadTell | FlowsAsk | FlowsTell | ViewAsk | ViewTell
--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -16,6 +16,7 @@
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.revisions import era_of
 from notchhoist.flows.model.view import ViewChange
+from notchhoist.flows.published import reroutings
 from notchhoist.flows.published.fleet_keeper import FleetKeeper
 from notchhoist.flows.published.parts import ViewParts, split
 
@@ -180,6 +181,7 @@
                 len(pieces),
                 question.number,
                 self._placing_for_ms(now),
+                reroutings.told_for_ms(self.board, now),
             )
             self.board.outbox.append(SendPeer(host, tell))
 
@@ -216,6 +218,8 @@
         if tell.placing_for_ms:
             since = now - tell.placing_for_ms / 1000
             self.board.placing_since = min(self.board.placing_since, since)
+        asked_at = self.asked_at.get(tell.asked, now)
+        reroutings.on_told(self.board, tell.rerouted_for_ms, asked_at)
         change = self.parts.whole(host, tell, now)
         if change is None or self._is_of_earlier_era(change):
             return
