Stand-in, soak: the weights of a split change while flows are open

Cause: neither could split a route, so neither could see a flow reset that had outlived a change.

Change: a kind of request may name services with weights; the judge permits whatever a configuration has named. The scenario "change-weights" turns weights five times and back to one service while balancers stop in turn; the soak's trouble of that name does the same for seeds from 700000 on, so plans of older seeds stay; the machine of troubles turns weights too. The test that every trouble comes in some plan of the newest seeds names the groups up to them now, and one of the same kind covers the new group.

--- a/notchhoist/flows/balancer/tests/test_targeting.py
+++ b/notchhoist/flows/balancer/tests/test_targeting.py
@@ -76,7 +76,7 @@
 
 
 def test_an_unknown_service_of_a_split_is_passed_over():
-    node, route = balancer(((FIRST, 1), ("nobody", 99)), servers(FIRST))
+    node, _ = balancer(((FIRST, 1), ("nobody", 99)), servers(FIRST))
     assert packets(node.on_caller(request(flags=SYN), NOW))
 
 
--- a/notchhoist/testing/opaque/experiment.py
+++ b/notchhoist/testing/opaque/experiment.py
@@ -12,6 +12,7 @@
 import attrs
 import cappa
 
+from notchhoist.flows.model.mechanisms import ALL, Mechanisms
 from notchhoist.testing.opaque.record import make_record, write_record
 from notchhoist.testing.opaque.report import outcome_text
 from notchhoist.testing.opaque.scenarios import SCENARIOS
@@ -31,6 +32,7 @@
     link_mbps: float = 0.0,
     paced: bool = True,
     cold_per_s: float = 0.0,
+    uses: Mechanisms = ALL,
 ) -> OpaqueWorld:
     """Makes the music trust's deployment, before any traffic.
 
@@ -41,6 +43,7 @@
         link_mbps: See ``OpaqueWorld``.
         paced: See ``OpaqueWorld``.
         cold_per_s: See ``OpaqueWorld``.
+        uses: See ``OpaqueWorld``.
     """
     workloads = tuple(
         attrs.evolve(item, per_s=item.per_s * load) for item in WHANGANUI
@@ -53,6 +56,7 @@
         link_mbps=link_mbps,
         paced=paced,
         cold_per_s=cold_per_s,
+        uses=uses,
     )
     world.publish(1)
     for number, zone in enumerate(ZONES):
@@ -88,6 +92,7 @@
     link_mbps: float = 0.0,
     paced: bool = True,
     cold_per_s: float = 0.0,
+    uses: Mechanisms = ALL,
 ) -> OpaqueWorld:
     """Plays a scenario.
 
@@ -100,8 +105,9 @@
         link_mbps: See ``OpaqueWorld``.
         paced: See ``OpaqueWorld``.
         cold_per_s: See ``OpaqueWorld``.
+        uses: See ``OpaqueWorld``.
     """
-    world = make_world(seed, load, steady, link_mbps, paced, cold_per_s)
+    world = make_world(seed, load, steady, link_mbps, paced, cold_per_s, uses)
     start_traffic(world, LEAD_S + seconds)
     world.later(TROUBLE_AT_S, lambda: SCENARIOS[scenario](world))
     longest = max(item.deadline_s for item in world.workloads)
--- a/notchhoist/testing/opaque/judge.py
+++ b/notchhoist/testing/opaque/judge.py
@@ -1,6 +1,7 @@
 """What must hold, judged by what callers and backend servers saw."""
 
 import collections
+from collections.abc import Iterable
 
 import attrs
 from hdrh.histogram import HdrHistogram
@@ -66,6 +67,7 @@
         tallies: Outcomes by kind of request.
         broken: What must not happen, with the time.
         runs: How often each once-only request ran.
+        permitted: Services that a split has named, by kind of request.
         arrivals: Requests by service and server.
         resets: Resets of living flows, by excuse.
         endings: How each request ended.
@@ -84,6 +86,9 @@
     )
     broken: list[str] = attrs.Factory(list)
     runs: collections.Counter[int] = attrs.Factory(collections.Counter)
+    permitted: dict[str, set[str]] = attrs.Factory(
+        lambda: collections.defaultdict(set)
+    )
     arrivals: dict[str, collections.Counter[str]] = attrs.Factory(
         lambda: collections.defaultdict(collections.Counter)
     )
@@ -113,13 +118,18 @@
         """Notes that something happened that must not."""
         self.broken.append(f"{now:.3f} {rule}: {detail}")
 
+    def permit(self, kind: str, services: Iterable[str]) -> None:
+        """Notes that a configuration sends a kind of request to services."""
+        self.permitted[kind].update(services)
+
     def on_run(
-        self, number: int, kind: str, expected: str, service: str, now: float
+        self, number: int, workload: Workload, service: str, now: float
     ) -> None:
         """Notes that a backend server begins to work on a request."""
-        if expected != service:
+        permitted = {workload.service, *self.permitted[workload.name]}
+        if service not in permitted:
             self.break_rule("ROUTE", f"{number} ran at {service}", now)
-        if kind == "safe":
+        if workload.kind == "safe":
             return
         self.runs[number] += 1
         if self.runs[number] > 1:
--- a/notchhoist/testing/opaque/published.py
+++ b/notchhoist/testing/opaque/published.py
@@ -59,14 +59,27 @@
         "routes": [_route_of(workload) for workload in workloads],
         "services": [
             {"name": name, "cold_start_s": COLD_S, "cold_per_s": cold_per_s}
-            for name in sorted({item.service for item in workloads})
+            for name in sorted(_services_of(workloads))
         ],
         "limits": {"idle_timeout_ms": IDLE_MS},
     }
 
 
+def _services_of(workloads: Iterable[Workload]) -> set[str]:
+    services = {item.service for item in workloads}
+    return services | {name for item in workloads for name, _ in item.split}
+
+
 def _route_of(workload: Workload) -> dict[str, object]:
-    return {
+    where: dict[str, object] = {"service": workload.service}
+    if workload.split:
+        where = {
+            "split": [
+                {"service": service, "weight": weight}
+                for service, weight in workload.split
+            ]
+        }
+    return where | {
         "name": workload.name,
         "host": SERVICE_HOST,
         "path_prefix": f"/{workload.port}/",
@@ -74,6 +87,5 @@
         "timeout_ms": int(workload.deadline_s * 1000),
         "target_latency_ms": int(workload.aim_s * 1000),
         "priority": workload.priority,
-        "service": workload.service,
         "max_attempts": 2,
     }
--- a/notchhoist/testing/opaque/scenarios.py
+++ b/notchhoist/testing/opaque/scenarios.py
@@ -189,6 +189,17 @@
     world.store.put("servers/i-strange/../x", {"born": "never"})
 
 
+def change_weights(world: OpaqueWorld) -> None:
+    """Turns the weights of a split route; then the balancers stop in turn."""
+    weights = [(9, 1), (1, 9), (0, 1), (1, 0), (5, 5)]
+    for number, (first, second) in enumerate(weights):
+        targets = (("hallbook", first), ("scoredrop", second))
+        turn = partial(troubles.split_route, world, "roster-feed", *targets)
+        world.later(0.5 * number, turn)
+    world.later(3.0, partial(troubles.split_route, world, "roster-feed"))
+    world.later(1.0, partial(roll_balancers, world))
+
+
 SCENARIOS: dict[str, Callable[[OpaqueWorld], None]] = {
     "quiet": quiet,
     "roll-balancers": roll_balancers,
@@ -211,4 +222,5 @@
     "evacuate-and-kill": evacuate_and_kill,
     "reborn-servers": reborn_servers,
     "strange-entries": strange_entries,
+    "change-weights": change_weights,
 }
--- a/notchhoist/testing/opaque/servers.py
+++ b/notchhoist/testing/opaque/servers.py
@@ -166,9 +166,7 @@
     def _run(self, ends: FlowEnds, request: Request, now: float) -> None:
         self.running += 1
         workload = self.workloads[request.number]
-        self.judge.on_run(
-            request.number, workload.kind, workload.service, self.service, now
-        )
+        self.judge.on_run(request.number, workload, self.service, now)
         cold = COLD_SLOWDOWN if self.is_cold(now) else 1.0
         work_s = request.work_ms / 1000 * cold * self.slowness
         self.later(work_s, lambda: self._done(ends, request, now + work_s))
--- a/notchhoist/testing/opaque/tests/test_machine.py
+++ b/notchhoist/testing/opaque/tests/test_machine.py
@@ -96,6 +96,13 @@
         self.world.publish(self.version)
         self.step()
 
+    @rule(first=st.integers(0, 9))
+    def turn_weights(self, first):
+        self.version += 1
+        targets = (("hallbook", first), ("scoredrop", 9 - first))
+        troubles.split_route(self.world, "roster-feed", *targets)
+        self.step()
+
     @rule(seconds=st.sampled_from([1.0, 5.0]))
     def calm(self, seconds):
         self.world.run_until(self.world.now + seconds)
--- a/notchhoist/testing/opaque/tests/test_scenarios.py
+++ b/notchhoist/testing/opaque/tests/test_scenarios.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from notchhoist.flows.model.mechanisms import ALL
 from notchhoist.testing.opaque.experiment import play
 from notchhoist.testing.opaque.scenarios import SCENARIOS
 
@@ -36,6 +37,13 @@
     assert not world.judge.resets
 
 
+def test_a_search_at_one_service_resets_flows_that_outlive_a_change():
+    """The judge notices when a search is narrowed to today's weights."""
+    narrow = ALL.without(["splits"])
+    world = play("change-weights", seed=7, seconds=SECONDS, uses=narrow)
+    assert any("FLOW" in text for text in world.judge.broken)
+
+
 def test_a_run_repeats():
     first, second = (play("kill-agents", 11, 3.0) for _ in range(2))
     assert first.network.zone_bytes == second.network.zone_bytes
--- a/notchhoist/testing/opaque/traffic.py
+++ b/notchhoist/testing/opaque/traffic.py
@@ -26,6 +26,7 @@
         worth: Credit of an answer in time.
         late_worth: Credit of a late one.
         long_flows: Its flows carry many requests.
+        split: Services with their weights where its route names several.
     """
 
     name: str
@@ -42,6 +43,7 @@
     worth: float = 1.0
     late_worth: float = 0.3
     long_flows: bool = False
+    split: tuple[tuple[str, int], ...] = ()
 
 
 WHANGANUI = (
--- a/notchhoist/testing/opaque/troubles.py
+++ b/notchhoist/testing/opaque/troubles.py
@@ -2,6 +2,8 @@
 
 from functools import partial
 
+import attrs
+
 from notchhoist.flows.agent.node import AgentNode
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.testing.opaque.hosts import START_S, Host
@@ -173,6 +175,25 @@
     world.later(HEARTBEAT_S, partial(_announce_again, world, host))
 
 
+def split_route(
+    world: OpaqueWorld, kind: str, *targets: tuple[str, int]
+) -> None:
+    """Publishes a configuration that splits a route anew.
+
+    Args:
+        world: The world.
+        kind: Kind of request, by which the route is named.
+        targets: Services with their weights; none where it names its own only.
+    """
+    world.judge.permit(kind, [service for service, _ in targets])
+    world.workloads = tuple(
+        attrs.evolve(item, split=targets) if item.name == kind else item
+        for item in world.workloads
+    )
+    known = world.store.value("op/config") or {"version": 0}
+    world.publish(known["version"] + 1)
+
+
 def restore_store(
     world: OpaqueWorld, copy: StoreCopy, version: int, away_s: float
 ) -> None:
--- /dev/null
+++ b/notchhoist/testing/soak/configuration_troubles.py
@@ -0,0 +1,48 @@
+"""Troubles of a run that operators bring about by what they publish."""
+
+import random
+from functools import partial
+
+from notchhoist.testing.soak.fleet import SERVICES, WORKLOADS, Fleet
+from notchhoist.testing.soak.healing import Heal, nothing
+
+WEIGHT_TURNS = 3
+TURN_GAP_S = 0.15
+"""Changes of a split's weights, and the pause between two, seconds."""
+
+TURNS_S = WEIGHT_TURNS * TURN_GAP_S
+
+
+def change_configuration(fleet: Fleet, _: random.Random) -> Heal:
+    """Publishes versions in quick succession."""
+    for number in range(5):
+        fleet.loop.call_later(number * 0.1, fleet.publish)
+    return nothing
+
+
+def drop_route(fleet: Fleet, rng: random.Random) -> Heal:
+    """Drops a route, whose callers ask for nothing until it is back."""
+    port = rng.choice(WORKLOADS).port
+    fleet.drop_route(port)
+    return lambda: fleet.restore_route(port)
+
+
+def change_weights(fleet: Fleet, rng: random.Random) -> Heal:
+    """Turns the weights of a split route; a balancer stops meanwhile.
+
+    Once it heals, the route names its own service only.
+    """
+    workload = WORKLOADS[0]
+    for number in range(WEIGHT_TURNS):
+        weights = [rng.randint(0, 9) for _ in SERVICES]
+        weights[number % len(weights)] += 1
+        targets = tuple(zip(SERVICES, weights, strict=True))
+        turn = partial(fleet.split_route, workload, targets)
+        fleet.loop.call_later(number * TURN_GAP_S, turn)
+    daemon = rng.choice(fleet.balancers)
+
+    def stop() -> None:
+        daemon.stop(fleet.loop.clock())
+
+    fleet.loop.call_later(TURNS_S, stop)
+    return partial(fleet.split_route, workload, ())
--- a/notchhoist/testing/soak/fleet.py
+++ b/notchhoist/testing/soak/fleet.py
@@ -79,6 +79,7 @@
         troubled: Faults that last, by name; while there are any, bounds of
             time do not hold.
         drops: How many troubles have dropped a route, by its port.
+        splits: Services with weights of routes that name several, by port.
         asking: Callers ask.
         lag_s: Longest turn of the loop so far, seconds.
     """
@@ -100,6 +101,7 @@
     version: int = 0
     troubled: set[str] = attrs.Factory(set)
     drops: Counter[int] = attrs.Factory(Counter)
+    splits: dict[int, tuple[tuple[str, int], ...]] = attrs.Factory(dict)
     asking: bool = False
     lag_s: float = 0.0
     ticked_at: float = float("inf")
@@ -203,10 +205,22 @@
 
     def write_configuration(self) -> None:
         """Writes the newest version into the store."""
-        kinds = [item for item in WORKLOADS if not self.drops[item.port]]
+        kinds = [
+            attrs.evolve(item, split=self.splits.get(item.port, ()))
+            for item in WORKLOADS
+            if not self.drops[item.port]
+        ]
         text = published.configuration_of(self.version, kinds)
         self.store.put("op/config", text)
 
+    def split_route(
+        self, workload: Workload, targets: tuple[tuple[str, int], ...]
+    ) -> None:
+        """Publishes a route's services with weights; none for its own only."""
+        self.judge.permit(workload.name, [service for service, _ in targets])
+        self.splits[workload.port] = targets
+        self.publish()
+
     def drop_route(self, port: int) -> None:
         """Drops a route; its callers ask for nothing until it is back."""
         self.drops[port] += 1
--- a/notchhoist/testing/soak/plan.py
+++ b/notchhoist/testing/soak/plan.py
@@ -8,6 +8,7 @@
 from notchhoist.testing.soak.troubles import (
     ALL_TROUBLES,
     LATER_TROUBLES,
+    NEWEST_TROUBLES,
     TROUBLES,
     Trouble,
 )
@@ -25,6 +26,9 @@
 NEWEST_SEEDS = 600_000
 """Seeds from here on draw from restores of the store too."""
 
+SPLIT_SEEDS = 700_000
+"""Seeds from here on draw from changes of a split's weights too."""
+
 GAP_S = (0.1, 3.0)
 LAST_S = (0.5, 4.0)
 
@@ -47,9 +51,10 @@
 
 
 def _troubles_of(seed: int) -> Mapping[str, Trouble]:
-    if seed >= NEWEST_SEEDS:
+    if seed >= SPLIT_SEEDS:
         return ALL_TROUBLES
-    return TROUBLES | (LATER_TROUBLES if seed >= LATER_SEEDS else {})
+    newest = NEWEST_TROUBLES if seed >= NEWEST_SEEDS else {}
+    return TROUBLES | (LATER_TROUBLES if seed >= LATER_SEEDS else {}) | newest
 
 
 def make_plan(seed: int, length_s: float) -> Sequence[Step]:
--- a/notchhoist/testing/soak/tests/test_soak.py
+++ b/notchhoist/testing/soak/tests/test_soak.py
@@ -9,6 +9,7 @@
 from notchhoist.testing.soak.plan import (
     LATER_SEEDS,
     NEWEST_SEEDS,
+    SPLIT_SEEDS,
     make_plan,
 )
 from notchhoist.testing.soak.run import play
@@ -16,6 +17,7 @@
 from notchhoist.testing.soak.troubles import (
     ALL_TROUBLES,
     LATER_TROUBLES,
+    NEWEST_TROUBLES,
     TROUBLES,
 )
 
@@ -49,6 +51,12 @@
 def test_every_trouble_comes_in_some_plan_of_the_newest_seeds():
     seeds = range(NEWEST_SEEDS, NEWEST_SEEDS + 60)
     names = {step.name for seed in seeds for step in make_plan(seed, 20.0)}
+    assert names == set(TROUBLES | LATER_TROUBLES | NEWEST_TROUBLES)
+
+
+def test_every_trouble_comes_in_some_plan_of_the_seeds_with_splits():
+    seeds = range(SPLIT_SEEDS, SPLIT_SEEDS + 60)
+    names = {step.name for seed in seeds for step in make_plan(seed, 20.0)}
     assert names == set(ALL_TROUBLES)
 
 
--- a/notchhoist/testing/soak/troubles.py
+++ b/notchhoist/testing/soak/troubles.py
@@ -8,10 +8,16 @@
 
 from notchhoist.base import datagrams
 from notchhoist.testing.soak import addresses
+from notchhoist.testing.soak.configuration_troubles import (
+    TURNS_S,
+    change_configuration,
+    change_weights,
+    drop_route,
+)
 from notchhoist.testing.soak.daemons import RESTART_S, Daemon
 from notchhoist.testing.soak.datagram_proxy import PORTS
 from notchhoist.testing.soak.ends import ServerPlace
-from notchhoist.testing.soak.fleet import LAPSE_S, WORKLOADS, ZONES, Fleet
+from notchhoist.testing.soak.fleet import LAPSE_S, ZONES, Fleet
 from notchhoist.testing.soak.healing import Heal, nothing, some
 from notchhoist.testing.soak.store_troubles import (
     connections_reset,
@@ -160,7 +166,7 @@
     return nothing
 
 
-# Backend servers and configurations.
+# Backend servers.
 
 
 def crash_servers(fleet: Fleet, rng: random.Random) -> Heal:
@@ -219,20 +225,6 @@
     fleet.loop.call_later(0.3, lambda: _start_again(fleet, place))
 
 
-def change_configuration(fleet: Fleet, _: random.Random) -> Heal:
-    """Publishes versions in quick succession."""
-    for number in range(5):
-        fleet.loop.call_later(number * 0.1, fleet.publish)
-    return nothing
-
-
-def drop_route(fleet: Fleet, rng: random.Random) -> Heal:
-    """Drops a route, whose callers ask for nothing until it is back."""
-    port = rng.choice(WORKLOADS).port
-    fleet.drop_route(port)
-    return lambda: fleet.restore_route(port)
-
-
 # Zones, starts under one id, and other writers.
 
 
@@ -328,4 +320,14 @@
 NEWEST_TROUBLES = {"store-restored": Trouble(store_restored, lasts=True)}
 """Likewise, for seeds from ``plan.NEWEST_SEEDS`` on."""
 
-ALL_TROUBLES = TROUBLES | LATER_TROUBLES | NEWEST_TROUBLES
+SPLIT_TROUBLES = {
+    "change-weights": Trouble(
+        change_weights,
+        planned=True,
+        lasts=True,
+        takes_s=TURNS_S + ROLL_GAP_S,
+    )
+}
+"""Likewise, for seeds from ``plan.SPLIT_SEEDS`` on."""
+
+ALL_TROUBLES = TROUBLES | LATER_TROUBLES | NEWEST_TROUBLES | SPLIT_TROUBLES
