Operators see routes that split, and flows that outlived a change

Cause: nothing told what a split does at a balancer, nor whether a reset flow had been looked for at every service.

The tool's help names the three newest subjects.

--- a/notchhoist/cli/main.py
+++ b/notchhoist/cli/main.py
@@ -36,7 +36,8 @@
 One statement of the command language; without one, reads them line by line.
 
   show services | servers | flows | requests | revisions | leaving
-       | counters | peers  [where FIELD OP VALUE [and ...]]
+       | counters | peers | zones | pressure | splits
+       [where FIELD OP VALUE [and ...]]
        [order by FIELD [asc|desc]] [limit N] [at HOST]
   why flow IP:PORT [at HOST]      who owns a flow and who says so
   why requests [at HOST]          why requests were refused or retried
--- a/notchhoist/daemon/flow_metrics.py
+++ b/notchhoist/daemon/flow_metrics.py
@@ -70,6 +70,7 @@
         "servers_suspected": sum(s.suspected for s in board.servers.values()),
         "servers_listed": sum(s.listed for s in board.servers.values()),
         "balancers_alive": len(node.sharer.alive(now)),
+        "routes_split": len(board.placed),
         "zones_evacuated": len(board.view.evacuated),
     }
 
--- a/notchhoist/daemon/flow_state.py
+++ b/notchhoist/daemon/flow_state.py
@@ -11,6 +11,7 @@
 
 from notchhoist.daemon.flow_journal import flow_text
 from notchhoist.daemon.flow_pressure import pressure_rows
+from notchhoist.daemon.flow_splits import split_rows
 from notchhoist.daemon.http_port import Reply
 from notchhoist.flows.agent.node import AgentNode
 from notchhoist.flows.balancer.node import BalancerNode
@@ -323,6 +324,7 @@
     "services": _routes,
     "zones": _zones,
     "pressure": pressure_rows,
+    "splits": split_rows,
     "problems": _problems,
     "peers": _balancers,
     "counters": _counters,
--- a/notchhoist/daemon/tests/test_flow_processes.py
+++ b/notchhoist/daemon/tests/test_flow_processes.py
@@ -321,6 +321,7 @@
     assert rows(reader, capsys, asked)
     [pressed] = rows(reader, capsys, "show pressure order by found_busy desc")
     assert (pressed["service"], pressed["found_busy"]) == ("hallbook", 0.0)
+    assert not rows(reader, capsys, "show splits order by outlived desc")
 
 
 def test_a_refused_flow_is_explained(fleet, sockets, reader, capsys):
--- a/notchhoist/daemon/tests/test_flow_state.py
+++ b/notchhoist/daemon/tests/test_flow_state.py
@@ -11,6 +11,7 @@
 from notchhoist.flows.model.notes import NoteKind
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.agents import send
+from notchhoist.flows.tests.balancing import open_flow
 from notchhoist.flows.tests.crafting import CODEC, SYN, entry, request
 
 
@@ -69,3 +70,27 @@
     assert (row["running"], row["openings"], row["attempts"]) == (1, 1, 6)
     assert 0.1 < row["found_busy"] < 0.3
     assert row["load_age_s"] is None
+
+
+def test_a_balancer_shows_splits_and_flows_that_outlived_a_change():
+    node = make_balancer("a", CODEC, "seed", "10.0.1.1")
+    halves = crafting.route(targets=(("hallbook", 1), ("scoredrop", 1)))
+    node.fleet.on_table(crafting.table(routes=[halves]), 1)
+    listed = [(entry(1), 1), (entry(2, service="scoredrop"), 1)]
+    node.fleet.on_listing(listed, 1, 0.0)
+    node.on_published(0.0)
+    for port in range(1, 41):
+        open_flow(node, port=port)
+    before = {row["service"]: row for row in dump(node, "splits", 1.0)}
+    assert before["hallbook"]["share"] == 0.5
+    assert sum(row["placed"] for row in before.values()) == 40
+    assert all(0.2 < row["share_placed"] < 0.8 for row in before.values())
+    assert not any(row["outlived"] for row in before.values())
+    node.fleet.on_table(crafting.table(2, [crafting.route()]), 2)
+    node.on_published(1.0)
+    first, second = dump(node, "splits", 2.0)
+    assert (first["share"], second["share"]) == (1.0, 0.0)
+    assert (first["outlived"], second["outlived"]) == (
+        0,
+        before["scoredrop"]["flows"],
+    )
--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -8,7 +8,7 @@
 from notchhoist.flows.balancer.health import HealthKeeper
 from notchhoist.flows.balancer.informing import AgentInformer
 from notchhoist.flows.balancer.resetting import FlowResetter
-from notchhoist.flows.balancer.targeting import service_for
+from notchhoist.flows.balancer.targeting import note_placed, service_for
 from notchhoist.flows.boards.balancer_board import (
     BalancerBoard,
     Opening,
@@ -72,11 +72,13 @@
 
     def _begin(self, route: Route, segment: Segment, now: float) -> Opening:
         since = now - segment.waited_s
+        service = service_for(self.board, route, segment.flow, now)
+        note_placed(self.board, route, service)
         return Opening(
             asked_since=since,
             may_be_retry=self.early.may_be_retry(since),
             segment=segment,
-            service=service_for(self.board, route, segment.flow, now),
+            service=service,
             route=route,
             sent_at=now,
             tried=[],
--- a/notchhoist/flows/balancer/rejoining.py
+++ b/notchhoist/flows/balancer/rejoining.py
@@ -33,7 +33,10 @@
         self, flow: bytes, search: Search, server: Server, now: float
     ) -> None:
         """Takes up a flow whose search has ended at a server."""
-        self.board.records.counters[Count.FOUND] += 1
+        counters = self.board.records.counters
+        counters[Count.FOUND] += 1
+        if server.entry.service != search.services[0]:
+            counters[Count.FOUND_ELSEWHERE] += 1
         self.board.records.decide(
             "find",
             flow,
--- a/notchhoist/flows/balancer/scope.py
+++ b/notchhoist/flows/balancer/scope.py
@@ -12,6 +12,7 @@
 
 from notchhoist.flows.balancer.evidence import Evidence
 from notchhoist.flows.boards.balancer_board import BalancerBoard, Search
+from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.segments import Segment
 from notchhoist.flows.published.reroutings import may_hold_others
 
@@ -77,6 +78,8 @@
             return {}
         self.wide_heads += len(fresh)
         search.wide += len(fresh)
+        if fresh:
+            self.board.records.counters[Count.ASKED_WIDELY] += 1
         return fresh
 
     def _may_be_elsewhere(self, now: float) -> bool:
--- a/notchhoist/flows/balancer/targeting.py
+++ b/notchhoist/flows/balancer/targeting.py
@@ -21,7 +21,7 @@
         flow: Key of the flow.
         now: Runtime clock, seconds.
     """
-    if len(route.targets) == 1:
+    if not route.splits:
         return route.targets[0][0]
     served = [
         (service, weight)
@@ -31,6 +31,13 @@
     return pick_target(flow, served or route.targets)
 
 
+def note_placed(board: BalancerBoard, route: Route, service: str) -> None:
+    """Counts a new flow of a route that splits."""
+    counts = board.placed.get(route.service_key)
+    if counts is not None:
+        counts[service] += 1
+
+
 def _is_served(board: BalancerBoard, service: str, now: float) -> bool:
     servers = board.by_service.get(service, ())
     return any(
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -132,6 +132,8 @@
         placing_since: When any balancer that is known of may first have placed
             a flow, seconds.
         splits: A route names several services.
+        placed: New flows by service, for each route that splits, since its
+            weights changed here.
         rerouted_at: When a route last named a service that it no longer names,
             seconds.
         store_failed_at: When the store last failed this process, seconds.
@@ -162,6 +164,7 @@
     known_since: float = float("inf")
     placing_since: float = float("inf")
     splits: bool = False
+    placed: dict[bytes, collections.Counter[str]] = field(default_factory=dict)
     rerouted_at: float = float("-inf")
     store_failed_at: float = float("-inf")
     store_revision: int = 0
--- a/notchhoist/flows/model/fleet.py
+++ b/notchhoist/flows/model/fleet.py
@@ -51,6 +51,11 @@
         """The services that it names, also those of weight 0."""
         return tuple(service for service, _ in self.targets)
 
+    @property
+    def splits(self) -> bool:
+        """Whether it names several services."""
+        return len(self.targets) > 1
+
     @property
     def long_lived(self) -> bool:
         """Whether a flow carries many requests."""
--- a/notchhoist/flows/model/records.py
+++ b/notchhoist/flows/model/records.py
@@ -47,6 +47,8 @@
     REFUSED = "refused"
     FINDS = "finds"
     FOUND = "found"
+    FOUND_ELSEWHERE = "found_elsewhere"
+    ASKED_WIDELY = "asked_widely"
     FOUND_NOWHERE = "found_nowhere"
     RULED_OUT_BY_AGE = "ruled_out_by_age"
     FINDS_GIVEN_UP = "finds_given_up"
--- a/notchhoist/flows/published/reroutings.py
+++ b/notchhoist/flows/published/reroutings.py
@@ -5,6 +5,8 @@
 ago a route last named something else.
 """
 
+from collections import Counter
+
 from msgspec import Struct
 
 from notchhoist.flows.boards.balancer_board import BalancerBoard
@@ -65,9 +67,15 @@
         before, self.seen = self.seen, table
         if before is not None and _drops_service(before, table):
             board.rerouted_at = now
-        board.splits = any(
-            len(route.targets) > 1 for route in table.routes.values()
-        )
+        former = before.routes if before is not None else {}
+        split = [route for route in table.routes.values() if route.splits]
+        board.splits = bool(split)
+        board.placed = {
+            route.service_key: board.placed[route.service_key]
+            if former.get(route.service_key) == route
+            else Counter()
+            for route in split
+        }
 
 
 def _drops_service(before: RouteTable, after: RouteTable) -> bool:
