Configuration: a wrong split costs its route only, which stays as it was

Cause: a target that could not be read was left out and the rest of the split was served, a split that the operator had not asked for; one service twice was taken; and a route that could not be read was dropped, so its open flows were reset.

Ruled out: refusing the whole document (one wrong field would hold back all other routes).

Change: any wrong part refuses its route, with field, place and value. The table names the routes that stand there unread, and a balancer keeps those as they were. One that has started since is told them by the others, and does not take them away.

Tests: test_a_wrong_target_of_a_split_route_is_left_out asserted the former behaviour; it is replaced by twelve cases that assert the refusal, its place and value, and what stays in force.

--- a/notchhoist/flows/model/fleet.py
+++ b/notchhoist/flows/model/fleet.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from notchhoist.base.errors import ConfigurationProblem
 from notchhoist.flows.model.wishes import LEAST_LEFT_S, Wish
@@ -106,6 +107,8 @@
         routes: Routes by the key of their service address.
         idle_s: A flow may be forgotten after this much silence, seconds.
         cold_bounds: Bounds of the services that have one.
+        unread: Keys of routes that stand there and could not be read; empty
+            where another balancer told it, likewise.
         problems: What could not be read of it; empty where another balancer
             told it, as only those are told that read the platform.
     """
@@ -115,6 +118,24 @@
     idle_s: float
     problems: tuple[ConfigurationProblem, ...] = ()
     cold_bounds: tuple[ColdBound, ...] = ()
+    unread: frozenset[bytes] = frozenset()
+
+    def with_former(self, former: "RouteTable | None") -> "RouteTable":
+        """Returns the same with unread routes as they were in force before.
+
+        A balancer that has started since then does not have them; it is told
+        them, and does not take them from others by telling the same version.
+        """
+        if former is None:
+            return self
+        same = self.version == former.version
+        unread = self.unread | former.unread if same else self.unread
+        if not unread:
+            return self
+        kept = {
+            key: former.routes[key] for key in unread if key in former.routes
+        }
+        return replace(self, routes={**kept, **self.routes}, unread=unread)
 
     def cold_bound(self, service: str) -> ColdBound | None:
         """Returns the bound of a service's cold servers, or None."""
--- a/notchhoist/flows/model/view.py
+++ b/notchhoist/flows/model/view.py
@@ -101,6 +101,7 @@
             self._note_republished(revision)
         if table.version < known or (table.version == known and not mends):
             return False
+        table = table.with_former(self.table)
         if self.table == table:
             return False
         old: Mapping[bytes, Route] = self.table.routes if self.table else {}
--- a/notchhoist/flows/published/fleet_keeper.py
+++ b/notchhoist/flows/published/fleet_keeper.py
@@ -52,7 +52,7 @@
         old = board.table.version if board.table else 0
         if not board.view.put_table(table, revision, mends):
             return
-        board.table = table
+        board.table = table = board.view.table or table
         board.records.decide(
             "configuration",
             b"",
--- a/notchhoist/flows/published/tests/test_fleet_keeper.py
+++ b/notchhoist/flows/published/tests/test_fleet_keeper.py
@@ -1,5 +1,7 @@
 """What the platform publishes, taken by a balancer."""
 
+from msgspec.structs import replace
+
 from notchhoist.flows.balancer.node import make_balancer
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.crafting import CODEC, entry
@@ -148,3 +150,39 @@
     assert set(node.board.servers) == {"new"}
     node.fleet.on_entry(entry(1, born_ms=2000, warm_in_s=1.0), 10, 3.0)
     assert set(node.board.servers) == {"new"}
+
+
+def table_of(version, *ports, unread=()):
+    routes = [crafting.route(port=port) for port in ports]
+    table = crafting.table(version, routes)
+    keys = [crafting.route(port=port).service_key for port in unread]
+    return replace(table, unread=frozenset(keys))
+
+
+def ports_of(node):
+    return {int.from_bytes(key[4:], "big") for key in node.board.table.routes}
+
+
+def test_a_route_that_cannot_be_read_any_more_stays_as_it_was():
+    node = listed([entry(1)])
+    node.fleet.on_table(table_of(1, 443, 444), 1)
+    node.fleet.on_table(table_of(2, 444, unread=[443]), 2)
+    assert ports_of(node) == {443, 444}
+    node.fleet.on_table(table_of(3, 444, unread=[443]), 3)
+    assert ports_of(node) == {443, 444}
+    node.fleet.on_table(table_of(4, 444), 4)
+    assert ports_of(node) == {444}
+
+
+def test_one_that_started_later_is_told_it_and_does_not_take_it_away():
+    elder, younger = listed([entry(1)]), listed([entry(1)])
+    elder.fleet.on_table(table_of(1, 443, 444), 1)
+    for node in (elder, younger):
+        node.fleet.on_table(table_of(2, 444, unread=[443]), 2)
+    assert ports_of(younger) == {444}
+    told = younger.board.view.since(0)
+    elder.fleet.on_change(told, 1.0)
+    assert ports_of(elder) == {443, 444}
+    younger.fleet.on_change(elder.board.view.since(0), 1.0)
+    younger.fleet.on_change(told, 1.1)
+    assert ports_of(younger) == {443, 444}
--- a/notchhoist/platform/documents.py
+++ b/notchhoist/platform/documents.py
@@ -1,6 +1,7 @@
 """The platform's published documents, decoded into the product's types."""
 
 import binascii
+from collections.abc import Iterable
 from functools import partial
 
 import msgspec
@@ -26,6 +27,7 @@
 MAX_COUNT = 1 << 63
 MAX_SLOTS = 100_000
 MAX_PER_S = 1e9
+MAX_WEIGHT = 1_000_000
 
 DEFAULT_IDLE_MS = 60_000.0
 """Flows are kept for so long where the limit cannot be read, ms: as long as the
@@ -70,8 +72,9 @@
     """Decodes the operator's configuration.
 
     What is wrong with a route costs that route only: one that cannot be
-    forwarded is left out, another is served with the most careful values. The
-    table names every such field.
+    forwarded is left out and, where its address can be read, stays as it was
+    before; another is served with the most careful values. The table names
+    every such field.
 
     Raises:
         ConfigurationRefusedError: It is no configuration at all, or none of its
@@ -92,15 +95,43 @@
     served = {item.service_key: item for item in routes if item is not None}
     if listed and not served:
         raise ConfigurationRefusedError(version, tuple(problems.found))
+    wrong = [
+        value
+        for (_, value), route in zip(listed, routes, strict=True)
+        if route is None
+    ]
     return RouteTable(
         version=version,
         routes=served,
         idle_s=_idle_ms(fields, problems) / 1000,
         cold_bounds=_cold_bounds(fields, problems),
         problems=tuple(problems.found),
+        unread=_addressed(wrong) - served.keys(),
     )
 
 
+def _addressed(values: Iterable[object]) -> frozenset[bytes]:
+    """Returns the keys of the routes whose addresses can be read."""
+    ignored = Problems()
+    keys = [ignored.take(partial(_key, value), b"") for value in values]
+    return frozenset(key for key in keys if key)
+
+
+def _key(value: object) -> bytes:
+    return service_key(*_address(Fields(value, "")))
+
+
+def _address(fields: Fields) -> tuple[str, int]:
+    """Reads a route's service address.
+
+    ``host`` is its IP number and ``path_prefix`` its port between slashes; the
+    names come from routes of another kind.
+    """
+    host = fields.text("host")
+    port = fields.text("path_prefix").strip("/")
+    return split_address(f"{host}:{port}", f"{fields.place}.host")
+
+
 def _cold_bounds(fields: Fields, problems: Problems) -> tuple[ColdBound, ...]:
     """Reads what cold servers bear; services without a bound are left out."""
     if not fields.has("services"):
@@ -134,12 +165,8 @@
 def _route(value: object, place: str, problems: Problems) -> Route:
     """Reads a route; what only describes its requests may be wrong."""
     fields = Fields(value, place)
-    # ``host`` is the service's IP number and ``path_prefix`` its port between
-    # slashes; the names come from routes of another kind.
-    host = fields.text("host")
-    port = fields.text("path_prefix").strip("/")
-    host, number = split_address(f"{host}:{port}", fields.place + ".host")
-    targets = _targets(fields, problems)
+    host, number = _address(fields)
+    targets = _targets(fields)
     take = problems.take
 
     def milliseconds(name: str) -> float:
@@ -157,23 +184,30 @@
     )
 
 
-def _targets(fields: Fields, problems: Problems) -> tuple[tuple[str, int], ...]:
+def _targets(fields: Fields) -> tuple[tuple[str, int], ...]:
+    """Reads where new flows go.
+
+    Raises:
+        FieldError: A part of a split is wrong. With the others alone it would
+            not be the split that the operator asked for.
+    """
     if not fields.has("split"):
         return ((fields.text("service"), 1),)
-    read = [
-        problems.take(partial(_target, value, place), None)
-        for place, value in fields.elements("split")
-    ]
-    targets = tuple(target for target in read if target is not None)
-    if not any(weight for _, weight in targets):
+    targets: dict[str, int] = {}
+    for place, value in fields.elements("split"):
+        service, weight = _target(value, place)
+        if service in targets:
+            raise FieldError(f"{place}.service", "each service once", service)
+        targets[service] = weight
+    if not any(targets.values()):
         place = f"{fields.place}.split"
         raise FieldError(place, "a weight above 0", targets)
-    return targets
+    return tuple(targets.items())
 
 
 def _target(value: object, place: str) -> tuple[str, int]:
     fields = Fields(value, place)
-    return fields.text("service"), fields.integer("weight", 0, 1_000_000)
+    return fields.text("service"), fields.integer("weight", 0, MAX_WEIGHT)
 
 
 def decode_entry(server_id: str, text: bytes, created: int = 0) -> ServerEntry:
--- a/notchhoist/platform/tests/test_documents.py
+++ b/notchhoist/platform/tests/test_documents.py
@@ -156,13 +156,45 @@
     assert route.kind is RequestKind.IDEMPOTENT
 
 
-def test_a_wrong_target_of_a_split_route_is_left_out():
-    split = [{"service": "a", "weight": 90}, {"service": "b", "weight": "x"}]
-    text = changed(CONFIGURATION, ["routes", 0, "split"], split)
+def split_of(*parts):
+    return [{"service": name, "weight": weight} for name, weight in parts]
+
+
+@pytest.mark.parametrize(
+    ("split", "place", "got"),
+    [
+        ([], "split", "{}"),
+        (split_of(("a", 0), ("b", 0)), "split", "{'a': 0, 'b': 0}"),
+        (split_of(("a", 90), ("b", -1)), "split[1].weight", "-1"),
+        (split_of(("a", 90), ("b", 0.5)), "split[1].weight", "0.5"),
+        (split_of(("a", 90), ("b", 10**9)), "split[1].weight", "1000000000"),
+        (split_of(("a", 90), ("b", "x")), "split[1].weight", "'x'"),
+        (split_of(("a", 90), ("b", True)), "split[1].weight", "True"),
+        (split_of(("a", 90), ("a", 10)), "split[1].service", "'a'"),
+        (split_of(("a", 90), ("", 10)), "split[1].service", "''"),
+        ([{"service": "a"}], "split[0].weight", "None"),
+        (["a"], "split[0]", "'a'"),
+        ("a", "split", "'a'"),
+    ],
+)
+def test_a_wrong_split_costs_its_route_only_which_stays_as_it_was(
+    split, place, got
+):
+    """With the rest of its targets it would not be the operator's split."""
+    before = decode_configuration(json.dumps(TWO_ROUTES).encode())
+    text = changed(TWO_ROUTES, ["routes", 0, "split"], split)
     table = decode_configuration(text)
-    [route] = table.routes.values()
-    assert route.targets == (("a", 90),)
-    assert table.problems[0].place == "routes[0].split[1].weight"
+    assert [route.name for route in table.routes.values()] == ["r-2"]
+    [problem] = table.problems
+    assert (problem.place, problem.got) == (f"routes[0].{place}", got)
+    assert table.with_former(before).routes == before.routes
+
+
+def test_a_route_without_a_readable_address_is_not_kept():
+    before = decode_configuration(json.dumps(TWO_ROUTES).encode())
+    text = changed(TWO_ROUTES, ["routes", 0, "host"], "somewhere")
+    table = decode_configuration(text).with_former(before)
+    assert [route.name for route in table.routes.values()] == ["r-2"]
 
 
 def test_an_entry():
