--- a/notchhoist/flows/balancer/rejoining.py
+++ b/notchhoist/flows/balancer/rejoining.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from notchhoist.flows.balancer.health import HealthKeeper
+from notchhoist.flows.balancer.search_records import services_text
 from notchhoist.flows.balancer.trying import request_note
 from notchhoist.flows.boards.balancer_board import (
     BalancerBoard,
@@ -33,13 +34,16 @@
         self, flow: bytes, search: Search, server: Server, now: float
     ) -> None:
         """Takes up a flow whose search has ended at a server."""
-        self.board.records.counters[Count.FOUND] += 1
+        counters = self.board.records.counters
+        counters[Count.FOUND] += 1
+        if server.entry.service != search.services[0]:
+            counters[Count.FOUND_ELSEWHERE] += 1
         self.board.records.decide(
             "find",
             flow,
             server.entry.server_id,
             service=server.entry.service,
-            services=" ".join(search.services),
+            services=services_text(search),
             asked=len(search.asked),
             rounds=search.rounds,
         )
