Logs: one line a view, and a share kept for where flows went

Ruled out: more lines a second (the volume is to stay); grouping in the controllers, since tests and other parts read single decisions there.

Change: decisions that are taken together about four or more servers become one line with the names by outcome; lines that follow flows have 70 of the 100 lines a second, the first 30 of any flow, then those of sampled flows; all other events have 30, one kind 15. The bound in all is 200 as before. flow_story finds servers in such lines.

Tests: two of test_flow_journal filled the common bound with lines of servers, which is no longer common; they now fill each share with its own kind and hold the same total. New: lines of the fleet leave room.

--- a/notchhoist/cli/flow_story.py
+++ b/notchhoist/cli/flow_story.py
@@ -7,7 +7,7 @@
 """
 
 import sys
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Set
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -16,6 +16,9 @@
 
 from notchhoist.cli.log_files import lines_of, lines_with, read_line
 
+GROUP = "servers"
+"""Event of a line that tells of several servers."""
+
 LEFT_OUT = ("timestamp", "clock", "message_type", "host", "flow", "outcome")
 
 
@@ -59,6 +62,14 @@
     )
 
 
+def _groups(line: dict[str, Any], servers: Set[str]) -> bool:
+    """Tells whether a line for several servers names one of some."""
+    if line.get("message_type") != GROUP:
+        return False
+    lists = [value for value in line.values() if isinstance(value, list)]
+    return any(not servers.isdisjoint(names) for names in lists)
+
+
 def story_of(flow: str, lines: Iterable[str]) -> list[StoryLine]:
     """Returns the lines that tell of a flow, in the order of time.
 
@@ -66,7 +77,7 @@
         flow: The flow's id as the logs write it.
         lines: Lines of the logs of any processes, in any order.
     """
-    kept = list(lines_with([flow, '"server"'], lines))
+    kept = list(lines_with([flow, '"server"', f'"{GROUP}"'], lines))
     own = [
         _to_story(line)
         for line in map(read_line, lines_with([flow], kept))
@@ -78,7 +89,7 @@
         for line in map(read_line, lines_with(servers, kept))
         if line is not None
         and "flow" not in line
-        and line.get("server") in servers
+        and (line.get("server") in servers or _groups(line, servers))
     ]
     return sorted([*own, *about])
 
--- a/notchhoist/cli/tests/test_flow_story.py
+++ b/notchhoist/cli/tests/test_flow_story.py
@@ -28,5 +28,14 @@
     assert "load_age_s=0.2" in first
 
 
+def test_a_line_for_several_servers_is_of_each_of_them():
+    lines = [
+        line(1.0, "place", flow=FLOW, outcome="i-1"),
+        line(2.0, "servers", outcome="4 changed", ready=["i-1", "i-3"]),
+        line(3.0, "servers", outcome="4 changed", ready=["i-2", "i-3"]),
+    ]
+    assert [item.timestamp for item in story_of(FLOW, lines)] == [1.0, 2.0]
+
+
 def test_a_flow_that_no_line_tells_of():
     assert not story_of(FLOW, [line(1.0, "place", flow="another")])
--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -14,6 +14,7 @@
 
 from notchhoist.base import datagrams
 from notchhoist.base.errors import CodecError, SettingsRefusedError
+from notchhoist.daemon.decision_groups import grouped
 from notchhoist.daemon.flow_journal import FlowJournal, flow_text
 from notchhoist.daemon.flow_metrics import (
     METRICS_PATH,
@@ -287,8 +288,11 @@
 
     def _log_decisions(self) -> None:
         decisions = self.node.board.records.decisions
-        while decisions:
-            decision = decisions.popleft()
+        if not decisions:
+            return
+        lines = grouped(decisions)
+        decisions.clear()
+        for decision in lines:
             fields = dict(decision.inputs)
             if decision.flow:
                 fields["flow"] = flow_text(decision.flow)
--- a/notchhoist/daemon/flow_journal.py
+++ b/notchhoist/daemon/flow_journal.py
@@ -13,22 +13,26 @@
 from msgspec import Struct, field
 
 from notchhoist.daemon.loop import Clock
-from notchhoist.flows.model.records import REASONED
+from notchhoist.flows.model.records import FOLLOWED, REASONED
 
 LINES_A_SECOND = 200
 """Most lines in a second; further ones are counted by kind. A line of 243 bytes
 takes 10 us (benchmarks/bench_logging.py), so this is 49 KB/s and 0.2% of a
 core."""
 
-COMMON_LINES = 60
-"""What cost no caller anything may take so many of these, whatever it is of."""
+FLOW_LINES = 70
+"""Most lines in a second that tell where flows went. With those below they
+leave half of the bound to decisions that cost a caller something."""
 
-SAMPLED_LINES = 100
-"""Beyond that and up to so many only lines of sampled flows are written, so
-that every host keeps the same flows' lines. The other half of the bound is left
-to decisions that cost a caller something: after a loss of power 68 hosts had
-used theirs up on other lines, and 734 resets of the worst seconds were
-dropped."""
+ANY_FLOW_LINES = 30
+"""Beyond so many of them only lines of sampled flows are written, so that every
+host keeps the same flows' lines and they can be followed from end to end."""
+
+OTHER_LINES = 30
+"""Most lines in a second of all other events, those of the fleet among them."""
+
+LINES_A_KIND = 15
+"""Most lines of one such event, so that none of them hides the rest."""
 
 SAMPLED_OF = 8
 """One flow in so many is sampled."""
@@ -45,8 +49,9 @@
         wall: Time of day, for people; it may jump.
         write: Takes a line; raises ``OSError`` where it would block.
         second: Start of the second that is being counted.
-        lines: Lines in it that cost no caller anything.
-        costly: Lines in it that did.
+        followed: Lines in it that tell where flows went.
+        others: Lines in it of other events, by kind.
+        costly: Lines in it of decisions that cost a caller something.
         dropped: Lines that were not written, by kind.
     """
 
@@ -55,7 +60,8 @@
     wall: Clock
     write: Write
     second: float = 0.0
-    lines: int = 0
+    followed: int = 0
+    others: Counter[str] = field(default_factory=Counter)
     costly: int = 0
     dropped: Counter[str] = field(default_factory=Counter)
 
@@ -64,7 +70,8 @@
         now = self.clock()
         if now - self.second >= 1.0:
             self.second = now
-            self.lines = self.costly = 0
+            self.followed = self.costly = 0
+            self.others.clear()
             self._tell_dropped()
         if self._admits(event, str(fields.get("flow", ""))):
             self._write(event, fields)
@@ -73,15 +80,20 @@
 
     def _admits(self, event: str, flow: str) -> bool:
         """Takes a line into the budget, if it has room for it."""
+        others = self.others.total()
         if event in REASONED:
-            if self.costly + self.lines >= LINES_A_SECOND:
+            if self.costly + self.followed + others >= LINES_A_SECOND:
                 return False
             self.costly += 1
-            return True
-        room = SAMPLED_LINES if is_sampled(flow) else COMMON_LINES
-        if self.lines >= room:
-            return False
-        self.lines += 1
+        elif event in FOLLOWED:
+            room = FLOW_LINES if is_sampled(flow) else ANY_FLOW_LINES
+            if self.followed >= room:
+                return False
+            self.followed += 1
+        else:
+            if others >= OTHER_LINES or self.others[event] >= LINES_A_KIND:
+                return False
+            self.others[event] += 1
         return True
 
     def _tell_dropped(self) -> None:
--- a/notchhoist/daemon/tests/test_flow_journal.py
+++ b/notchhoist/daemon/tests/test_flow_journal.py
@@ -3,13 +3,18 @@
 import json
 
 from notchhoist.daemon.flow_journal import (
-    COMMON_LINES,
+    ANY_FLOW_LINES,
+    FLOW_LINES,
+    LINES_A_KIND,
     LINES_A_SECOND,
-    SAMPLED_LINES,
+    OTHER_LINES,
     FlowJournal,
     is_sampled,
 )
 
+FORMER_LINES = 100
+"""What cost no caller anything could take so many lines before."""
+
 
 class Reader:
     """Takes lines, or refuses them like a full pipe."""
@@ -79,23 +84,41 @@
     made = journal(reader, now)
     for number in range(500):
         made.log("place", flow=f"f{number}")
-    for number in range(LINES_A_SECOND - SAMPLED_LINES):
+        made.log(f"event {number}")
+    for number in range(LINES_A_SECOND - FORMER_LINES):
         made.log("reset", flow=f"f{number}")
     events = [line["message_type"] for line in reader.lines]
-    assert events.count("reset") == LINES_A_SECOND - SAMPLED_LINES
+    assert events.count("reset") == LINES_A_SECOND - FORMER_LINES
     assert len(events) <= LINES_A_SECOND
 
 
 def test_every_host_keeps_the_lines_of_the_same_flows():
     kept = []
-    for busy in (COMMON_LINES, COMMON_LINES + 7):
+    unsampled = next(f"g{n}" for n in range(9) if not is_sampled(f"g{n}"))
+    for busy in (ANY_FLOW_LINES, ANY_FLOW_LINES + 7):
         reader = Reader()
         made = journal(reader, [10.0])
         for _ in range(busy):
-            made.log("server")
+            made.log("place", flow=unsampled)
+        reader.lines.clear()
         for number in range(100):
             made.log("place", flow=f"f{number}")
         kept.append([line["flow"] for line in reader.lines if "flow" in line])
     assert kept[0] == kept[1]
     assert all(is_sampled(flow) for flow in kept[0])
     assert kept[0]
+
+
+def test_lines_of_the_fleet_leave_room_for_those_of_flows():
+    """One host dropped the lines of 840 placements behind those of servers."""
+    reader = Reader()
+    made = journal(reader, [10.0])
+    for event in ("server", "suspect", "agent regained"):
+        for _ in range(200):
+            made.log(event)
+    for number in range(2000):
+        made.log("find", flow=f"f{number}")
+    events = [line["message_type"] for line in reader.lines]
+    assert events.count("server") == LINES_A_KIND
+    assert events.count("find") == FLOW_LINES
+    assert len(events) == OTHER_LINES + FLOW_LINES <= FORMER_LINES
--- a/notchhoist/flows/model/records.py
+++ b/notchhoist/flows/model/records.py
@@ -8,6 +8,9 @@
 REASONED = frozenset(
     ["reset", "refuse", "turn away", "give up finding", "leave to others"]
 )
+FOLLOWED = frozenset(["place", "find", "release", "give back"])
+"""Decisions on a caller's flow that cost it nothing."""
+
 REASONED_KEPT = 200
 """Decisions that cost a caller something are kept for questions: the last few
 seconds of a bad moment."""
