A list is waited for while it comes in, and left when others have told

Where others told it, the list went on filling the link.

Ruled out: longer times for all (a silent store is noticed after 0.2 s and has to be); lists without the configuration (one call holds a state at one revision).

Change: a call is given up when nothing has come for its time, and in any case after 4 s; a first list that other balancers have told meanwhile ends, unless this balancer reads for the others.

--- a/notchhoist/daemon/http_call.py
+++ b/notchhoist/daemon/http_call.py
@@ -27,8 +27,16 @@
 NO_ANSWER = "no answer in time"
 """Reason of a call that was given up after its time."""
 
+NOT_NEEDED = "not needed any more"
+"""Reason of a call whose answer was given up while it came in."""
+
 OnDone = Callable[[int, bytes], None]
 OnFailed = Callable[[str], None]
+IsNeeded = Callable[[], bool]
+
+
+def _always() -> bool:
+    return True
 
 
 class _Answer(Struct, eq=False):
@@ -60,6 +68,9 @@
         answer: The answer under way, or the last one.
         parser: Its parser.
         timer: When the call is given up.
+        timeout_s: How long nothing may come, seconds.
+        ends_at: When it is given up in any case, seconds.
+        is_needed: Asked while the answer comes in.
         on_done: Takes the answer.
         on_failed: Takes the reason of a failure.
     """
@@ -72,6 +83,9 @@
     answer: _Answer = field(default_factory=_Answer)
     parser: httptools.HttpResponseParser | None = None
     timer: Timer | None = None
+    timeout_s: float = 0.0
+    ends_at: float = 0.0
+    is_needed: IsNeeded = _always
     on_done: OnDone | None = None
     on_failed: OnFailed | None = None
 
@@ -86,14 +100,20 @@
         timeout_s: float,
         on_done: OnDone,
         on_failed: OnFailed,
+        most_s: float = 0.0,
+        is_needed: IsNeeded = _always,
     ) -> None:
         """Makes a call; none may be under way.
 
         Args:
             target: Path and query.
-            timeout_s: When to give it up, seconds.
+            timeout_s: How long nothing may come, seconds.
             on_done: Called with status and body.
             on_failed: Called with the reason where none came.
+            most_s: How long the call may take while its answer comes in,
+                seconds; ``timeout_s`` where that is longer.
+            is_needed: Asked while the answer comes in; where it says no, the
+                call ends with ``NOT_NEEDED``.
         """
         host, port = self.address
         head = f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
@@ -102,11 +122,19 @@
         self.on_failed = on_failed
         self.answer = _Answer()
         self.parser = httptools.HttpResponseParser(self.answer)
-        self.timer = self.loop.call_later(
-            timeout_s, lambda: self._fail(NO_ANSWER)
-        )
+        self.timeout_s = timeout_s
+        self.ends_at = self.loop.clock() + max(timeout_s, most_s)
+        self.is_needed = is_needed
+        self._set_timer()
         self._connect()
 
+    def _set_timer(self) -> None:
+        """Gives the call its time from now on, up to its end."""
+        if self.timer is not None:
+            self.timer.cancel()
+        when = min(self.loop.clock() + self.timeout_s, self.ends_at)
+        self.timer = self.loop.call_at(when, lambda: self._fail(NO_ANSWER))
+
     def _connect(self) -> None:
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         _make_watchful(self.sock)
@@ -164,6 +192,10 @@
             return
         if self.answer.complete:
             self._finish()
+        elif not self.is_needed():
+            self._fail(NOT_NEEDED)
+        else:
+            self._set_timer()
 
     def _finish(self) -> None:
         parser, done = self.parser, self.on_done
--- a/notchhoist/daemon/store_calls.py
+++ b/notchhoist/daemon/store_calls.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from notchhoist.daemon.http_call import NO_ANSWER, HttpCaller
+from notchhoist.daemon.http_call import NO_ANSWER, NOT_NEEDED, HttpCaller
 from notchhoist.daemon.loop import Loop
 from notchhoist.flows.model.effects import Effect
 from notchhoist.flows.model.records import Timing
@@ -38,9 +38,18 @@
             self._schedule()
             return
         feeder = self.feeder
-        self._make(self.caller, call, feeder.on_answer, self._on_failed)
+        self._make(
+            self.caller,
+            call,
+            feeder.on_answer,
+            self._on_failed,
+            lambda: feeder.needs_answer(self.loop.clock()),
+        )
 
     def _on_failed(self, reason: str, now: float) -> None:
+        if reason == NOT_NEEDED:
+            self.feeder.on_not_needed(now)
+            return
         self.feeder.on_failed(reason, now, silent=reason == NO_ANSWER)
 
     def confirm(self) -> None:
@@ -59,6 +68,7 @@
         call: StoreCall,
         on_answer: Callable[[int, bytes, float, Mapping[str, str]], None],
         on_failed: Callable[[str, float], None],
+        is_needed: Callable[[], bool] = lambda: True,
     ) -> None:
         clock = self.loop.clock
         called_at = clock()
@@ -74,7 +84,9 @@
             on_failed(reason, clock())
             self._after(caller)
 
-        caller.get(call.target, call.timeout_s, done, failed)
+        caller.get(
+            call.target, call.timeout_s, done, failed, call.most_s, is_needed
+        )
 
     def _after(self, caller: HttpCaller) -> None:
         if caller is self.caller:
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -192,6 +192,22 @@
         self.reader.on_failed(now, silent)
         self._note_lost(reason, now)
 
+    def needs_answer(self, now: float) -> bool:
+        """Tells whether the answer that is coming in is still of use.
+
+        A whole list fills a narrow link for longer than other balancers take to
+        tell the same.
+        """
+        told = self.node.board.fleet_known and not self.reader.knows
+        return not told or self.node.sharer.must_read(now)
+
+    def on_not_needed(self, now: float) -> None:
+        """Takes account of a call that ``needs_answer`` has ended."""
+        self.reader.on_not_needed(now)
+        if self.lost:
+            self.lost = False
+            self._decide("store regained", "told by others")
+
     def confirming_call(self) -> StoreCall:
         """Returns the call that confirms what is known."""
         known = self.node.board.view.revision
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -46,8 +46,8 @@
 
 QUICK_S = 0.2
 QUICK_TRIES = 2
-"""A process that knows nothing serves nobody: it asks anew so soon, seconds,
-and only each third call is given the time that a slow store or a narrow link
+"""A process that knows nothing serves nobody: where nothing comes it asks anew
+so soon, seconds, and only each third call is given the time that a slow store
 needs. With 0.5 s and more for each call it took 0.22 s after a silent store's
 return until the first of 19 balancers knew, 0.61 s until the last. The calls
 are priced; some four more for each balancer and second of an outage."""
@@ -55,7 +55,8 @@
 LISTING_FIRST_S = 0.5
 LISTING_MAX_S = 4.0
 """Bounds of the time for a listing. The store answers in 4 ms, in 0.4 s when
-slow; 1,600 routes take 0.7 s over a link of 5 Mbit/s."""
+slow; 1,600 routes take 0.7 s over a link of 5 Mbit/s, and are waited for while
+they come in."""
 
 PAUSE_FIRST_S = 0.1
 PAUSE_MAX_S = 1.0
@@ -80,12 +81,14 @@
     Attributes:
         purpose: What it is for, for the metrics.
         target: Path and query.
-        timeout_s: When to give it up, seconds.
+        timeout_s: How long nothing may come, seconds.
+        most_s: How long it may take while its answer comes in, seconds.
     """
 
     purpose: str
     target: str
     timeout_s: float
+    most_s: float = 0.0
 
 
 class StoreReader(Struct, eq=False):
@@ -134,7 +137,8 @@
             target = "/kv-range?path_prefix="
             if self.page_after:
                 target += f"&after={_quoted(self.page_after)}"
-            return StoreCall("listing", target, self._listing_timeout_s())
+            timeout_s = self._listing_timeout_s()
+            return StoreCall("listing", target, timeout_s, LISTING_MAX_S)
         target = (
             f"/kv-watch?path_prefix=&after={count_of(self.revision)}"
             f"&wait_ms={int(self.watch_s * 1000)}"
@@ -221,6 +225,11 @@
         self.due = now + pause * (0.5 + 0.5 * self.draw())
         self._forget_pages()
 
+    def on_not_needed(self, now: float) -> None:
+        """Takes account of a call that was ended since others told enough."""
+        self.due = now
+        self._forget_pages()
+
     def _forget_pages(self) -> None:
         self.listed = []
         self.table = None
--- a/notchhoist/platform/tests/test_feeding.py
+++ b/notchhoist/platform/tests/test_feeding.py
@@ -4,6 +4,8 @@
 
 from notchhoist.base.draws import make_draw
 from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.model.effects import SendPeer
+from notchhoist.flows.model.messages import ViewAsk, ViewTell
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.revisions import make_revision
 from notchhoist.platform.feeding import StoreFeeder
@@ -90,3 +92,42 @@
     feeder.on_answer(200, changes(), 1.0, {"store-era": "later"})
     assert logged(feeder) == ["store-era: expected a whole number, got 'later'"]
     assert feeder.node.board.store_era == 0
+
+
+def told_by_another(feeder, now):
+    teller = fed(item("op/config", CONFIGURATION), item("servers/i-1", ENTRY))
+    ask = ViewAsk(0, 5, 1)
+    feeder.node.sharer.asked_at[1] = now
+    for effect in teller.node.on_peer("10.0.0.1", ask, 0.01):
+        if isinstance(effect, SendPeer) and isinstance(
+            effect.message, ViewTell
+        ):
+            feeder.node.on_peer("10.0.0.2", effect.message, now)
+
+
+def starting():
+    node = make_balancer("a", PacketCodec(), "seed", "10.0.0.3", link_mbps=5)
+    feeder = StoreFeeder(node, StoreReader(make_draw("seed")))
+    assert feeder.next_call(5.0).purpose == "listing"
+    return feeder
+
+
+def test_a_list_that_another_balancer_has_told_is_not_read_to_its_end():
+    """It filled a link of 5 Mbit/s while the callers of an outage came back."""
+    feeder = starting()
+    assert feeder.needs_answer(5.1)
+    told_by_another(feeder, 5.2)
+    assert feeder.node.is_ready
+    feeder.node.sharer.members |= {"10.0.0.2": 5.2, "10.0.0.4": 5.2}
+    feeder.node.sharer.links |= {"10.0.0.2": 100, "10.0.0.4": 100}
+    assert not feeder.needs_answer(5.2)
+    feeder.on_not_needed(5.2)
+    assert feeder.next_call(5.2) is None
+    assert feeder.node.board.store_failed_at < 0
+
+
+def test_a_balancer_that_is_to_read_for_others_reads_to_the_end():
+    feeder = starting()
+    told_by_another(feeder, 5.2)
+    assert feeder.node.sharer.is_reader(5.2)
+    assert feeder.needs_answer(5.2)
