A whole view that is known is not read again

Change: pieces of a whole view in answer to a numbered question are dropped where everything up to its revision is known; they still confirm. What was asked for without a number, to mend a view that differs, is read as before.

--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -204,6 +204,9 @@
     def on_piece(self, host: str, piece: ViewPiece, now: float) -> None:
         """Takes a piece of what another balancer knows."""
         self.members[host] = self.heard_at = now
+        if self._is_known(piece):
+            self._note_confirmed(piece)
+            return
         try:
             tell = self.pieces.whole(host, piece, now)
         except CodecError as error:
@@ -215,6 +218,15 @@
         if tell is not None:
             self.on_tell(host, tell, now)
 
+    def _is_known(self, piece: ViewPiece) -> bool:
+        """Tells whether a whole view in answer to a question brings no news.
+
+        Several tell the same at once to whoever has just started. What was
+        asked for without a number is to mend a view, and is read.
+        """
+        known = self.board.fleet_known and piece.asked > 0 and not piece.base
+        return known and piece.revision <= self.board.view.revision
+
     def on_tell(self, host: str, tell: ViewTell, now: float) -> None:
         """Takes what another balancer knows."""
         self.members[host] = self.heard_at = now
@@ -244,7 +256,7 @@
         """
         return era_of(change.revision) < era_of(self.board.view.revision)
 
-    def _note_confirmed(self, tell: ViewTell) -> None:
+    def _note_confirmed(self, tell: ViewTell | ViewPiece) -> None:
         """Notes since when what was told is confirmed for certain.
 
         The age is as of the telling, which came after the question that it
--- a/notchhoist/flows/published/tests/test_pieces.py
+++ b/notchhoist/flows/published/tests/test_pieces.py
@@ -87,6 +87,24 @@
     assert not asker.board.fleet_known
 
 
+def test_a_view_that_is_known_is_not_read_again_but_confirms():
+    node, asker = teller(), make_balancer("a", CODEC, "x", ASKER)
+    datagrams = told(node)
+    take(asker, datagrams)
+    asker.sharer.asked_at[1] = 0.3
+    take(asker, datagrams[:-1], 0.4)
+    assert not asker.sharer.pieces.incoming
+    assert asker.sharer.confirmed_at == pytest.approx(0.2)
+
+
+def test_a_view_that_is_to_mend_another_is_read_at_the_same_revision():
+    node, asker = teller(), make_balancer("a", CODEC, "x", ASKER)
+    take(asker, told(node))
+    asker.board.view.servers["ghost"] = entry(9, server_id="ghost")
+    take(asker, told(node, ask=ViewAsk(0, 5, 0, reads_pieces=True)))
+    assert "ghost" not in asker.board.view.servers
+
+
 def test_pieces_that_are_no_view_are_refused_and_forgotten():
     asker = make_balancer("a", CODEC, "x", ASKER)
     piece = ViewPiece(9, 0, 0.0, (), 0, 1, b"no view")
