An agent that ended with its leaving server is no longer waited for

Ruled out: giving up any agent that is away for long (a flow at a living server beside a slow restart would be reset); word of the stopping agent that it holds nothing (it had started 0.3 s before and could not know).

Change: three signs together show an end: the server had announced it, its entry has vanished, and its agent has been away for two seconds. One or two of them are waited for as before.

Tests: fail without the change; each pair of signs alone resets nothing.

--- a/notchhoist/flows/balancer/liveness.py
+++ b/notchhoist/flows/balancer/liveness.py
@@ -28,6 +28,12 @@
 the next check ends long before."""
 
 
+LEFT_S = 2.0
+"""An agent that is away for so long beside a server that had announced its end,
+and whose entry has vanished, has ended with it, seconds. A restart takes a
+fraction of a second."""
+
+
 class HostWatch(Struct, eq=False):
     """Checks the hosts of silent agents.
 
@@ -72,6 +78,19 @@
 
     def shows_loss(self, server: Server, now: float) -> bool:
         """Tells whether a check since its silence began speaks for its loss."""
-        if now <= server.restarting_until or server.probed_at is None:
+        if server.probed_at is None or server.checked_at < server.probed_at:
             return False
-        return server.checked_at >= server.probed_at
+        return now > server.restarting_until or has_left(server, now)
+
+
+def has_left(server: Server, now: float) -> bool:
+    """Tells whether a server has ended as it had announced.
+
+    Its agent then ends too, on a host that lives and refuses connections like
+    one whose agent is being restarted. Searches for other flows waited for its
+    word until their callers had given up.
+    """
+    announced = server.entry.draining and not server.entry.withdrawn
+    if not announced or server.listed or server.probed_at is None:
+        return False
+    return now - server.probed_at >= LEFT_S
--- a/notchhoist/flows/balancer/tests/test_liveness.py
+++ b/notchhoist/flows/balancer/tests/test_liveness.py
@@ -1,6 +1,8 @@
 """Silence of an agent that is being restarted ends no flow."""
 
-from notchhoist.flows.balancer.liveness import AWAY_S, CHECKS_MAX
+import pytest
+
+from notchhoist.flows.balancer.liveness import AWAY_S, CHECKS_MAX, LEFT_S
 from notchhoist.flows.model.effects import CheckHost, Reach, SendPeer
 from notchhoist.flows.model.messages import LoadTell
 from notchhoist.flows.tests.balancing import (
@@ -9,7 +11,7 @@
     packets,
     resets,
 )
-from notchhoist.flows.tests.crafting import request
+from notchhoist.flows.tests.crafting import entry, request
 
 STEP_S = 0.05
 
@@ -99,4 +101,42 @@
         node.health.suspect(server, 0.0, "test")
     effects = node.tick(0.3)
     checks = [item for item in effects if isinstance(item, CheckHost)]
-    assert len(checks) == CHECKS_MAX
+    assert len(checks) == CHECKS_MAX, LEFT_S
+
+
+def publish(silent, draining, listed):
+    fleet = silent.node.fleet
+    number = int(silent.host.rpartition(".")[2])
+    fleet.on_entry(entry(number, draining=draining), 20, silent.now)
+    if not listed:
+        fleet.on_removed(f"s{number}", 21, silent.now)
+
+
+def test_an_agent_that_ended_with_its_leaving_server_is_given_up():
+    """Searches waited four seconds for it, and callers reached their deadline.
+
+    The platform had stopped it after its server, and its host went on to refuse
+    connections.
+    """
+    silent = Silent(Reach.REFUSED)
+    silent.run(0.5)
+    publish(silent, draining=True, listed=False)
+    began = silent.node.board.by_host[silent.host].probed_at or silent.now
+    silent.run(began + LEFT_S - 0.1)
+    assert silent.resets == 0
+    silent.run(began + LEFT_S + 0.3)
+    assert silent.node.board.by_host[silent.host].lost
+    assert silent.resets == 1
+
+
+@pytest.mark.parametrize(
+    ("draining", "listed"), [(True, True), (False, False), (False, True)]
+)
+def test_one_that_may_be_restarted_beside_a_living_server_is_waited_for(
+    draining, listed
+):
+    silent = Silent(Reach.REFUSED)
+    silent.run(0.5)
+    publish(silent, draining, listed)
+    silent.run(8.0)
+    assert silent.resets == 0
