One reset of an open request is enough to try a server with few

A server counted as failing after three resets without an answer between them.

Ruled out: placing such a request anew (the flow has opened at the server, and only its two ends write in it); more weight for answers that come too soon (0.6% of those of servers that are well).

Change: a request that the server resets while its flow is open weighs as much as it takes to count as failing; the server then gets one new flow a second, as before. Data that crosses the server's own end of a flow weighs as little as before, so do callers that give up.

Tests: one fails without the change; the other holds the crossing data.

--- a/notchhoist/flows/agent/admitting.py
+++ b/notchhoist/flows/agent/admitting.py
@@ -13,6 +13,7 @@
     STUCK_PACES,
     STUCK_S,
     HeldFlow,
+    Phase,
 )
 from notchhoist.flows.model.records import Count, Timing
 from notchhoist.flows.model.segments import Segment, SegmentCodec
@@ -156,10 +157,15 @@
         else:
             board.pace_s = elapsed
 
-    def on_broken_off(self, held: HeldFlow) -> None:
-        """Takes account of a request whose flow the server has reset."""
+    def on_reset(self, held: HeldFlow) -> None:
+        """Takes account of a flow that the server has reset."""
+        # Data that crosses the server's own end of a flow is reset, too.
+        self._note_broken(held, by_reset=held.phase is not Phase.CLOSED)
+
+    def _note_broken(self, held: HeldFlow, by_reset: bool = False) -> None:
+        """Takes account of a request that ended without an answer."""
         if held.running_since is not None:
-            self.times.note_failure()
+            self.times.note_failure(by_reset)
             self.board.records.counters[Count.REQUESTS_BROKEN] += 1
             self._log_failing()
 
@@ -168,7 +174,7 @@
         waited_s = now - held.request_at
         unusual_s = max(GIVEN_UP_S, STUCK_PACES * self.board.pace_s)
         if held.running_since is not None and waited_s > unusual_s:
-            self.on_broken_off(held)
+            self._note_broken(held)
 
     def pace_s(self) -> float:
         """Returns the service time, a guess before the first answer, seconds.
--- a/notchhoist/flows/agent/node.py
+++ b/notchhoist/flows/agent/node.py
@@ -147,7 +147,7 @@
             # The end of an answer may overtake its data.
             self.gate.on_answer(segment, held, now)
         if segment.resets:
-            self.gate.on_broken_off(held)
+            self.gate.on_reset(held)
         if segment.closes or segment.resets:
             held.phase = Phase.CLOSED
             self.gate.forget(segment.flow, now)
--- a/notchhoist/flows/decisions/failing.py
+++ b/notchhoist/flows/decisions/failing.py
@@ -22,6 +22,11 @@
 FAILING_GAIN = 0.1
 """Weight of one answer in the share of failures: about the last 20 answers."""
 
+RESET_GAIN = 0.25
+"""The same of a request that the server has reset while it was open: one is
+enough to log it and to try the server with few, since servers that are well
+close flows between requests only."""
+
 FAILING_POWER = 3
 """A server that fails a share f of its requests is counted as slower by
 (1 - f) to this power: at f = 0.5 it gets an eighth of the new flows, enough to
@@ -73,12 +78,16 @@
         self.usual_s[service_key] = usual_s + gain * (elapsed_s - usual_s)
         return self._note(elapsed_s >= HASTY_SHARE * usual_s)
 
-    def note_failure(self) -> None:
-        """Takes account of a request that was reset or never answered."""
-        self._note(False)
+    def note_failure(self, by_reset: bool = False) -> None:
+        """Takes account of a request that was reset or never answered.
+
+        Args:
+            by_reset: The server has reset its open flow.
+        """
+        self._note(False, RESET_GAIN if by_reset else FAILING_GAIN)
 
-    def _note(self, good: bool) -> bool:
-        self.failing += FAILING_GAIN * ((not good) - self.failing)
+    def _note(self, good: bool, gain: float = FAILING_GAIN) -> bool:
+        self.failing += gain * ((not good) - self.failing)
         return good
 
     def slowdown(self) -> float:
--- a/notchhoist/flows/decisions/tests/test_failing.py
+++ b/notchhoist/flows/decisions/tests/test_failing.py
@@ -16,6 +16,7 @@
 )
 from notchhoist.flows.tests.crafting import (
     ACK,
+    FIN,
     RST,
     SYN,
     answer,
@@ -95,3 +96,24 @@
         done = answer(data=b"y", seq=SERVER_SEQ + 1, ack=2, **fields)
         node.on_backend(done, now + took_s)
     assert node.gate.times.failing < 0.05
+
+
+def test_one_reset_of_a_request_is_enough_to_try_a_server_with_few():
+    """Each further one broke a request that may not be sent again."""
+    node = agent(slots=2)
+    accept(node, 1)
+    ask(node, 1)
+    node.on_backend(answer(flags=RST, seq=SERVER_SEQ + 1, port=1), START)
+    assert node.gate.times.is_failing
+    free = node.offers.vacancies.has_free
+    tries = [free(START + tick / 10) for tick in range(30)]
+    assert sum(tries) == 3
+
+
+def test_data_that_crosses_the_end_of_its_flow_says_nothing_of_the_server():
+    node = agent(slots=2)
+    accept(node, 1)
+    node.on_backend(answer(flags=FIN, seq=SERVER_SEQ + 1, port=1), START)
+    ask(node, 1)
+    node.on_backend(answer(flags=RST, seq=SERVER_SEQ + 2, port=1), START)
+    assert not node.gate.times.is_failing
