--- a/notchhoist/flows/published/pieces.py
+++ b/notchhoist/flows/published/pieces.py
@@ -3,7 +3,7 @@
 The load it answers: after a loss of power each balancer that knows the view is
 asked for all of it by every other one at the same moment, over links that carry
 5 Mbit/s. 1,600 routes are 139 messages of 120 KB in all for each asker; packed
-they are 20 messages of 22 KB, made once for all askers.
+they are 22 messages of 22 KB, made once for all askers.
 """
 
 from msgspec import Struct, field
@@ -12,9 +12,9 @@
 from notchhoist.flows.model.view import ViewChange
 from notchhoist.flows.published.parts import PARTS_KEPT_S
 
-BYTES_A_PIECE = 1_150
-"""Data in one message, bytes; a datagram has room for 1,400 with the names of
-16 balancers in the first."""
+BYTES_A_PIECE = 1_000
+"""Data in one message, bytes: a frame of 1,500 has room for it beside the names
+of 16 balancers, which the first one carries."""
 
 NO_CHANGE = ViewChange(0)
 
