A known view of before a restore of the store confirms nothing

Found by reading: pieces of a whole view that is known are not read, and so passed the check of eras that a view passes before it confirms. The test fails without it.

--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -205,7 +205,8 @@
         """Takes a piece of what another balancer knows."""
         self.members[host] = self.heard_at = now
         if self._is_known(piece):
-            self._note_confirmed(piece)
+            if not self._is_of_earlier_era(piece):
+                self._note_confirmed(piece)
             return
         try:
             tell = self.pieces.whole(host, piece, now)
@@ -249,7 +250,7 @@
         self.board.records.counters[Count.VIEWS_TOLD] += 1
         self._push(now)
 
-    def _is_of_earlier_era(self, change: ViewChange) -> bool:
+    def _is_of_earlier_era(self, change: ViewChange | ViewPiece) -> bool:
         """Tells whether a teller has not heard of a restore of the store.
 
         What it takes for confirmed lately was so before the restore.
--- a/notchhoist/flows/published/tests/test_pieces.py
+++ b/notchhoist/flows/published/tests/test_pieces.py
@@ -7,6 +7,7 @@
 from notchhoist.flows.model.effects import SendPeer
 from notchhoist.flows.model.mechanisms import ALL
 from notchhoist.flows.model.messages import ViewAsk, ViewPiece, ViewTell
+from notchhoist.flows.model.revisions import make_revision
 from notchhoist.flows.published import pieces as pieces_module
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.crafting import CODEC, entry
@@ -99,6 +100,15 @@
     assert asker.sharer.confirmed_at == pytest.approx(0.2)
 
 
+def test_a_view_of_before_a_restore_confirms_nothing():
+    asker = make_balancer("a", CODEC, "x", ASKER)
+    take(asker, told(teller(make_revision(1, 9))))
+    asker.sharer.asked_at[1] = 0.3
+    before = asker.sharer.confirmed_at
+    take(asker, told(teller(9)), 0.4)
+    assert asker.sharer.confirmed_at == before
+
+
 def test_a_view_that_is_to_mend_another_is_read_at_the_same_revision():
     node, asker = teller(), make_balancer("a", CODEC, "x", ASKER)
     take(asker, told(node))
