Splits: without them a search asks whom it asked, but for one fault

There new hosts take the addresses of former ones: packets of 7 flows came back from an agent of another service, and the code before looked for them at that service, found nobody and reset them at once.

Change: they are looked for at a service that the route names, and only there; a search that widens asks those that have not answered once more, as before.

Conclusion: a dead flow costs a round of questions to its own service there; a living one is no longer reset for the address.

--- a/notchhoist/flows/balancer/finding.py
+++ b/notchhoist/flows/balancer/finding.py
@@ -104,14 +104,14 @@
             return
         if segment.resets or len(board.searches) >= SEARCHES_MAX:
             return
-        known = board.by_service.get(service, [])
+        services = self.scope.services(service, segment)
+        known = board.by_service.get(services[0], [])
         few = placing.candidates(segment.flow, known, board.zone)
         if board.view.evacuated:
             others = placing.open_to_new(known, board.view.evacuated)
             few += placing.candidates(segment.flow, others, board.zone)
         hosts = {item.entry.host for item in few if not item.lost}
         hosts.discard(absent_at)
-        services = self.scope.services(service, segment)
         denied = self.scope.tags_of([absent_at])
         search = Search(services, [segment], set(), [], since=now, asked=denied)
         board.searches[segment.flow] = search
@@ -132,9 +132,12 @@
         search.rounds += 1
         search.unanswered.update(fresh)
         search.asked.update(fresh)
-        for host in sorted(fresh):
-            self.questions.ask([host], fresh[host], search.waiting[0], now)
-            self.health.expect(self.board.by_host[host], now)
+        for host in sorted(search.unanswered):
+            tag = search.asked[host]
+            self.questions.ask([host], tag, search.waiting[0], now)
+            server = self.board.by_host.get(host)
+            if server is not None:
+                self.health.expect(server, now)
         return True
 
     def _ask_rest(self, search: Search, now: float) -> bool:
--- a/notchhoist/flows/balancer/scope.py
+++ b/notchhoist/flows/balancer/scope.py
@@ -37,12 +37,21 @@
     wide_heads: int = 0
 
     def services(self, likely: str, segment: Segment) -> tuple[str, ...]:
-        """Returns the services that a packet's route names, one first."""
+        """Returns the services that a packet's route names, one first.
+
+        Args:
+            likely: The service that most likely holds its flow. One that the
+                route does not name has taken over the address of the flow's
+                server, or was named before.
+            segment: The packet.
+        """
         table = self.board.table
         route = table.routes.get(segment.service_key) if table else None
         if route is None or not self.board.uses.splits:
             return (likely,)
-        return tuple(dict.fromkeys((likely, *route.services)))
+        named = route.services
+        first = likely if likely in named else named[0]
+        return tuple(dict.fromkeys((first, *named)))
 
     def tags_of(self, hosts: Iterable[str]) -> dict[str, int]:
         """Returns the tags that agents are asked under, by host.
--- a/notchhoist/flows/balancer/tests/test_splits.py
+++ b/notchhoist/flows/balancer/tests/test_splits.py
@@ -200,6 +200,21 @@
     assert asked_agents(effects) == [other]
 
 
+def test_a_flow_is_not_looked_for_at_the_service_that_took_its_address():
+    """Without splits too: its own service is asked, not the new one."""
+    node = balancer(split((OLD, 1)), services=(OLD,))
+    node.fleet.on_entry(entry(4, service=OLD), 2, 0.0)
+    [(host, _)] = packets(node.on_caller(request(flags=SYN), 2.0))
+    tell(node, host, request(flags=SYN), NoteKind.TAKEN, 2.001)
+    number = int(host.rsplit(".")[-1])
+    taken = entry(number, service=THIRD, server_id="s9", created=9)
+    node.fleet.on_entry(taken, 5, 2.01)
+    note = notes.to_balancer(NoteKind.RETURNED, notes.Load())
+    data = crafting.with_note(request(data=b"x"), note)
+    [asked] = asked_agents(node.on_agent(host, data, 2.02))
+    assert node.board.by_host[asked].entry.service == OLD
+
+
 def test_wide_searches_beyond_the_bound_are_left_alone(monkeypatch):
     """Asking everybody about everything is worse than a caller's next copy."""
     monkeypatch.setattr(scope, "WIDE_HEADS_MAX", 1)
