Flows that rest where a server has ended are reset before their next request

Cause: a caller keeps a flow open between requests. When its server had ended, nothing told the caller before its next request, and the reset then cut that request; one that must not run twice is lost.

Change: - An agent whose server gives back a flow that it had shown open resets it at once and asks the server, by a copy of the caller's newest packet, about every other flow that rests; what comes back is reset. The same on word of another incarnation and, for the newest flow, where the server was silent for 1 s while flows rest. - A leaving server that accepts no connections has ended once the kernel refuses a packet to it, too. Its agent waits for that after SIGTERM, 3 s at the most, where flows rest. - Balancers ask agents with resting flows for a sign of life after 1 s, try the flows of servers that were replaced or whose entry vanished by a copy, look for those whose host went to another service, and give up a server whose entry vanished and whose host refuses connections for 2 s (announced) or 3 s.

Ruled out: entries alone (they lapse while the store is away); conclusions from times alone, since the server itself says for each flow.

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -25,6 +25,7 @@
 from notchhoist.daemon.port_check import (
     BACKEND_WAIT_S,
     HOST_WAIT_S,
+    check_packet_port,
     check_port,
 )
 from notchhoist.daemon.ports import Port, Ports
@@ -65,6 +66,10 @@
 AGENT_LEAVE_S = 0.05
 """An agent only tells the balancers; then a quick restart serves best."""
 
+WATCH_END_S = 3.0
+"""An agent whose server leaves waits for the server's end at most so long after
+a request to stop, seconds: flows that rest there end with it."""
+
 TIMED_EVERY = 64
 """One packet in so many is timed, to keep the clock out of the others."""
 
@@ -250,7 +255,7 @@
             case SendPeer():
                 self._send_peer(effect)
             case CheckBackend():
-                self._check_backend()
+                self._check_backend(effect.sample)
             case CheckHost():
                 self._check_host(effect.host)
             case ConfirmView():
@@ -263,15 +268,26 @@
         to = (effect.host, self.settings.peer_ports[0] + 1)
         self.ports.send(Port.CONTROL, encode_message(effect.message), to)
 
-    def _check_backend(self) -> None:
+    def _check_backend(self, sample: bytes) -> None:
         backend = self.settings.backend
         if backend is None:
             return
 
+        def end(listens: bool, ended: bool = False) -> None:
+            now = self.loop.clock()
+            self.perform(self.agent.on_checked(listens, now, ended))
+
+        def on_packet_checked(reach: Reach) -> None:
+            end(listens=False, ended=reach is Reach.REFUSED)
+
         def on_checked(reach: Reach) -> None:
             # One that does not answer at all may be slow, and its flows live.
-            listens = reach is not Reach.REFUSED
-            self.perform(self.agent.on_checked(listens, self.loop.clock()))
+            if reach is not Reach.REFUSED:
+                end(listens=True)
+            elif sample:
+                check_packet_port(self.loop, backend, sample, on_packet_checked)
+            else:
+                end(listens=False)
 
         check_port(self.loop, backend, BACKEND_WAIT_S, on_checked)
 
@@ -355,12 +371,21 @@
         self.journal.log("stop", signal=signal.Signals(number).name)
         if not self.settings.balances:
             self.perform(self.agent.stop(self.loop.clock()))
-            self.loop.call_later(AGENT_LEAVE_S, self.loop.stop)
+            self.loop.call_later(AGENT_LEAVE_S, self._leave_agent)
+            leave_s = min(WATCH_END_S, LEAVE_SHARE * self.settings.grace_s)
+            self.loop.call_later(leave_s, self.loop.stop)
         else:
             self.balancer.stop()
             leave_s = min(LEAVE_S, LEAVE_SHARE * self.settings.grace_s)
             self.loop.call_later(leave_s, self.loop.stop)
 
+    def _leave_agent(self) -> None:
+        """Ends an agent, unless it is to see its server's end."""
+        if self.agent.awaits_end():
+            self.loop.call_later(AGENT_LEAVE_S, self._leave_agent)
+        else:
+            self.loop.stop()
+
 
 def _changed_at(path: str | None) -> int:
     """Returns when a file last changed, nanoseconds; 0 where there is none."""
--- a/notchhoist/daemon/port_check.py
+++ b/notchhoist/daemon/port_check.py
@@ -1,4 +1,4 @@
-"""Finds out by a TCP connection whether anybody listens at an address."""
+"""Finds out whether anybody listens at an address."""
 
 import errno
 import socket
@@ -14,6 +14,10 @@
 """Another host that has power answers within this time, seconds; a round trip
 between zones takes 3 ms, on a thin host 20 ms with its share of a core."""
 
+PACKET_WAIT_S = 0.02
+"""The kernel refuses a packet to a closed port of this host within this time,
+seconds."""
+
 _REFUSALS = (errno.ECONNREFUSED, errno.ECONNRESET)
 
 
@@ -52,6 +56,42 @@
         loop.on_writable(sock, on_connected)
 
 
+def check_packet_port(
+    loop: Loop,
+    address: tuple[str, int],
+    packet: bytes,
+    on_checked: Callable[[Reach], None],
+) -> None:
+    """Sends one packet and finds out whether the kernel refuses it.
+
+    Args:
+        loop: The event loop.
+        address: Where to send it to, on this host.
+        packet: The packet.
+        on_checked: Takes the outcome; silence says nothing.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+
+    def end(reach: Reach) -> None:
+        timer.cancel()
+        loop.forget(sock)
+        sock.close()
+        on_checked(reach)
+
+    def on_readable() -> None:
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        end(Reach.REFUSED if error in _REFUSALS else Reach.SILENT)
+
+    timer = loop.call_later(PACKET_WAIT_S, lambda: end(Reach.SILENT))
+    try:
+        sock.connect(address)
+        sock.send(packet)
+    except OSError:
+        return  # The timer says that nothing was found out.
+    loop.on_readable(sock, on_readable)
+
+
 def _reach(error: int) -> Reach:
     """Returns what a connection's error number tells."""
     if not error:
--- a/notchhoist/flows/agent/backend_watch.py
+++ b/notchhoist/flows/agent/backend_watch.py
@@ -38,22 +38,48 @@
         board = self.board
         if now >= board.check_due and not board.checking:
             board.checking = True
-            board.outbox.append(CheckBackend())
+            board.outbox.append(CheckBackend(self._sample()))
+
+    def _sample(self) -> bytes:
+        """Returns a packet that the server has had, or nothing."""
+        resting = self.board.resting() if self.board.uses.resting else []
+        samples = (held.sample for _, held in resting)
+        return next(
+            (self.codec.with_note(item, 0) for item in samples if item), b""
+        )
 
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
         return float("inf") if self.board.checking else self.board.check_due
 
-    def on_checked(self, listens: bool, now: float) -> bool:
-        """Takes the outcome of a look; tells whether the server has ended."""
+    def on_checked(
+        self, listens: bool, now: float, ended: bool = False
+    ) -> bool:
+        """Takes the outcome of a look; tells whether the server has ended.
+
+        Args:
+            listens: It accepts connections, or may do so.
+            now: Runtime clock, seconds.
+            ended: Nobody takes packets at its address either.
+        """
         board = self.board
         board.checking = False
         board.checked_at = now
         board.check_due = float("inf")
         leaving = board.state is not None and board.state.draining
-        if leaving and not listens:
+        if not listens and not board.backend_gone:
+            board.records.decide(
+                "backend server",
+                b"",
+                "refuses connections",
+                takes_no_packets=ended,
+                leaving=leaving,
+                stopping=board.stopping,
+                flows=len(board.flows),
+            )
+        if leaving and not listens and not ended:
             # It listens no more but serves its open flows for two seconds; up
-            # to 35 of them were reset. The end of its host ends the agent too.
+            # to 35 of them were reset.
             return False
         if listens:
             if board.backend_gone:
@@ -76,7 +102,9 @@
         since. Each is handed on with its next packet, and the server says.
         """
         board = self.board
-        for held in board.flows.values():
+        for flow, held in board.flows.items():
+            if board.uses.resting and board.rests(flow, held):
+                continue  # The server is asked about it at once.
             if held.phase is Phase.OPEN:
                 held.phase = Phase.TRIED
                 held.running_since = None
--- a/notchhoist/flows/agent/node.py
+++ b/notchhoist/flows/agent/node.py
@@ -10,6 +10,7 @@
 from notchhoist.flows.agent.offering import FlowOffers
 from notchhoist.flows.agent.refusing import Refuser
 from notchhoist.flows.agent.replies import Replies
+from notchhoist.flows.agent.resting import RestingFlows
 from notchhoist.flows.agent.telling import FlowTeller
 from notchhoist.flows.agent.vacancies import SlotVacancies
 from notchhoist.flows.boards.agent_board import AgentBoard
@@ -63,6 +64,7 @@
         offers: Offers new flows to the backend server.
         teller: Tells balancers which flows are here.
         handover: Takes packets of flows that should be here.
+        resting: Resets flows whose server ends while they rest.
     """
 
     board: AgentBoard
@@ -75,6 +77,7 @@
     offers: FlowOffers
     teller: FlowTeller
     handover: FlowHandover
+    resting: RestingFlows
     sweep_due: float = 0.0
 
     @property
@@ -127,6 +130,7 @@
         """Takes a packet that the backend server sent or gave back."""
         board = self.board
         board.records.counters[Count.ANSWER_PACKETS] += 1
+        self.resting.on_heard(now)
         if segment.returned:
             self._on_returned(segment, now)
             return self._drain()
@@ -139,6 +143,7 @@
             # Copies of an acceptance that its caller must not take up.
             return self._drain()
         held.note_received(segment)
+        held.note_shown(segment, now)
         if segment.accepts:
             self.offers.on_accepted(held, segment, now)
         elif held.phase is Phase.TRIED:
@@ -176,7 +181,9 @@
             self.bearing.note_began_anew(now)
         self.offers.offered.pop(segment.flow, None)
         self.gate.forget(segment.flow, now)
-        if held is None or not held.balancer:
+        if held is None or self.resting.take_returned(held, segment, now):
+            return
+        if not held.balancer:
             return
         tried = held.phase is Phase.TRIED
         if tried and held.sampled:
@@ -186,11 +193,13 @@
             held.balancer, segment, "" if tried else "server returned it", now
         )
 
-    def on_checked(self, listens: bool, now: float) -> list[Effect]:
-        """Takes the outcome of ``CheckBackend``."""
+    def on_checked(
+        self, listens: bool, now: float, ended: bool = False
+    ) -> list[Effect]:
+        """Takes the outcome of ``CheckBackend``; see ``BackendWatch``."""
         was_gone = self.board.backend_gone
         tried = self._tried_flows()
-        if self.watch.on_checked(listens, now):
+        if self.watch.on_checked(listens, now, ended):
             self.offers.offered.clear()
             for flow, held in tried:
                 self.teller.note_absent(held.balancer, flow, now)
@@ -226,6 +235,7 @@
         if self.bearing.take_state(message.state, now):
             self.bearing.note_began_anew(now)
             self.watch.on_reborn(now)
+            self.resting.survey("server began anew")
 
     def tick(self, now: float) -> list[Effect]:
         """Does what is due."""
@@ -233,6 +243,7 @@
         if self.bearing.is_overdue(now):
             self.gate.refuse_unopened("zone evacuated", now)
         self.gate.tick(now)
+        self.resting.tick(now)
         self.watch.tick(now)
         if now >= self.teller.tell_due:
             self.teller.tick(self.load(now), now)
@@ -262,11 +273,19 @@
                 self.replies.tell_load(host, now)
         return self._drain()
 
+    def awaits_end(self) -> bool:
+        """Tells whether a stop is to wait for the end of the server.
+
+        One that leaves ends soon, and nobody else can see it end.
+        """
+        return self.resting.awaits_end()
+
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
         return min(
             self.offers.due(),
             self.watch.due(),
+            self.resting.due(),
             self.teller.tell_due,
             self.sweep_due,
             self.gate.due(),
@@ -320,4 +339,5 @@
         handover=FlowHandover(
             board, codec, gate, refuser, watch, bearing, replies, teller
         ),
+        resting=RestingFlows(board, codec, gate, watch),
     )
--- /dev/null
+++ b/notchhoist/flows/agent/tests/test_resting.py
@@ -0,0 +1,190 @@
+"""Flows that rest beside a server that ends are reset; those that live never.
+
+The reset came with the caller's next request and cut it.
+"""
+
+import pytest
+
+from notchhoist.flows.agent.node import make_agent
+from notchhoist.flows.agent.resting import SILENCE_S, SURVEY_PAUSE_S
+from notchhoist.flows.model.effects import CheckBackend, SendCaller
+from notchhoist.flows.model.mechanisms import ALL
+from notchhoist.flows.model.messages import LoadAsk, ServerState
+from notchhoist.flows.model.notes import NoteKind
+from notchhoist.flows.tests import crafting
+from notchhoist.flows.tests.agents import (
+    BALANCER,
+    SERVER_SEQ,
+    START,
+    accept,
+    agent,
+    ask,
+    reply,
+    send,
+    to_backend,
+    to_balancer,
+)
+from notchhoist.flows.tests.crafting import (
+    ACK,
+    CODEC,
+    SYN,
+    answer,
+    bounced,
+    request,
+)
+
+LATER = START + 0.5
+NEXT = request(data=b"more", seq=10, ack=SERVER_SEQ + 2, port=1)
+
+
+def resting(ports, **fields):
+    """An agent with flows that the server has answered on."""
+    node = agent(**fields)
+    for port in ports:
+        accept(node, port)
+        ask(node, port)
+        reply(node, port)
+    return node
+
+
+def ports_of(items):
+    """Returns the callers' ports of packets to either side."""
+    found = []
+    for item in items:
+        caller = isinstance(item, SendCaller)
+        decode = CODEC.decode_answer if caller else CODEC.decode_request
+        flow = decode(item.datagram).flow
+        found.append(int.from_bytes(flow[4:6], "big"))
+    return found
+
+
+def resets(effects):
+    return ports_of(e for e in effects if isinstance(e, SendCaller))
+
+
+def looks(effects):
+    return [item for item in effects if isinstance(item, CheckBackend)]
+
+
+def sample_of(node, port):
+    [sample] = [
+        held.sample
+        for held in node.board.flows.values()
+        if held.sample.flow[4:6] == port.to_bytes(2, "big")
+    ]
+    return sample
+
+
+def test_a_server_that_gave_a_flow_up_is_asked_about_all_that_rest():
+    """It had started anew between two packets; nobody told the others."""
+    node = resting([1, 2, 3])
+    send(node, NEXT, NoteKind.HELD, LATER)
+    assert resets(node.on_backend(bounced(NEXT), LATER)) == [1]
+    asked = to_backend(node.tick(LATER))
+    assert sorted(ports_of(asked)) == [2, 3]
+    gone = bounced(sample_of(node, 2))
+    assert resets(node.on_backend(gone, LATER)) == [2]
+    more = request(data=b"m", seq=10, ack=SERVER_SEQ + 2, port=3)
+    assert to_backend(send(node, more, NoteKind.HELD, LATER))
+    assert node.board.records.counters["reset_at_rest"] == 1
+
+
+def test_a_flow_that_the_server_never_showed_may_be_open_elsewhere():
+    node = agent()
+    accept(node, 1)
+    ask(node, 1)
+    effects = node.on_backend(bounced(NEXT), LATER)
+    assert not resets(effects)
+    assert to_balancer(effects) == [NoteKind.RETURNED]
+
+
+def test_an_opening_packet_is_given_back_for_other_reasons_too():
+    node = resting([1])
+    copy = request(flags=SYN, port=1)
+    assert not resets(node.on_backend(bounced(copy), LATER))
+
+
+def test_a_flow_that_began_anew_may_be_open_elsewhere():
+    """Another server may have accepted it too, and the caller chosen that."""
+    node = resting([1])
+    again = answer(flags=SYN | ACK, seq=SERVER_SEQ + 7_000_000, ack=1, port=1)
+    node.on_backend(again, LATER)
+    assert not resets(node.on_backend(bounced(NEXT), LATER))
+
+
+def test_a_request_that_waits_for_its_slot_is_not_copied():
+    node = resting([1, 2], slots=1)
+    ask(node, 1, LATER, seq=10)
+    ask(node, 2, LATER, seq=10)
+    assert len(node.board.waiting) == 1
+    node.resting.survey("test")
+    assert ports_of(to_backend(node.tick(LATER))) == [1]
+
+
+def test_a_silent_server_is_looked_at_while_flows_rest():
+    node = resting([1])
+    assert not looks(node.tick(START + SILENCE_S - 0.01))
+    effects = node.tick(START + SILENCE_S)
+    assert len(looks(effects)) == 1
+    assert ports_of(to_backend(effects)) == [1]
+    assert resets(node.on_checked(False, START + SILENCE_S)) == [1]
+
+
+def test_a_server_that_is_heard_or_holds_nothing_is_left_alone():
+    node = resting([1])
+    reply(node, 1, START + 0.9)
+    assert not looks(node.tick(START + SILENCE_S + 0.5))
+    assert not looks(agent().tick(START + 10.0))
+
+
+def test_surveys_keep_a_pause():
+    node = resting([1, 2])
+    node.resting.survey("test")
+    assert len(to_backend(node.tick(LATER))) == 2
+    node.resting.survey("test")
+    assert not to_backend(node.tick(LATER + 0.1))
+    assert len(to_backend(node.tick(LATER + SURVEY_PAUSE_S))) == 2
+
+
+def told(node, revision, **fields):
+    state = ServerState(revision=revision, **fields)
+    return node.on_peer(BALANCER, LoadAsk(2, state), LATER)
+
+
+def test_word_of_another_incarnation_has_the_server_asked():
+    node = resting([1, 2])
+    told(node, 7, born_ms=1)
+    told(node, 8, born_ms=2)
+    assert sorted(ports_of(to_backend(node.tick(LATER)))) == [1, 2]
+
+
+@pytest.mark.parametrize("ended", [True, False])
+def test_a_leaving_server_has_ended_once_it_takes_no_packets(ended):
+    """It closes its listener before; nobody reset what rested at its end."""
+    node = resting([1])
+    told(node, 7, draining=True)
+    effects = node.on_checked(False, LATER, ended)
+    assert resets(effects) == ([1] if ended else [])
+
+
+def test_an_agent_waits_for_the_end_of_a_leaving_server():
+    node = resting([1])
+    assert not node.awaits_end()
+    told(node, 7, draining=True)
+    assert not node.awaits_end()
+    node.stop(LATER)
+    assert node.awaits_end()
+    assert looks(node.tick(LATER + 0.01))
+    node.on_checked(False, LATER + 0.02, ended=True)
+    assert not node.awaits_end()
+
+
+def test_out_of_use_it_does_nothing():
+    uses = ALL.without(["resting"])
+    node = make_agent(crafting.SERVICE, CODEC, START - 100.0, uses)
+    accept(node, 1)
+    ask(node, 1)
+    reply(node, 1)
+    effects = node.tick(START + 5.0) + node.on_backend(bounced(NEXT), LATER)
+    assert not looks(effects)
+    assert not resets(effects)
--- a/notchhoist/flows/balancer/health.py
+++ b/notchhoist/flows/balancer/health.py
@@ -88,6 +88,13 @@
         if server.probed_at is None and now - server.heard_at > DOUBT_S:
             self._probe(server, now)
 
+    def probe(self, server: Server, now: float) -> bool:
+        """Asks an agent for a sign of life unless it owes one already."""
+        if server.probed_at is not None:
+            return False
+        self._probe(server, now)
+        return True
+
     def _probe(self, server: Server, now: float) -> None:
         if server.probed_at is None:
             server.probed_at = now
@@ -113,6 +120,7 @@
                 "agent regained", b"", server.entry.server_id, server_host=host
             )
         server.heard_at = now
+        server.refused_since = None
         server.probed_at = None
         server.suspected = False
         server.lost = False
@@ -187,7 +195,7 @@
                 and silent >= lost_after_s
                 and self.hosts.shows_loss(server, now)
             ):
-                self._give_up(server, now)
+                self.give_up(server, now, "agent lost")
             if now - server.probe_sent_at >= PROBE_EVERY_S:
                 self._probe(server, now)
 
@@ -210,8 +218,17 @@
             self.judges_from = now + PROBE_EVERY_S
         self.ticked_at = now if self.waiting else float("inf")
 
-    def _give_up(self, server: Server, now: float) -> None:
-        """Resets the flows of a server whose host is dead or cut off."""
+    def give_up(
+        self, server: Server, now: float, reason: str, **inputs: object
+    ) -> None:
+        """Resets the flows of a server that is dead or cut off.
+
+        Args:
+            server: The server.
+            now: Runtime clock, seconds.
+            reason: Why, for the log.
+            inputs: What decided it, for the log.
+        """
         if not server.lost:
             server.lost = True
             self.board.records.counters[Count.LOST] += 1
@@ -226,9 +243,11 @@
                 continue
             self.resetter.reset(
                 placement.last,
-                "agent lost",
+                reason,
                 server=server.entry.server_id,
                 silent_s=round(now - server.heard_at, 3),
+                used_s=round(now - placement.last_at, 3),
+                **inputs,
             )
         if not server.listed:
             self.waiting.pop(server.entry.server_id, None)
--- a/notchhoist/flows/balancer/liveness.py
+++ b/notchhoist/flows/balancer/liveness.py
@@ -57,7 +57,10 @@
             return
         server.checked_at = now
         if reach is not Reach.REFUSED:
+            server.refused_since = None
             return
+        if server.refused_since is None:
+            server.refused_since = now
         if now > server.restarting_until:
             self.board.records.counters[Count.AGENTS_AWAY] += 1
             self.board.records.decide(
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -15,6 +15,7 @@
 from notchhoist.flows.balancer.questions import make_questions
 from notchhoist.flows.balancer.rejoining import FlowRejoiner
 from notchhoist.flows.balancer.resetting import FlowResetter
+from notchhoist.flows.balancer.resting import RestingKeeper
 from notchhoist.flows.balancer.trying import FlowTrier
 from notchhoist.flows.boards.balancer_board import BalancerBoard, Placement
 from notchhoist.flows.decisions.early import EarlyPackets
@@ -60,6 +61,7 @@
         informer: Tells agents what is published of their servers.
         isolation: Notices when nobody else is heard.
         early: Packets that came before anything was known.
+        resting: Finds out about flows whose server may have ended.
         sweep_due: When old knowledge is next forgotten, seconds.
     """
 
@@ -74,6 +76,7 @@
     informer: AgentInformer
     isolation: IsolationKeeper
     early: EarlyPackets
+    resting: RestingKeeper
     sweep_due: float = 0.0
 
     @property
@@ -235,6 +238,7 @@
         """Does what is due."""
         self.early.note_start(now)
         self.opener.tick(now)
+        self.resting.tick(now)
         self.finder.tick(now)
         self.health.tick(now)
         self.isolation.tick(now)
@@ -270,6 +274,7 @@
             self.health.due(),
             self.sharer.due(),
             self.informer.due(),
+            self.resting.due(),
             self.sweep_due,
         )
 
@@ -311,6 +316,17 @@
     )
     informer = AgentInformer(board, sharer)
     questions = make_questions(board, codec, first_number(numbers))
+    finder = FlowFinder(
+        board,
+        codec,
+        health,
+        resetter,
+        ViewConfirmer(board),
+        questions,
+        FlowTrier(board, codec, questions),
+        FlowRejoiner(board, codec, health),
+        Evidence(board),
+    )
     return BalancerNode(
         board=board,
         codec=codec,
@@ -320,19 +336,10 @@
         opener=FlowOpener(
             board, codec, health, resetter, make_draw(seed), early, informer
         ),
-        finder=FlowFinder(
-            board,
-            codec,
-            health,
-            resetter,
-            ViewConfirmer(board),
-            questions,
-            FlowTrier(board, codec, questions),
-            FlowRejoiner(board, codec, health),
-            Evidence(board),
-        ),
+        finder=finder,
         sharer=sharer,
         informer=informer,
         isolation=IsolationKeeper(board, health, sharer),
         early=early,
+        resting=RestingKeeper(board, codec, health, finder),
     )
--- a/notchhoist/flows/boards/agent_board.py
+++ b/notchhoist/flows/boards/agent_board.py
@@ -74,6 +74,21 @@
         waited_s = now - request.arrived_at
         self.records.observe(Timing.WAITING, self.service, outcome, waited_s)
 
+    def resting(self) -> list[tuple[bytes, HeldFlow]]:
+        """Returns the open flows whose packets have all gone to the server."""
+        return [
+            (flow, held)
+            for flow, held in self.flows.items()
+            if self.rests(flow, held)
+        ]
+
+    def rests(self, flow: bytes, held: HeldFlow) -> bool:
+        """Tells whether the server may get an open flow's last packet again."""
+        sample = held.sample
+        if sample is None or sample.closes or sample.resets:
+            return False
+        return held.was_open_here and flow not in self.waiting
+
     def age_s(self, now: float) -> float:
         """Returns how long ago the agent started, seconds."""
         return now - self.started_at
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -128,6 +128,8 @@
         store_revision: Revision that the store named in its last answer.
         store_era: Era of the store that its last answer was of.
         flows: Where flows are, least recently used first.
+        displaced: Flows whose server has given its host to another one, with
+            the service of the former, until somebody looks after them.
         openings: New flows that wait for a server.
         busy_shares: How often new flows find no free slot.
         searches: Flows that are being looked for.
@@ -157,6 +159,7 @@
     flows: collections.OrderedDict[bytes, Placement] = field(
         default_factory=collections.OrderedDict
     )
+    displaced: dict[bytes, str] = field(default_factory=dict)
     openings: dict[bytes, Opening] = field(default_factory=dict)
     busy_shares: BusyShares = field(default_factory=BusyShares)
     searches: dict[bytes, Search] = field(default_factory=dict)
--- /dev/null
+++ b/notchhoist/flows/decisions/ending.py
@@ -0,0 +1,49 @@
+"""Whether a backend server has ended whose agent says nothing any more.
+
+A host that is shut down in an orderly way refuses connections, and so does one
+whose agent is being restarted beside a living server.
+"""
+
+from notchhoist.flows.decisions.completeness import RETURN_S
+from notchhoist.flows.model.fleet import Server
+
+LEFT_S = 2.0
+"""A server that announced its end and whose entry has vanished counts as ended
+after its host has refused connections for so long, seconds; an agent that is
+restarted takes up to 1.5 s."""
+
+GONE_S = 3.0
+"""The same for a server that announced nothing."""
+
+CHECKED_S = 1.0
+"""How old the last refusal may be, seconds."""
+
+
+def has_ended(server: Server, store_failed_at: float, now: float) -> bool:
+    """Tells whether a server has ended together with its agent.
+
+    Its entry has vanished and did not lapse in an outage of the store, and
+    nobody listens at its host where its agent was.
+
+    Examples:
+        >>> from notchhoist.flows.model.fleet import ServerEntry
+        >>> entry = ServerEntry("s", "hallbook", "10.0.0.1", "a", 3, False)
+        >>> gone = Server(entry, 1, 0.0, unlisted_at=5.0, refused_since=5.0)
+        >>> gone.checked_at = 8.0
+        >>> has_ended(gone, 0.0, 8.0), has_ended(gone, 4.0, 8.0)
+        (True, False)
+
+    Args:
+        server: The server.
+        store_failed_at: When the store last failed this balancer, seconds.
+        now: Runtime clock, seconds.
+    """
+    if server.listed or server.refused_since is None:
+        return False
+    if now - server.checked_at > CHECKED_S:
+        return False
+    # What lapsed in an outage is back soon after it.
+    away_since = max(server.unlisted_at, store_failed_at + RETURN_S)
+    announced = server.entry.draining and not server.entry.withdrawn
+    refused_s = now - max(server.refused_since, away_since)
+    return refused_s >= (LEFT_S if announced else GONE_S)
--- a/notchhoist/flows/model/effects.py
+++ b/notchhoist/flows/model/effects.py
@@ -67,7 +67,14 @@
 
 
 class CheckBackend(Struct, frozen=True):
-    """Finds out whether the backend server on this host still listens."""
+    """Finds out whether the backend server on this host still listens.
+
+    Attributes:
+        sample: A packet that its process may get once more, to find out whether
+            it takes packets where it accepts no connections; or empty.
+    """
+
+    sample: bytes = b""
 
 
 class CheckHost(Struct, frozen=True):
--- a/notchhoist/flows/model/fleet.py
+++ b/notchhoist/flows/model/fleet.py
@@ -176,6 +176,8 @@
         restarting_until: Its agent is away until then and comes back: it said
             so, or its host refused a connection.
         checked_at: When a check of its host last ended, seconds.
+        refused_since: Since when its host has refused every connection, and its
+            agent was not heard, seconds, or None.
         full_until: Its agent has said that until then it bears no new flow.
         state_told: Revision of what this balancer last told its agent.
         told_at: When that was, seconds.
@@ -198,6 +200,7 @@
     lost: bool = False
     restarting_until: float = float("-inf")
     checked_at: float = float("-inf")
+    refused_since: float | None = None
     full_until: float = float("-inf")
     state_told: int = 0
     told_at: float = float("-inf")
--- a/notchhoist/flows/model/held.py
+++ b/notchhoist/flows/model/held.py
@@ -87,6 +87,10 @@
         request_at: When the newest part of it arrived, seconds.
         sampled: It was only tried, to answer a balancer's question.
         sample: The newest packet from the caller, to reset it by.
+        shown_at: When the server last sent a packet that shows it open,
+            seconds.
+        asked_at: When the server was last asked about it by a copy of
+            ``sample``, seconds, or None.
     """
 
     phase: Phase
@@ -102,6 +106,8 @@
     request_at: float = 0.0
     sampled: bool = False
     sample: Segment | None = None
+    shown_at: float = float("-inf")
+    asked_at: float | None = None
 
     def wish_now(self, told: Wish, now: float) -> Wish:
         """Returns what is known of the caller of the first request.
@@ -131,6 +137,23 @@
         """Tells whether a server that lives cannot have forgotten it yet."""
         return self.phase is Phase.OPEN and now - self.since < YOUNG_S
 
+    @property
+    def was_open_here(self) -> bool:
+        """Whether the server itself has shown that it held the open flow."""
+        return self.phase is Phase.OPEN and self.shown_at > float("-inf")
+
+    def note_shown(self, segment: Segment, now: float) -> None:
+        """Takes account of what a server's packet shows of the flow.
+
+        Another acceptance begins a new flow between the same addresses, which
+        its caller may open elsewhere.
+        """
+        if not segment.accepts:
+            self.shown_at = now
+        elif self.server_seq is not None and segment.seq != self.server_seq:
+            self.shown_at = float("-inf")
+            self.sample = None
+
     def chosen_by(self, segment: Segment) -> bool:
         """Tells whether a caller's packet shows that it chose this server."""
         if self.server_seq is None:
--- a/notchhoist/flows/model/records.py
+++ b/notchhoist/flows/model/records.py
@@ -72,6 +72,11 @@
     CALLERS_LEFT = "callers_left"
     BACKEND_REBORN = "backend_reborn"
     BACKEND_GONE = "backend_gone"
+    SURVEYS = "surveys"
+    RESET_AT_REST = "reset_at_rest"
+    SEARCHED_AT_REST = "searched_at_rest"
+    PROBED_AT_REST = "probed_at_rest"
+    LEFT_FOR_GOOD = "left_for_good"
     DECISIONS_DROPPED = "decisions_dropped"
     TIMINGS_DROPPED = "timings_dropped"
 
--- a/notchhoist/flows/published/fleet_keeper.py
+++ b/notchhoist/flows/published/fleet_keeper.py
@@ -241,10 +241,10 @@
     def _replace(self, old: Server, new: Server) -> None:
         self._forget(old)
         new.heard_at = old.heard_at
-        for placement in self.board.flows.values():
+        for flow, placement in self.board.flows.items():
             if placement.server is old:
-                # Its agent will say that the flow is gone.
-                placement.server = new
+                placement.server = new  # Its agent will say: gone.
+                self.board.displaced[flow] = old.entry.service
 
     def _forget(self, server: Server) -> None:
         if self.board.servers.get(server.entry.server_id) is server:
