--- a/notchhoist/flows/agent/backend_watch.py
+++ b/notchhoist/flows/agent/backend_watch.py
@@ -90,7 +90,7 @@
         board.records.decide(
             "backend server", b"", "gone", flows=len(board.flows)
         )
-        self._reset_all()
+        self._reset_all(now)
         return True
 
     def _shows_end(self, ended: bool | None, now: float) -> bool:
@@ -135,7 +135,7 @@
             "backend server", b"", "began anew", flows=len(board.flows)
         )
 
-    def _reset_all(self) -> None:
+    def _reset_all(self, now: float) -> None:
         """Resets the flows of a backend server that has ended."""
         board = self.board
         for flow, held in board.flows.items():
@@ -144,9 +144,16 @@
             reset = self.codec.make_reset(held.sample)
             board.outbox.append(SendCaller(held.sample.caller, reset))
             board.records.counters[Count.RESETS] += 1
-            if held.running_since is None:
-                board.records.counters[Count.RESET_AT_REST] += 1
-            board.records.decide("reset", flow, "backend server gone")
+            rests = held.running_since is None
+            board.records.counters[Count.RESET_AT_REST] += rests
+            board.records.decide(
+                "reset",
+                flow,
+                "backend server gone",
+                at_rest=rests,
+                used_s=round(now - held.last_at, 3),
+                refused_s=round(now - (board.refused_since or now), 3),
+            )
         board.flows.clear()
         board.active.clear()
         board.waiting.clear()
--- a/notchhoist/flows/balancer/resting.py
+++ b/notchhoist/flows/balancer/resting.py
@@ -45,6 +45,9 @@
 1.2 KB in 0.1 s."""
 
 
+VANISHED = "entry vanished"
+
+
 class Doubt(Struct, eq=False):
     """Flows of one server that may have ended.
 
@@ -127,9 +130,12 @@
     ) -> None:
         for server_id in [key for key in self.doubts if key not in resting]:
             del self.doubts[server_id]
-        for server, _ in resting.values():
+        for server_id, (server, _) in resting.items():
+            known = self.doubts.get(server_id)
             if not server.listed:
-                self._doubt(server, "entry vanished", now)
+                self._doubt(server, VANISHED, now)
+            elif known is not None and known.reason == VANISHED:
+                del self.doubts[server_id]
 
     def _doubt(self, server: Server, reason: str, now: float) -> None:
         """Has the flows of a server tried."""
--- a/notchhoist/flows/balancer/tests/test_resting.py
+++ b/notchhoist/flows/balancer/tests/test_resting.py
@@ -166,6 +166,18 @@
     assert len(fleet.sent) == COPIES
 
 
+def test_an_entry_that_vanishes_again_brings_copies_again():
+    fleet = Fleet()
+    fleet.unlist()
+    fleet.run(5.0)
+    number = NUMBERS[fleet.host]
+    fleet.node.fleet.on_entry(entry(number), 7, fleet.now)
+    fleet.run(1.0)
+    fleet.node.fleet.on_removed(f"s{number}", 8, fleet.now)
+    fleet.run(5.0)
+    assert len(fleet.sent) == 2 * COPIES
+
+
 def test_a_listed_server_whose_agent_is_restarted_keeps_its_flows():
     fleet = Fleet()
     fleet.run(5.0)
