Flows not shown to a balancer are left alone; each way a server ends, played

Further histories found two wrong resets, mended here: - a late copy of an opening was accepted by a server that ended soon after; its balancer took the flow for open there and gave it up. It now needs word of the agent since that got the flow's first packet, where the flow rests. - a balancer that learnt at once that a host had gone to another service and back looked for its flows at the service between; the first counts now.

--- a/notchhoist/flows/balancer/health.py
+++ b/notchhoist/flows/balancer/health.py
@@ -47,6 +47,10 @@
 before their flows are given up, seconds. One with 5 Mbit/s suspected 12 of 44
 agents within a second (incident inc-c48e), and all of them lived."""
 
+RESTS_S = 1.0
+"""A flow without a packet for so long rests, seconds: a caller that waits sends
+copies."""
+
 RESTART_S = 3.0
 """How long an agent that announced a restart is waited for, seconds."""
 
@@ -241,7 +245,9 @@
             del self.board.flows[flow]
             if placement.closing or not placement.accepted:
                 continue
-            if self.board.uses.resting and placement.last.opens:
+            rests = now - placement.last_at > RESTS_S
+            unsure = rests and not placement.is_shown
+            if self.board.uses.resting and unsure:
                 continue  # Its caller may have chosen another server.
             self.resetter.reset(
                 placement.last,
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -150,6 +150,7 @@
             self.health.doubt(server, now)
         placement.last_at = now
         placement.last = segment
+        placement.used_since = min(placement.used_since, now)
         placement.closing = placement.closing or segment.closes
         wish = self._wish(route, placement, segment, now)
         note = notes.to_agent(NoteKind.HELD, server.tag, wish)
--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -185,7 +185,12 @@
         flows = self.board.flows
         segment = opening.segment
         flows[segment.flow] = Placement(
-            server, False, now, segment, asked_since=opening.asked_since
+            server,
+            False,
+            now,
+            segment,
+            asked_since=opening.asked_since,
+            used_since=float("inf"),
         )
         if len(flows) > FLOWS_KEPT:
             flows.popitem(last=False)
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -12,6 +12,9 @@
 from notchhoist.flows.model.segments import Segment
 from notchhoist.flows.model.view import FleetView
 
+ANSWER_S = 0.1
+"""An agent's answer is here within this time, seconds; 30 round trips."""
+
 
 class Placement(Struct, eq=False):
     """Where a balancer believes a flow to be.
@@ -24,6 +27,8 @@
         closing: The caller has ended it.
         asked_since: When the caller began to wait for its first request, or
             None once that has gone to the server.
+        used_since: When the first packet after the opening went there, seconds;
+            long ago for a flow that was found there.
     """
 
     server: Server
@@ -32,6 +37,17 @@
     last: Segment
     closing: bool = False
     asked_since: float | None = None
+    used_since: float = float("-inf")
+
+    @property
+    def is_shown(self) -> bool:
+        """Whether the agent has been heard since it got a packet of the flow.
+
+        It gives back at once what is not there: the caller may have chosen
+        another server, which another balancer had offered the flow to.
+        """
+        heard = self.server.heard_at - self.used_since > ANSWER_S
+        return heard and not self.last.opens
 
 
 class Opening(Struct, eq=False):
@@ -181,4 +197,5 @@
         for flow, placement in self.flows.items():
             if placement.server is old:
                 placement.server = new
-                self.displaced[flow] = old.entry.service
+                # Several changes may be told at once: the first counts.
+                self.displaced.setdefault(flow, old.entry.service)
