Merge: flows whose server is gone

Two parts had a rule for a server that has ended together with its agent; the one in decisions/ending serves both.

--- a/notchhoist/flows/balancer/health.py
+++ b/notchhoist/flows/balancer/health.py
@@ -47,6 +47,10 @@
 before their flows are given up, seconds. One with 5 Mbit/s suspected 12 of 44
 agents within a second (incident inc-c48e), and all of them lived."""
 
+RESTS_S = 1.0
+"""A flow without a packet for so long rests, seconds: a caller that waits sends
+copies."""
+
 RESTART_S = 3.0
 """How long an agent that announced a restart is waited for, seconds."""
 
@@ -88,6 +92,13 @@
         if server.probed_at is None and now - server.heard_at > DOUBT_S:
             self._probe(server, now)
 
+    def probe(self, server: Server, now: float) -> bool:
+        """Asks an agent for a sign of life unless it owes one already."""
+        if server.probed_at is not None:
+            return False
+        self._probe(server, now)
+        return True
+
     def _probe(self, server: Server, now: float) -> None:
         if server.probed_at is None:
             server.probed_at = now
@@ -113,6 +124,7 @@
                 "agent regained", b"", server.entry.server_id, server_host=host
             )
         server.heard_at = now
+        server.refused_since = None
         server.probed_at = None
         server.suspected = False
         server.lost = False
@@ -187,7 +199,7 @@
                 and silent >= lost_after_s
                 and self.hosts.shows_loss(server, now)
             ):
-                self._give_up(server, now)
+                self.give_up(server, now, "agent lost")
             if now - server.probe_sent_at >= PROBE_EVERY_S:
                 self._probe(server, now)
 
@@ -210,8 +222,17 @@
             self.judges_from = now + PROBE_EVERY_S
         self.ticked_at = now if self.waiting else float("inf")
 
-    def _give_up(self, server: Server, now: float) -> None:
-        """Resets the flows of a server whose host is dead or cut off."""
+    def give_up(
+        self, server: Server, now: float, reason: str, **inputs: object
+    ) -> None:
+        """Resets the flows of a server that is dead or cut off.
+
+        Args:
+            server: The server.
+            now: Runtime clock, seconds.
+            reason: Why, for the log.
+            inputs: What decided it, for the log.
+        """
         if not server.lost:
             server.lost = True
             self.board.records.counters[Count.LOST] += 1
@@ -224,11 +245,17 @@
             del self.board.flows[flow]
             if placement.closing or not placement.accepted:
                 continue
+            rests = now - placement.last_at > RESTS_S
+            unsure = rests and not placement.is_shown
+            if self.board.uses.resting and unsure:
+                continue  # Its caller may have chosen another server.
             self.resetter.reset(
                 placement.last,
-                "agent lost",
+                reason,
                 server=server.entry.server_id,
                 silent_s=round(now - server.heard_at, 3),
+                used_s=round(now - placement.last_at, 3),
+                **inputs,
             )
         if not server.listed:
             self.waiting.pop(server.entry.server_id, None)
--- a/notchhoist/flows/balancer/liveness.py
+++ b/notchhoist/flows/balancer/liveness.py
@@ -10,6 +10,7 @@
 from msgspec import Struct, field
 
 from notchhoist.flows.boards.balancer_board import BalancerBoard
+from notchhoist.flows.decisions.ending import has_ended
 from notchhoist.flows.model.effects import CheckHost, Reach
 from notchhoist.flows.model.fleet import Server
 from notchhoist.flows.model.records import Count
@@ -28,12 +29,6 @@
 the next check ends long before."""
 
 
-LEFT_S = 2.0
-"""An agent that is away for so long beside a server that had announced its end,
-and whose entry has vanished, has ended with it, seconds. A restart takes a
-fraction of a second."""
-
-
 class HostWatch(Struct, eq=False):
     """Checks the hosts of silent agents.
 
@@ -63,7 +58,10 @@
             return
         server.checked_at = now
         if reach is not Reach.REFUSED:
+            server.refused_since = None
             return
+        if server.refused_since is None:
+            server.refused_since = now
         if now > server.restarting_until:
             self.board.records.counters[Count.AGENTS_AWAY] += 1
             self.board.records.decide(
@@ -77,20 +75,14 @@
         server.restarting_until = max(server.restarting_until, now + AWAY_S)
 
     def shows_loss(self, server: Server, now: float) -> bool:
-        """Tells whether a check since its silence began speaks for its loss."""
+        """Tells whether a check since its silence began speaks for its loss.
+
+        A host whose agent has ended with its server refuses connections like
+        one whose agent is being restarted. Searches for other flows must not
+        wait for its word.
+        """
         if server.probed_at is None or server.checked_at < server.probed_at:
             return False
-        return now > server.restarting_until or has_left(server, now)
-
-
-def has_left(server: Server, now: float) -> bool:
-    """Tells whether a server has ended as it had announced.
-
-    Its agent then ends too, on a host that lives and refuses connections like
-    one whose agent is being restarted. Searches for other flows waited for its
-    word until their callers had given up.
-    """
-    announced = server.entry.draining and not server.entry.withdrawn
-    if not announced or server.listed or server.probed_at is None:
-        return False
-    return now - server.probed_at >= LEFT_S
+        if now > server.restarting_until:
+            return True
+        return has_ended(server, self.board.store_failed_at, now)
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -15,6 +15,7 @@
 from notchhoist.flows.balancer.questions import make_questions
 from notchhoist.flows.balancer.rejoining import FlowRejoiner
 from notchhoist.flows.balancer.resetting import FlowResetter
+from notchhoist.flows.balancer.resting import RestingKeeper
 from notchhoist.flows.balancer.scope import SearchScope
 from notchhoist.flows.balancer.targeting import service_for
 from notchhoist.flows.balancer.trying import FlowTrier
@@ -64,6 +65,7 @@
         informer: Tells agents what is published of their servers.
         isolation: Notices when nobody else is heard.
         early: Packets that came before anything was known.
+        resting: Finds out about flows whose server may have ended.
         sweep_due: When old knowledge is next forgotten, seconds.
     """
 
@@ -79,6 +81,7 @@
     informer: AgentInformer
     isolation: IsolationKeeper
     early: EarlyPackets
+    resting: RestingKeeper
     sweep_due: float = 0.0
 
     @property
@@ -152,6 +155,7 @@
             self.health.doubt(server, now)
         placement.last_at = now
         placement.last = segment
+        placement.used_since = min(placement.used_since, now)
         placement.closing = placement.closing or segment.closes
         wish = self._wish(route, placement, segment, now)
         note = notes.to_agent(NoteKind.HELD, server.tag, wish)
@@ -244,6 +248,7 @@
         self.early.note_start(now)
         self.reroutings.look(now)
         self.opener.tick(now)
+        self.resting.tick(now)
         self.finder.tick(now)
         self.health.tick(now)
         self.isolation.tick(now)
@@ -256,6 +261,7 @@
 
     def _sweep(self, now: float) -> None:
         self.fleet.sweep(now)
+        self.finder.evidence.is_settled(now)
         flows = self.board.flows
         idle_s = self.board.table.idle_s if self.board.table else 0.0
         old = [
@@ -279,6 +285,7 @@
             self.health.due(),
             self.sharer.due(),
             self.informer.due(),
+            self.resting.due(),
             self.sweep_due,
         )
 
@@ -321,6 +328,18 @@
     informer = AgentInformer(board, sharer)
     questions = make_questions(board, codec, first_number(numbers))
     evidence = Evidence(board)
+    finder = FlowFinder(
+        board,
+        codec,
+        health,
+        resetter,
+        ViewConfirmer(board),
+        questions,
+        FlowTrier(board, codec, questions),
+        FlowRejoiner(board, codec, health),
+        evidence,
+        SearchScope(board, evidence),
+    )
     return BalancerNode(
         board=board,
         codec=codec,
@@ -330,21 +349,11 @@
         opener=FlowOpener(
             board, codec, health, resetter, make_draw(seed), early, informer
         ),
-        finder=FlowFinder(
-            board,
-            codec,
-            health,
-            resetter,
-            ViewConfirmer(board),
-            questions,
-            FlowTrier(board, codec, questions),
-            FlowRejoiner(board, codec, health),
-            evidence,
-            SearchScope(board, evidence),
-        ),
+        finder=finder,
         reroutings=Reroutings(board),
         sharer=sharer,
         informer=informer,
         isolation=IsolationKeeper(board, health, sharer),
         early=early,
+        resting=RestingKeeper(board, codec, health, finder),
     )
