Splits: the test of what a balancer hears passes the codec too

Cause: the new optional field was only tested as a struct. Change: the message is encoded and decoded.

--- a/notchhoist/flows/balancer/tests/test_splits.py
+++ b/notchhoist/flows/balancer/tests/test_splits.py
@@ -5,6 +5,7 @@
 from notchhoist.flows.balancer import scope
 from notchhoist.flows.balancer.finding import DENIED_WAIT_S
 from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.codec.message_codec import decode_message, encode_message
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import SendAgent, SendPeer
 from notchhoist.flows.model.messages import FlowsAsk, ViewAsk, ViewTell
@@ -157,6 +158,7 @@
         for item in effects
         if isinstance(item, SendPeer) and isinstance(item.message, ViewTell)
     ]
+    told = decode_message(encode_message(told))
     assert told.rerouted_for_ms == 11_000
     node = make_balancer("a", CODEC, "seed")
     node.on_peer("10.0.9.1", told, 1.001)
