--- a/notchhoist/cli/flow_story.py
+++ b/notchhoist/cli/flow_story.py
@@ -3,7 +3,7 @@
     python -m notchhoist.cli.flow_story 100.64.0.12:1028-198.18.0.1:8443 LOG...
 
 Lines that name the flow, and lines about the backend servers that it was placed
-at, in the order of time.
+at, in the order of time; with ``--own`` the former only.
 """
 
 import sys
@@ -70,12 +70,15 @@
     return any(not servers.isdisjoint(names) for names in lists)
 
 
-def story_of(flow: str, lines: Iterable[str]) -> list[StoryLine]:
+def story_of(
+    flow: str, lines: Iterable[str], own_only: bool = False
+) -> list[StoryLine]:
     """Returns the lines that tell of a flow, in the order of time.
 
     Args:
         flow: The flow's id as the logs write it.
         lines: Lines of the logs of any processes, in any order.
+        own_only: Lines about its backend servers are left out.
     """
     kept = list(lines_with([flow, '"server"', f'"{GROUP}"'], lines))
     own = [
@@ -83,6 +86,8 @@
         for line in map(read_line, lines_with([flow], kept))
         if line is not None and line.get("flow") == flow
     ]
+    if own_only:
+        return sorted(own)
     servers = {item.server for item in own if item.server}
     about = [
         _to_story(line)
@@ -111,17 +116,20 @@
     Attributes:
         flow: Id of the flow.
         logs: Log files.
+        own: Leave out lines about its backend servers.
     """
 
     flow: Annotated[str, cappa.Arg(help="caller:port-address:port")]
     logs: Annotated[list[Path], cappa.Arg(help="Log files, .gz too.")]
+    own: Annotated[bool, cappa.Arg(long=True)] = False
 
 
 def main() -> int:
     """Entry point; status 1 where no line tells of the flow."""
     command = cappa.parse(Command)
     try:
-        story = story_of(command.flow, lines_of(command.logs))
+        lines = lines_of(command.logs)
+        story = story_of(command.flow, lines, command.own)
     except OSError as error:
         print(f"{error.filename}: {error.strerror}", file=sys.stderr)
         return 2
--- a/notchhoist/cli/tests/test_flow_story.py
+++ b/notchhoist/cli/tests/test_flow_story.py
@@ -35,6 +35,7 @@
         line(3.0, "servers", outcome="4 changed", ready=["i-2", "i-3"]),
     ]
     assert [item.timestamp for item in story_of(FLOW, lines)] == [1.0, 2.0]
+    assert [item.event for item in story_of(FLOW, lines, True)] == ["place"]
 
 
 def test_a_flow_that_no_line_tells_of():
