--- a/notchhoist/flows/agent/tests/test_resting.py
+++ b/notchhoist/flows/agent/tests/test_resting.py
@@ -20,6 +20,7 @@
     reply,
     send,
     to_backend,
+    to_balancer,
 )
 from notchhoist.flows.tests.crafting import (
     ACK,
@@ -87,6 +88,15 @@
     assert node.board.records.counters["reset_at_rest"] == 1
 
 
+def test_a_flow_that_the_server_never_showed_may_be_open_elsewhere():
+    node = agent()
+    accept(node, 1)
+    ask(node, 1)
+    effects = node.on_backend(bounced(NEXT), LATER)
+    assert not resets(effects)
+    assert to_balancer(effects) == [NoteKind.RETURNED]
+
+
 def test_an_opening_packet_is_given_back_for_other_reasons_too():
     node = resting([1])
     copy = request(flags=SYN, port=1)
--- a/notchhoist/flows/balancer/resting.py
+++ b/notchhoist/flows/balancer/resting.py
@@ -12,7 +12,7 @@
 from notchhoist.flows.balancer.finding import FlowFinder
 from notchhoist.flows.balancer.health import DOUBT_S, HealthKeeper
 from notchhoist.flows.boards.balancer_board import BalancerBoard, Placement
-from notchhoist.flows.decisions.ending import has_ended
+from notchhoist.flows.decisions.ending import has_announced, has_ended
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import SendAgent
 from notchhoist.flows.model.fleet import Server
@@ -34,6 +34,10 @@
 """Agents elsewhere that are asked for each silent one: a host that hears fewer
 others than are silent takes the silence for its own."""
 
+STALE_S = 5.0
+"""Entries of servers that had ended before are replaced for so long after the
+list is first read, seconds; the flows were placed since, at the new ones."""
+
 COPIES = 3
 """How often a resting flow is tried for one reason; datagrams get lost."""
 
@@ -108,7 +112,8 @@
             if placement is None or not _rests(placement):
                 continue
             if placement.server.entry.service == former:
-                self._doubt(placement.server, "server replaced", now)
+                if now - board.known_since >= STALE_S:
+                    self._doubt(placement.server, "server replaced", now)
                 continue
             del board.flows[flow]
             board.records.counters[Count.SEARCHED_AT_REST] += 1
@@ -132,7 +137,8 @@
             del self.doubts[server_id]
         for server_id, (server, _) in resting.items():
             known = self.doubts.get(server_id)
-            if not server.listed:
+            if not server.listed and not has_announced(server):
+                # One that leaves closes its flows; its agent sees the rest.
                 self._doubt(server, VANISHED, now)
             elif known is not None and known.reason == VANISHED:
                 del self.doubts[server_id]
--- a/notchhoist/flows/balancer/tests/test_resting.py
+++ b/notchhoist/flows/balancer/tests/test_resting.py
@@ -53,6 +53,7 @@
 
 def test_the_flows_of_a_replaced_server_are_tried_by_a_few_copies():
     fleet = Fleet()
+    fleet.run(5.0)
     newer = entry(fleet.number, server_id="new", created=9)
     fleet.node.fleet.on_entry(newer, 9, fleet.now)
     fleet.run(10.0)
--- a/notchhoist/flows/decisions/ending.py
+++ b/notchhoist/flows/decisions/ending.py
@@ -19,6 +19,11 @@
 """How old the last refusal may be, seconds."""
 
 
+def has_announced(server: Server) -> bool:
+    """Tells whether a server has said that it leaves."""
+    return server.entry.draining and not server.entry.withdrawn
+
+
 def has_ended(server: Server, store_failed_at: float, now: float) -> bool:
     """Tells whether a server has ended together with its agent.
 
@@ -46,6 +51,5 @@
         return False
     # Infinite while it is listed; what lapsed in an outage is back soon.
     away_since = max(server.unlisted_at, store_failed_at + RETURN_S)
-    announced = server.entry.draining and not server.entry.withdrawn
     refused_s = now - max(server.refused_since, away_since)
-    return refused_s >= (LEFT_S if announced else GONE_S)
+    return refused_s >= (LEFT_S if has_announced(server) else GONE_S)
--- a/notchhoist/flows/tests/history.py
+++ b/notchhoist/flows/tests/history.py
@@ -26,6 +26,9 @@
 CONTACT_S = 5.0
 """A host that was cut off lately may lose its flows, seconds."""
 
+LATER_S = 6.0
+"""Histories begin when balancers have known the list for a while, seconds."""
+
 AWAY_S = 2.0
 """A server that is cut off from the store and has had no agent for so long,
 seconds, is out of touch."""
@@ -53,6 +56,7 @@
         for ip in HOSTS:
             self.start_agent(ip, since=-100.0)
             self.start_server(ip)
+        self.now = LATER_S
         self.run(0.1)
 
     def _balancer(self, ip):
