--- a/notchhoist/flows/decisions/ending.py
+++ b/notchhoist/flows/decisions/ending.py
@@ -21,6 +21,11 @@
 """How old the last refusal may be, seconds."""
 
 
+def has_announced(server: Server) -> bool:
+    """Tells whether a server has said that it leaves."""
+    return server.entry.draining and not server.entry.withdrawn
+
+
 def has_ended(server: Server, store_failed_at: float, now: float) -> bool:
     """Tells whether a server has ended together with its agent.
 
@@ -48,6 +53,6 @@
         return False
     # What lapsed in an outage is back soon after it.
     since = max(server.refused_since, store_failed_at + RETURN_S)
-    if server.entry.draining and not server.entry.withdrawn:
+    if has_announced(server):
         return now - since >= LEFT_S
     return now - max(since, server.unlisted_at) >= GONE_S
