Distances: measured round trips; near servers first where zones are far

Cause: FAR_WAIT, FAR_FLOWS and the six attempts in turn hold for 1.5 ms between zones and 50 ms of work. At 4.9 ms and 15 ms an attempt at a far server takes as long as the wait near that it saves, and a far flow pays with every request. Ruled out: a message of its own for measuring (offers, numbered questions and probes that were sent once tell enough); other candidate sets (searches of other balancers ask the first few, so the sets stay as they are, only their order differs); the least of a window (one word taken for a later answer shortened it; the second least counts). Change: balancer/distances times answers by zone; decisions/reaching says what a distance is worth by the service time and the share of busy slots; balancer/reaching orders the attempts and ends them where a wait near is shorter. Where a round trip takes at most a fifth of the work, and before four answers, nothing changes. An acceptance is waited for longer from very far, never shorter. ACCEPT_WAIT_S, FAR_WAIT, FAR_FLOWS moved; test_attempts imports the first from its new place, no check changed.

--- a/notchhoist/flows/balancer/__init__.py
+++ b/notchhoist/flows/balancer/__init__.py
@@ -6,7 +6,7 @@
 * ``distances``: how far agents are.
 * ``liveness``, ``health``, ``isolation``: who is there.
 * ``informing``: tells agents what is published of their servers.
-* ``opening``: new flows.
+* ``reaching``: how far new flows are sent; ``opening``: new flows.
 * ``questions``, ``trying``, ``evidence``, ``finding``: flows that are not known
   here; ``rejoining``: what becomes of them once they are found.
 * ``node``: puts them together.
--- a/notchhoist/flows/balancer/health.py
+++ b/notchhoist/flows/balancer/health.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct, field
 
+from notchhoist.flows.balancer.distances import Distances
 from notchhoist.flows.balancer.liveness import HostWatch
 from notchhoist.flows.balancer.resetting import FlowResetter
 from notchhoist.flows.boards.balancer_board import BalancerBoard
@@ -61,6 +62,7 @@
         board: What the balancer knows.
         resetter: Ends flows.
         hosts: Tells agents that are restarted from hosts that are lost.
+        distances: Is told what answers take.
         link_mbps: What this host's link carries, Mbit/s; 0 if unknown.
         waiting: Servers whose agents owe an answer, by id.
         heard_at: When any agent was last heard, seconds.
@@ -71,6 +73,7 @@
     board: BalancerBoard
     resetter: FlowResetter
     hosts: HostWatch
+    distances: Distances
     link_mbps: int = 0
     waiting: dict[str, Server] = field(default_factory=dict)
     heard_at: float = float("-inf")
@@ -123,12 +126,23 @@
     def on_told(self, host: str, message: LoadTell, now: float) -> None:
         """Takes an agent's answer to a question for its load."""
         load = Load(message.flows, message.running, message.pace_ms)
-        self.on_heard(host, load, now)
         server = self.board.by_host.get(host)
+        if server is not None and not message.stopping:
+            self._measure(server, now)
+        self.on_heard(host, load, now)
         if server is not None and message.stopping:
             server.restarting_until = now + RESTART_S
             server.suspected = True
 
+    def _measure(self, server: Server, now: float) -> None:
+        """Takes the time of a probe that was sent once.
+
+        Probes have no numbers: an answer to one of several tells nothing.
+        """
+        sent_at = server.probe_sent_at
+        if server.probed_at is not None and server.probed_at == sent_at:
+            self.distances.note(server, sent_at, now)
+
     def suspect(self, server: Server, now: float, reason: str) -> None:
         """Gives a server no new flows until its agent is heard again."""
         if server.probed_at is None:
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -5,6 +5,7 @@
 
 from notchhoist.base.draws import first_number, make_draw
 from notchhoist.flows.balancer.confirming import ViewConfirmer
+from notchhoist.flows.balancer.distances import make_distances
 from notchhoist.flows.balancer.evidence import Evidence
 from notchhoist.flows.balancer.finding import FlowFinder
 from notchhoist.flows.balancer.health import HealthKeeper
@@ -13,6 +14,7 @@
 from notchhoist.flows.balancer.liveness import HostWatch
 from notchhoist.flows.balancer.opening import FlowOpener
 from notchhoist.flows.balancer.questions import make_questions
+from notchhoist.flows.balancer.reaching import FlowReach
 from notchhoist.flows.balancer.rejoining import FlowRejoiner
 from notchhoist.flows.balancer.resetting import FlowResetter
 from notchhoist.flows.balancer.trying import FlowTrier
@@ -247,6 +249,7 @@
 
     def _sweep(self, now: float) -> None:
         self.fleet.sweep(now)
+        self.opener.reach.distances.sweep(now)
         flows = self.board.flows
         idle_s = self.board.table.idle_s if self.board.table else 0.0
         old = [
@@ -303,14 +306,17 @@
     board = BalancerBoard(zone, host, uses=uses)
     early = EarlyPackets()
     resetter = FlowResetter(board, codec)
-    health = HealthKeeper(board, resetter, HostWatch(board), link_mbps)
+    distances = make_distances(zone)
+    reach = FlowReach(board, distances)
+    hosts = HostWatch(board)
+    health = HealthKeeper(board, resetter, hosts, distances, link_mbps)
     fleet = FleetKeeper(board, EraKeeper(board), ZoneKeeper(board))
-    numbers = make_draw(f"numbers of {seed}")
+    draw, numbers = make_draw(seed), make_draw(f"numbers of {seed}")
     sharer = ViewSharer(
         board, fleet, seeds, link_mbps, number=first_number(numbers)
     )
     informer = AgentInformer(board, sharer)
-    questions = make_questions(board, codec, first_number(numbers))
+    questions = make_questions(board, codec, distances, first_number(numbers))
     return BalancerNode(
         board=board,
         codec=codec,
@@ -318,7 +324,7 @@
         resetter=resetter,
         health=health,
         opener=FlowOpener(
-            board, codec, health, resetter, make_draw(seed), early, informer
+            board, codec, health, resetter, draw, early, informer, reach
         ),
         finder=FlowFinder(
             board,
--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -7,6 +7,7 @@
 from notchhoist.base.draws import Draw
 from notchhoist.flows.balancer.health import HealthKeeper
 from notchhoist.flows.balancer.informing import AgentInformer
+from notchhoist.flows.balancer.reaching import FlowReach
 from notchhoist.flows.balancer.resetting import FlowResetter
 from notchhoist.flows.boards.balancer_board import (
     BalancerBoard,
@@ -25,10 +26,6 @@
 from notchhoist.flows.model.wishes import Wish
 from notchhoist.flows.published.states import bound_of
 
-ACCEPT_WAIT_S = 0.06
-"""An agent has this long to tell that its server accepted, seconds: a round
-trip of 3 ms between zones, and an agent that waits 25 ms for its server."""
-
 FLOWS_KEPT = 200_000
 """Placements kept at the most; at 600 bytes each about 120 MB would be too
 much for a host of 128 MB, but 14 million flows over 580 hosts are 24,000."""
@@ -45,6 +42,7 @@
         draw: Random numbers in [0, 1).
         early: Tells whether a caller may have tried before.
         informer: Tells agents what they should know before they get a flow.
+        reach: Reckons with distances.
     """
 
     board: BalancerBoard
@@ -54,6 +52,7 @@
     draw: Draw
     early: EarlyPackets
     informer: AgentInformer
+    reach: FlowReach
 
     def on_opening(self, route: Route, segment: Segment, now: float) -> None:
         """Takes an opening packet or a copy of one."""
@@ -95,10 +94,15 @@
         )
         servers = placing.usable(known, now)
         few = placing.candidates(opening.segment.flow, known, board.zone)
-        near = self._untried(opening, [item for item in servers if item in few])
+        few = [item for item in servers if item in few]
+        costs = self.reach.costs(few)
+        near = self._untried(opening, few)
         if_free = bool(near) and self._asks_if_free(opening)
+        if_free = if_free and not self.reach.waits_near(opening, near, costs)
         choices = (
-            near if if_free else self._found_busy(opening, servers) or near
+            self.reach.first(opening, near, costs, now)
+            if if_free
+            else self._found_busy(opening, servers) or near
         )
         choices = choices or self._untried(opening, servers)
         server = placing.choose(
@@ -108,6 +112,7 @@
             now,
             self.draw,
             board.uses,
+            costs,
         )
         if server is None:
             self._refuse(opening, len(servers), now)
@@ -117,6 +122,7 @@
         self._log_offer(opening, server, len(choices), now)
         opening.tried.append(server.entry.server_id)
         opening.sent_at = now
+        opening.wait_s = self.reach.accept_wait_s(server)
         server.note_offer()
         self.informer.before_offer(server, now)
         self._remember(opening, server, now)
@@ -249,6 +255,9 @@
             return
         if placement.server.entry.host == host:
             placement.accepted = True
+            if opening is not None:
+                distances = self.reach.distances
+                distances.note(placement.server, opening.sent_at, now)
         elif opening is not None:
             server = self.board.by_host.get(host)
             if server is not None:
@@ -286,6 +295,7 @@
         self.board.busy_shares.note(opening.service, busy=True)
         opening.busy.append(placement.server.entry.server_id)
         self._observe(opening, "busy", now)
+        self.reach.distances.note(placement.server, opening.sent_at, now)
         self.offer(opening, now)
         if not opening.if_free:
             counters[Count.FOUND_NONE_FREE] += 1
@@ -302,7 +312,7 @@
         late = [
             opening
             for opening in self.board.openings.values()
-            if now - opening.sent_at >= ACCEPT_WAIT_S
+            if now >= opening.sent_at + opening.wait_s
         ]
         for opening in late:
             placement = self.board.flows.get(opening.segment.flow)
@@ -313,10 +323,10 @@
 
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
-        return (
-            min(
-                (opening.sent_at for opening in self.board.openings.values()),
-                default=float("inf"),
-            )
-            + ACCEPT_WAIT_S
+        return min(
+            (
+                opening.sent_at + opening.wait_s
+                for opening in self.board.openings.values()
+            ),
+            default=float("inf"),
         )
--- a/notchhoist/flows/balancer/questions.py
+++ b/notchhoist/flows/balancer/questions.py
@@ -13,6 +13,7 @@
 
 from msgspec import Struct, field
 
+from notchhoist.flows.balancer.distances import Distances
 from notchhoist.flows.boards.balancer_board import BalancerBoard
 from notchhoist.flows.model.effects import SendPeer
 from notchhoist.flows.model.messages import FlowsAsk
@@ -45,6 +46,7 @@
         repeat_s: When it is repeated, seconds after that.
         asked: Flows whose heads are in the question under way.
         tried: Flows whose samples are.
+        sent: How often the question under way was sent.
     """
 
     heads: dict[bytes, bytes] = field(default_factory=dict)
@@ -54,6 +56,7 @@
     repeat_s: float = REPEAT_S
     asked: list[bytes] = field(default_factory=list)
     tried: list[bytes] = field(default_factory=list)
+    sent: int = 0
 
 
 class Questions(Struct, eq=False):
@@ -62,6 +65,7 @@
     Attributes:
         board: What the balancer knows.
         codec: Codec of the packets.
+        distances: Is told what answers take.
         lines: What is asked, by host and tag of the service.
         by_number: The lines whose questions are under way.
         count: Number of the last question; see ``first_number``.
@@ -69,6 +73,7 @@
 
     board: BalancerBoard
     codec: SegmentCodec
+    distances: Distances
     lines: dict[tuple[str, int], Line] = field(default_factory=dict)
     by_number: dict[int, tuple[str, int]] = field(default_factory=dict)
     count: int = 0
@@ -117,6 +122,7 @@
         if key is None or line is None or key[0] != host:
             return set()
         asked = set(line.asked)
+        self._measure(host, line, now)
         for flow in line.asked:
             line.heads.pop(flow, None)
         for flow in line.tried:
@@ -127,6 +133,12 @@
             self._send(*key, line, now)
         return asked
 
+    def _measure(self, host: str, line: Line, now: float) -> None:
+        """Takes the time of a question that was sent once."""
+        server = self.board.by_host.get(host)
+        if server is not None and line.sent == 1:
+            self.distances.note(server, line.sent_at, now)
+
     def _free(self, line: Line) -> None:
         self.by_number.pop(line.number, None)
         line.number = 0
@@ -189,6 +201,7 @@
             line.tried.append(flow)
         self.count += 1
         line.number = self.count
+        line.sent = 0
         self.by_number[line.number] = (host, tag)
         self._emit(host, tag, line, now)
 
@@ -205,6 +218,7 @@
 
     def _emit(self, host: str, tag: int, line: Line, now: float) -> None:
         line.sent_at = now
+        line.sent += 1
         question = FlowsAsk(
             number=line.number,
             tag=tag,
@@ -216,13 +230,17 @@
 
 
 def make_questions(
-    board: BalancerBoard, codec: SegmentCodec, count: int = 0
+    board: BalancerBoard,
+    codec: SegmentCodec,
+    distances: Distances,
+    count: int = 0,
 ) -> Questions:
     """Makes a balancer's questions; nothing is asked yet.
 
     Args:
         board: What the balancer knows.
         codec: Codec of the packets.
+        distances: Is told what answers take.
         count: Where their numbers begin.
     """
-    return Questions(board, codec, count=count)
+    return Questions(board, codec, distances, count=count)
--- a/notchhoist/flows/balancer/tests/test_attempts.py
+++ b/notchhoist/flows/balancer/tests/test_attempts.py
@@ -2,8 +2,8 @@
 
 from msgspec.structs import replace
 
-from notchhoist.flows.balancer.opening import ACCEPT_WAIT_S
 from notchhoist.flows.decisions.attempts import FULL_ATTEMPTS, MOST_ATTEMPTS
+from notchhoist.flows.decisions.reaching import ACCEPT_WAIT_S
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.fleet import ColdBound, RequestKind
 from notchhoist.flows.model.mechanisms import ALL
--- /dev/null
+++ b/notchhoist/flows/balancer/tests/test_distances.py
@@ -0,0 +1,139 @@
+"""Round trips are measured from words that pass anyway."""
+
+import pytest
+
+from notchhoist.flows.balancer.distances import (
+    KEPT_S,
+    LEAST_SAMPLES,
+    LONGEST_S,
+    USUAL_ROUND_TRIP_S,
+    WINDOW_S,
+    make_distances,
+)
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.fleet import Server
+from notchhoist.flows.model.messages import FlowsTell, LoadTell
+from notchhoist.flows.model.notes import Load, NoteKind
+from notchhoist.flows.tests.balancing import balancer, open_flow, packets
+from notchhoist.flows.tests.crafting import SYN, entry, request, with_note
+
+NEAR = Server(entry(1, "a"), 0, 0.0)
+FAR = Server(entry(2, "b"), 0, 0.0)
+
+
+def measured(far_s=0.01, near_s=0.0004, count=LEAST_SAMPLES, now=100.0):
+    distances = make_distances("a")
+    for number in range(count):
+        at = now + number / 100
+        distances.note(NEAR, at - near_s, at)
+        distances.note(FAR, at - far_s, at)
+    return distances
+
+
+def trips(node):
+    """Returns how many answers a balancer has timed."""
+    by_zone = node.opener.reach.distances.by_zone
+    return sum(item.window.count for item in by_zone.values())
+
+
+def test_it_is_unknown_at_first():
+    distances = make_distances("a")
+    assert distances.round_trip_s(FAR) == USUAL_ROUND_TRIP_S
+    assert distances.extra_s("b") == 0.0
+
+
+def test_a_few_answers_are_not_believed():
+    distances = measured(count=LEAST_SAMPLES - 1)
+    assert distances.round_trip_s(FAR) == USUAL_ROUND_TRIP_S
+
+
+def test_servers_of_a_zone_are_equally_far():
+    distances = measured()
+    other = Server(entry(9, "b"), 0, 0.0)
+    assert distances.round_trip_s(other) == pytest.approx(0.01)
+    assert distances.extra_s("b") == pytest.approx(0.0096)
+    assert distances.extra_s("a") == 0.0
+
+
+def test_queues_on_busy_hosts_do_not_pass_for_distance():
+    distances = measured()
+    for number in range(200):
+        at = 101.0 + number / 100
+        distances.note(FAR, at - (0.08 if number % 10 else 0.011), at)
+    assert distances.round_trip_s(FAR) < 0.012
+
+
+def test_one_answer_that_seems_too_quick_does_not_shorten_it():
+    distances = measured()
+    distances.note(FAR, 101.0, 101.0001)
+    assert distances.round_trip_s(FAR) == pytest.approx(0.01)
+
+
+@pytest.mark.parametrize("trip_s", [0.0, -0.5, 2 * LONGEST_S])
+def test_a_clock_that_stood_still_measures_nothing(trip_s):
+    distances = measured()
+    for _ in range(LEAST_SAMPLES):
+        distances.note(FAR, 102.0 - trip_s, 102.0)
+    assert distances.round_trip_s(FAR) == pytest.approx(0.01)
+
+
+def test_a_way_that_becomes_longer_is_noticed_after_two_windows():
+    distances = measured(now=100.0)
+    for number in range(300):
+        at = 100.5 + number / 10
+        distances.note(FAR, at - 0.03, at)
+        if at < 100.0 + WINDOW_S:
+            assert distances.round_trip_s(FAR) == pytest.approx(0.01)
+    assert distances.round_trip_s(FAR) == pytest.approx(0.03)
+
+
+def test_a_zone_that_is_silent_keeps_its_measure_for_a_while():
+    distances = measured(now=100.0)
+    distances.sweep(100.0 + KEPT_S)
+    assert distances.extra_s("b") > 0
+    distances.sweep(101.0 + KEPT_S)
+    assert distances.extra_s("b") == 0.0
+
+
+def test_an_offer_that_comes_back_is_timed_once():
+    node = balancer()
+    syn = request(flags=SYN)
+    [(host, _)] = packets(node.on_caller(syn, 0.0))
+    word = with_note(syn, notes.to_balancer(NoteKind.BUSY, Load(1, 1)))
+    node.on_agent(host, word, 0.002)
+    assert trips(node) == 1
+    node.on_agent(host, word, 0.003)
+    assert trips(node) == 1
+
+
+def test_a_probe_without_an_answer_spoils_the_next():
+    node = balancer()
+    host = open_flow(node, 0.0)
+    before = trips(node)
+    server = node.board.by_host[host]
+    node.health.suspect(server, 1.0, "no acceptance")
+    node.tick(1.2)
+    node.on_peer(host, LoadTell(1, 0, 0, False), 1.201)
+    assert trips(node) == before
+    node.on_peer(host, LoadTell(1, 0, 0, False), 1.202)
+    assert trips(node) == before
+
+
+def test_an_agent_that_announces_its_end_is_not_timed():
+    node = balancer()
+    host = open_flow(node, 0.0)
+    before = trips(node)
+    node.health.suspect(node.board.by_host[host], 1.0, "no acceptance")
+    node.on_peer(host, LoadTell(1, 0, 0, True), 1.0001)
+    assert trips(node) == before
+
+
+@pytest.mark.parametrize("repeated, timed", [(False, 1), (True, 0)])
+def test_a_question_that_was_repeated_is_not_timed(repeated, timed):
+    node = balancer(servers=1)
+    node.on_caller(request(), 0.0)
+    [(key, line)] = node.finder.questions.lines.items()
+    if repeated:
+        node.tick(0.11)
+    node.on_peer(key[0], FlowsTell(line.number), 0.112)
+    assert trips(node) == timed
--- /dev/null
+++ b/notchhoist/flows/balancer/tests/test_reaching.py
@@ -0,0 +1,168 @@
+"""New flows go to near servers first where zones are far apart."""
+
+import pytest
+
+from notchhoist.flows.balancer.distances import LEAST_SAMPLES
+from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.fleet import RequestKind
+from notchhoist.flows.model.mechanisms import ALL
+from notchhoist.flows.model.notes import Load, NoteKind
+from notchhoist.flows.tests import crafting
+from notchhoist.flows.tests.balancing import packets, resets
+from notchhoist.flows.tests.crafting import SYN, entry, request, with_note
+
+ZONES = {"a": 4, "b": 4, "c": 4}
+ONCE = RequestKind.ONCE_ONLY
+
+
+def balancer(far_s=0.0098, pace_ms=15, kind=ONCE, zones=ZONES, uses=ALL):
+    """Makes a balancer of zone a that has measured its distances."""
+    node = make_balancer("a", crafting.CODEC, "seed", uses=uses)
+    node.fleet.on_table(crafting.table(routes=[crafting.route(kind)]), 1)
+    names = [zone for zone, count in zones.items() for _ in range(count)]
+    entries = [
+        (entry(number, zone, slots=1), 1)
+        for number, zone in enumerate(names, 1)
+    ]
+    node.fleet.on_listing(entries, 1, 0.0)
+    for server in node.board.servers.values():
+        server.pace_ms = pace_ms
+        server.heard_at = 0.0
+        trip_s = 0.0004 if server.entry.zone == "a" else far_s
+        for _ in range(LEAST_SAMPLES):
+            node.opener.reach.distances.note(server, 0.0, trip_s)
+    return node
+
+
+def zone_of(node, host):
+    return node.board.by_host[host].entry.zone
+
+
+def answer(node, syn, host, kind, running, now):
+    pace_ms = node.board.by_host[host].pace_ms
+    word = notes.to_balancer(kind, Load(running, running, pace_ms))
+    return node.on_agent(host, with_note(syn, word), now)
+
+
+def attempts(node, running=1, port=40001, is_busy=lambda _: True):
+    """Opens a flow; returns the zones asked, and how it was offered last."""
+    syn = request(flags=SYN, port=port)
+    effects = node.on_caller(syn, 1.0)
+    zones = []
+    while True:
+        [(host, sent)] = packets(effects)
+        zones.append(zone_of(node, host))
+        kind = notes.kind_of(sent.note)
+        if kind is not NoteKind.PLACE_IF_FREE or not is_busy(host):
+            answer(node, syn, host, NoteKind.TAKEN, running, 1.1)
+            return zones, kind
+        effects = answer(node, syn, host, NoteKind.BUSY, running, 1.001)
+
+
+def test_near_servers_are_asked_first():
+    zones, kind = attempts(balancer(), running=9)
+    assert zones[:4] == ["a"] * 4
+    assert set(zones[4:6]) <= {"b", "c"}
+    assert kind is NoteKind.PLACE
+
+
+def test_a_short_wait_near_is_better_than_the_way():
+    assert attempts(balancer(), running=1) == (["a"] * 5, NoteKind.PLACE)
+
+
+def test_a_long_wait_near_is_worth_the_way():
+    node = balancer()
+    zones, kind = attempts(
+        node, running=3, is_busy=lambda host: zone_of(node, host) == "a"
+    )
+    assert len(zones) == 5
+    assert zones[-1] != "a"
+    assert kind is NoteKind.PLACE_IF_FREE
+
+
+def test_a_flow_of_many_requests_waits_longer_to_stay_near():
+    node = balancer(kind=RequestKind.IDEMPOTENT)
+    for server in node.board.servers.values():
+        server.flows = 10
+    assert attempts(node, running=4)[0] == ["a"] * 5
+
+
+def test_near_servers_that_fail_are_no_place_to_wait():
+    """They hand flows back though nothing runs there."""
+    zones, _ = attempts(balancer(), running=0)
+    assert set(zones[:6]) > {"a"}
+
+
+def test_near_servers_that_are_slow_are_not_asked_first():
+    node = balancer()
+    for server in node.board.servers.values():
+        if server.entry.zone == "a" and server.entry.host != "10.0.0.1":
+            server.pace_ms = 90
+    zones, _ = attempts(node, is_busy=lambda host: host == "10.0.0.1")
+    assert zones[0] == "a"
+    assert zones[1] != "a"
+
+
+def test_where_hardly_any_slot_is_free_words_decide():
+    """A zone that is overrun must be able to hand flows over."""
+    node = balancer()
+    for _ in range(300):
+        node.board.busy_shares.note(crafting.SERVICE, busy=True)
+    for server in node.board.servers.values():
+        server.running = 12 if server.entry.zone == "a" else 1
+    assert attempts(node)[0][0] != "a"
+
+
+def test_without_a_near_server_others_are_asked():
+    zones, _ = attempts(balancer(zones={"b": 4, "c": 4}))
+    assert set(zones) <= {"b", "c"}
+
+
+@pytest.mark.parametrize("kind", [ONCE, RequestKind.IDEMPOTENT])
+def test_short_distances_change_no_decision(kind):
+    """The same servers in the same order, flow for flow."""
+    played = []
+    for uses in (ALL, ALL.without(["distances"])):
+        node = balancer(far_s=0.0034, pace_ms=50, kind=kind, uses=uses)
+        played.append(
+            [
+                attempts(
+                    node, 1 + port % 3, port, lambda host: host > "10.0.0.3"
+                )
+                for port in range(40001, 40201)
+            ]
+        )
+    assert played[0] == played[1]
+
+
+def test_a_balancer_that_has_just_started_decides_as_before():
+    played = []
+    for uses in (ALL, ALL.without(["distances"])):
+        node = balancer(uses=uses)
+        node.opener.reach.distances.by_zone.clear()
+        played.append([attempts(node, 1, port) for port in (40001, 40002)])
+    assert played[0] == played[1]
+
+
+def test_an_agent_that_cannot_be_heard_costs_one_wait():
+    """A cut one way: offers arrive and their answers do not."""
+    node = balancer()
+    syn = request(flags=SYN)
+    [(first, _)] = packets(node.on_caller(syn, 1.0))
+    assert not packets(node.tick(1.059))
+    [(second, _)] = packets(node.tick(1.061))
+    assert second != first
+    assert zone_of(node, second) == "a"
+
+
+def test_a_very_far_agent_is_waited_for():
+    node = balancer(far_s=0.08, zones={"a": 1, "b": 4})
+    syn = request(flags=SYN)
+    [(near, _)] = packets(node.on_caller(syn, 1.0))
+    [(far, _)] = packets(answer(node, syn, near, NoteKind.BUSY, 50, 1.001))
+    assert zone_of(node, far) == "b"
+    assert not packets(node.tick(1.07))
+    answer(node, syn, far, NoteKind.TAKEN, 1, 1.081)
+    assert not resets(node.tick(1.3))
+    assert node.board.flows[syn.flow].accepted
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from notchhoist.flows.decisions.attempts import BusyShares
+from notchhoist.flows.decisions.reaching import ACCEPT_WAIT_S
 from notchhoist.flows.model.effects import Effect
 from notchhoist.flows.model.fleet import Route, RouteTable, Server
 from notchhoist.flows.model.mechanisms import ALL, Mechanisms
@@ -43,6 +44,7 @@
         service: Its service.
         route: Its route.
         sent_at: When it was last offered, seconds.
+        wait_s: How long that offer may go unanswered, seconds.
         tried: Ids of the servers that it was offered to.
         busy: Ids of those of them that had no free slot for it.
         if_free: It was last offered on the condition that a slot is free.
@@ -56,6 +58,7 @@
     sent_at: float
     tried: list[str]
     busy: list[str] = field(default_factory=list)
+    wait_s: float = ACCEPT_WAIT_S
     if_free: bool = False
     may_be_retry: bool = False
 
--- a/notchhoist/flows/decisions/__init__.py
+++ b/notchhoist/flows/decisions/__init__.py
@@ -3,6 +3,7 @@
 Nothing here sends anything or reads a clock. From the top down:
 
 * ``splitting``: which service of a route gets a new flow.
+* ``reaching``: what it is worth to stay in the own zone.
 * ``placing``: pure functions that choose a backend server.
 * ``attempts``: how many servers are asked for a free slot.
 * ``failing``: how well a backend server answers, by the times of its answers.
--- a/notchhoist/flows/decisions/placing.py
+++ b/notchhoist/flows/decisions/placing.py
@@ -1,9 +1,10 @@
 """Which backend server gets a new flow; pure functions."""
 
 import zlib
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from notchhoist.base.draws import Draw
+from notchhoist.flows.decisions.reaching import USUAL_COSTS, FarCosts
 from notchhoist.flows.model.fleet import RequestKind, Server
 from notchhoist.flows.model.mechanisms import ALL, Mechanisms
 
@@ -20,17 +21,9 @@
 Service times of equal servers differ by less than that with the spread of
 0.5 that the workloads have and the smoothing of the agents."""
 
-FAR_FLOWS = 0.25
-"""How much fuller than the mean a server of the own zone may be before one of
-another zone is taken, as a share of the mean of open flows."""
-
-FAR_WAIT = 0.5
-"""The same for requests: share of a service time that the own zone is worth,
-about two crossings of 1.5 ms in 50 ms of work and the price of the bytes."""
-
 UPLOAD_FAR_WAIT = 20.0
-"""The same for an upload: its 40 KB cross between zones, where its work takes
-6 ms of an objective of 500 ms."""
+"""What the own zone is worth to an upload, in service times: its 40 KB cross
+between zones, where its work takes 6 ms of an objective of 500 ms."""
 
 WELL_SHARE = 0.5
 """A warm server that counts for less than this share of its slots is slow or
@@ -40,10 +33,7 @@
 """How much open flows count beside running requests for short flows: they
 foretell requests that have not arrived."""
 
-FAR_WAITS = {
-    RequestKind.ONCE_ONLY: FAR_WAIT,
-    RequestKind.UPLOAD: UPLOAD_FAR_WAIT,
-}
+NO_COSTS: Mapping[str, FarCosts] = {}
 
 LAPSED_S = 2.2
 """How long a server whose entry vanished may still be used, seconds: one that
@@ -145,6 +135,7 @@
     now: float,
     draw: Draw,
     uses: Mechanisms = ALL,
+    costs: Mapping[str, FarCosts] = NO_COSTS,
 ) -> Server | None:
     """Returns the server for a new flow, or None where there is none.
 
@@ -159,6 +150,7 @@
         now: Runtime clock, seconds.
         draw: Random numbers in [0, 1), for ties.
         uses: Which mechanisms are in use.
+        costs: What servers must be better by for their distance, by zone.
     """
     if not servers:
         return None
@@ -174,24 +166,30 @@
     best = None
     best_score = float("inf")
     for server, size in zip(servers, sizes, strict=True):
-        far = server.entry.zone != zone or _is_unwell(server, size, now)
-        far = far and uses.zone
+        far = server.entry.zone != zone or is_unwell(server, size, now)
+        cost = costs.get(server.entry.zone, USUAL_COSTS)
         if kind is RequestKind.IDEMPOTENT:
-            score = _fullness(server, size, mean, far)
+            score = (server.flows + 1) / size
+            extra = cost.flows * max(mean, cost.is_long)
         else:
-            far_wait = FAR_WAITS[kind] if far else 0.0
-            score = _wait(server, size, mean) + far_wait
+            score = _wait(server, size, mean)
+            upload = kind is RequestKind.UPLOAD
+            extra = UPLOAD_FAR_WAIT if upload else cost.wait
+        score += extra if far and uses.zone else 0.0
         score += draw() * 1e-6
         if score < best_score:
             best, best_score = server, score
     return best
 
 
-def _fullness(server: Server, size: float, mean: float, far: bool) -> float:
-    return (server.flows + 1) / size + (FAR_FLOWS * mean if far else 0.0)
-
+def is_unwell(server: Server, size: float, now: float) -> bool:
+    """Tells whether a server is so slow that nearness does not speak for it.
 
-def _is_unwell(server: Server, size: float, now: float) -> bool:
+    Args:
+        server: The server.
+        size: Requests that it works on at once; see ``capacity``.
+        now: Runtime clock, seconds.
+    """
     return now >= server.warm_at and size < WELL_SHARE * server.entry.slots
 
 
