Distances: long flows stay near; nothing is opened in vain by agents' looks

(2) 4,809 connections at servers for 3,903 flows. Ruled out for (2), by logs of each opening packet handed to a server: second offers (3,903 flows at one server each, 3,906 packets). The other 906 were looks of agents whether their server listens, 727 of them for packets of 1,200 bytes: the first packet of a request, overtaken by its second, passed for a copy. A copy is what comes 0.1 s after the newest part or later. A copy of an opening is not offered elsewhere while the last offer may be answered; a caller that goes on shows that the only server asked has accepted; accepted_in_vain counts second acceptances.

--- a/notchhoist/flows/agent/handover.py
+++ b/notchhoist/flows/agent/handover.py
@@ -94,7 +94,7 @@
             held.phase = Phase.OPEN
             held.since = now
             held.opening = None
-        if segment.size and not held.is_new(segment):
+        if segment.size and held.is_copy(segment, now):
             # A copy: the backend server may not have had the first one.
             self.watch.check_soon(now)
         if segment.resets:
--- a/notchhoist/flows/agent/tests/test_agent.py
+++ b/notchhoist/flows/agent/tests/test_agent.py
@@ -59,6 +59,36 @@
     assert any(isinstance(item, CheckBackend) for item in effects)
 
 
+def looks(effects):
+    return any(isinstance(item, CheckBackend) for item in effects)
+
+
+def begin_request(node):
+    """Opens a flow whose second packet overtakes the first of its request."""
+    accept(node, 1)
+    first = request(seq=1, data=b"x" * 1200, port=1, ack=SERVER_SEQ + 1)
+    second = request(seq=1201, data=b"y" * 300, port=1, ack=SERVER_SEQ + 1)
+    send(node, second, NoteKind.HELD, START + 0.01)
+    return first
+
+
+def test_a_packet_that_was_overtaken_is_no_copy():
+    """The agent tried to connect to its server, one in seven requests."""
+    node = agent()
+    first = begin_request(node)
+    effects = send(node, first, NoteKind.HELD, START + 0.011)
+    assert to_backend(effects)
+    assert not looks(node.tick(START + 0.02))
+
+
+def test_a_copy_shows_that_the_server_may_have_ended():
+    node = agent()
+    first = begin_request(node)
+    send(node, first, NoteKind.HELD, START + 0.011)
+    send(node, first, NoteKind.HELD, START + 0.211)
+    assert looks(node.tick(START + 0.22))
+
+
 def test_an_unknown_flow_is_given_back_by_an_agent_that_knows_all():
     effects = send(agent(), request(data=b"x"), NoteKind.HELD)
     assert to_balancer(effects) == [NoteKind.RETURNED]
--- a/notchhoist/flows/balancer/distances.py
+++ b/notchhoist/flows/balancer/distances.py
@@ -25,6 +25,12 @@
 """Answers of a zone before its distance counts as known. A process that has
 just started reads its first answers late."""
 
+AGREES = 1.5
+AGREES_S = 0.001
+"""The two quickest answers agree if the second took no more than this many
+times as long, and this much, seconds. Waits in links and processes differ from
+one answer to the next; a distance does not."""
+
 LONGEST_S = 1.0
 """Answers that took longer tell of a stall, not of a distance, seconds."""
 
@@ -83,8 +89,21 @@
             self.began_at = now
         self.window.add(trip_s)
         self.measured_at = now
-        if self.window.count + self.before.count >= LEAST_SAMPLES:
-            self.trip_s = min(self.window.second_s, self.before.second_s)
+        self._settle()
+
+    def _settle(self) -> None:
+        """Takes the second least answer, if there are enough that agree."""
+        if self.window.count + self.before.count < LEAST_SAMPLES:
+            return
+        low, high = sorted((self.window, self.before), key=_least)
+        least_s = low.least_s
+        second_s = min(low.second_s, high.least_s)
+        if second_s <= AGREES * least_s + AGREES_S:
+            self.trip_s = second_s
+
+
+def _least(window: Window) -> float:
+    return window.least_s
 
 
 class Distances(Struct, eq=False):
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -12,9 +12,8 @@
 from notchhoist.flows.balancer.informing import AgentInformer
 from notchhoist.flows.balancer.isolation import IsolationKeeper
 from notchhoist.flows.balancer.liveness import HostWatch
-from notchhoist.flows.balancer.opening import FlowOpener
+from notchhoist.flows.balancer.opening import FlowOpener, make_opener
 from notchhoist.flows.balancer.questions import make_questions
-from notchhoist.flows.balancer.reaching import FlowReach
 from notchhoist.flows.balancer.rejoining import FlowRejoiner
 from notchhoist.flows.balancer.resetting import FlowResetter
 from notchhoist.flows.balancer.trying import FlowTrier
@@ -143,6 +142,8 @@
             service = pick_target(segment.flow, route.targets)
             self.finder.on_unknown(service, segment, now)
             return
+        if not placement.accepted:
+            self.opener.outcomes.on_chosen(segment, now)
         self.board.flows.move_to_end(segment.flow)
         server = placement.server
         if segment.size and segment.repeats(placement.last):
@@ -183,7 +184,7 @@
         self._note_life(host, now)
         match kind:
             case NoteKind.TAKEN:
-                self.opener.on_accepted(host, segment, now)
+                self.opener.outcomes.on_accepted(host, segment, now)
             case NoteKind.FULL:
                 self.opener.on_full(host, segment, now)
             case NoteKind.BUSY:
@@ -249,7 +250,7 @@
 
     def _sweep(self, now: float) -> None:
         self.fleet.sweep(now)
-        self.opener.reach.distances.sweep(now)
+        self.health.distances.sweep(now)
         flows = self.board.flows
         idle_s = self.board.table.idle_s if self.board.table else 0.0
         old = [
@@ -307,7 +308,6 @@
     early = EarlyPackets()
     resetter = FlowResetter(board, codec)
     distances = make_distances(zone)
-    reach = FlowReach(board, distances)
     hosts = HostWatch(board)
     health = HealthKeeper(board, resetter, hosts, distances, link_mbps)
     fleet = FleetKeeper(board, EraKeeper(board), ZoneKeeper(board))
@@ -323,8 +323,8 @@
         fleet=fleet,
         resetter=resetter,
         health=health,
-        opener=FlowOpener(
-            board, codec, health, resetter, draw, early, informer, reach
+        opener=make_opener(
+            board, codec, health, resetter, draw, early, informer
         ),
         finder=FlowFinder(
             board,
--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from notchhoist.base.draws import Draw
+from notchhoist.flows.balancer.accepting import OfferOutcomes
 from notchhoist.flows.balancer.health import HealthKeeper
 from notchhoist.flows.balancer.informing import AgentInformer
 from notchhoist.flows.balancer.reaching import FlowReach
@@ -21,7 +22,7 @@
 from notchhoist.flows.model.effects import SendAgent
 from notchhoist.flows.model.fleet import RequestKind, Route, Server
 from notchhoist.flows.model.notes import NoteKind
-from notchhoist.flows.model.records import Count, Timing
+from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.segments import Segment, SegmentCodec
 from notchhoist.flows.model.wishes import Wish
 from notchhoist.flows.published.states import bound_of
@@ -43,6 +44,7 @@
         early: Tells whether a caller may have tried before.
         informer: Tells agents what they should know before they get a flow.
         reach: Reckons with distances.
+        outcomes: Takes account of what becomes of offers.
     """
 
     board: BalancerBoard
@@ -53,6 +55,7 @@
     early: EarlyPackets
     informer: AgentInformer
     reach: FlowReach
+    outcomes: OfferOutcomes
 
     def on_opening(self, route: Route, segment: Segment, now: float) -> None:
         """Takes an opening packet or a copy of one."""
@@ -67,8 +70,16 @@
         if opening is None:
             opening = self._begin(route, segment, now)
             self.board.openings[flow] = opening
+        elif self._is_awaited(opening, now):
+            # A second server would open the flow too, and one in vain.
+            return
         self.offer(opening, now)
 
+    def _is_awaited(self, opening: Opening, now: float) -> bool:
+        """Tells whether an agent may still answer the last offer of a flow."""
+        waits = now < opening.sent_at + opening.wait_s
+        return self.board.uses.distances and waits
+
     def _begin(self, route: Route, segment: Segment, now: float) -> Opening:
         since = now - segment.waited_s
         return Opening(
@@ -117,7 +128,7 @@
         if server is None:
             self._refuse(opening, len(servers), now)
             return
-        self._end_offer(opening)
+        self.outcomes.end_offer(opening)
         opening.if_free = if_free and bound_of(board, server).per_s == 0
         self._log_offer(opening, server, len(choices), now)
         opening.tried.append(server.entry.server_id)
@@ -171,13 +182,6 @@
         busy = opening.busy
         return [item for item in servers if item.entry.server_id in busy]
 
-    def _end_offer(self, opening: Opening) -> None:
-        if not opening.tried:
-            return
-        server = self.board.servers.get(opening.tried[-1])
-        if server is not None:
-            server.note_offer_ended()
-
     def _untried(
         self, opening: Opening, servers: Sequence[Server]
     ) -> list[Server]:
@@ -219,7 +223,7 @@
         """Gives a flow up at once: nothing has run, the caller may retry."""
         board = self.board
         flow = opening.segment.flow
-        self._end_offer(opening)
+        self.outcomes.end_offer(opening)
         board.openings.pop(flow, None)
         board.flows.pop(flow, None)
         if self.health.hears_nobody(now):
@@ -242,40 +246,13 @@
             tried=len(opening.tried),
         )
 
-    def on_accepted(self, host: str, segment: Segment, now: float) -> None:
-        """Takes word that a backend server accepted a flow."""
-        opening = self.board.openings.pop(segment.flow, None)
-        if opening is not None:
-            self._end_offer(opening)
-            self._observe(opening, "accepted", now)
-            if opening.if_free:
-                self.board.busy_shares.note(opening.service, busy=False)
-        placement = self.board.flows.get(segment.flow)
-        if placement is None:
-            return
-        if placement.server.entry.host == host:
-            placement.accepted = True
-            if opening is not None:
-                distances = self.reach.distances
-                distances.note(placement.server, opening.sent_at, now)
-        elif opening is not None:
-            server = self.board.by_host.get(host)
-            if server is not None:
-                placement.server = server
-                placement.accepted = True
-
-    def _observe(self, opening: Opening, outcome: str, now: float) -> None:
-        self.board.records.observe(
-            Timing.OPENING, opening.service, outcome, now - opening.sent_at
-        )
-
     def on_refused(self, host: str, segment: Segment, now: float) -> None:
         """Takes a flow back that a backend server did not take."""
         opening = self.board.openings.get(segment.flow)
         placement = self.board.flows.get(segment.flow)
         here = placement is None or placement.server.entry.host == host
         if opening is not None and here:
-            self._observe(opening, "refused", now)
+            self.outcomes.observe(opening, "refused", now)
             self.offer(opening, now)
         elif placement is not None and here:
             # It was accepted, but never got a slot; nothing has run.
@@ -294,8 +271,8 @@
         counters[Count.FOUND_BUSY] += 1
         self.board.busy_shares.note(opening.service, busy=True)
         opening.busy.append(placement.server.entry.server_id)
-        self._observe(opening, "busy", now)
-        self.reach.distances.note(placement.server, opening.sent_at, now)
+        self.outcomes.observe(opening, "busy", now)
+        self.outcomes.time(host, segment.flow, now)
         self.offer(opening, now)
         if not opening.if_free:
             counters[Count.FOUND_NONE_FREE] += 1
@@ -318,7 +295,7 @@
             placement = self.board.flows.get(opening.segment.flow)
             if placement is not None:
                 self.health.suspect(placement.server, now, "no acceptance")
-            self._observe(opening, "silent", now)
+            self.outcomes.observe(opening, "silent", now)
             self.offer(opening, now)
 
     def due(self) -> float:
@@ -330,3 +307,36 @@
             ),
             default=float("inf"),
         )
+
+
+def make_opener(
+    board: BalancerBoard,
+    codec: SegmentCodec,
+    health: HealthKeeper,
+    resetter: FlowResetter,
+    draw: Draw,
+    early: EarlyPackets,
+    informer: AgentInformer,
+) -> FlowOpener:
+    """Makes what places a balancer's new flows.
+
+    Args:
+        board: What the balancer knows.
+        codec: Codec of the packets.
+        health: Watches over the agents.
+        resetter: Ends flows.
+        draw: Random numbers in [0, 1).
+        early: Tells whether a caller may have tried before.
+        informer: Tells agents what they should know before they get a flow.
+    """
+    return FlowOpener(
+        board=board,
+        codec=codec,
+        health=health,
+        resetter=resetter,
+        draw=draw,
+        early=early,
+        informer=informer,
+        reach=FlowReach(board, health.distances),
+        outcomes=OfferOutcomes(board, health.distances),
+    )
--- a/notchhoist/flows/balancer/reaching.py
+++ b/notchhoist/flows/balancer/reaching.py
@@ -34,6 +34,8 @@
         if not servers or not self._is_used():
             return {}
         pace_s = _pace_s(servers)
+        if not pace_s:
+            return {}
         sizes = [max(1, server.entry.slots) for server in servers]
         busy = sum(server.running for server in servers) / sum(sizes)
         zones = {server.entry.zone for server in servers}
@@ -130,5 +132,7 @@
 
 
 def _pace_s(servers: Sequence[Server]) -> float:
+    """Returns the service time, seconds; 0 while few servers have told it."""
     paces = [server.pace_ms for server in servers if server.pace_ms]
-    return placing.median(paces) / 1000
+    known = 2 * len(paces) >= len(servers)
+    return placing.median(paces) / 1000 if known else 0.0
--- a/notchhoist/flows/balancer/tests/test_distances.py
+++ b/notchhoist/flows/balancer/tests/test_distances.py
@@ -32,7 +32,7 @@
 
 def trips(node):
     """Returns how many answers a balancer has timed."""
-    by_zone = node.opener.reach.distances.by_zone
+    by_zone = node.health.distances.by_zone
     return sum(item.window.count for item in by_zone.values())
 
 
--- a/notchhoist/flows/balancer/tests/test_reaching.py
+++ b/notchhoist/flows/balancer/tests/test_reaching.py
@@ -31,7 +31,7 @@
         server.heard_at = 0.0
         trip_s = 0.0004 if server.entry.zone == "a" else far_s
         for _ in range(LEAST_SAMPLES):
-            node.opener.reach.distances.note(server, 0.0, trip_s)
+            node.health.distances.note(server, 0.0, trip_s)
     return node
 
 
@@ -140,7 +140,7 @@
     played = []
     for uses in (ALL, ALL.without(["distances"])):
         node = balancer(uses=uses)
-        node.opener.reach.distances.by_zone.clear()
+        node.health.distances.by_zone.clear()
         played.append([attempts(node, 1, port) for port in (40001, 40002)])
     assert played[0] == played[1]
 
--- a/notchhoist/flows/decisions/placing.py
+++ b/notchhoist/flows/decisions/placing.py
@@ -33,6 +33,8 @@
 """How much open flows count beside running requests for short flows: they
 foretell requests that have not arrived."""
 
+NEVER = float("-inf")
+
 NO_COSTS: Mapping[str, FarCosts] = {}
 
 LAPSED_S = 2.2
@@ -163,13 +165,16 @@
         median_ms = 0.0
     sizes = [capacity(server, median_ms) for server in servers]
     mean = sum(server.flows for server in servers) / sum(sizes)
+    usual = _usual_flows(servers)
     best = None
     best_score = float("inf")
     for server, size in zip(servers, sizes, strict=True):
         far = server.entry.zone != zone or is_unwell(server, size, now)
         cost = costs.get(server.entry.zone, USUAL_COSTS)
         if kind is RequestKind.IDEMPOTENT:
-            score = (server.flows + 1) / size
+            unheard = cost.is_long and server.heard_at == NEVER
+            flows = max(server.flows, usual) if unheard else server.flows
+            score = (flows + 1) / size
             extra = cost.flows * max(mean, cost.is_long)
         else:
             score = _wait(server, size, mean)
@@ -182,6 +187,12 @@
     return best
 
 
+def _usual_flows(servers: Sequence[Server]) -> float:
+    """Returns the mean of open flows at servers that were heard, or 0."""
+    heard = [item.flows for item in servers if item.heard_at > NEVER]
+    return sum(heard) / len(heard) if heard else 0.0
+
+
 def is_unwell(server: Server, size: float, now: float) -> bool:
     """Tells whether a server is so slow that nearness does not speak for it.
 
--- a/notchhoist/flows/decisions/reaching.py
+++ b/notchhoist/flows/decisions/reaching.py
@@ -16,7 +16,7 @@
 """The same for requests: share of a service time that the own zone is worth,
 about two crossings of 1.5 ms in 50 ms of work and the price of the bytes."""
 
-SHORT_SHARE = 0.2
+SHORT_SHARE = 0.25
 """A round trip of at most this share of a service time is short: hardly any
 caller notices it."""
 
--- a/notchhoist/flows/model/held.py
+++ b/notchhoist/flows/model/held.py
@@ -24,6 +24,10 @@
 """How long a closed flow is kept for stray copies, seconds; above the longest
 pause between two copies, 1.6 s."""
 
+COPY_AFTER_S = 0.1
+"""Ends send data again after 0.2 s and more. What was seen before by its number
+and comes sooner was overtaken by the packet behind it, seconds."""
+
 STUCK_S = 1.5
 """A request that got no answer for so long, and for ``STUCK_PACES`` service
 times, no longer counts as holding a slot. Work takes up to six times the mean;
@@ -142,6 +146,16 @@
         end = segment.seq + segment.size
         return self.request_end is None or is_after(end, self.request_end)
 
+    def is_copy(self, segment: Segment, now: float) -> bool:
+        """Tells whether a caller sends data again.
+
+        Args:
+            segment: A packet with data.
+            now: Runtime clock, seconds.
+        """
+        overtaken = now - self.request_at < COPY_AFTER_S
+        return not overtaken and not self.is_new(segment)
+
     def note_request(self, segment: Segment, now: float) -> None:
         """Takes account of data from the caller that is new."""
         self.request_end = (segment.seq + segment.size) % SEQUENCE_MODULUS
--- a/notchhoist/flows/model/records.py
+++ b/notchhoist/flows/model/records.py
@@ -45,6 +45,7 @@
     FOUND_BUSY = "found_busy"
     FOUND_NONE_FREE = "found_none_free"
     REFUSED = "refused"
+    ACCEPTED_IN_VAIN = "accepted_in_vain"
     FINDS = "finds"
     FOUND = "found"
     FOUND_NOWHERE = "found_nowhere"
