Distances: shown to operators; how busy a service is by what attempts meet

Ruled out: the smoothed share of attempts (0 at first, so every start would look idle); the first answers now count as much as later ones, and fewer than ten say nothing.

--- a/notchhoist/cli/asking_flows.py
+++ b/notchhoist/cli/asking_flows.py
@@ -110,6 +110,7 @@
     "servers": servers,
     "zones": _from("zones", "balancer"),
     "pressure": _from("pressure", "balancer"),
+    "distances": _from("distances", "balancer"),
     "flows": _from("flows"),
     "requests": _from("requests", "agent"),
     "revisions": revisions,
--- a/notchhoist/daemon/flow_metrics.py
+++ b/notchhoist/daemon/flow_metrics.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from notchhoist.flows.agent.node import AgentNode
+    from notchhoist.flows.balancer.distances import Distances
     from notchhoist.flows.balancer.node import BalancerNode
 
 METRICS_PORT = 9464
@@ -51,6 +52,8 @@
     for name, value in gauges.items():
         lines.append(f"# TYPE notchhoist_{name} gauge")
         lines.append(f"notchhoist_{name} {value:g}")
+    if balances:
+        lines += _round_trips(cast("BalancerNode", node).health.distances)
     lines += _histograms(board.records.histograms)
     return "\n".join(lines) + "\n"
 
@@ -74,6 +77,22 @@
     }
 
 
+def _round_trips(distances: Distances) -> list[str]:
+    """Returns the round trips by zone, as far as they are known."""
+    known = {
+        zone: trips.trip_s
+        for zone, trips in sorted(distances.by_zone.items())
+        if trips.trip_s < float("inf")
+    }
+    if not known:
+        return []
+    name = "notchhoist_round_trip_seconds"
+    lines = [f"# TYPE {name} gauge"]
+    return lines + [
+        f'{name}{{zone="{zone}"}} {trip_s:g}' for zone, trip_s in known.items()
+    ]
+
+
 def _agent_gauges(node: AgentNode, now: float) -> dict[str, float]:
     load = node.load(now)
     board = node.board
--- a/notchhoist/daemon/flow_state.py
+++ b/notchhoist/daemon/flow_state.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from notchhoist.daemon.flow_distances import distance_rows
 from notchhoist.daemon.flow_journal import flow_text
 from notchhoist.daemon.flow_pressure import pressure_rows
 from notchhoist.daemon.http_port import Reply
@@ -323,6 +324,7 @@
     "services": _routes,
     "zones": _zones,
     "pressure": pressure_rows,
+    "distances": distance_rows,
     "problems": _problems,
     "peers": _balancers,
     "counters": _counters,
--- a/notchhoist/daemon/tests/test_flow_state.py
+++ b/notchhoist/daemon/tests/test_flow_state.py
@@ -2,6 +2,7 @@
 
 import json
 
+from notchhoist.daemon.flow_metrics import metrics_text
 from notchhoist.daemon.flow_state import answer_state
 from notchhoist.flows.agent.bearing import Limits
 from notchhoist.flows.agent.node import make_agent
@@ -12,6 +13,7 @@
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.agents import send
 from notchhoist.flows.tests.crafting import CODEC, SYN, entry, request
+from notchhoist.links.scheduler import make_scheduler
 
 
 def dump(node, section, now):
@@ -69,3 +71,29 @@
     assert (row["running"], row["openings"], row["attempts"]) == (1, 1, 6)
     assert 0.1 < row["found_busy"] < 0.3
     assert row["load_age_s"] is None
+
+
+def test_a_balancer_shows_how_far_zones_are():
+    node = make_balancer("a", CODEC, "seed", "10.0.1.1")
+    node.fleet.on_table(crafting.table(), 1)
+    node.fleet.on_listing([(entry(1), 1), (entry(2, "b"), 1)], 1, 0.0)
+    near, far = node.board.servers.values()
+    near.pace_ms = far.pace_ms = 15
+    for number in range(8):
+        node.health.distances.note(near, 0.0, 0.0004)
+        if number == 0:
+            node.health.distances.note(far, 0.0, 0.01)
+    own, other = dump(node, "distances", 1.0)
+    assert (own["zone"], own["round_trip_ms"], own["long_for"]) == (
+        "a",
+        0.4,
+        "",
+    )
+    assert (other["round_trip_ms"], other["answers"]) == (None, 1)
+    for _ in range(8):
+        node.health.distances.note(far, 0.0, 0.01)
+    _, other = dump(node, "distances", 1.01)
+    assert (other["round_trip_ms"], other["beyond_own_ms"]) == (10.0, 9.6)
+    assert (other["measured_s"], other["long_for"]) == (1.0, crafting.SERVICE)
+    text = metrics_text(node, True, 1.0, make_scheduler(0.0))
+    assert 'notchhoist_round_trip_seconds{zone="b"} 0.01' in text
--- a/notchhoist/flows/balancer/reaching.py
+++ b/notchhoist/flows/balancer/reaching.py
@@ -36,8 +36,7 @@
         pace_s = _pace_s(servers)
         if not pace_s:
             return {}
-        sizes = [max(1, server.entry.slots) for server in servers]
-        busy = sum(server.running for server in servers) / sum(sizes)
+        busy = self._busy(servers)
         zones = {server.entry.zone for server in servers}
         zones.discard(self.board.zone)
         costs = {}
@@ -46,6 +45,14 @@
             costs[zone] = reaching.far_costs(extra_s, pace_s, busy)
         return costs
 
+    def _busy(self, servers: Sequence[Server]) -> float:
+        """Returns the share of the slots that are taken."""
+        busy = self.board.busy_shares.busy(servers[0].entry.service)
+        if busy is not None:
+            return busy
+        slots = sum(max(1, server.entry.slots) for server in servers)
+        return sum(server.running for server in servers) / slots
+
     def _is_used(self) -> bool:
         return self.board.uses.distances and self.board.uses.zone
 
--- a/notchhoist/flows/balancer/tests/test_reaching.py
+++ b/notchhoist/flows/balancer/tests/test_reaching.py
@@ -114,6 +114,18 @@
     assert attempts(node)[0][0] != "a"
 
 
+def test_what_attempts_meet_says_how_busy_a_service_is():
+    """Servers tell of their load mostly when they have just got a request."""
+    node = balancer()
+    servers = list(node.board.servers.values())
+    for server in servers:
+        server.running = 1
+    before = node.opener.reach.costs(servers)["b"].flows
+    for number in range(20):
+        node.board.busy_shares.note(crafting.SERVICE, busy=number % 5 == 0)
+    assert node.opener.reach.costs(servers)["b"].flows > before
+
+
 def test_without_a_near_server_others_are_asked():
     zones, _ = attempts(balancer(zones={"b": 4, "c": 4}))
     assert set(zones) <= {"b", "c"}
--- a/notchhoist/flows/decisions/attempts.py
+++ b/notchhoist/flows/decisions/attempts.py
@@ -27,6 +27,10 @@
 a balancer with 50 new flows a second that are handed back three times each."""
 
 
+FEW_ANSWERS = 10
+"""With fewer answers nothing is said about how busy a service is."""
+
+
 class BusyShares(Struct, eq=False):
     """Remembers how often attempts find no free slot, by service.
 
@@ -40,20 +44,38 @@
         2
 
     Attributes:
-        by_service: Smoothed share of the attempts.
+        by_service: Smoothed share of the attempts, 0 at first.
+        means: The same, where the first answers count as much as later ones.
+        counts: How many answers there were, up to the last 1 / ``SHARE_GAIN``.
     """
 
     by_service: dict[str, float] = field(default_factory=dict)
+    means: dict[str, float] = field(default_factory=dict)
+    counts: dict[str, int] = field(default_factory=dict)
 
     def note(self, service: str, busy: bool) -> None:
         """Takes account of an answer to an attempt."""
         share = self.share(service)
         self.by_service[service] = share + SHARE_GAIN * (busy - share)
+        count = min(self.counts.get(service, 0) + 1, int(1 / SHARE_GAIN))
+        mean = self.means.get(service, 0.0)
+        self.counts[service] = count
+        self.means[service] = mean + (busy - mean) / count
 
     def share(self, service: str) -> float:
         """Returns the share of attempts that find no free slot."""
         return self.by_service.get(service, 0.0)
 
+    def busy(self, service: str) -> float | None:
+        """Returns the share of slots that are taken; None if too few answered.
+
+        What servers have told of their requests is biased: mostly they tell
+        when they have just got one.
+        """
+        if self.counts.get(service, 0) < FEW_ANSWERS:
+            return None
+        return self.means[service]
+
     def attempts(self, service: str) -> int:
         """Returns how many servers to ask for a free slot."""
         is_full = self.share(service) > FULL_SHARE
