--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -5,13 +5,14 @@
 
 from notchhoist.base.draws import first_number, make_draw
 from notchhoist.flows.balancer.confirming import ViewConfirmer
+from notchhoist.flows.balancer.distances import make_distances
 from notchhoist.flows.balancer.evidence import Evidence
 from notchhoist.flows.balancer.finding import FlowFinder
 from notchhoist.flows.balancer.health import HealthKeeper
 from notchhoist.flows.balancer.informing import AgentInformer
 from notchhoist.flows.balancer.isolation import IsolationKeeper
 from notchhoist.flows.balancer.liveness import HostWatch
-from notchhoist.flows.balancer.opening import FlowOpener
+from notchhoist.flows.balancer.opening import FlowOpener, make_opener
 from notchhoist.flows.balancer.questions import make_questions
 from notchhoist.flows.balancer.rejoining import FlowRejoiner
 from notchhoist.flows.balancer.resetting import FlowResetter
@@ -149,6 +150,8 @@
             service = service_for(self.board, route, segment.flow, now)
             self.finder.on_unknown(service, segment, now)
             return
+        if not placement.accepted:
+            self.opener.outcomes.on_chosen(segment, now)
         self.board.flows.move_to_end(segment.flow)
         server = placement.server
         if segment.size and segment.repeats(placement.last):
@@ -190,7 +193,7 @@
         self._note_life(host, now)
         match kind:
             case NoteKind.TAKEN:
-                self.opener.on_accepted(host, segment, now)
+                self.opener.outcomes.on_accepted(host, segment, now)
             case NoteKind.FULL:
                 self.opener.on_full(host, segment, now)
             case NoteKind.BUSY:
@@ -262,6 +265,7 @@
     def _sweep(self, now: float) -> None:
         self.fleet.sweep(now)
         self.finder.evidence.is_settled(now)
+        self.health.distances.sweep(now)
         flows = self.board.flows
         idle_s = self.board.table.idle_s if self.board.table else 0.0
         old = [
@@ -319,14 +323,16 @@
     board = BalancerBoard(zone, host, uses=uses)
     early = EarlyPackets()
     resetter = FlowResetter(board, codec)
-    health = HealthKeeper(board, resetter, HostWatch(board), link_mbps)
+    distances = make_distances(zone)
+    hosts = HostWatch(board)
+    health = HealthKeeper(board, resetter, hosts, distances, link_mbps)
     fleet = FleetKeeper(board, EraKeeper(board), ZoneKeeper(board))
-    numbers = make_draw(f"numbers of {seed}")
+    draw, numbers = make_draw(seed), make_draw(f"numbers of {seed}")
     sharer = ViewSharer(
         board, fleet, seeds, link_mbps, number=first_number(numbers)
     )
     informer = AgentInformer(board, sharer)
-    questions = make_questions(board, codec, first_number(numbers))
+    questions = make_questions(board, codec, distances, first_number(numbers))
     evidence = Evidence(board)
     finder = FlowFinder(
         board,
@@ -346,8 +352,8 @@
         fleet=fleet,
         resetter=resetter,
         health=health,
-        opener=FlowOpener(
-            board, codec, health, resetter, make_draw(seed), early, informer
+        opener=make_opener(
+            board, codec, health, resetter, draw, early, informer
         ),
         finder=finder,
         reroutings=Reroutings(board),
