--- a/notchhoist/flows/agent/node.py
+++ b/notchhoist/flows/agent/node.py
@@ -340,5 +340,5 @@
         handover=FlowHandover(
             board, codec, gate, refuser, watch, bearing, replies, teller
         ),
-        resting=RestingFlows(board, codec, gate, watch),
+        resting=RestingFlows(board, codec, watch),
     )
--- a/notchhoist/flows/agent/resting.py
+++ b/notchhoist/flows/agent/resting.py
@@ -11,7 +11,6 @@
 
 from msgspec import Struct, field
 
-from notchhoist.flows.agent.admitting import RequestGate
 from notchhoist.flows.agent.backend_watch import BackendWatch
 from notchhoist.flows.boards.agent_board import AgentBoard
 from notchhoist.flows.model.effects import SendBackend, SendCaller
@@ -46,7 +45,6 @@
     Attributes:
         board: What the agent knows.
         codec: Codec of the packets.
-        gate: Shares out the slots.
         watch: Looks whether the server listens.
         unasked: Flows that the server has yet to be asked about.
         reason: What the survey under way was begun for.
@@ -61,7 +59,6 @@
 
     board: AgentBoard
     codec: SegmentCodec
-    gate: RequestGate
     watch: BackendWatch
     unasked: collections.deque[bytes] = field(default_factory=collections.deque)
     reason: str = ""
--- a/notchhoist/flows/balancer/resting.py
+++ b/notchhoist/flows/balancer/resting.py
@@ -39,7 +39,7 @@
 list is first read, seconds; the flows were placed since, at the new ones."""
 
 COPIES = 3
-"""How often a resting flow is tried for one reason; datagrams get lost."""
+"""How often a resting flow is tried for one reason; words get lost."""
 
 COPY_PAUSE_S = 1.0
 """Time between two such tries, seconds."""
