--- /dev/null
+++ b/notchhoist/flows/balancer/forwarding.py
@@ -0,0 +1,65 @@
+"""A balancer's controller for callers' packets of flows that are placed."""
+
+from msgspec import Struct
+
+from notchhoist.flows.balancer.health import HealthKeeper
+from notchhoist.flows.boards.balancer_board import BalancerBoard, Placement
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.effects import SendAgent
+from notchhoist.flows.model.fleet import Route
+from notchhoist.flows.model.notes import NoteKind
+from notchhoist.flows.model.segments import Segment, SegmentCodec
+from notchhoist.flows.model.wishes import Wish
+
+
+class FlowForwarder(Struct, eq=False):
+    """Sends packets to the agents beside the servers of their flows.
+
+    Attributes:
+        board: What the balancer knows.
+        codec: Codec of the packets.
+        health: Watches over the agents.
+    """
+
+    board: BalancerBoard
+    codec: SegmentCodec
+    health: HealthKeeper
+
+    def forward(
+        self, route: Route, placement: Placement, segment: Segment, now: float
+    ) -> None:
+        """Sends a packet on.
+
+        Args:
+            route: Route of its flow.
+            placement: Where the flow is.
+            segment: The packet.
+            now: Runtime clock, seconds.
+        """
+        self.board.flows.move_to_end(segment.flow)
+        server = placement.server
+        if segment.size and segment.repeats(placement.last):
+            self.health.doubt(server, now)
+        placement.last_at = now
+        placement.last = segment
+        placement.used_since = min(placement.used_since, now)
+        placement.closing = placement.closing or segment.closes
+        wish = _wish(route, placement, segment, now)
+        note = notes.to_agent(NoteKind.HELD, server.tag, wish)
+        datagram = self.codec.with_note(segment, note)
+        self.board.outbox.append(
+            SendAgent(server.entry.host, datagram, segment.flow, segment.seq)
+        )
+        self.health.expect(server, now)
+
+
+def _wish(
+    route: Route, placement: Placement, segment: Segment, now: float
+) -> Wish:
+    """Returns what the agent is told of a flow's next request."""
+    since = placement.asked_since
+    if since is None:
+        return route.wish()
+    if segment.size:
+        placement.asked_since = None
+    return route.wish(now - since)
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -8,6 +8,7 @@
 from notchhoist.flows.balancer.distances import make_distances
 from notchhoist.flows.balancer.evidence import Evidence
 from notchhoist.flows.balancer.finding import FlowFinder
+from notchhoist.flows.balancer.forwarding import FlowForwarder
 from notchhoist.flows.balancer.health import HealthKeeper
 from notchhoist.flows.balancer.informing import AgentInformer
 from notchhoist.flows.balancer.isolation import IsolationKeeper
@@ -20,10 +21,10 @@
 from notchhoist.flows.balancer.scope import SearchScope
 from notchhoist.flows.balancer.targeting import service_for
 from notchhoist.flows.balancer.trying import FlowTrier
-from notchhoist.flows.boards.balancer_board import BalancerBoard, Placement
+from notchhoist.flows.boards.balancer_board import BalancerBoard
 from notchhoist.flows.decisions.early import EarlyPackets
 from notchhoist.flows.model import notes
-from notchhoist.flows.model.effects import Effect, Reach, SendAgent
+from notchhoist.flows.model.effects import Effect, Reach
 from notchhoist.flows.model.fleet import Route
 from notchhoist.flows.model.mechanisms import ALL, Mechanisms
 from notchhoist.flows.model.messages import (
@@ -37,7 +38,6 @@
 from notchhoist.flows.model.notes import NoteKind
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.segments import Segment, SegmentCodec
-from notchhoist.flows.model.wishes import Wish
 from notchhoist.flows.published.eras import EraKeeper
 from notchhoist.flows.published.fleet_keeper import FleetKeeper
 from notchhoist.flows.published.reroutings import Reroutings
@@ -60,6 +60,7 @@
         resetter: Ends flows.
         health: Watches over the agents.
         opener: Places new flows.
+        forwarder: Sends on packets of flows that are placed.
         finder: Finds flows that are not known here.
         reroutings: Notices routes that no longer name a service.
         sharer: Shares with other balancers what is published.
@@ -76,6 +77,7 @@
     resetter: FlowResetter
     health: HealthKeeper
     opener: FlowOpener
+    forwarder: FlowForwarder
     finder: FlowFinder
     reroutings: Reroutings
     sharer: ViewSharer
@@ -152,32 +154,7 @@
             return
         if not placement.accepted:
             self.opener.outcomes.on_chosen(segment, now)
-        self.board.flows.move_to_end(segment.flow)
-        server = placement.server
-        if segment.size and segment.repeats(placement.last):
-            self.health.doubt(server, now)
-        placement.last_at = now
-        placement.last = segment
-        placement.used_since = min(placement.used_since, now)
-        placement.closing = placement.closing or segment.closes
-        wish = self._wish(route, placement, segment, now)
-        note = notes.to_agent(NoteKind.HELD, server.tag, wish)
-        datagram = self.codec.with_note(segment, note)
-        self.board.outbox.append(
-            SendAgent(server.entry.host, datagram, segment.flow, segment.seq)
-        )
-        self.health.expect(server, now)
-
-    def _wish(
-        self, route: Route, placement: Placement, segment: Segment, now: float
-    ) -> Wish:
-        """Returns what the agent is told of a flow's next request."""
-        since = placement.asked_since
-        if since is None:
-            return route.wish()
-        if segment.size:
-            placement.asked_since = None
-        return route.wish(now - since)
+        self.forwarder.forward(route, placement, segment, now)
 
     def on_agent(self, host: str, segment: Segment, now: float) -> list[Effect]:
         """Takes a packet of an agent."""
@@ -355,6 +332,7 @@
         opener=make_opener(
             board, codec, health, resetter, draw, early, informer
         ),
+        forwarder=FlowForwarder(board, codec, health),
         finder=finder,
         reroutings=Reroutings(board),
         sharer=sharer,
