What finds no free slot waits at its balancer, to be called

Cause: a new flow that finds no free slot is bound to one of six busy servers, though another may be free sooner.

Change: on services of one-slot servers the flow waits at its balancer, which reserves with four agents; an agent with room calls, and gets the flow. It is bound as before 0.35 s before its caller's try ends, and at once where a server of usual speed has one request in work and none that waits. Values of notes count by direction, so 15 no longer binds. Requests and reservations are picked by the same queue.

--- a/notchhoist/flows/agent/admitting.py
+++ b/notchhoist/flows/agent/admitting.py
@@ -115,7 +115,9 @@
         if self.board.age_s(now) > OUTAGE_S or not self.board.uses.doubt:
             # Only this balancer is new; others saw what came before.
             wish = structs.replace(wish, may_be_retry=False)
-        request = HeldRequest(segment.flow, held, [segment], now, wish, opening)
+        request = HeldRequest(
+            segment.flow, now, wish, opening, held=held, segments=[segment]
+        )
         self.board.waiting[segment.flow] = request
         self.board.promised.pop(segment.flow, None)
         self.board.records.counters[Count.HELD] += 1
--- a/notchhoist/flows/agent/node.py
+++ b/notchhoist/flows/agent/node.py
@@ -5,6 +5,7 @@
 from notchhoist.flows.agent.admitting import RequestGate
 from notchhoist.flows.agent.backend_watch import BackendWatch
 from notchhoist.flows.agent.bearing import Limits, OpeningGate
+from notchhoist.flows.agent.calling import SlotCaller
 from notchhoist.flows.agent.handover import FlowHandover
 from notchhoist.flows.agent.load_counting import LoadCounter
 from notchhoist.flows.agent.offering import FlowOffers
@@ -60,6 +61,7 @@
         counter: Counts the load.
         bearing: Says which new flows the backend server may get.
         replies: Answers balancers.
+        caller: Calls flows that wait at balancers.
         offers: Offers new flows to the backend server.
         teller: Tells balancers which flows are here.
         handover: Takes packets of flows that should be here.
@@ -72,6 +74,7 @@
     counter: LoadCounter
     bearing: OpeningGate
     replies: Replies
+    caller: SlotCaller
     offers: FlowOffers
     teller: FlowTeller
     handover: FlowHandover
@@ -92,9 +95,13 @@
         """Takes a packet of a balancer."""
         board = self.board
         board.balancers[host] = now
-        kind = notes.kind_of(segment.note)
+        kind = notes.agent_kind_of(segment.note)
         if kind is NoteKind.ASK:
             self._answer(host, segment, now)
+        elif kind is NoteKind.RESERVE:
+            self.caller.on_reserve(host, segment, now)
+        elif kind is NoteKind.NONE_PARKED:
+            self.caller.on_none_parked(host)
         elif notes.tag_of(segment) != board.tag:
             board.records.counters[Count.WRONG_SERVICE] += 1
             self.replies.give_back(host, segment, "other service", now)
@@ -105,7 +112,7 @@
             self.offers.on_opening(host, segment, kind, now)
         else:
             self.handover.take(host, segment, kind, now)
-        return self._drain()
+        return self._finish(now)
 
     def _answer(self, host: str, segment: Segment, now: float) -> None:
         kind = self.teller.kind_of(segment, notes.tag_of(segment), now)
@@ -129,7 +136,7 @@
         board.records.counters[Count.ANSWER_PACKETS] += 1
         if segment.returned:
             self._on_returned(segment, now)
-            return self._drain()
+            return self._finish(now)
         held = board.flows.get(segment.flow)
         if held is None:
             # The agent has restarted; the server's answer shows the flow.
@@ -137,7 +144,7 @@
             board.flows[segment.flow] = held
         if held.phase is Phase.REFUSED:
             # Copies of an acceptance that its caller must not take up.
-            return self._drain()
+            return self._finish(now)
         held.note_received(segment)
         if segment.accepts:
             self.offers.on_accepted(held, segment, now)
@@ -160,7 +167,7 @@
                 segment.seq,
             )
         )
-        return self._drain()
+        return self._finish(now)
 
     def _on_confirmed(self, held: HeldFlow, now: float) -> None:
         """Tells the balancer that a flow that was only tried is here."""
@@ -196,7 +203,7 @@
                 self.teller.note_absent(held.balancer, flow, now)
         if was_gone and not self.board.backend_gone:
             self.bearing.note_began_anew(now)
-        return self._drain()
+        return self._finish(now)
 
     def _tried_flows(self) -> list[tuple[bytes, HeldFlow]]:
         """Returns flows that balancers wait for the server's word on."""
@@ -217,7 +224,7 @@
             self.offers.on_told(now)
         elif isinstance(message, FlowsAsk):
             self._answer_flows(host, message, now)
-        return self._drain()
+        return self._finish(now)
 
     def _take_state(self, message: LoadAsk, now: float) -> None:
         self.board.slots = message.slots
@@ -239,7 +246,7 @@
         if now >= self.sweep_due:
             self.sweep_due = now + SWEEP_S
             self._sweep(now)
-        return self._drain()
+        return self._finish(now)
 
     def _sweep(self, now: float) -> None:
         flows = self.board.flows
@@ -260,19 +267,23 @@
         for host, heard_at in self.board.balancers.items():
             if now - heard_at <= BALANCER_KEPT_S:
                 self.replies.tell_load(host, now)
-        return self._drain()
+        return self._finish(now)
 
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
         return min(
             self.offers.due(),
+            self.caller.look_due,
             self.watch.due(),
             self.teller.tell_due,
             self.sweep_due,
             self.gate.due(),
         )
 
-    def _drain(self) -> list[Effect]:
+    def _finish(self, now: float) -> list[Effect]:
+        """Calls flows that wait for a slot; returns what is to be done."""
+        if not self.board.stopping:
+            self.caller.look(now)
         effects = list(self.board.outbox)
         self.board.outbox.clear()
         return effects
@@ -306,7 +317,10 @@
     bearing = OpeningGate(board, limits)
     replies = Replies(board, codec, counter)
     vacancies = SlotVacancies(board, gate)
-    offers = FlowOffers(board, codec, bearing, vacancies, replies, watch)
+    caller = SlotCaller(board, gate, bearing, vacancies, replies)
+    offers = FlowOffers(
+        board, codec, bearing, vacancies, caller, replies, watch
+    )
     return AgentNode(
         board=board,
         codec=codec,
@@ -315,6 +329,7 @@
         counter=counter,
         bearing=bearing,
         replies=replies,
+        caller=caller,
         offers=offers,
         teller=teller,
         handover=FlowHandover(
--- a/notchhoist/flows/agent/offering.py
+++ b/notchhoist/flows/agent/offering.py
@@ -4,6 +4,7 @@
 
 from notchhoist.flows.agent.backend_watch import BackendWatch
 from notchhoist.flows.agent.bearing import UNTOLD_S, OpeningGate
+from notchhoist.flows.agent.calling import SlotCaller
 from notchhoist.flows.agent.replies import Replies
 from notchhoist.flows.agent.vacancies import SlotVacancies
 from notchhoist.flows.boards.agent_board import AgentBoard
@@ -40,6 +41,7 @@
         codec: Codec of the packets.
         bearing: Says which new flows the backend server may get.
         vacancies: Says whether a slot is free for one.
+        caller: Calls flows that wait at balancers.
         replies: Answers balancers.
         watch: Notices when the backend server has ended.
         offered: Flows that the backend server has not accepted yet.
@@ -50,6 +52,7 @@
     codec: SegmentCodec
     bearing: OpeningGate
     vacancies: SlotVacancies
+    caller: SlotCaller
     replies: Replies
     watch: BackendWatch
     offered: dict[bytes, HeldFlow] = field(default_factory=dict)
@@ -66,6 +69,7 @@
             kind: How the balancer offers it.
             now: Runtime clock, seconds.
         """
+        self.caller.on_offer(host, segment, kind, now)
         bounded = kind is NoteKind.PLACE_BOUNDED
         known = self.board.flows.get(segment.flow)
         new = known is None or known.phase in ENDED
--- a/notchhoist/flows/agent/replies.py
+++ b/notchhoist/flows/agent/replies.py
@@ -62,7 +62,9 @@
 
     def tell_busy(self, host: str, segment: Segment, now: float) -> None:
         """Sends a new flow back that would have to wait for a slot."""
-        note = notes.to_balancer(NoteKind.BUSY, self.counter.load(now))
+        load = self.counter.load(now)
+        reserves = self.board.uses.parking
+        note = notes.to_balancer(NoteKind.BUSY, load, reserves)
         datagram = self.codec.with_note(segment, note)
         self.board.outbox.append(SendBalancer(host, datagram))
         self.board.records.counters[Count.FOUND_BUSY] += 1
--- a/notchhoist/flows/agent/tests/test_offering.py
+++ b/notchhoist/flows/agent/tests/test_offering.py
@@ -39,7 +39,7 @@
 def pause_of(effects):
     [back] = [item for item in effects if isinstance(item, SendBalancer)]
     note = CODEC.decode_request(back.datagram).note
-    assert notes.kind_of(note) is NoteKind.FULL
+    assert notes.balancer_kind_of(note) is NoteKind.FULL
     return notes.pause_of(note)
 
 
--- a/notchhoist/flows/agent/vacancies.py
+++ b/notchhoist/flows/agent/vacancies.py
@@ -40,23 +40,31 @@
 
         Where the number of slots is not known nobody waits here either.
         """
-        board = self.board
-        if self.gate.times.is_failing and not self._tries_failing(now):
+        if self.rests(now):
             return False
-        if not board.slots:
-            return True
+        slots = self.board.slots
+        return not slots or self.taken(now) < slots
+
+    def taken(self, now: float) -> int:
+        """Returns how many slots are taken, waited for, or kept for a flow."""
+        board = self.board
         promised = board.promised
         # Promises are made in the order of their ends.
         for flow in list(promised):
             if now < promised[flow]:
                 break
             del promised[flow]
-        taken = len(board.active) + len(board.waiting) + len(promised)
-        return taken < board.slots
+        bound = len(board.active) + len(board.waiting) + len(promised)
+        return bound + len(board.calls)
 
-    def _tries_failing(self, now: float) -> bool:
-        """Tells whether it is time to see if a failing server is well again."""
-        if now - self.tried_at < FAILING_PAUSE_S:
+    def rests(self, now: float) -> bool:
+        """Tells whether a failing server is to get no new flow now.
+
+        Now and then it gets one, to see whether it is well again.
+        """
+        if not self.gate.times.is_failing:
             return False
+        if now - self.tried_at < FAILING_PAUSE_S:
+            return True
         self.tried_at = now
-        return True
+        return False
--- /dev/null
+++ b/notchhoist/flows/balancer/binding.py
@@ -0,0 +1,105 @@
+"""A balancer's controller that binds waiting flows to servers."""
+
+from msgspec import Struct
+
+from notchhoist.flows.balancer.opening import FlowOpener
+from notchhoist.flows.balancer.parking import ASK_AGAIN_S, FlowParking
+from notchhoist.flows.boards.balancer_board import (
+    BalancerBoard,
+    Opening,
+    ParkedFlow,
+)
+from notchhoist.flows.decisions import parking, placing
+from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.segments import Segment
+
+
+class FlowBinder(Struct, eq=False):
+    """Gives waiting flows to servers that call, and to others at the end.
+
+    The load it answers is that of ``decisions.parking``.
+
+    Attributes:
+        board: What the balancer knows.
+        parking: Keeps the flows that wait.
+        opener: Offers them.
+    """
+
+    board: BalancerBoard
+    parking: FlowParking
+    opener: FlowOpener
+
+    def on_call(self, host: str, segment: Segment, now: float) -> None:
+        """Takes an agent's call for a flow that waits here."""
+        server = self.board.by_host.get(host)
+        if server is None:
+            return
+        server.reserves = True
+        parked = self.parking.next_for(server, segment.flow, now)
+        if parked is None:
+            self.board.records.counters[Count.CALLED_IN_VAIN] += 1
+            self.parking.tell_none(server, segment, now)
+            return
+        self.board.records.counters[Count.CALLED] += 1
+        opening = self._release(parked, "called", now)
+        opening.called_by = host
+        self.opener.place(opening, server, now)
+        # The agent's other calls are in vain where this was the last flow.
+        self.parking.end_reservations(opening, "", now)
+
+    def _release(self, parked: ParkedFlow, outcome: str, now: float) -> Opening:
+        self.parking.release(parked.flow, outcome, now)
+        opening = parked.opening
+        self.board.openings[parked.flow] = opening
+        return opening
+
+    def on_accepted(self, host: str, segment: Segment, now: float) -> None:
+        """Takes word of a server that accepted a flow while it waits here."""
+        parked = self.board.parked.get(segment.flow)
+        server = self.board.by_host.get(host)
+        if parked is None or server is None:
+            return
+        opening = self._release(parked, "accepted elsewhere", now)
+        self.opener.remember(opening, server, now)
+        self.parking.end_reservations(opening, "", now)
+
+    def on_opened(self, flow: bytes, now: float) -> None:
+        """Takes account of a flow that has opened through another balancer."""
+        opening = self.parking.release(flow, "opened elsewhere", now)
+        if opening is not None:
+            self.parking.end_reservations(opening, "", now)
+
+    def tick(self, now: float) -> None:
+        """Binds flows whose callers are about to give up."""
+        if now < self.parking.look_due:
+            return
+        for parked in list(self.board.parked.values()):
+            if now >= parked.bind_at:
+                self._bind(parked, now)
+            elif now - parked.asked_at >= ASK_AGAIN_S:
+                self._ask_again(parked, now)
+        self.parking.note_looked()
+
+    def _ask_again(self, parked: ParkedFlow, now: float) -> None:
+        if not self.parking.ask_again(parked, now):
+            self._bind(parked, now)
+
+    def _bind(self, parked: ParkedFlow, now: float) -> None:
+        """Binds a flow to the server that is expected to be free first."""
+        board = self.board
+        board.records.counters[Count.BOUND_AT_END] += 1
+        opening = self._release(parked, "bound at the end", now)
+        opening.called_by = ""
+        known = placing.open_to_new(
+            board.by_service.get(opening.service, []), board.view.evacuated
+        )
+        servers = placing.usable(known, now)
+        asked = [
+            item for item in servers if item.entry.server_id in parked.asked
+        ]
+        if servers:
+            server = parking.first_free(asked or servers)
+            self.opener.place(opening, server, now)
+        else:
+            self.opener.offer(opening, now)
+        self.parking.end_reservations(opening, "", now)
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -4,6 +4,7 @@
 from msgspec.structs import replace
 
 from notchhoist.base.draws import first_number, make_draw
+from notchhoist.flows.balancer.binding import FlowBinder
 from notchhoist.flows.balancer.confirming import ViewConfirmer
 from notchhoist.flows.balancer.evidence import Evidence
 from notchhoist.flows.balancer.finding import FlowFinder
@@ -12,6 +13,7 @@
 from notchhoist.flows.balancer.isolation import IsolationKeeper
 from notchhoist.flows.balancer.liveness import HostWatch
 from notchhoist.flows.balancer.opening import FlowOpener
+from notchhoist.flows.balancer.parking import FlowParking
 from notchhoist.flows.balancer.questions import make_questions
 from notchhoist.flows.balancer.rejoining import FlowRejoiner
 from notchhoist.flows.balancer.resetting import FlowResetter
@@ -55,6 +57,7 @@
         resetter: Ends flows.
         health: Watches over the agents.
         opener: Places new flows.
+        binder: Places those that wait here for a slot.
         finder: Finds flows that are not known here.
         sharer: Shares with other balancers what is published.
         informer: Tells agents what is published of their servers.
@@ -69,6 +72,7 @@
     resetter: FlowResetter
     health: HealthKeeper
     opener: FlowOpener
+    binder: FlowBinder
     finder: FlowFinder
     sharer: ViewSharer
     informer: AgentInformer
@@ -138,6 +142,7 @@
     def _forward(self, route: Route, segment: Segment, now: float) -> None:
         placement = self.board.flows.get(segment.flow)
         if placement is None:
+            self.binder.on_opened(segment.flow, now)
             service = pick_target(segment.flow, route.targets)
             self.finder.on_unknown(service, segment, now)
             return
@@ -173,14 +178,17 @@
         if host not in self.board.by_host:
             self.board.records.counters[Count.UNKNOWN_SENDER] += 1
             return []
-        kind = notes.kind_of(segment.note)
+        kind = notes.balancer_kind_of(segment.note)
         load = notes.load_of(segment.note)
         if kind is NoteKind.FULL:
             load = replace(load, pace_ms=self.board.by_host[host].pace_ms)
         self.health.on_heard(host, load, now)
         self._note_life(host, now)
         match kind:
+            case NoteKind.CALL:
+                self.binder.on_call(host, segment, now)
             case NoteKind.TAKEN:
+                self.binder.on_accepted(host, segment, now)
                 self.opener.on_accepted(host, segment, now)
             case NoteKind.FULL:
                 self.opener.on_full(host, segment, now)
@@ -235,6 +243,7 @@
         """Does what is due."""
         self.early.note_start(now)
         self.opener.tick(now)
+        self.binder.tick(now)
         self.finder.tick(now)
         self.health.tick(now)
         self.isolation.tick(now)
@@ -266,6 +275,7 @@
         """Returns when ``tick`` is next needed, seconds."""
         return min(
             self.opener.due(),
+            self.binder.parking.look_due,
             self.finder.due(),
             self.health.due(),
             self.sharer.due(),
@@ -310,6 +320,11 @@
         board, fleet, seeds, link_mbps, number=first_number(numbers)
     )
     informer = AgentInformer(board, sharer)
+    parking = FlowParking(board, codec, health)
+    opener = FlowOpener(
+        *(board, codec, health, resetter, make_draw(seed), early),
+        *(informer, parking),
+    )
     questions = make_questions(board, codec, first_number(numbers))
     return BalancerNode(
         board=board,
@@ -317,9 +332,8 @@
         fleet=fleet,
         resetter=resetter,
         health=health,
-        opener=FlowOpener(
-            board, codec, health, resetter, make_draw(seed), early, informer
-        ),
+        opener=opener,
+        binder=FlowBinder(board, parking, opener),
         finder=FlowFinder(
             board,
             codec,
--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -7,6 +7,7 @@
 from notchhoist.base.draws import Draw
 from notchhoist.flows.balancer.health import HealthKeeper
 from notchhoist.flows.balancer.informing import AgentInformer
+from notchhoist.flows.balancer.parking import FlowParking
 from notchhoist.flows.balancer.resetting import FlowResetter
 from notchhoist.flows.boards.balancer_board import (
     BalancerBoard,
@@ -45,6 +46,7 @@
         draw: Random numbers in [0, 1).
         early: Tells whether a caller may have tried before.
         informer: Tells agents what they should know before they get a flow.
+        parking: Keeps flows that wait here for a slot.
     """
 
     board: BalancerBoard
@@ -54,10 +56,13 @@
     draw: Draw
     early: EarlyPackets
     informer: AgentInformer
+    parking: FlowParking
 
     def on_opening(self, route: Route, segment: Segment, now: float) -> None:
         """Takes an opening packet or a copy of one."""
         flow = segment.flow
+        if self.parking.holds(flow):
+            return
         placement = self.board.flows.get(flow)
         if placement is not None and placement.accepted:
             # The server's acceptance may have been lost: it repeats it.
@@ -85,9 +90,9 @@
     def offer(self, opening: Opening, now: float) -> None:
         """Offers a flow to the best server that it was not offered to.
 
-        It is offered to a few on the condition that a slot is free, and then
-        to the best of those that had none: what they have told is news, and
-        what is known of others is older than a request takes.
+        It is offered to a few on the condition that a slot is free. Then it
+        waits here, or goes to the best of those that had none: what they have
+        told is news, and what is known of others is older than a request takes.
         """
         board = self.board
         known = placing.open_to_new(
@@ -97,6 +102,10 @@
         few = placing.candidates(opening.segment.flow, known, board.zone)
         near = self._untried(opening, [item for item in servers if item in few])
         if_free = bool(near) and self._asks_if_free(opening)
+        if opening.busy and not if_free:
+            self._end_offer(opening)
+            if self.parking.take_in(opening, servers, now):
+                return
         choices = (
             near if if_free else self._found_busy(opening, servers) or near
         )
@@ -112,17 +121,42 @@
         if server is None:
             self._refuse(opening, len(servers), now)
             return
+        if_free = if_free and bound_of(board, server).per_s == 0
+        opening.called_by = ""
+        self.place(opening, server, now, if_free, len(choices))
+
+    def place(
+        self,
+        opening: Opening,
+        server: Server,
+        now: float,
+        if_free: bool = False,
+        choices: int = 1,
+    ) -> None:
+        """Offers a flow to a server.
+
+        Args:
+            opening: The flow.
+            server: The server.
+            now: Runtime clock, seconds.
+            if_free: Only if a slot is free.
+            choices: How many servers it was chosen from, for the log.
+        """
         self._end_offer(opening)
-        opening.if_free = if_free and bound_of(board, server).per_s == 0
-        self._log_offer(opening, server, len(choices), now)
+        opening.if_free = if_free
+        self._log_offer(opening, server, choices, now)
         opening.tried.append(server.entry.server_id)
         opening.sent_at = now
+        opening.under_way = True
         server.note_offer()
         self.informer.before_offer(server, now)
-        self._remember(opening, server, now)
+        self.remember(opening, server, now)
         age_s = now - opening.asked_since
         wish = opening.route.wish(age_s, opening.may_be_retry)
-        self._send(server, opening.segment, wish, now, opening.if_free)
+        kind = NoteKind.PLACE_IF_FREE if if_free else NoteKind.PLACE
+        if opening.called_by:
+            kind = NoteKind.PLACE_CALLED
+        self._send(server, opening.segment, wish, now, kind)
 
     def _log_offer(
         self, opening: Opening, server: Server, choices: int, now: float
@@ -143,6 +177,8 @@
             again=again,
             if_free=opening.if_free,
             found_busy=len(opening.busy),
+            parked_s=round(opening.parked_s, 3),
+            called_by=opening.called_by,
         )
 
     def _asks_if_free(self, opening: Opening) -> bool:
@@ -166,8 +202,9 @@
         return [item for item in servers if item.entry.server_id in busy]
 
     def _end_offer(self, opening: Opening) -> None:
-        if not opening.tried:
+        if not opening.under_way:
             return
+        opening.under_way = False
         server = self.board.servers.get(opening.tried[-1])
         if server is not None:
             server.note_offer_ended()
@@ -181,7 +218,8 @@
             if server.entry.server_id not in opening.tried
         ]
 
-    def _remember(self, opening: Opening, server: Server, now: float) -> None:
+    def remember(self, opening: Opening, server: Server, now: float) -> None:
+        """Notes where a flow is being offered."""
         flows = self.board.flows
         segment = opening.segment
         flows[segment.flow] = Placement(
@@ -196,13 +234,11 @@
         segment: Segment,
         wish: Wish,
         now: float,
-        if_free: bool = False,
+        kind: NoteKind = NoteKind.PLACE,
     ) -> None:
-        kind = NoteKind.PLACE
         if bound_of(self.board, server).per_s > 0:
             kind = NoteKind.PLACE_BOUNDED
-        elif if_free:
-            kind = NoteKind.PLACE_IF_FREE
+        elif kind is NoteKind.PLACE_IF_FREE:
             self.board.records.counters[Count.OFFERED_IF_FREE] += 1
         note = notes.to_agent(kind, server.tag, wish)
         datagram = self.codec.with_note(segment, note)
@@ -285,9 +321,10 @@
         counters[Count.FOUND_BUSY] += 1
         self.board.busy_shares.note(opening.service, busy=True)
         opening.busy.append(placement.server.entry.server_id)
+        placement.server.reserves = notes.tells_reserves(segment.note)
         self._observe(opening, "busy", now)
         self.offer(opening, now)
-        if not opening.if_free:
+        if not opening.if_free or self.parking.holds(segment.flow):
             counters[Count.FOUND_NONE_FREE] += 1
 
     def on_full(self, host: str, segment: Segment, now: float) -> None:
--- a/notchhoist/flows/balancer/tests/test_attempts.py
+++ b/notchhoist/flows/balancer/tests/test_attempts.py
@@ -21,7 +21,7 @@
 
 
 def kind_of(segment):
-    return notes.kind_of(segment.note)
+    return notes.agent_kind_of(segment.note)
 
 
 def begin(node, now=0.0, port=40001):
--- a/notchhoist/flows/balancer/tests/test_balancer.py
+++ b/notchhoist/flows/balancer/tests/test_balancer.py
@@ -28,7 +28,7 @@
     effects = node.on_caller(request(data=b"x"), 0.01)
     [(same, segment)] = packets(effects)
     assert same == host
-    assert notes.kind_of(segment.note) is NoteKind.HELD
+    assert notes.agent_kind_of(segment.note) is NoteKind.HELD
 
 
 def test_new_flows_go_where_the_fewest_are():
--- a/notchhoist/flows/balancer/tests/test_evacuating.py
+++ b/notchhoist/flows/balancer/tests/test_evacuating.py
@@ -187,7 +187,7 @@
     node.informer.pending.clear()
     effects = node.on_caller(request(flags=SYN), 0.5)
     [(host, segment)] = packets(effects)
-    assert notes.kind_of(segment.note) is NoteKind.PLACE_BOUNDED
+    assert notes.agent_kind_of(segment.note) is NoteKind.PLACE_BOUNDED
     state = dict(told(effects))[host]
     assert (state.bound_per_s, state.cold_for_s) == (6.0, 1.5)
 
--- a/notchhoist/flows/balancer/tests/test_finding.py
+++ b/notchhoist/flows/balancer/tests/test_finding.py
@@ -114,7 +114,10 @@
     tell_flow(node, "10.0.0.1", lost, NoteKind.ABSENT, 0.002)
     effects = tell_flow(node, "10.0.0.2", lost, NoteKind.UNSURE, 0.003)
     [(host, segment)] = tried_agents(effects)
-    assert (host, notes.kind_of(segment.note)) == ("10.0.0.2", NoteKind.TRY)
+    assert (host, notes.agent_kind_of(segment.note)) == (
+        "10.0.0.2",
+        NoteKind.TRY,
+    )
 
 
 def test_silence_of_an_agent_that_was_tried_is_no_find():
@@ -252,7 +255,7 @@
         host = f"10.0.0.{number}"
         effects = tell_flow(node, host, lost, NoteKind.UNSURE, 5.002)
         tried += tried_agents(effects)
-    kinds = {notes.kind_of(segment.note) for _, segment in tried}
+    kinds = {notes.agent_kind_of(segment.note) for _, segment in tried}
     assert (len(tried), kinds) == (8, {NoteKind.TRY})
     assert {segment.size for _, segment in tried} == {1}
     effects = []
--- a/notchhoist/flows/boards/agent_board.py
+++ b/notchhoist/flows/boards/agent_board.py
@@ -3,6 +3,7 @@
 from msgspec import Struct, field
 
 from notchhoist.flows.decisions.holding import HeldRequest
+from notchhoist.flows.decisions.reservations import Call
 from notchhoist.flows.model.effects import Effect
 from notchhoist.flows.model.held import HeldFlow
 from notchhoist.flows.model.mechanisms import ALL, Mechanisms
@@ -26,6 +27,8 @@
         waiting: Requests that wait for a slot, by flow.
         promised: Accepted flows whose first request is about to come and takes
             a slot, and until when it is expected, seconds.
+        calls: Flows that were called and have not come yet, oldest first; each
+            takes a slot.
         pace_s: Smoothed service time, seconds; 0 if unknown.
         backend_gone: The backend server does not listen any more.
         check_due: When to look at a silent backend server, or ``inf``.
@@ -52,6 +55,7 @@
     active: set[bytes] = field(default_factory=set)
     waiting: dict[bytes, HeldRequest] = field(default_factory=dict)
     promised: dict[bytes, float] = field(default_factory=dict)
+    calls: list[Call] = field(default_factory=list)
     pace_s: float = 0.0
     backend_gone: bool = False
     check_due: float = float("inf")
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from notchhoist.flows.decisions.attempts import BusyShares
+from notchhoist.flows.decisions.holding import WaitingCaller
 from notchhoist.flows.model.effects import Effect
 from notchhoist.flows.model.fleet import Route, RouteTable, Server
 from notchhoist.flows.model.mechanisms import ALL, Mechanisms
@@ -46,6 +47,9 @@
         tried: Ids of the servers that it was offered to.
         busy: Ids of those of them that had no free slot for it.
         if_free: It was last offered on the condition that a slot is free.
+        under_way: Its last offer has not been answered.
+        called_by: Host of the agent that called it, or empty.
+        parked_s: How long it has waited here for a slot, seconds.
         may_be_retry: See ``Wish``.
     """
 
@@ -57,9 +61,28 @@
     tried: list[str]
     busy: list[str] = field(default_factory=list)
     if_free: bool = False
+    under_way: bool = False
+    called_by: str = ""
+    parked_s: float = 0.0
     may_be_retry: bool = False
 
 
+class ParkedFlow(WaitingCaller, eq=False, kw_only=True):
+    """A new flow that waits here until an agent has a slot for it.
+
+    Attributes:
+        opening: The flow.
+        bind_at: When it is bound without a call, seconds.
+        asked: Ids of the servers whose agents were asked to reserve for it.
+        asked_at: When they were last asked, seconds.
+    """
+
+    opening: Opening
+    bind_at: float
+    asked: list[str] = field(default_factory=list)
+    asked_at: float = 0.0
+
+
 class Search(Struct, eq=False):
     """A flow that is being looked for.
 
@@ -129,6 +152,7 @@
         store_era: Era of the store that its last answer was of.
         flows: Where flows are, least recently used first.
         openings: New flows that wait for a server.
+        parked: New flows that wait here until a slot is free, by flow.
         busy_shares: How often new flows find no free slot.
         searches: Flows that are being looked for.
         records: Counters and decisions.
@@ -158,6 +182,7 @@
         default_factory=collections.OrderedDict
     )
     openings: dict[bytes, Opening] = field(default_factory=dict)
+    parked: dict[bytes, ParkedFlow] = field(default_factory=dict)
     busy_shares: BusyShares = field(default_factory=BusyShares)
     searches: dict[bytes, Search] = field(default_factory=dict)
     records: Records = field(default_factory=Records)
--- a/notchhoist/flows/decisions/holding.py
+++ b/notchhoist/flows/decisions/holding.py
@@ -40,24 +40,20 @@
 """Packets kept of one request; an end has no more under way."""
 
 
-class HeldRequest(Struct, eq=False):
-    """A request that waits for a slot.
+class WaitingCaller(Struct, eq=False):
+    """A caller whose request needs a slot.
 
     Attributes:
         flow: Key of its flow.
-        held: The flow.
-        segments: Its packets.
-        arrived_at: When the first of them came, seconds.
-        wish: What is known of its caller, as of ``arrived_at``.
+        arrived_at: When it became known here, seconds.
+        wish: What is known of it, as of ``arrived_at``.
         unopened: The backend server does not hold the end of the handshake,
             so nothing can have run.
-        closes: Its caller has closed the flow along with the request: it wants
-            no more than this answer, or nothing at all.
+        closes: It has closed the flow along with the request: it wants no more
+            than this answer, or nothing at all.
     """
 
     flow: bytes
-    held: HeldFlow
-    segments: list[Segment]
     arrived_at: float
     wish: Wish
     unopened: bool = False
@@ -99,6 +95,18 @@
             ends_at -= RETRY_S
         return ends_at - SAFE_PACES * pace_s
 
+
+class HeldRequest(WaitingCaller, eq=False, kw_only=True):
+    """A request that waits for a slot.
+
+    Attributes:
+        held: The flow.
+        segments: Its packets.
+    """
+
+    held: HeldFlow
+    segments: list[Segment]
+
     def is_given_up(self, segment: Segment, now: float) -> bool:
         """Tells whether a packet shows that the caller waits no longer."""
         if not self.unopened or not segment.closes or self.closes:
--- a/notchhoist/flows/decisions/queueing.py
+++ b/notchhoist/flows/decisions/queueing.py
@@ -11,13 +11,16 @@
 
 import math
 from collections.abc import Collection, Iterable, Sequence
+from typing import TypeVar
 
 from msgspec import Struct
 
-from notchhoist.flows.decisions.holding import HeldRequest
+from notchhoist.flows.decisions.holding import WaitingCaller
 from notchhoist.flows.model.mechanisms import ALL, Mechanisms
 from notchhoist.flows.model.wishes import Wish
 
+CallerT = TypeVar("CallerT", bound=WaitingCaller)
+
 FULL_LOAD = 1.1
 SPARE_LOAD = 0.9
 """New requests per slot and service time. Below the lower one a backlog ends,
@@ -75,11 +78,11 @@
 
     def pick(
         self,
-        waiting: Collection[HeldRequest],
+        waiting: Collection[CallerT],
         now: float,
         pace_s: float,
         slots: int,
-    ) -> HeldRequest | None:
+    ) -> CallerT | None:
         """Returns the request that gets the next slot, or None.
 
         Args:
@@ -92,8 +95,8 @@
             return min(waiting, key=lambda item: item.arrived_at, default=None)
         others = [item for item in waiting if not item.closes]
         waiting = others or list(waiting)
-        late: list[HeldRequest] = []
-        punctual: list[HeldRequest] = []
+        late: list[CallerT] = []
+        punctual: list[CallerT] = []
         for item in waiting:
             is_late = item.is_late(now, pace_s)
             if not is_late:
@@ -112,14 +115,14 @@
         self.late_credit -= 1.0
         return first_useful(late, now, pace_s) or best
 
-    def _rank(self, item: HeldRequest) -> tuple[int, float]:
+    def _rank(self, item: WaitingCaller) -> tuple[int, float]:
         priority = item.wish.priority if self.uses.priority else 0
         return priority, item.due
 
 
 def hopeless(
-    waiting: Iterable[HeldRequest], now: float, pace_s: float, slots: int
-) -> list[HeldRequest]:
+    waiting: Iterable[CallerT], now: float, pace_s: float, slots: int
+) -> list[CallerT]:
     """Returns requests that would get no slot if all went to late ones.
 
     They are told at once, not when their time is over. Others are not known to
@@ -146,8 +149,8 @@
 
 
 def first_useful(
-    late: Sequence[HeldRequest], now: float, pace_s: float
-) -> HeldRequest | None:
+    late: Sequence[CallerT], now: float, pace_s: float
+) -> CallerT | None:
     """Returns the first whose caller still waits for the answer, else any."""
     for item in late:
         if now <= item.last_start(pace_s):
@@ -156,7 +159,7 @@
 
 
 def is_pressed(
-    late: Sequence[HeldRequest], now: float, pace_s: float, slots: int
+    late: Sequence[WaitingCaller], now: float, pace_s: float, slots: int
 ) -> bool:
     """Tells whether a late request is lost unless late ones go first now.
 
--- /dev/null
+++ b/notchhoist/flows/decisions/reservations.py
@@ -0,0 +1,113 @@
+"""Flows that wait at balancers for a slot of one backend server.
+
+The load it answers is that of ``parking``. Who gets the next slot is decided as
+among requests that wait beside the server.
+"""
+
+from collections.abc import Collection
+
+from msgspec import Struct, field
+from msgspec.structs import replace
+
+from notchhoist.flows.decisions.holding import WaitingCaller
+from notchhoist.flows.decisions.queueing import SlotQueue
+from notchhoist.flows.model.segments import Segment
+from notchhoist.flows.model.wishes import TRY_S, Wish
+
+KEPT_MAX = 1000
+"""Reservations kept at the most; 500 bytes each."""
+
+AHEAD = 1
+"""Requests that are called ahead of a free slot: the next one arrives when the
+slot becomes free, not a call and a handshake later."""
+
+
+class Reservation(WaitingCaller, eq=False, kw_only=True):
+    """A flow that waits at a balancer.
+
+    Attributes:
+        host: Host of the balancer.
+        segment: Its opening packet.
+    """
+
+    host: str
+    segment: Segment
+
+    def is_over(self, now: float, pace_s: float) -> bool:
+        """Tells whether its balancer has bound it, or a slot comes too late."""
+        ends_at = self.arrived_at + TRY_S - self.wish.age_s
+        return now >= min(ends_at, self.last_start(pace_s))
+
+
+class Call(Struct, eq=False):
+    """A call that its balancer has not answered.
+
+    Attributes:
+        reservation: The flow that was called.
+        since: When, seconds.
+    """
+
+    reservation: Reservation
+    since: float
+
+    @property
+    def host(self) -> str:
+        """Host of the balancer."""
+        return self.reservation.host
+
+
+class Reservations(Struct, eq=False):
+    """What balancers have reserved.
+
+    Attributes:
+        by_key: Reservations by balancer and flow.
+    """
+
+    by_key: dict[tuple[str, bytes], Reservation] = field(default_factory=dict)
+
+    def keep(self, host: str, segment: Segment, wish: Wish, now: float) -> bool:
+        """Keeps a reservation, or the news of one; tells whether it could."""
+        key = (host, segment.flow)
+        if key not in self.by_key and len(self.by_key) >= KEPT_MAX:
+            return False
+        self.by_key[key] = Reservation(
+            segment.flow, now, wish, unopened=True, host=host, segment=segment
+        )
+        return True
+
+    def drop(self, host: str, flow: bytes) -> Reservation | None:
+        """Drops a reservation, if there is one, and returns it."""
+        return self.by_key.pop((host, flow), None)
+
+    def drop_host(self, host: str) -> None:
+        """Drops the reservations of a balancer."""
+        for key in [key for key in self.by_key if key[0] == host]:
+            del self.by_key[key]
+
+    def pick(
+        self,
+        queue: SlotQueue,
+        here: Collection[WaitingCaller],
+        now: float,
+        pace_s: float,
+        slots: int,
+    ) -> Reservation | None:
+        """Takes out the reservation that gets the next slot, or None.
+
+        Args:
+            queue: Says who is first.
+            here: Requests that wait beside the server; one of them may be
+                before all reservations.
+            now: Runtime clock, seconds.
+            pace_s: Service time, seconds.
+            slots: Slots of the backend server.
+        """
+        for key, item in list(self.by_key.items()):
+            if item.is_over(now, pace_s):
+                del self.by_key[key]
+        waiting = [*self.by_key.values(), *here]
+        best = replace(queue).pick(waiting, now, pace_s, slots)
+        if not isinstance(best, Reservation):
+            return None
+        queue.pick(waiting, now, pace_s, slots)
+        return self.drop(best.host, best.flow)
--- a/notchhoist/flows/decisions/tests/test_queueing.py
+++ b/notchhoist/flows/decisions/tests/test_queueing.py
@@ -27,7 +27,9 @@
         may_be_retry=doubt,
     )
     held = HeldFlow(Phase.OPEN, "", arrived_at, arrived_at)
-    return HeldRequest(b"", held, [], arrived_at, wish, True, **fields)
+    return HeldRequest(
+        b"", arrived_at, wish, True, held=held, segments=[], **fields
+    )
 
 
 def pick(*requests, now=0.0, queue=None):
--- a/notchhoist/flows/model/fleet.py
+++ b/notchhoist/flows/model/fleet.py
@@ -180,6 +180,7 @@
         state_told: Revision of what this balancer last told its agent.
         told_at: When that was, seconds.
         reborn: It has the id of a server that it has replaced.
+        reserves: Its agent keeps reservations.
     """
 
     entry: ServerEntry
@@ -202,6 +203,7 @@
     state_told: int = 0
     told_at: float = float("-inf")
     reborn: bool = False
+    reserves: bool = False
 
     def note_offer(self) -> None:
         """Takes account of a new flow that is offered to it."""
--- a/notchhoist/flows/model/notes.py
+++ b/notchhoist/flows/model/notes.py
@@ -1,9 +1,10 @@
 """What balancer and agent tell each other inside a packet.
 
 A packet has five bytes for the system's own use, which its checksum leaves out.
-Bits 28 to 31 say what the note means, the lower ones depend on the direction.
-Bits 32 to 39 say to an agent how long the caller still waits, and whether it
-may have tried before.
+Bits 28 to 31 say what the note means; their values, like the lower bits, depend
+on the direction. Bits 32 to 39 say to an agent how long the caller still waits,
+and whether it may have tried before; to a balancer bit 32 says that the agent
+keeps reservations.
 """
 
 import enum
@@ -25,6 +26,7 @@
 _HINT_SHIFT = 16
 _LEFT_SHIFT = 32
 _DOUBT_SHIFT = 39
+_RESERVES_SHIFT = 32
 _SIX_BITS = 0x3F
 _SEVEN_BITS = 0x7F
 _THREE_BITS = 0x7
@@ -51,7 +53,10 @@
 
 
 class NoteKind(enum.IntEnum):
-    """Meaning of a note.
+    """Meaning of a note; the lower four bits of a value go on the wire.
+
+    Values above 15 are those that the other direction had first. What a process
+    does not know it takes for ``NONE``.
 
     Attributes:
         NONE: The packet comes from a caller.
@@ -90,9 +95,28 @@
     PLACE_BOUNDED = 12
     PLACE_IF_FREE = 13
     BUSY = 14
-
-
-_KINDS = tuple(NoteKind)
+    CALL = 15
+    RESERVE = 16 | 5
+    PLACE_CALLED = 16 | 6
+    NONE_PARKED = 16 | 7
+
+
+_TO_AGENT = {
+    kind & _KIND_MASK: kind
+    for kind in (
+        *(NoteKind.PLACE, NoteKind.HELD, NoteKind.TRY, NoteKind.ASK),
+        *(NoteKind.PLACE_BOUNDED, NoteKind.PLACE_IF_FREE),
+        *(NoteKind.RESERVE, NoteKind.PLACE_CALLED, NoteKind.NONE_PARKED),
+    )
+}
+_TO_BALANCER = {
+    kind & _KIND_MASK: kind
+    for kind in (
+        *(NoteKind.ABSENT, NoteKind.PRESENT, NoteKind.UNSURE, NoteKind.TAKEN),
+        *(NoteKind.REFUSED, NoteKind.RETURNED, NoteKind.FULL, NoteKind.BUSY),
+        NoteKind.CALL,
+    )
+}
 
 
 class Load(Struct, frozen=True):
@@ -136,7 +160,8 @@
     left = min(int(wish.left_s / LEFT_STEP_S + EPSILON), _SEVEN_BITS)
     left |= wish.may_be_retry << (_DOUBT_SHIFT - _LEFT_SHIFT)
     hint = objective << 6 | age << 3 | priority << 1 | wish.upload
-    return left << _LEFT_SHIFT | kind << _KIND_SHIFT | hint << _HINT_SHIFT | tag
+    wire = (kind & _KIND_MASK) << _KIND_SHIFT
+    return left << _LEFT_SHIFT | wire | hint << _HINT_SHIFT | tag
 
 
 def wish_of(note: int) -> Wish:
@@ -152,16 +177,22 @@
     )
 
 
-def to_balancer(kind: NoteKind, load: Load) -> int:
+def to_balancer(kind: NoteKind, load: Load, reserves: bool = False) -> int:
     """Returns a note for a balancer that also tells a load.
 
     Examples:
         >>> note = to_balancer(NoteKind.TAKEN, Load(40, 3, 64))
-        >>> kind_of(note).name, load_of(note)
+        >>> balancer_kind_of(note).name, load_of(note)
         ('TAKEN', Load(flows=40, running=3, pace_ms=64))
+
+    Args:
+        kind: Its meaning.
+        load: The load.
+        reserves: The agent keeps reservations.
     """
     return (
-        kind << _KIND_SHIFT
+        reserves << _RESERVES_SHIFT
+        | (kind & _KIND_MASK) << _KIND_SHIFT
         | min(load.flows, _FLOWS_MAX) << _FLOWS_SHIFT
         | min(load.running, _BYTE_MAX) << _RUNNING_SHIFT
         | min(load.pace_ms // PACE_STEP_MS, _BYTE_MAX)
@@ -185,10 +216,19 @@
     return load_of(note).pace_ms / 1000
 
 
-def kind_of(note: int) -> NoteKind:
-    """Returns the meaning of a note; ``NONE`` for one of no known kind."""
-    index = note >> _KIND_SHIFT & _KIND_MASK
-    return _KINDS[index] if index < len(_KINDS) else NoteKind.NONE
+def agent_kind_of(note: int) -> NoteKind:
+    """Returns the meaning of a note for an agent."""
+    return _TO_AGENT.get(note >> _KIND_SHIFT & _KIND_MASK, NoteKind.NONE)
+
+
+def balancer_kind_of(note: int) -> NoteKind:
+    """Returns the meaning of a note for a balancer."""
+    return _TO_BALANCER.get(note >> _KIND_SHIFT & _KIND_MASK, NoteKind.NONE)
+
+
+def tells_reserves(note: int) -> bool:
+    """Tells whether the agent that sent a note keeps reservations."""
+    return bool(note >> _RESERVES_SHIFT & 1)
 
 
 def tag_of(segment: Segment) -> int:
--- a/notchhoist/flows/model/records.py
+++ b/notchhoist/flows/model/records.py
@@ -44,6 +44,11 @@
     OFFERED_IF_FREE = "offered_if_free"
     FOUND_BUSY = "found_busy"
     FOUND_NONE_FREE = "found_none_free"
+    PARKED = "parked"
+    RESERVED = "reserved"
+    CALLED = "called"
+    CALLED_IN_VAIN = "called_in_vain"
+    BOUND_AT_END = "bound_at_end"
     REFUSED = "refused"
     FINDS = "finds"
     FOUND = "found"
@@ -81,6 +86,7 @@
 
     Attributes:
         OPENING: From offering a new flow to its acceptance.
+        PARKING: How long a new flow waited at its balancer for a slot.
         FINDING: From the first question for an unknown flow to the outcome.
         SERVICE: From a request to its answer, at the agent.
         WAITING: How long a request waited for a slot.
@@ -89,6 +95,7 @@
     """
 
     OPENING = "opening"
+    PARKING = "parking"
     FINDING = "finding"
     SERVICE = "service"
     WAITING = "waiting"
--- a/notchhoist/flows/tests/agents.py
+++ b/notchhoist/flows/tests/agents.py
@@ -46,7 +46,7 @@
 
 def to_balancer(effects):
     return [
-        notes.kind_of(CODEC.decode_request(item.datagram).note)
+        notes.balancer_kind_of(CODEC.decode_request(item.datagram).note)
         for item in effects
         if isinstance(item, SendBalancer)
     ]
