Agents call for few at a time, the shortest queue first

Cause: an agent with late requests waiting called for every reservation that came before them, more than it could serve; queues of 4 stood beside 37 (played, 16 servers). And what was bound at the end of a try went by old words.

Change: late requests that wait leave room for one call; a reservation is left to agents with shorter queues for 10 ms for each request that waits; late ones join no queue.

--- a/notchhoist/flows/agent/calling.py
+++ b/notchhoist/flows/agent/calling.py
@@ -127,7 +127,9 @@
     def _has_room(self, now: float) -> bool:
         """Tells whether one more flow may come, if none here is before it."""
         board = self.board
-        taken = self.vacancies.taken(now) - len(board.waiting)
+        pace_s = self.gate.pace_s()
+        late = sum(i.is_late(now, pace_s) for i in board.waiting.values())
+        taken = self.vacancies.taken(now) - late
         room = taken < max(1, board.slots) + AHEAD
         return room and not self.vacancies.rests(now)
 
--- a/notchhoist/flows/balancer/binding.py
+++ b/notchhoist/flows/balancer/binding.py
@@ -9,7 +9,6 @@
     Opening,
     ParkedFlow,
 )
-from notchhoist.flows.decisions import parking, placing
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.segments import Segment
 
@@ -85,21 +84,14 @@
             self._bind(parked, now)
 
     def _bind(self, parked: ParkedFlow, now: float) -> None:
-        """Binds a flow to the server that is expected to be free first."""
-        board = self.board
-        board.records.counters[Count.BOUND_AT_END] += 1
+        """Lets a flow wait at a server, whichever agents tell the least load.
+
+        They are asked anew: what is known of them is as old as its wait here.
+        """
+        self.board.records.counters[Count.BOUND_AT_END] += 1
         opening = self._release(parked, "bound at the end", now)
         opening.called_by = ""
-        known = placing.open_to_new(
-            board.by_service.get(opening.service, []), board.view.evacuated
-        )
-        servers = placing.usable(known, now)
-        asked = [
-            item for item in servers if item.entry.server_id in parked.asked
-        ]
-        if servers:
-            server = parking.first_free(asked or servers)
-            self.opener.place(opening, server, now)
-        else:
-            self.opener.offer(opening, now)
+        opening.tried.clear()
+        opening.busy.clear()
+        self.opener.offer(opening, now)
         self.parking.end_reservations(opening, "", now)
--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -14,7 +14,8 @@
     Opening,
     Placement,
 )
-from notchhoist.flows.decisions import placing
+from notchhoist.flows.decisions import parking, placing
+from notchhoist.flows.decisions.attempts import MOST_ATTEMPTS
 from notchhoist.flows.decisions.early import EarlyPackets
 from notchhoist.flows.decisions.splitting import pick_target
 from notchhoist.flows.model import notes
@@ -110,14 +111,7 @@
             near if if_free else self._found_busy(opening, servers) or near
         )
         choices = choices or self._untried(opening, servers)
-        server = placing.choose(
-            choices,
-            opening.route.kind,
-            board.zone,
-            now,
-            self.draw,
-            board.uses,
-        )
+        server = self._choose(opening, choices, if_free, now)
         if server is None:
             self._refuse(opening, len(servers), now)
             return
@@ -125,6 +119,21 @@
         opening.called_by = ""
         self.place(opening, server, now, if_free, len(choices))
 
+    def _choose(
+        self,
+        opening: Opening,
+        choices: Sequence[Server],
+        if_free: bool,
+        now: float,
+    ) -> Server | None:
+        board = self.board
+        if opening.busy and not if_free and self.parking.concerns(choices):
+            return parking.first_free(choices)
+        kind = opening.route.kind
+        return placing.choose(
+            choices, kind, board.zone, now, self.draw, board.uses
+        )
+
     def place(
         self,
         opening: Opening,
@@ -187,6 +196,8 @@
         if not board.uses.if_free or opening.route.kind is RequestKind.UPLOAD:
             return False
         attempts = board.busy_shares.attempts(opening.service)
+        if opening.parked_s:
+            attempts = MOST_ATTEMPTS
         return len(opening.busy) < attempts
 
     def _found_busy(
--- a/notchhoist/flows/balancer/parking.py
+++ b/notchhoist/flows/balancer/parking.py
@@ -25,10 +25,6 @@
 a call may be lost, and agents drop what they keep for a balancer that did not
 answer in time."""
 
-RESERVED_WITH = 4
-"""Agents that are asked to call for a flow. Two give most of the balance there
-is to gain; four leave room for those that are slow or silent."""
-
 FOREVER = float("inf")
 
 IN_ORDER = SlotQueue(ALL.without(["late_first"]))
@@ -54,6 +50,11 @@
     reserved: dict[str, dict[str, Server]] = field(default_factory=dict)
     look_due: float = FOREVER
 
+    def concerns(self, servers: Sequence[Server]) -> bool:
+        """Tells whether flows wait here for one of some servers."""
+        uses = self.board.uses.parking
+        return uses and parking.calls_for_parking(servers)
+
     def holds(self, flow: bytes) -> bool:
         """Tells whether a flow waits here."""
         return flow in self.board.parked
@@ -72,7 +73,7 @@
             Whether it waits; else it is to be bound.
         """
         board = self.board
-        if not board.uses.parking or not parking.calls_for_parking(servers):
+        if not self.concerns(servers):
             return False
         timeout_s = opening.route.timeout_ms / 1000
         bind_at = parking.bind_at(opening.asked_since, timeout_s)
@@ -104,7 +105,7 @@
     ) -> list[Server]:
         """Returns the servers to reserve with, where searches look first."""
         few = placing.candidates(opening.segment.flow, servers, self.board.zone)
-        return [item for item in few if item.reserves][:RESERVED_WITH]
+        return [item for item in few if item.reserves]
 
     def _reserve(
         self, parked: ParkedFlow, servers: Sequence[Server], now: float
--- a/notchhoist/flows/decisions/reservations.py
+++ b/notchhoist/flows/decisions/reservations.py
@@ -17,6 +17,13 @@
 KEPT_MAX = 1000
 """Reservations kept at the most; 500 bytes each."""
 
+DEFER_S = 0.01
+"""A reservation is left to others for so long, for each request that waits
+beside the server, seconds: the server with the shortest queue calls first."""
+
+URGENT_PACES = 3.0
+"""Service times before it is late that a reservation is not left to others."""
+
 AHEAD = 1
 """Requests that are called ahead of a free slot: the next one arrives when the
 slot becomes free, not a call and a handshake later."""
@@ -105,9 +112,30 @@
         for key, item in list(self.by_key.items()):
             if item.is_over(now, pace_s):
                 del self.by_key[key]
-        waiting = [*self.by_key.values(), *here]
+        waiting = [*self._ready(len(here), now, pace_s), *here]
         best = replace(queue).pick(waiting, now, pace_s, slots)
         if not isinstance(best, Reservation):
             return None
         queue.pick(waiting, now, pace_s, slots)
         return self.drop(best.host, best.flow)
+
+    def _ready(
+        self, waiting: int, now: float, pace_s: float
+    ) -> list[Reservation]:
+        """Returns what may be called while requests wait here.
+
+        Others may have a slot sooner, and those that are late would join a
+        queue that they cannot leave.
+        """
+        reservations = list(self.by_key.values())
+        if not waiting:
+            return reservations
+        return [
+            item
+            for item in reservations
+            if not item.is_late(now, pace_s)
+            and (
+                now - item.arrived_at >= DEFER_S * waiting
+                or now + URGENT_PACES * pace_s > item.due
+            )
+        ]
