Agents call three requests ahead; silent balancers are called again

Change: agents call up to three requests ahead, flows wait at servers while that takes at most three usual service times, and what a silent balancer reserved is kept and called again after 0.1 s. A call from a server that gets nothing new is declined. The choice of a server is a module of its own.

--- a/notchhoist/daemon/flow_pressure.py
+++ b/notchhoist/daemon/flow_pressure.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from notchhoist.flows.balancer.node import BalancerNode
+from notchhoist.flows.boards.balancer_board import ParkedFlow
 from notchhoist.flows.decisions import placing
 
 
@@ -13,7 +14,8 @@
 
     ``found_busy`` is the smoothed share of attempts that met no free slot;
     ``running`` and ``slots`` are sums over the servers that take new flows, by
-    words that are ``load_age_s`` old in the median.
+    words that are ``load_age_s`` old in the median. ``parked`` new flows wait
+    here for a slot, the first of them for ``parked_for_s``.
     """
     board = node.board
     for service, servers in sorted(board.by_service.items()):
@@ -23,6 +25,11 @@
         openings = [
             item for item in board.openings.values() if item.service == service
         ]
+        parked = [
+            item
+            for item in board.parked.values()
+            if item.opening.service == service
+        ]
         yield {
             "service": service,
             "zone": board.zone,
@@ -33,10 +40,16 @@
             "found_busy": round(board.busy_shares.share(service), 3),
             "attempts": board.busy_shares.attempts(service),
             "openings": len(openings),
+            "parked": len(parked),
+            "parked_for_s": _longest(parked, now),
             "load_age_s": _median_age(ages),
         }
 
 
+def _longest(parked: list[ParkedFlow], now: float) -> float:
+    return round(max((now - item.arrived_at for item in parked), default=0), 3)
+
+
 def _median_age(ages: list[float]) -> float | None:
     age = placing.median(ages)
     return round(age, 3) if ages and age < float("inf") else None
--- a/notchhoist/daemon/tests/test_flow_state.py
+++ b/notchhoist/daemon/tests/test_flow_state.py
@@ -69,3 +69,4 @@
     assert (row["running"], row["openings"], row["attempts"]) == (1, 1, 6)
     assert 0.1 < row["found_busy"] < 0.3
     assert row["load_age_s"] is None
+    assert (row["parked"], row["parked_for_s"]) == (0, 0.0)
--- a/notchhoist/flows/agent/calling.py
+++ b/notchhoist/flows/agent/calling.py
@@ -32,8 +32,8 @@
     """Calls a flow when the backend server is about to have a slot for it.
 
     A call takes a slot, as an accepted flow does, until its balancer answers
-    or has kept silent for a while; then nothing of that balancer is kept here,
-    since it asks again for what still waits there.
+    or has kept silent for a while. It is called again later: a balancer on a
+    thin host may stand still for longer than a slot should.
 
     Attributes:
         board: What the agent knows.
@@ -75,6 +75,7 @@
         reservation = self.reservations.drop(host, segment.flow)
         if kind is not NoteKind.PLACE_CALLED:
             return
+        self.reservations.resting.pop(host, None)
         calls = self.board.calls
         answered = next((item for item in calls if item.host == host), None)
         if answered is not None:
@@ -121,11 +122,14 @@
 
     def _end_unanswered(self, now: float) -> None:
         calls = self.board.calls
+        counters = self.board.records.counters
         while calls and now - calls[0].since >= CALL_WAIT_S:
-            self.on_none_parked(calls[0].host)
+            call = calls.pop(0)
+            counters[Count.CALLED_IN_VAIN] += 1
+            self.reservations.put_off(call.reservation, now)
 
     def _has_room(self, now: float) -> bool:
-        """Tells whether one more flow may come, if none here is before it."""
+        """Tells whether one more flow may come, before those that are late."""
         board = self.board
         pace_s = self.gate.pace_s()
         late = sum(i.is_late(now, pace_s) for i in board.waiting.values())
@@ -134,16 +138,16 @@
         return room and not self.vacancies.rests(now)
 
     def _next(self, now: float) -> Reservation | None:
-        """Takes out the reservation of the first flow that is not here yet."""
+        """Takes out the reservation of the first flow that is not here yet.
+
+        Requests that wait here may be before it.
+        """
         board = self.board
         pace_s = self.gate.pace_s()
+        here = board.waiting.values()
         while True:
             item = self.reservations.pick(
-                self.gate.queue,
-                board.waiting.values(),
-                now,
-                pace_s,
-                board.slots,
+                self.gate.queue, here, now, pace_s, board.slots
             )
             if item is None:
                 return None
--- a/notchhoist/flows/balancer/binding.py
+++ b/notchhoist/flows/balancer/binding.py
@@ -2,15 +2,23 @@
 
 from msgspec import Struct
 
+from notchhoist.base.draws import Draw
+from notchhoist.flows.balancer.choosing import ServerChooser
+from notchhoist.flows.balancer.health import HealthKeeper
+from notchhoist.flows.balancer.informing import AgentInformer
 from notchhoist.flows.balancer.opening import FlowOpener
 from notchhoist.flows.balancer.parking import ASK_AGAIN_S, FlowParking
+from notchhoist.flows.balancer.resetting import FlowResetter
 from notchhoist.flows.boards.balancer_board import (
     BalancerBoard,
     Opening,
     ParkedFlow,
 )
+from notchhoist.flows.decisions import placing
+from notchhoist.flows.decisions.early import EarlyPackets
+from notchhoist.flows.model.fleet import Server
 from notchhoist.flows.model.records import Count
-from notchhoist.flows.model.segments import Segment
+from notchhoist.flows.model.segments import Segment, SegmentCodec
 
 
 class FlowBinder(Struct, eq=False):
@@ -34,7 +42,9 @@
         if server is None:
             return
         server.reserves = True
-        parked = self.parking.next_for(server, segment.flow, now)
+        parked = None
+        if self._takes_new(server, now):
+            parked = self.parking.next_for(server, segment.flow, now)
         if parked is None:
             self.board.records.counters[Count.CALLED_IN_VAIN] += 1
             self.parking.tell_none(server, segment, now)
@@ -46,6 +56,13 @@
         # The agent's other calls are in vain where this was the last flow.
         self.parking.end_reservations(opening, "", now)
 
+    def _takes_new(self, server: Server, now: float) -> bool:
+        """Tells whether a server gets new flows, as far as is known here."""
+        evacuated = self.board.view.evacuated
+        return bool(
+            placing.usable(placing.open_to_new([server], evacuated), now)
+        )
+
     def _release(self, parked: ParkedFlow, outcome: str, now: float) -> Opening:
         self.parking.release(parked.flow, outcome, now)
         opening = parked.opening
@@ -95,3 +112,21 @@
         opening.busy.clear()
         self.opener.offer(opening, now)
         self.parking.end_reservations(opening, "", now)
+
+
+def make_binder(
+    board: BalancerBoard,
+    codec: SegmentCodec,
+    health: HealthKeeper,
+    resetter: FlowResetter,
+    draw: Draw,
+    early: EarlyPackets,
+    informer: AgentInformer,
+) -> FlowBinder:
+    """Makes the controllers of new flows; see their attributes."""
+    parking = FlowParking(board, codec, health)
+    chooser = ServerChooser(board, draw)
+    opener = FlowOpener(
+        *(board, codec, health, resetter, chooser, early, informer, parking)
+    )
+    return FlowBinder(board, parking, opener)
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -4,7 +4,7 @@
 from msgspec.structs import replace
 
 from notchhoist.base.draws import first_number, make_draw
-from notchhoist.flows.balancer.binding import FlowBinder
+from notchhoist.flows.balancer.binding import FlowBinder, make_binder
 from notchhoist.flows.balancer.confirming import ViewConfirmer
 from notchhoist.flows.balancer.evidence import Evidence
 from notchhoist.flows.balancer.finding import FlowFinder
@@ -13,7 +13,6 @@
 from notchhoist.flows.balancer.isolation import IsolationKeeper
 from notchhoist.flows.balancer.liveness import HostWatch
 from notchhoist.flows.balancer.opening import FlowOpener
-from notchhoist.flows.balancer.parking import FlowParking
 from notchhoist.flows.balancer.questions import make_questions
 from notchhoist.flows.balancer.rejoining import FlowRejoiner
 from notchhoist.flows.balancer.resetting import FlowResetter
@@ -320,10 +319,8 @@
         board, fleet, seeds, link_mbps, number=first_number(numbers)
     )
     informer = AgentInformer(board, sharer)
-    parking = FlowParking(board, codec, health)
-    opener = FlowOpener(
-        *(board, codec, health, resetter, make_draw(seed), early),
-        *(informer, parking),
+    binder = make_binder(
+        *(board, codec, health, resetter, make_draw(seed), early, informer)
     )
     questions = make_questions(board, codec, first_number(numbers))
     return BalancerNode(
@@ -332,8 +329,8 @@
         fleet=fleet,
         resetter=resetter,
         health=health,
-        opener=opener,
-        binder=FlowBinder(board, parking, opener),
+        opener=binder.opener,
+        binder=binder,
         finder=FlowFinder(
             board,
             codec,
--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -1,10 +1,8 @@
 """A balancer's controller for new flows."""
 
-from collections.abc import Sequence
-
 from msgspec import Struct
 
-from notchhoist.base.draws import Draw
+from notchhoist.flows.balancer.choosing import ServerChooser
 from notchhoist.flows.balancer.health import HealthKeeper
 from notchhoist.flows.balancer.informing import AgentInformer
 from notchhoist.flows.balancer.parking import FlowParking
@@ -14,13 +12,12 @@
     Opening,
     Placement,
 )
-from notchhoist.flows.decisions import parking, placing
-from notchhoist.flows.decisions.attempts import MOST_ATTEMPTS
+from notchhoist.flows.decisions import placing
 from notchhoist.flows.decisions.early import EarlyPackets
 from notchhoist.flows.decisions.splitting import pick_target
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import SendAgent
-from notchhoist.flows.model.fleet import RequestKind, Route, Server
+from notchhoist.flows.model.fleet import Route, Server
 from notchhoist.flows.model.notes import NoteKind
 from notchhoist.flows.model.records import Count, Timing
 from notchhoist.flows.model.segments import Segment, SegmentCodec
@@ -44,7 +41,7 @@
         codec: Codec of the packets.
         health: Watches over the agents.
         resetter: Ends flows.
-        draw: Random numbers in [0, 1).
+        chooser: Chooses servers.
         early: Tells whether a caller may have tried before.
         informer: Tells agents what they should know before they get a flow.
         parking: Keeps flows that wait here for a slot.
@@ -54,7 +51,7 @@
     codec: SegmentCodec
     health: HealthKeeper
     resetter: FlowResetter
-    draw: Draw
+    chooser: ServerChooser
     early: EarlyPackets
     informer: AgentInformer
     parking: FlowParking
@@ -95,45 +92,24 @@
         waits here, or goes to the best of those that had none: what they have
         told is news, and what is known of others is older than a request takes.
         """
-        board = self.board
-        known = placing.open_to_new(
-            board.by_service.get(opening.service, []), board.view.evacuated
-        )
+        chooser = self.chooser
+        known = chooser.open_to_new(opening.service)
         servers = placing.usable(known, now)
-        few = placing.candidates(opening.segment.flow, known, board.zone)
-        near = self._untried(opening, [item for item in servers if item in few])
-        if_free = bool(near) and self._asks_if_free(opening)
+        near = chooser.near(opening, known, servers)
+        if_free = bool(near) and chooser.asks_if_free(opening)
         if opening.busy and not if_free:
             self._end_offer(opening)
             if self.parking.take_in(opening, servers, now):
                 return
-        choices = (
-            near if if_free else self._found_busy(opening, servers) or near
-        )
-        choices = choices or self._untried(opening, servers)
-        server = self._choose(opening, choices, if_free, now)
+        choices = chooser.choices(opening, near, servers, if_free)
+        server = chooser.choose(opening, choices, if_free, now)
         if server is None:
             self._refuse(opening, len(servers), now)
             return
-        if_free = if_free and bound_of(board, server).per_s == 0
+        if_free = if_free and bound_of(self.board, server).per_s == 0
         opening.called_by = ""
         self.place(opening, server, now, if_free, len(choices))
 
-    def _choose(
-        self,
-        opening: Opening,
-        choices: Sequence[Server],
-        if_free: bool,
-        now: float,
-    ) -> Server | None:
-        board = self.board
-        if opening.busy and not if_free and self.parking.concerns(choices):
-            return parking.first_free(choices)
-        kind = opening.route.kind
-        return placing.choose(
-            choices, kind, board.zone, now, self.draw, board.uses
-        )
-
     def place(
         self,
         opening: Opening,
@@ -156,6 +132,7 @@
         self._log_offer(opening, server, choices, now)
         opening.tried.append(server.entry.server_id)
         opening.sent_at = now
+        opening.offers += 1
         opening.under_way = True
         server.note_offer()
         self.informer.before_offer(server, now)
@@ -170,7 +147,7 @@
     def _log_offer(
         self, opening: Opening, server: Server, choices: int, now: float
     ) -> None:
-        again = len(opening.tried)
+        again = opening.offers
         count = Count.PLACED_AGAIN if again else Count.PLACED
         self.board.records.counters[count] += 1
         self.board.records.decide(
@@ -190,28 +167,6 @@
             called_by=opening.called_by,
         )
 
-    def _asks_if_free(self, opening: Opening) -> bool:
-        """Tells whether the next server gets a flow only if a slot is free."""
-        board = self.board
-        if not board.uses.if_free or opening.route.kind is RequestKind.UPLOAD:
-            return False
-        attempts = board.busy_shares.attempts(opening.service)
-        if opening.parked_s:
-            attempts = MOST_ATTEMPTS
-        return len(opening.busy) < attempts
-
-    def _found_busy(
-        self, opening: Opening, servers: Sequence[Server]
-    ) -> list[Server]:
-        """Returns the servers where a flow may wait, as it was told there.
-
-        Once it has been offered to one of them it is past that choice.
-        """
-        if not opening.if_free:
-            return []
-        busy = opening.busy
-        return [item for item in servers if item.entry.server_id in busy]
-
     def _end_offer(self, opening: Opening) -> None:
         if not opening.under_way:
             return
@@ -220,15 +175,6 @@
         if server is not None:
             server.note_offer_ended()
 
-    def _untried(
-        self, opening: Opening, servers: Sequence[Server]
-    ) -> list[Server]:
-        return [
-            server
-            for server in servers
-            if server.entry.server_id not in opening.tried
-        ]
-
     def remember(self, opening: Opening, server: Server, now: float) -> None:
         """Notes where a flow is being offered."""
         flows = self.board.flows
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -44,7 +44,9 @@
         service: Its service.
         route: Its route.
         sent_at: When it was last offered, seconds.
-        tried: Ids of the servers that it was offered to.
+        tried: Ids of the servers that it was offered to; emptied when all are
+            asked anew.
+        offers: How many times it was offered.
         busy: Ids of those of them that had no free slot for it.
         if_free: It was last offered on the condition that a slot is free.
         under_way: Its last offer has not been answered.
@@ -59,6 +61,7 @@
     route: Route
     sent_at: float
     tried: list[str]
+    offers: int = 0
     busy: list[str] = field(default_factory=list)
     if_free: bool = False
     under_way: bool = False
--- a/notchhoist/flows/decisions/parking.py
+++ b/notchhoist/flows/decisions/parking.py
@@ -20,9 +20,9 @@
 """A parked flow is bound so long before its caller's try ends, seconds: the
 acceptance has to be back by then, and a few agents may keep silent."""
 
-SHORT_PACES = 1.5
+SHORT_PACES = 3.0
 """A flow waits at a server, not at its balancer, if that takes no longer, in
-usual service times: one request in work, at a server that is not slow."""
+usual service times; as many requests as agents call ahead."""
 
 TIMEOUT_SHARE = 0.5
 """Share of a request's timeout after which it no longer waits unbound."""
@@ -55,8 +55,7 @@
 def is_short(asked: Sequence[Server], servers: Sequence[Server]) -> bool:
     """Tells whether the wait at one of some servers is hardly worth a call.
 
-    Where one request is in work and none waits, its successor had better be
-    there in time than be called.
+    Servers should not run out of requests while balancers are called.
 
     Args:
         asked: Servers that had no free slot just now.
--- a/notchhoist/flows/decisions/reservations.py
+++ b/notchhoist/flows/decisions/reservations.py
@@ -24,9 +24,13 @@
 URGENT_PACES = 3.0
 """Service times before it is late that a reservation is not left to others."""
 
-AHEAD = 1
-"""Requests that are called ahead of a free slot: the next one arrives when the
-slot becomes free, not a call and a handshake later."""
+AHEAD = 3
+"""Requests that are called ahead of a free slot: the next ones are there when
+it becomes free, also where balancers stand still for a few service times."""
+
+REST_S = 0.1
+"""A balancer that has not answered a call is called again after this time,
+seconds."""
 
 
 class Reservation(WaitingCaller, eq=False, kw_only=True):
@@ -68,9 +72,11 @@
 
     Attributes:
         by_key: Reservations by balancer and flow.
+        resting: Balancers that are not to be called, and until when, seconds.
     """
 
     by_key: dict[tuple[str, bytes], Reservation] = field(default_factory=dict)
+    resting: dict[str, float] = field(default_factory=dict)
 
     def keep(self, host: str, segment: Segment, wish: Wish, now: float) -> bool:
         """Keeps a reservation, or the news of one; tells whether it could."""
@@ -86,6 +92,12 @@
         """Drops a reservation, if there is one, and returns it."""
         return self.by_key.pop((host, flow), None)
 
+    def put_off(self, reservation: Reservation, now: float) -> None:
+        """Keeps a reservation whose balancer has not answered a call."""
+        key = (reservation.host, reservation.flow)
+        self.by_key.setdefault(key, reservation)
+        self.resting[reservation.host] = now + REST_S
+
     def drop_host(self, host: str) -> None:
         """Drops the reservations of a balancer."""
         for key in [key for key in self.by_key if key[0] == host]:
@@ -127,7 +139,11 @@
         Others may have a slot sooner, and those that are late would join a
         queue that they cannot leave.
         """
-        reservations = list(self.by_key.values())
+        reservations = [
+            item
+            for item in self.by_key.values()
+            if now >= self.resting.get(item.host, 0.0)
+        ]
         if not waiting:
             return reservations
         return [
