--- a/notchhoist/flows/agent/calling.py
+++ b/notchhoist/flows/agent/calling.py
@@ -11,6 +11,7 @@
 from notchhoist.flows.decisions.reservations import (
     AHEAD,
     Call,
+    Line,
     Reservation,
     Reservations,
 )
@@ -114,7 +115,7 @@
 
     def _call_all(self, now: float) -> None:
         """Calls as many flows as there is room for."""
-        while self.reservations.by_key and self._has_room(now):
+        while self.reservations.by_key:
             reservation = self._next(now)
             if reservation is None:
                 return
@@ -128,27 +129,24 @@
             counters[Count.CALLED_IN_VAIN] += 1
             self.reservations.put_off(call.reservation, now)
 
-    def _has_room(self, now: float) -> bool:
-        """Tells whether one more flow may come, before those that are late."""
-        board = self.board
+    def _before(self, now: float) -> int:
+        """Returns how many requests run before one that is called now."""
         pace_s = self.gate.pace_s()
-        late = sum(i.is_late(now, pace_s) for i in board.waiting.values())
-        taken = self.vacancies.taken(now) - late
-        room = taken < max(1, board.slots) + AHEAD
-        return room and not self.vacancies.rests(now)
+        waiting = self.board.waiting.values()
+        late = sum(item.is_late(now, pace_s) for item in waiting)
+        return self.vacancies.taken(now) - late
 
     def _next(self, now: float) -> Reservation | None:
-        """Takes out the reservation of the first flow that is not here yet.
-
-        Requests that wait here may be before it.
-        """
+        """Takes out the reservation of the first flow that is not here yet."""
         board = self.board
-        pace_s = self.gate.pace_s()
-        here = board.waiting.values()
+        slots = max(1, board.slots)
+        before = self._before(now)
+        if before >= slots + AHEAD or self.vacancies.rests(now):
+            return None
+        waiting = board.waiting.values()
+        line = Line(waiting, before, self.gate.pace_s(), slots)
         while True:
-            item = self.reservations.pick(
-                self.gate.queue, here, now, pace_s, board.slots
-            )
+            item = self.reservations.pick(self.gate.queue, line, now)
             if item is None:
                 return None
             held = board.flows.get(item.flow)
--- a/notchhoist/flows/balancer/choosing.py
+++ b/notchhoist/flows/balancer/choosing.py
@@ -105,9 +105,8 @@
     ) -> Server | None:
         """Returns the best of some servers, or None where there is none."""
         board = self.board
-        waits = opening.busy and not if_free and board.uses.parking
-        if waits and parking.calls_for_parking(choices):
-            return parking.first_free(choices)
+        if choices and opening.parked_s and not if_free:
+            return parking.first_free(choices, self.draw)
         kind = opening.route.kind
         return placing.choose(
             choices, kind, board.zone, now, self.draw, board.uses
--- a/notchhoist/flows/decisions/parking.py
+++ b/notchhoist/flows/decisions/parking.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Sequence
 
+from notchhoist.base.draws import Draw
 from notchhoist.flows.decisions.placing import median
 from notchhoist.flows.model.fleet import Server
 from notchhoist.flows.model.wishes import TRY_S
@@ -73,14 +74,18 @@
     return median([item.pace_ms for item in servers if item.pace_ms]) or 1.0
 
 
-def first_free(servers: Sequence[Server]) -> Server:
+def first_free(servers: Sequence[Server], draw: Draw) -> Server:
     """Returns the server that is expected to answer one more request first.
 
     Args:
         servers: Servers that take new flows, at least one.
+        draw: Random numbers in [0, 1), for ties.
     """
     usual_ms = usual_pace_ms(servers)
     return min(
         servers,
-        key=lambda item: (item.running + 1) * (item.pace_ms or usual_ms),
+        key=lambda item: (
+            (item.running + 1) * (item.pace_ms or usual_ms),
+            draw(),
+        ),
     )
--- a/notchhoist/flows/decisions/reservations.py
+++ b/notchhoist/flows/decisions/reservations.py
@@ -67,6 +67,38 @@
         return self.reservation.host
 
 
+class Line(Struct, frozen=True):
+    """What a backend server has to do already.
+
+    Attributes:
+        waiting: Requests that wait beside it.
+        before: Requests that run before one that is called now.
+        pace_s: Its service time, seconds.
+        slots: Requests that it works on at once.
+    """
+
+    waiting: Collection[WaitingCaller]
+    before: int
+    pace_s: float
+    slots: int
+
+    def takes(self, item: Reservation, now: float) -> bool:
+        """Tells whether a flow had better be called here now.
+
+        Only one that will be on time here, unless the server runs out of work.
+        While requests wait here, others may have a slot sooner; a flow cannot
+        leave again.
+        """
+        if item.is_late(now, self.pace_s):
+            return not self.waiting and self.before <= self.slots
+        queue_s = max(0, self.before - self.slots) * self.pace_s / self.slots
+        if item.is_late(now + queue_s, self.pace_s):
+            return False
+        waited_s = now - item.arrived_at
+        is_urgent = now + URGENT_PACES * self.pace_s > item.due
+        return is_urgent or waited_s >= DEFER_S * len(self.waiting)
+
+
 class Reservations(Struct, eq=False):
     """What balancers have reserved.
 
@@ -104,54 +136,26 @@
             del self.by_key[key]
 
     def pick(
-        self,
-        queue: SlotQueue,
-        here: Collection[WaitingCaller],
-        now: float,
-        pace_s: float,
-        slots: int,
+        self, queue: SlotQueue, line: Line, now: float
     ) -> Reservation | None:
-        """Takes out the reservation that gets the next slot, or None.
+        """Takes out the reservation that is called next, or None.
 
         Args:
             queue: Says who is first.
-            here: Requests that wait beside the server; one of them may be
-                before all reservations.
+            line: What the backend server has to do already.
             now: Runtime clock, seconds.
-            pace_s: Service time, seconds.
-            slots: Slots of the backend server.
         """
         for key, item in list(self.by_key.items()):
-            if item.is_over(now, pace_s):
+            if item.is_over(now, line.pace_s):
                 del self.by_key[key]
-        waiting = [*self._ready(len(here), now, pace_s), *here]
-        best = replace(queue).pick(waiting, now, pace_s, slots)
-        if not isinstance(best, Reservation):
-            return None
-        queue.pick(waiting, now, pace_s, slots)
-        return self.drop(best.host, best.flow)
-
-    def _ready(
-        self, waiting: int, now: float, pace_s: float
-    ) -> list[Reservation]:
-        """Returns what may be called while requests wait here.
-
-        Others may have a slot sooner, and those that are late would join a
-        queue that they cannot leave.
-        """
-        reservations = [
+        ready = [
             item
             for item in self.by_key.values()
-            if now >= self.resting.get(item.host, 0.0)
-        ]
-        if not waiting:
-            return reservations
-        return [
-            item
-            for item in reservations
-            if not item.is_late(now, pace_s)
-            and (
-                now - item.arrived_at >= DEFER_S * waiting
-                or now + URGENT_PACES * pace_s > item.due
-            )
+            if now >= self.resting.get(item.host, 0.0) and line.takes(item, now)
         ]
+        waiting = [*ready, *line.waiting]
+        best = replace(queue).pick(waiting, now, line.pace_s, line.slots)
+        if not isinstance(best, Reservation):
+            return None
+        queue.pick(waiting, now, line.pace_s, line.slots)
+        return self.drop(best.host, best.flow)
