Distances: the note, and the command that shows them

Ruled out: nothing else lacked; a test now asks for every subject there is. Named the floor of the mean in placing.choose; nothing is decided differently. Tests: test_statements asks for each subject, test_flow_processes asks two daemons for distances; none changed otherwise.

--- a/notchhoist/cli/tests/test_statements.py
+++ b/notchhoist/cli/tests/test_statements.py
@@ -3,7 +3,7 @@
 import pytest
 
 from notchhoist import documents, model
-from notchhoist.cli import changing, statements
+from notchhoist.cli import asking_flows, changing, statements
 from notchhoist.testing.deployment import HALLBOOK, service_of
 
 SERVICE = service_of(HALLBOOK, 0, 67.0)
@@ -38,6 +38,12 @@
     assert error.expected
 
 
+def test_every_subject_of_opaque_daemons_can_be_asked_for():
+    for subject in asking_flows.SUBJECTS:
+        statement = statements.parse_statement(f"show {subject}").unwrap()
+        assert statement.subject == subject
+
+
 def test_a_query_with_everything():
     text = (
         'show flows where server = a-1 and streams >= 2 and caller ~ "10." '
--- a/notchhoist/daemon/tests/test_flow_processes.py
+++ b/notchhoist/daemon/tests/test_flow_processes.py
@@ -321,6 +321,8 @@
     assert rows(reader, capsys, asked)
     [pressed] = rows(reader, capsys, "show pressure order by found_busy desc")
     assert (pressed["service"], pressed["found_busy"]) == ("hallbook", 0.0)
+    [measured] = rows(reader, capsys, 'show distances where long_for = ""')
+    assert measured["answers"] >= 1
 
 
 def test_a_refused_flow_is_explained(fleet, sockets, reader, capsys):
--- a/notchhoist/flows/balancer/distances.py
+++ b/notchhoist/flows/balancer/distances.py
@@ -36,7 +36,7 @@
 
 KEPT_S = 60.0
 """A measure is forgotten when nothing has confirmed it for so long, seconds.
-Flows then go to that zone as if it were near, and measure it again."""
+Constants decide then, and flows that go to that zone measure it again."""
 
 UNKNOWN = float("inf")
 
--- a/notchhoist/flows/decisions/placing.py
+++ b/notchhoist/flows/decisions/placing.py
@@ -175,7 +175,9 @@
             unheard = cost.is_long and server.heard_at == NEVER
             flows = max(server.flows, usual) if unheard else server.flows
             score = (flows + 1) / size
-            extra = cost.flows * max(mean, cost.is_long)
+            # Less than one flow is no measure of who is fuller.
+            usual_mean = max(mean, 1.0) if cost.is_long else mean
+            extra = cost.flows * usual_mean
         else:
             score = _wait(server, size, mean)
             upload = kind is RequestKind.UPLOAD
--- a/notchhoist/flows/model/mechanisms.py
+++ b/notchhoist/flows/model/mechanisms.py
@@ -42,7 +42,8 @@
         resting: Flows that rest are reset when their server is gone.
         parking: Where servers have one slot, what finds none free waits at its
             balancer and goes to the server that is free first.
-        distances: Offers reckon with the measured distance between zones.
+        distances: Offers reckon with the measured distance between zones, and
+            no flow is offered twice while its first offer may be answered.
     """
 
     load: bool = True
