Balancer: what is told beside a known view counts; guesses reset nothing

Cause: on_piece passed over a whole view that was known before it read placing_for_ms, rerouted_for_ms and members, so a balancer that had read the store itself asked too few services. An acceptance concluded from the caller's packet was taken for certain, and its flow reset once that host was dark, though another balancer may have offered it elsewhere. Change: _take_context is called first for tells and pieces alike. Placement.inferred marks a guess until the same agent tells of the flow; such flows are given up without a reset unless shown.

--- a/notchhoist/flows/balancer/accepting.py
+++ b/notchhoist/flows/balancer/accepting.py
@@ -23,6 +23,9 @@
         """Takes word that a backend server accepted a flow."""
         self.time(host, segment.flow, now)
         self._accept(host, segment, now)
+        placement = self.board.flows.get(segment.flow)
+        if placement is not None and placement.server.entry.host == host:
+            placement.inferred = False
 
     def on_chosen(self, segment: Segment, now: float) -> None:
         """Takes a packet that a caller sends once its flow is accepted.
@@ -40,6 +43,7 @@
         silent = set(opening.tried) - set(opening.busy)
         silent.add(placement.server.entry.server_id)
         if len(silent) == 1:
+            placement.inferred = True
             self._accept(placement.server.entry.host, segment, now)
 
     def _accept(self, host: str, segment: Segment, now: float) -> None:
--- a/notchhoist/flows/balancer/health.py
+++ b/notchhoist/flows/balancer/health.py
@@ -260,7 +260,8 @@
             if placement.closing or not placement.accepted:
                 continue
             rests = now - placement.last_at > RESTS_S
-            unsure = rests and not placement.is_shown
+            doubtful = rests or placement.inferred
+            unsure = doubtful and not placement.is_shown
             if self.board.uses.resting and unsure:
                 continue  # Its caller may have chosen another server.
             self.resetter.reset(
--- a/notchhoist/flows/balancer/tests/test_accepting.py
+++ b/notchhoist/flows/balancer/tests/test_accepting.py
@@ -2,9 +2,16 @@
 
 from notchhoist.flows.decisions.reaching import ACCEPT_WAIT_S
 from notchhoist.flows.model import notes
+from notchhoist.flows.model.messages import LoadTell
 from notchhoist.flows.model.notes import Load, NoteKind
 from notchhoist.flows.model.records import Count
-from notchhoist.flows.tests.balancing import balancer, packets, tell
+from notchhoist.flows.tests.balancing import (
+    balancer,
+    packets,
+    resets,
+    tell,
+    tick_among_dead,
+)
 from notchhoist.flows.tests.crafting import RST, SYN, request, with_note
 
 LATE_S = ACCEPT_WAIT_S + 0.01
@@ -72,3 +79,33 @@
     tell(node, first, syn, NoteKind.TAKEN, LATE_S + 0.002)
     assert node.board.records.counters[Count.ACCEPTED_IN_VAIN] == 1
     assert node.board.flows[syn.flow].server.entry.host == second
+
+
+def resets_of_a_dark_host(told):
+    """Returns the resets of a flow whose caller goes on while its host is dark.
+
+    The other agents answer all along.
+    """
+    node = balancer()
+    syn, dark = begin(node)
+    data = request(seq=1, data=b"x")
+    found = []
+    node.on_caller(data, 0.01)
+    if told:
+        tell(node, dark, syn, NoteKind.TAKEN, 0.012)
+    for step in range(1, 41):
+        now = step / 20
+        for host in node.board.by_host:
+            if host != dark:
+                node.on_peer(host, LoadTell(0, 0, 0, False), now)
+        if now in (0.2, 0.6, 1.0):
+            found += resets(node.on_caller(data, now))
+        found += resets(tick_among_dead(node, now))
+    assert node.board.by_host[dark].lost
+    return len(found)
+
+
+def test_a_guess_at_the_server_resets_nothing_when_its_host_is_dark():
+    """Another balancer may have offered the flow to a server that lives."""
+    assert resets_of_a_dark_host(told=False) == 0
+    assert resets_of_a_dark_host(told=True) == 1
--- a/notchhoist/flows/balancer/tests/test_splits.py
+++ b/notchhoist/flows/balancer/tests/test_splits.py
@@ -8,7 +8,12 @@
 from notchhoist.flows.codec.message_codec import decode_message, encode_message
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import SendAgent, SendPeer
-from notchhoist.flows.model.messages import FlowsAsk, ViewAsk, ViewTell
+from notchhoist.flows.model.messages import (
+    FlowsAsk,
+    ViewAsk,
+    ViewPiece,
+    ViewTell,
+)
 from notchhoist.flows.model.notes import NoteKind, service_tag
 from notchhoist.flows.model.view import ViewChange
 from notchhoist.flows.published.reroutings import KEPT_S
@@ -165,6 +170,17 @@
     assert search(node, [NEW_HOST])[1] == [NEW_HOST, OLD_HOST]
 
 
+def test_pieces_of_a_view_that_is_known_tell_of_former_routes_too():
+    """A balancer that had read the store itself passed them over."""
+    node = balancer(split((NEW, 1)), services=(OLD, NEW))
+    beside = {"placing_for_ms": 300_000, "rerouted_for_ms": 900}
+    piece = ViewPiece(1, 0, 0.1, (), 0, 2, b"half", asked=1, **beside)
+    node.on_peer("10.0.9.1", piece, 1.0)
+    assert not node.sharer.pieces.incoming
+    assert node.board.placing_since == -299.0
+    assert search(node, [NEW_HOST])[1] == [NEW_HOST, OLD_HOST]
+
+
 def test_an_older_word_does_not_shorten_what_is_remembered():
     node = balancer(split((OLD, 1)), services=(OLD, NEW))
     change(node, split((NEW, 1)), now=1.0)
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -30,6 +30,8 @@
             None once that has gone to the server.
         used_since: When the first packet after the opening went there, seconds;
             long ago for a flow that was found there.
+        inferred: The acceptance was concluded from the caller's packet; no
+            agent has told of it.
     """
 
     server: Server
@@ -39,6 +41,7 @@
     closing: bool = False
     asked_since: float | None = None
     used_since: float = float("-inf")
+    inferred: bool = False
 
     @property
     def is_shown(self) -> bool:
--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -54,8 +54,7 @@
 seconds: a configuration of 1,600 routes fills a link of 5 Mbit/s for 0.7 s."""
 
 ANSWERS_KEPT_S = 10.0
-"""A question is forgotten after this time, seconds: what is told in answer to
-an older one confirms nothing that matters any more."""
+"""A question is forgotten after this time, seconds: answers to it are stale."""
 
 FORGET_S = 60.0
 """A balancer that was not heard for so long is forgotten."""
@@ -108,11 +107,9 @@
 
     def alive(self, now: float) -> list[str]:
         """Returns the balancers that are alive, the readers first."""
-        hosts = {
-            host for host, at in self.members.items() if now - at < ALIVE_S
-        }
-        hosts.add(self.board.host)
-        return sorted(hosts, key=self._rank)
+        heard = self.members.items()
+        hosts = {host for host, at in heard if now - at < ALIVE_S}
+        return sorted({*hosts, self.board.host}, key=self._rank)
 
     def _rank(self, host: str) -> tuple[int, int, str]:
         """Orders balancers alike everywhere, those with wide links first.
@@ -150,9 +147,8 @@
     def on_ask(self, host: str, ask: ViewAsk, now: float) -> None:
         """Answers another balancer; one that knows nothing asks back.
 
-        After a loss of power the first that the platform answers asks the
-        balancers which all others ask, so everybody knows three round trips
-        later: the last of 19 came into force 0.39 s after the first.
+        After a loss of power the first that the platform answers asks those
+        that all others ask: everybody knows three round trips later.
         """
         if not self.board.fleet_known and ask.revision > 0:
             self._ask([host], now)
@@ -165,10 +161,8 @@
     def _tell(self, host: str, question: Question, now: float) -> None:
         if not self.board.fleet_known:
             return
-        members = tuple(
-            self._member(member, now)
-            for member in self.alive(now)[:MEMBERS_TOLD]
-        )
+        told = self.alive(now)[:MEMBERS_TOLD]
+        members = tuple(self._member(member, now) for member in told)
         context = Context(
             age_s=now - self.confirmed_at,
             members=members,
@@ -205,7 +199,7 @@
 
     def on_piece(self, host: str, piece: ViewPiece, now: float) -> None:
         """Takes a piece of what another balancer knows."""
-        self.members[host] = self.heard_at = now
+        self._take_context(host, piece, now)
         if self._is_known(piece):
             if not self._is_of_earlier_era(piece):
                 self._note_confirmed(piece)
@@ -232,6 +226,22 @@
 
     def on_tell(self, host: str, tell: ViewTell, now: float) -> None:
         """Takes what another balancer knows."""
+        self._take_context(host, tell, now)
+        change = self.parts.whole(host, tell, now)
+        if change is None or self._is_of_earlier_era(change):
+            return
+        before = self.board.view.revision
+        self.fleet.on_change(change, now)
+        if change.base <= before:
+            self._note_confirmed(tell)
+            self._check(host, change, now)
+        self.board.records.counters[Count.VIEWS_TOLD] += 1
+        self._push(now)
+
+    def _take_context(
+        self, host: str, tell: ViewTell | ViewPiece, now: float
+    ) -> None:
+        """Takes what is told beside a change, whatever becomes of that."""
         self.members[host] = self.heard_at = now
         for member in tell.members:
             heard_at = now - member.age_ms / 1000
@@ -243,16 +253,6 @@
             self.board.placing_since = min(self.board.placing_since, since)
         asked_at = self.asked_at.get(tell.asked, now)
         reroutings.on_told(self.board, tell.rerouted_for_ms, asked_at)
-        change = self.parts.whole(host, tell, now)
-        if change is None or self._is_of_earlier_era(change):
-            return
-        before = self.board.view.revision
-        self.fleet.on_change(change, now)
-        if change.base <= before:
-            self._note_confirmed(tell)
-            self._check(host, change, now)
-        self.board.records.counters[Count.VIEWS_TOLD] += 1
-        self._push(now)
 
     def _is_of_earlier_era(self, change: ViewChange | ViewPiece) -> bool:
         """Tells whether a teller has not heard of a restore of the store.
@@ -265,9 +265,7 @@
         """Notes since when what was told is confirmed for certain.
 
         The age is as of the telling, which came after the question that it
-        names. A tell may wait for a second before a full link; reckoned from
-        its arrival, what was told looked that much newer, and a balancer read
-        the platform itself only after the bound of a change.
+        names, and a tell may wait for a second before a full link.
         """
         asked_at = self.asked_at.get(tell.asked)
         if asked_at is not None:
@@ -313,9 +311,8 @@
         alive = [host for host in self.alive(now) if host != self.board.host]
         seeds = [host for host in self._seeds() if host not in alive]
         self._ask(hosts_to_ask(self.turn, alive, seeds, knows), now)
-        for host in [
-            h for h, at in self.members.items() if now - at > FORGET_S
-        ]:
+        heard = list(self.members.items())
+        for host in [host for host, at in heard if now - at > FORGET_S]:
             del self.members[host]
             self.links.pop(host, None)
         for number, at in list(self.asked_at.items()):
