Agent: a refusal counts for the server that refused, and packets are sampled

Cause: refused_since outlived the server that had refused, so a later one counted as ended at its first refusal. Flows never shown gave no sample, so one refused connection reset them. Ruled out: opening, closing and resetting packets as samples, which would change the flow; packets that wait for a slot, which the server has not had. LEAVING_S stays: a kept test asks for the reset after it though packets are taken. Change: BackendWatch.on_accepted clears refused_since; _sample falls back to open flows.

--- a/notchhoist/flows/agent/backend_watch.py
+++ b/notchhoist/flows/agent/backend_watch.py
@@ -8,15 +8,15 @@
 from notchhoist.flows.model.effects import CheckBackend, SendCaller
 from notchhoist.flows.model.held import Phase
 from notchhoist.flows.model.records import Count
-from notchhoist.flows.model.segments import SegmentCodec
+from notchhoist.flows.model.segments import Segment, SegmentCodec
 
 CHECK_PAUSE_S = 0.3
 """Least time between two looks whether the backend server listens, seconds."""
 
 
 LEAVING_S = 4.0
-"""A server that accepts no connections, but may take packets, counts for so
-long as one whose leave is not known here, seconds; twice what that takes."""
+"""How long a server that takes packets but no connections counts as leaving
+where no leave is known, seconds; twice what a leave takes."""
 
 
 class BackendWatch(Struct, eq=False):
@@ -32,6 +32,13 @@
     codec: SegmentCodec
     gate: RequestGate
 
+    def on_accepted(self) -> None:
+        """Takes account of a connection that the backend server accepted.
+
+        What was refused before was refused by a server that has ended.
+        """
+        self.board.refused_since = None
+
     def check_soon(self, now: float) -> None:
         """Asks for a look, a little after the last one."""
         board = self.board
@@ -47,11 +54,21 @@
 
     def _sample(self) -> bytes:
         """Returns a packet that the server has had, or nothing."""
-        resting = self.board.resting() if self.board.uses.resting else []
-        samples = (held.sample for _, held in resting)
-        return next(
-            (self.codec.with_note(item, 0) for item in samples if item), b""
+        board = self.board
+        if not board.uses.resting:
+            return b""
+        resting = [held.sample for _, held in board.resting()]
+        never_shown = [
+            held.sample
+            for flow, held in board.flows.items()
+            if held.phase is Phase.OPEN and flow not in board.waiting
+        ]
+        samples = (
+            item
+            for item in resting + never_shown
+            if item is not None and not _changes_flow(item)
         )
+        return next((self.codec.with_note(item, 0) for item in samples), b"")
 
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
@@ -97,7 +114,7 @@
         """Tells whether a server that accepts no connections has ended.
 
         One that leaves closes its listener first, and serves its open flows
-        for about two seconds more; up to 35 of them were reset.
+        for about two seconds more.
         """
         board = self.board
         if board.refused_since is None:
@@ -157,3 +174,8 @@
         board.flows.clear()
         board.active.clear()
         board.waiting.clear()
+
+
+def _changes_flow(segment: Segment) -> bool:
+    """Tells whether a copy of a packet might open or end its flow."""
+    return segment.opens or segment.closes or segment.resets
--- a/notchhoist/flows/agent/node.py
+++ b/notchhoist/flows/agent/node.py
@@ -145,6 +145,7 @@
         held.note_received(segment)
         held.note_shown(segment, now)
         if segment.accepts:
+            self.watch.on_accepted()
             self.offers.on_accepted(held, segment, now)
         elif held.phase is Phase.TRIED:
             self._on_confirmed(held, now)
--- a/notchhoist/flows/agent/tests/test_resting.py
+++ b/notchhoist/flows/agent/tests/test_resting.py
@@ -180,6 +180,43 @@
     assert resets(effects) == [1]
 
 
+def test_a_later_server_is_not_judged_by_what_a_former_one_refused():
+    """It lost its flows at its first refusal, though it took packets."""
+    node = resting([1])
+    assert not resets(node.on_checked(False, LATER, ended=False))
+    later = LATER + 2 * LEAVING_S
+    accept(node, 2, later)
+    ask(node, 2, later)
+    reply(node, 2, later)
+    assert not resets(node.on_checked(False, later + 0.1, ended=False))
+    effects = node.on_checked(False, later + 0.1 + LEAVING_S, ended=False)
+    assert sorted(resets(effects)) == [1, 2]
+
+
+def test_flows_that_were_never_shown_are_not_reset_by_one_refusal():
+    """A server that leaves refuses a connection and serves on."""
+    node = agent()
+    accept(node, 1)
+    ask(node, 1)
+    node.watch.check_soon(LATER)
+    [look] = looks(node.tick(LATER))
+    sample = CODEC.decode_request(look.sample)
+    assert not sample.opens
+    assert sample.size == 9
+    assert not resets(node.on_checked(False, LATER, ended=False))
+
+
+def test_a_packet_that_waits_for_its_slot_is_no_sample():
+    node = agent(slots=1)
+    for port in (1, 2):
+        accept(node, port)
+        ask(node, port)
+    [waiting] = node.board.waiting
+    node.watch.check_soon(LATER)
+    [look] = looks(node.tick(LATER))
+    assert CODEC.decode_request(look.sample).flow != waiting
+
+
 def test_an_agent_waits_for_the_end_of_a_leaving_server():
     node = resting([1])
     assert not node.awaits_end()
