Balancer: all resting flows are tried, each replacement anew, walks bounded

Cause: of 300 flows the same first 50 were tried at each copy, and 300 counted; a spent doubt was kept, so a second replacement under one id brought no copies; each look walked all flows; displaced was filled where resting is out of use, and nobody emptied it. Ruled out: renewing spent doubts of vanished entries, which would bring copies for ever; trying from a walk that began before the doubt, whose flows are of the former server. Change: Doubt.untried goes through a round in batches and counts what is sent; a spent doubt is renewed by another replacement; a walk takes at most 5,000 flows a look, and what the last whole walk found is acted on; move_flows keeps displaced only in use (the first of several changes counted already); _rests is now _is_open. The test of idle balancers uses one balancer for all ticks.

--- a/notchhoist/flows/balancer/resting.py
+++ b/notchhoist/flows/balancer/resting.py
@@ -48,8 +48,13 @@
 """Flows tried in one look at the most; a link of 5 Mbit/s carries 50 packets of
 1.2 KB in 0.1 s."""
 
+FLOWS_A_LOOK = 5_000
+"""Flows walked in one look at the most, so that the process is not held up; a
+walk of more goes on at the next look."""
 
 VANISHED = "entry vanished"
+"""Reason of a doubt that holds until the entry is back; it brings copies once,
+while each replacement of a server does so anew."""
 
 
 class Doubt(Struct, eq=False):
@@ -57,13 +62,46 @@
 
     Attributes:
         reason: Why, for the log.
+        since: What rests there is known by a walk that began then or later,
+            seconds.
         due: When they are tried next, seconds.
         copies: How often they were tried.
+        untried: Flows of this round that are yet to be tried.
     """
 
     reason: str
+    since: float
     due: float
     copies: int = 0
+    untried: list[bytes] = field(default_factory=list)
+
+
+class Rest(Struct, eq=False):
+    """What rests at one server.
+
+    Attributes:
+        server: The server.
+        flows: The flows.
+        used_at: When any of them was last used, seconds.
+    """
+
+    server: Server
+    flows: list[bytes] = field(default_factory=list)
+    used_at: float = float("-inf")
+
+
+class Walk(Struct, eq=False):
+    """A walk over all flows, in slices.
+
+    Attributes:
+        began_at: When it began, seconds.
+        left: Flows that are yet to be looked at.
+        found: What rests, by id of the server.
+    """
+
+    began_at: float = float("-inf")
+    left: list[bytes] = field(default_factory=list)
+    found: dict[str, Rest] = field(default_factory=dict)
 
 
 class RestingKeeper(Struct, eq=False):
@@ -75,6 +113,9 @@
         health: Watches over the agents.
         finder: Finds flows.
         doubts: Servers that may have ended, by id.
+        walk: The walk under way, or the last one.
+        resting: What the last walk that has ended found, by id of the server.
+        known_at: When that walk began, seconds.
         look_due: When servers are next looked at, seconds.
     """
 
@@ -83,6 +124,9 @@
     health: HealthKeeper
     finder: FlowFinder
     doubts: dict[str, Doubt] = field(default_factory=dict)
+    walk: Walk = field(default_factory=Walk)
+    resting: dict[str, Rest] = field(default_factory=dict)
+    known_at: float = float("-inf")
     look_due: float = 0.0
 
     def tick(self, now: float) -> None:
@@ -93,15 +137,19 @@
         if now < self.look_due:
             return
         self.look_due = now + LOOK_EVERY_S
-        resting = self._by_server()
-        self._note_doubts(resting, now)
-        self._probe_unheard(resting, now)
-        for server, flows in resting.values():
-            doubt = self.doubts.get(server.entry.server_id)
-            if has_ended(server, self.board.store_failed_at, now):
-                self._give_up(server, now)
-            elif doubt is not None and now >= doubt.due:
-                self._try(server, flows, doubt, now)
+        if self._walk_on(now):
+            self._note_doubts(now)
+        self._probe_unheard(now)
+        for server_id, rest in list(self.resting.items()):
+            doubt = self.doubts.get(server_id)
+            if has_ended(rest.server, self.board.store_failed_at, now):
+                del self.resting[server_id]
+                self._give_up(rest.server, now)
+            elif doubt is not None and self._is_due(doubt, now):
+                self._try(rest, doubt, now)
+
+    def _is_due(self, doubt: Doubt, now: float) -> bool:
+        return now >= doubt.due and doubt.since <= self.known_at
 
     def _search_displaced(self, now: float) -> None:
         """Looks for flows whose server has given its host to another."""
@@ -109,57 +157,69 @@
         displaced, board.displaced = board.displaced, {}
         for flow, former in displaced.items():
             placement = board.flows.get(flow)
-            if placement is None or not _rests(placement):
+            if placement is None or not _is_open(placement):
                 continue
             if placement.server.entry.service == former:
                 if now - board.known_since >= STALE_S:
-                    self._doubt(placement.server, "server replaced", now)
+                    server_id = placement.server.entry.server_id
+                    self._doubt(server_id, "server replaced", now, now)
                 continue
             del board.flows[flow]
             board.records.counters[Count.SEARCHED_AT_REST] += 1
             self.finder.on_unknown(former, placement.last, now)
 
-    def _by_server(self) -> dict[str, tuple[Server, list[bytes]]]:
-        """Returns the servers where flows rest, with these flows."""
-        found: dict[str, tuple[Server, list[bytes]]] = {}
-        for flow, placement in self.board.flows.items():
-            if not _rests(placement):
+    def _walk_on(self, now: float) -> bool:
+        """Looks at some more flows; tells whether a walk has ended."""
+        board, walk = self.board, self.walk
+        if not walk.left:
+            walk = self.walk = Walk(now, list(board.flows))
+        for flow in walk.left[-FLOWS_A_LOOK:]:
+            placement = board.flows.get(flow)
+            if placement is None or not _is_open(placement):
                 continue
-            server = placement.server
-            flows = found.setdefault(server.entry.server_id, (server, []))[1]
-            flows.append(flow)
-        return found
-
-    def _note_doubts(
-        self, resting: dict[str, tuple[Server, list[bytes]]], now: float
-    ) -> None:
-        for server_id in [key for key in self.doubts if key not in resting]:
-            del self.doubts[server_id]
-        for server_id, (server, _) in resting.items():
+            server_id = placement.server.entry.server_id
+            rest = walk.found.get(server_id)
+            if rest is None or rest.server is not placement.server:
+                rest = walk.found[server_id] = Rest(placement.server)
+            rest.flows.append(flow)
+            rest.used_at = max(rest.used_at, placement.last_at)
+        del walk.left[-FLOWS_A_LOOK:]
+        if walk.left:
+            return False
+        self.resting, self.known_at = walk.found, walk.began_at
+        return True
+
+    def _note_doubts(self, now: float) -> None:
+        """Takes account of a walk that has ended."""
+        for server_id, doubt in list(self.doubts.items()):
+            if server_id not in self.resting and doubt.since <= self.known_at:
+                del self.doubts[server_id]
+        for server_id, rest in self.resting.items():
             known = self.doubts.get(server_id)
-            if not server.listed and not has_announced(server):
+            if not rest.server.listed and not has_announced(rest.server):
                 # One that leaves closes its flows; its agent sees the rest.
-                self._doubt(server, VANISHED, now)
+                self._doubt(server_id, VANISHED, self.known_at, now)
             elif known is not None and known.reason == VANISHED:
                 del self.doubts[server_id]
 
-    def _doubt(self, server: Server, reason: str, now: float) -> None:
+    def _doubt(
+        self, server_id: str, reason: str, since: float, now: float
+    ) -> None:
         """Has the flows of a server tried."""
-        server_id = server.entry.server_id
         known = self.doubts.get(server_id)
-        if known is None or known.reason != reason:
-            self.doubts[server_id] = Doubt(reason, now)
+        spent = known is not None and known.copies >= COPIES
+        renewed = spent and reason != VANISHED
+        if known is None or known.reason != reason or renewed:
+            self.doubts[server_id] = Doubt(reason, since, now)
             self.look_due = now
 
-    def _probe_unheard(
-        self, resting: dict[str, tuple[Server, list[bytes]]], now: float
-    ) -> None:
+    def _probe_unheard(self, now: float) -> None:
         """Asks agents that were not heard lately for a sign of life."""
-        pause_s = max(UNHEARD_S, len(resting) / PROBES_PER_S)
+        pause_s = max(UNHEARD_S, len(self.resting) / PROBES_PER_S)
         silent = 0
-        for server, flows in resting.values():
-            used_at = max(self.board.flows[flow].last_at for flow in flows)
-            if now - used_at <= UNHEARD_S:
+        for rest in self.resting.values():
+            server = rest.server
+            if now - rest.used_at <= UNHEARD_S:
                 continue  # The packet asked already.
             silent += server.suspected and not server.lost
             if now - server.heard_at > pause_s:
@@ -183,28 +243,47 @@
         if self.health.probe(server, now):
             self.board.records.counters[Count.PROBED_AT_REST] += 1
 
-    def _try(
-        self, server: Server, flows: list[bytes], doubt: Doubt, now: float
+    def _try(self, rest: Rest, doubt: Doubt, now: float) -> None:
+        """Sends the last packets of flows once more, some at each look."""
+        if not doubt.untried:
+            doubt.copies += 1
+            doubt.untried = list(rest.flows)
+        batch, doubt.untried = doubt.untried[:BATCH], doubt.untried[BATCH:]
+        if doubt.untried:
+            doubt.due = now
+        else:
+            last_copy = doubt.copies >= COPIES
+            doubt.due = float("inf") if last_copy else now + COPY_PAUSE_S
+        server = rest.server
+        batch = [flow for flow in batch if self._is_at(flow, server)]
+        if batch:
+            self._send_copies(server, batch, doubt, now)
+
+    def _is_at(self, flow: bytes, server: Server) -> bool:
+        """Tells whether a flow is still open at a server."""
+        placement = self.board.flows.get(flow)
+        if placement is None or placement.server is not server:
+            return False
+        return _is_open(placement)
+
+    def _send_copies(
+        self, server: Server, batch: list[bytes], doubt: Doubt, now: float
     ) -> None:
-        """Sends the last packets of flows once more."""
-        doubt.copies += 1
-        last_copy = doubt.copies >= COPIES
-        doubt.due = float("inf") if last_copy else now + COPY_PAUSE_S
         note = notes.to_agent(NoteKind.HELD, server.tag, notes.NO_WISH)
-        for flow in flows[:BATCH]:
+        for flow in batch:
             last = self.board.flows[flow].last
             datagram = self.codec.with_note(last, note)
             self.board.outbox.append(
                 SendAgent(server.entry.host, datagram, flow, last.seq)
             )
         self.health.expect(server, now)
-        self.board.records.counters[Count.SEARCHED_AT_REST] += len(flows)
+        self.board.records.counters[Count.SEARCHED_AT_REST] += len(batch)
         self.board.records.decide(
             "try resting flows",
             b"",
             server.entry.server_id,
             reason=doubt.reason,
-            flows=len(flows),
+            flows=len(batch),
             copies=doubt.copies,
             heard_s=round(now - server.heard_at, 3),
         )
@@ -229,7 +308,7 @@
         return float("-inf") if board.displaced else self.look_due
 
 
-def _rests(placement: Placement) -> bool:
+def _is_open(placement: Placement) -> bool:
     """Tells whether a flow is open as far as its balancer knows.
 
     Where only the opening packet came through here, its caller may have chosen
--- a/notchhoist/flows/balancer/tests/test_resting.py
+++ b/notchhoist/flows/balancer/tests/test_resting.py
@@ -1,14 +1,19 @@
 """A balancer looks after flows that rest where a server may have ended."""
 
+import collections
+
 import pytest
 
+from notchhoist.flows.balancer import resting
 from notchhoist.flows.balancer.resting import COPIES
+from notchhoist.flows.boards.balancer_board import Placement
 from notchhoist.flows.decisions.ending import GONE_S, LEFT_S, has_ended
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import CheckHost, Reach, SendPeer
 from notchhoist.flows.model.fleet import FOREVER, Server
 from notchhoist.flows.model.messages import LoadAsk, LoadTell
 from notchhoist.flows.model.notes import NoteKind
+from notchhoist.flows.model.records import Count
 from notchhoist.flows.tests.balancing import balancer, open_flow, packets
 from notchhoist.flows.tests.crafting import entry, request
 
@@ -48,7 +53,8 @@
     fleet.run(5.0)
     assert set(fleet.asked) == {fleet.host}
     assert 3 <= len(fleet.asked) <= 5
-    assert not any(balancer().tick(now / 10) for now in range(50))
+    idle = balancer()
+    assert not any(idle.tick(tenths / 10) for tenths in range(50))
 
 
 def test_the_flows_of_a_replaced_server_are_tried_by_a_few_copies():
@@ -74,6 +80,78 @@
     assert len(fleet.sent) == 2 * COPIES
 
 
+def replaced_with(extra):
+    """A fleet with more flows at the same server, which has been replaced."""
+    fleet = Fleet()
+    [first] = fleet.node.board.flows.values()
+    for port in range(1, extra + 1):
+        last = request(data=b"x", ack=77, port=port)
+        fleet.node.board.flows[last.flow] = Placement(
+            first.server, True, 0.0, last
+        )
+    fleet.run(5.0)
+    newer = entry(fleet.number, server_id="new", created=9)
+    fleet.node.fleet.on_entry(newer, 9, fleet.now)
+    fleet.run(25.0)
+    return fleet
+
+
+def test_all_flows_of_a_replaced_server_are_tried_equally_often():
+    """The same 50 were tried three times, and the others never."""
+    fleet = replaced_with(299)
+    tries = collections.Counter(segment.flow for _, segment in fleet.sent)
+    assert len(tries) == 300
+    assert set(tries.values()) == {COPIES}
+    counters = fleet.node.board.records.counters
+    assert counters[Count.SEARCHED_AT_REST] == 300 * COPIES
+
+
+def test_more_flows_than_one_look_walks_are_tried_too(monkeypatch):
+    monkeypatch.setattr(resting, "FLOWS_A_LOOK", 30)
+    walked = replaced_with(99)
+    tries = collections.Counter(segment.flow for _, segment in walked.sent)
+    assert len(tries) == 100
+    assert set(tries.values()) == {COPIES}
+
+
+def test_one_look_walks_a_bounded_number_of_flows(monkeypatch):
+    """Each look walked all flows, up to 200,000 of them twice a second."""
+    asked = []
+    is_open = resting._is_open
+    monkeypatch.setattr(
+        resting, "_is_open", lambda item: asked.append(1) or is_open(item)
+    )
+    fleet = Fleet()
+    [placement] = fleet.node.board.flows.values()
+    for number in range(resting.FLOWS_A_LOOK + 10):
+        fleet.node.board.flows[number.to_bytes(4, "big")] = placement
+    fleet.node.tick(1.0)
+    assert len(asked) == resting.FLOWS_A_LOOK
+    fleet.node.tick(1.6)
+    assert len(asked) == resting.FLOWS_A_LOOK + 11
+
+
+def test_each_replacement_under_one_id_brings_copies():
+    fleet = Fleet()
+    fleet.run(5.0)
+    for created in (9, 10):
+        newer = entry(
+            fleet.number, server_id="new", created=created, born_ms=created
+        )
+        fleet.node.fleet.on_entry(newer, created, fleet.now)
+        fleet.run(5.0)
+    assert len(fleet.sent) == 2 * COPIES
+
+
+def test_out_of_use_nothing_is_kept_of_replaced_servers():
+    fleet = Fleet()
+    board = fleet.node.board
+    board.uses = board.uses.without(["resting"])
+    newer = entry(fleet.number, server_id="new", created=9)
+    fleet.node.fleet.on_entry(newer, 9, fleet.now)
+    assert not board.displaced
+
+
 @pytest.mark.parametrize(
     ("announced", "unlisted_at", "failed_at", "ends_at"),
     [
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -218,5 +218,7 @@
         for flow, placement in self.flows.items():
             if placement.server is old:
                 placement.server = new
+                if not self.uses.resting:
+                    continue
                 # Several changes may be told at once: the first counts.
                 self.displaced.setdefault(flow, old.entry.service)
