Searches, confirmations and surveys: pauses and questions end when they should

Cause: a host asked again under another tag lost the tag of its first question, which was then repeated after the search had ended. A failing store was asked every 0.2 s by each balancer. The pause after a survey followed the survey before the last. Ruled out: a longer first pause, since callers wait for the store's return; counting failures as a power of two, which overflows in a long outage. Result: three new tests failed before and pass; notchhoist/flows passes.

--- a/notchhoist/flows/agent/resting.py
+++ b/notchhoist/flows/agent/resting.py
@@ -52,7 +52,6 @@
         wanted: Why another survey is to begin, or empty.
         batch_due: When the next batch goes out, seconds.
         pause_s: Time until the next survey may begin, seconds.
-        ended: Flows that the last survey has found ended.
         looked_at: When a silent server was last looked at, seconds.
         heard_at: When the server last sent anything, seconds.
     """
@@ -66,7 +65,6 @@
     wanted: str = ""
     batch_due: float = float("inf")
     pause_s: float = SURVEY_PAUSE_S
-    ended: int = 0
     looked_at: float = float("-inf")
     heard_at: float = float("-inf")
 
@@ -118,7 +116,7 @@
         rested = held.rests_asked
         records = self.board.records
         if rested:
-            self.ended += 1
+            self.pause_s = SURVEY_PAUSE_S
             records.counters[Count.RESET_AT_REST] += 1
         records.decide(
             "reset",
@@ -162,9 +160,8 @@
     def _begin(self, now: float) -> None:
         self.reason, self.wanted = self.wanted, ""
         self.surveyed_at = now
-        longer_s = min(2 * self.pause_s, SURVEY_PAUSE_MOST_S)
-        self.pause_s = SURVEY_PAUSE_S if self.ended else longer_s
-        self.ended = 0
+        # It is shortened again as soon as this one finds an end.
+        self.pause_s = min(2 * self.pause_s, SURVEY_PAUSE_MOST_S)
         self.watch.check_soon(now)
         resting = [flow for flow, _ in self.board.resting()]
         self.unasked.clear()
--- a/notchhoist/flows/agent/tests/test_resting.py
+++ b/notchhoist/flows/agent/tests/test_resting.py
@@ -6,7 +6,7 @@
 import pytest
 
 from notchhoist.flows.agent.backend_watch import LEAVING_S
-from notchhoist.flows.agent.resting import SILENCE_S
+from notchhoist.flows.agent.resting import SILENCE_S, SURVEY_PAUSE_S
 from notchhoist.flows.model.effects import CheckBackend, SendCaller
 from notchhoist.flows.model.messages import LoadAsk, ServerState
 from notchhoist.flows.model.notes import NoteKind
@@ -145,6 +145,18 @@
     assert node.board.records.counters["surveys"] == 5
 
 
+def test_a_survey_that_finds_an_end_soon_begins_the_next():
+    """The pause followed the survey before, which had found nothing."""
+    node = resting([1, 2])
+    for at in (0.0, 0.7, 2.0):
+        node.resting.survey("test")
+        node.tick(LATER + at)
+    assert node.board.records.counters["surveys"] == 3
+    node.on_backend(bounced(sample_of(node, 2)), LATER + 2.01)
+    node.tick(LATER + 2.0 + SURVEY_PAUSE_S + 0.01)
+    assert node.board.records.counters["surveys"] == 4
+
+
 def test_a_server_that_resets_a_flow_is_asked_about_the_others():
     """One that went down and up answered each next request with a reset."""
     node = resting([1, 2])
--- a/notchhoist/flows/balancer/confirming.py
+++ b/notchhoist/flows/balancer/confirming.py
@@ -17,6 +17,11 @@
 CONFIRM_AGAIN_S = 0.2
 """The same after one that failed: callers wait for the store's return."""
 
+CONFIRM_AGAIN_MOST_S = 1.0
+"""The pause doubles with each failure in a row up to this, seconds: a store
+that fails under its load gets less from hundreds of balancers. A search that
+everybody has denied is settled after 0.7 s without it."""
+
 
 class ViewConfirmer(Struct, eq=False):
     """Reads the store on request, seldom.
@@ -26,12 +31,14 @@
         asked_at: When the confirmation under way was asked for, or None.
         allowed_at: When the next one may be asked for, seconds.
         known_at: Everything that was published up to this time is known.
+        pause_s: Time until the next one after a failure, seconds.
     """
 
     board: BalancerBoard
     asked_at: float | None = None
     allowed_at: float = float("-inf")
     known_at: float = float("-inf")
+    pause_s: float = CONFIRM_AGAIN_S
 
     def want(self, now: float) -> None:
         """Asks for a confirmation unless one was asked for just now."""
@@ -49,6 +56,7 @@
         """Takes account of an answer; its news have been applied."""
         if self.asked_at is None:
             return
+        self.pause_s = CONFIRM_AGAIN_S
         self.known_at = self.asked_at
         self.asked_at = None
         self.board.records.counters[Count.VIEWS_CONFIRMED] += 1
@@ -56,4 +64,5 @@
     def on_failed(self, now: float) -> None:
         """Takes account of a call without a usable answer."""
         self.asked_at = None
-        self.allowed_at = now + CONFIRM_AGAIN_S
+        self.allowed_at = now + self.pause_s
+        self.pause_s = min(2 * self.pause_s, CONFIRM_AGAIN_MOST_S)
--- a/notchhoist/flows/balancer/finding.py
+++ b/notchhoist/flows/balancer/finding.py
@@ -34,15 +34,13 @@
 would take 40 MB of a host of 120 MB."""
 
 LOOK_EVERY_S = 0.1
-"""Time between two looks at who is silent, seconds; 30 round trips. After the
-first, more agents are asked."""
+"""Time between two looks at who is silent, seconds; then more are asked."""
 
 SEARCH_S = 4.0
 """Time for agents to answer before a search is given up, seconds. The copies of
 a caller's packet come up to 3 s after it; an agent that is restarted is back by
-then. Waiting costs nothing, as questions are repeated less and less, while a
-search that was given up after 1.2 s began anew with the next copy and asked
-everybody again: on thin hosts half of them after a loss of power."""
+then. Waiting costs nothing, as questions are repeated less and less; a search
+that is given up sooner asks everybody again with the next copy."""
 
 DENIED_WAIT_S = 0.7
 """Time before a flow that nobody holds is reset, seconds, where the platform
@@ -131,6 +129,9 @@
         search.sent_at = now
         search.rounds += 1
         search.unanswered.update(fresh)
+        flow = search.waiting[0].flow
+        for host in fresh.keys() & search.asked.keys():
+            self.questions.forget(flow, {host}, search.asked[host])
         search.asked.update(fresh)
         for host in sorted(search.unanswered):
             tag = search.asked[host]
--- a/notchhoist/flows/balancer/tests/test_settled.py
+++ b/notchhoist/flows/balancer/tests/test_settled.py
@@ -3,7 +3,12 @@
 Dead flows were told 0.8 s after their packet whenever it had failed just now.
 """
 
-from notchhoist.flows.balancer.confirming import CONFIRM_AGAIN_S
+import pytest
+
+from notchhoist.flows.balancer.confirming import (
+    CONFIRM_AGAIN_MOST_S,
+    CONFIRM_AGAIN_S,
+)
 from notchhoist.flows.decisions.completeness import RETURN_S
 from notchhoist.flows.model.effects import ConfirmView
 from notchhoist.flows.model.mechanisms import ALL
@@ -47,6 +52,25 @@
     assert any(isinstance(item, ConfirmView) for item in effects)
 
 
+def test_a_store_that_goes_on_failing_is_asked_less_and_less():
+    """Hundreds of balancers asked it five times a second each."""
+    confirmer = balancer().finder.confirmer
+    now, pauses = NOW, []
+    for _ in range(5):
+        confirmer.want(now)
+        confirmer.on_failed(now)
+        pauses.append(confirmer.due() - now)
+        now = confirmer.due()
+    assert pauses[:3] == pytest.approx([0.2, 0.4, 0.8])
+    assert pauses[3:] == pytest.approx([CONFIRM_AGAIN_MOST_S] * 2)
+    confirmer.want(now)
+    confirmer.on_confirmed()
+    now = confirmer.due()
+    confirmer.want(now)
+    confirmer.on_failed(now)
+    assert confirmer.due() - now == pytest.approx(CONFIRM_AGAIN_S)
+
+
 def test_a_list_that_was_never_calm_may_lack_a_lapsed_server():
     assert not wants_confirmation(settled(at=RETURN_S - 0.1))
 
--- a/notchhoist/flows/balancer/tests/test_splits.py
+++ b/notchhoist/flows/balancer/tests/test_splits.py
@@ -198,6 +198,23 @@
     assert tags(effects)[OLD_HOST] == service_tag(THIRD)
 
 
+def test_nothing_is_asked_once_a_search_under_two_tags_has_ended():
+    """The question under the first tag was repeated for ever."""
+    node = balancer(split((OLD, 1), (NEW, 1)))
+    search(node)
+    moved = entry(1, service=THIRD, server_id="s9", created=9)
+    node.fleet.on_entry(moved, 5, 2.02)
+    node.tick(2.2)
+    other = split((OLD, 1), (THIRD, 1), port=444)
+    change(node, split((OLD, 1), (NEW, 1), (THIRD, 1)), other, now=2.25)
+    ended = node.board.searches[LOST.flow]
+    node.finder._ask(ended, {OLD_HOST: service_tag(THIRD)}, 2.3)
+    node.finder._end(LOST.flow, ended)
+    for tenths in range(24, 44):
+        node.tick(tenths / 10)
+    assert not node.finder.questions.lines
+
+
 def test_a_service_that_is_removed_keeps_its_flows():
     node = balancer(split((OLD, 1), (NEW, 1)), services=(OLD, NEW))
     node.fleet.on_removed("s1", 5, 1.0)
