--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -30,6 +30,8 @@
             None once that has gone to the server.
         used_since: When the first packet after the opening went there, seconds;
             long ago for a flow that was found there.
+        inferred: The acceptance was concluded from the caller's packet; no
+            agent has told of it.
     """
 
     server: Server
@@ -39,6 +41,7 @@
     closing: bool = False
     asked_since: float | None = None
     used_since: float = float("-inf")
+    inferred: bool = False
 
     @property
     def is_shown(self) -> bool:
@@ -215,5 +218,7 @@
         for flow, placement in self.flows.items():
             if placement.server is old:
                 placement.server = new
+                if not self.uses.resting:
+                    continue
                 # Several changes may be told at once: the first counts.
                 self.displaced.setdefault(flow, old.entry.service)
