Flows: an unread switch goes, histories must reset something, scoring is named

Cause: nothing read the switch parking; World.resets was counted and never read; a bool served as one flow in choose; LEFT_S rested on agents that start within 1.5 s. Ruled out: a LEFT_S above 4 s, the time that searches wait for silent agents. Change: parking is out of the mechanisms and resting's line names the settled list; the kept histories must bring resets about, late openings are generated; _score is apart from choose; LEFT_S is 3.0 s and says what bounds it.

--- a/notchhoist/flows/decisions/ending.py
+++ b/notchhoist/flows/decisions/ending.py
@@ -7,10 +7,11 @@
 from notchhoist.flows.decisions.completeness import RETURN_S
 from notchhoist.flows.model.fleet import Server
 
-LEFT_S = 2.0
+LEFT_S = 3.0
 """A server that announced its end and whose entry has vanished has ended if its
-host has refused connections for so long, seconds; an agent that is restarted
-takes up to 1.5 s."""
+host has refused connections for so long, seconds. It must be longer than an
+agent takes to start on the thinnest host after a loss of power, and shorter
+than searches wait for silent agents."""
 
 GONE_S = 4.0
 """A server that announced nothing has ended if its host has refused connections
--- a/notchhoist/flows/decisions/placing.py
+++ b/notchhoist/flows/decisions/placing.py
@@ -172,15 +172,7 @@
     for server, size in zip(servers, sizes, strict=True):
         far = server.entry.zone != zone or is_unwell(server, size, now)
         cost = costs.get(server.entry.zone, USUAL_COSTS)
-        if kind is RequestKind.IDEMPOTENT:
-            unheard = cost.is_long and server.heard_at == NEVER
-            flows = max(server.flows, usual) if unheard else server.flows
-            score = (flows + 1) / size
-            extra = cost.flows * max(mean, cost.is_long)
-        else:
-            score = _wait(server, size, mean)
-            upload = kind is RequestKind.UPLOAD
-            extra = UPLOAD_FAR_WAIT if upload else cost.wait
+        score, extra = _score(server, size, kind, cost, mean, usual)
         score += extra if far and uses.zone else 0.0
         score += draw() * 1e-6
         if score < best_score:
@@ -188,6 +180,35 @@
     return best
 
 
+def _score(
+    server: Server,
+    size: float,
+    kind: RequestKind,
+    cost: FarCosts,
+    mean: float,
+    usual: float,
+) -> tuple[float, float]:
+    """Returns how full a server is, and what it counts for more if far.
+
+    Args:
+        server: The server.
+        size: Requests that it works on at once; see ``capacity``.
+        kind: What the flow's requests are like.
+        cost: What it must be better by if far.
+        mean: Open flows for each request that the servers work on at once.
+        usual: Mean of open flows at servers that were heard.
+    """
+    if kind is not RequestKind.IDEMPOTENT:
+        upload = kind is RequestKind.UPLOAD
+        extra = UPLOAD_FAR_WAIT if upload else cost.wait
+        return _wait(server, size, mean), extra
+    unheard = cost.is_long and server.heard_at == NEVER
+    flows = max(server.flows, usual) if unheard else server.flows
+    # Among idle servers too, a long way counts for something.
+    least = 1.0 if cost.is_long else 0.0
+    return (flows + 1) / size, cost.flows * max(mean, least)
+
+
 def _usual_flows(servers: Sequence[Server]) -> float:
     """Returns the mean of open flows at servers that were heard, or 0."""
     heard = [item.flows for item in servers if item.heard_at > NEVER]
--- a/notchhoist/flows/model/mechanisms.py
+++ b/notchhoist/flows/model/mechanisms.py
@@ -39,9 +39,8 @@
         anew: Agents that started with a whole service know all its flows.
         if_free: New flows are first offered to servers with a free slot.
         splits: Where routes split, flows are searched for at all services.
-        resting: Flows that rest are reset when their server is gone.
-        parking: Where servers have one slot, what finds none free waits at its
-            balancer and goes to the server that is free first.
+        resting: Flows that rest are reset when their server is gone; also, a
+            list of servers that has once settled stays so for searches.
         distances: Offers reckon with the measured distance between zones.
         pieces: Balancers tell each other large views compressed, in pieces.
     """
@@ -72,7 +71,6 @@
     if_free: bool = True
     splits: bool = True
     resting: bool = True
-    parking: bool = True
     distances: bool = True
     pieces: bool = True
 
--- a/notchhoist/flows/tests/test_resting_history.py
+++ b/notchhoist/flows/tests/test_resting_history.py
@@ -26,6 +26,7 @@
         st.booleans(),
     ),
     st.tuples(st.just("leave"), hosts),
+    st.tuples(st.just("late opening"), st.integers(0, 9)),
     st.tuples(st.just("restart balancer"), st.sampled_from(BALANCERS)),
     st.tuples(st.just("drain"), hosts, st.booleans()),
     st.tuples(st.just("power"), hosts, away),
@@ -172,3 +173,9 @@
 )
 def test_no_flow_that_lives_is_reset(history, seed, loss, late):
     assert not play(history, seed, loss, late).wrong
+
+
+def test_flows_of_servers_that_end_are_reset_in_the_kept_histories():
+    """A change that resets nothing would reset no flow that lives."""
+    worlds = [play(history, 0, 0.0, 0.0) for history in KEPT]
+    assert any(world.resets for world in worlds)
