Comments give reasons, without figures measured once

Cause: some comments told what was measured or had happened. Change: plain reasons in their place; comments only. Result: notchhoist/flows and the store's tests pass.

--- a/notchhoist/daemon/flow_splits.py
+++ b/notchhoist/daemon/flow_splits.py
@@ -9,7 +9,7 @@
 from notchhoist.flows.model.fleet import Route
 
 LOOKED_AT = 5000
-"""The newest flows that are counted; 5 us each hold a process up 25 ms."""
+"""The newest flows that are counted, so that the process is not held up."""
 
 Tally = dict[bytes, Counter[str]]
 
--- a/notchhoist/flows/balancer/distances.py
+++ b/notchhoist/flows/balancer/distances.py
@@ -1,6 +1,6 @@
 """How far agents are, by what their answers take.
 
-The load it answers: zones that are as far apart as a request takes. A balancer
+Needed where zones are as far apart as a request takes. A balancer
 times words that it sends anyway: a question for a load, a numbered question for
 flows, an offer that came back because no slot was free. Servers of a zone are
 equally far, so what is measured at one counts for all of its zone.
--- a/notchhoist/flows/balancer/trying.py
+++ b/notchhoist/flows/balancer/trying.py
@@ -73,8 +73,7 @@
 
     It bears the tag of the agent's own service, as a flow may be at another one
     than its route names now. Without the wish a request that changed balancers
-    counted as late from the start: on days where daemons come back one by one
-    nearly all do.
+    would count as late from the start.
     """
     table = board.table
     service_key = search.waiting[0].service_key
--- a/notchhoist/flows/decisions/reaching.py
+++ b/notchhoist/flows/decisions/reaching.py
@@ -1,6 +1,6 @@
 """What it is worth to stay in the own availability zone; pure functions.
 
-The load it answers: zones that are as far apart as a request takes. There an
+Needed where zones are as far apart as a request takes. There an
 attempt at a server of another zone costs as much as waiting for a server of the
 own one, and a flow that is placed far pays its distance with every request.
 Where a round trip is short against the work, constants decide.
--- a/notchhoist/flows/published/asking.py
+++ b/notchhoist/flows/published/asking.py
@@ -1,7 +1,7 @@
 """Whom a balancer asks for what the platform has published, and how often.
 
-The load it answers: after a loss of power a balancer asks the few that its
-settings name before these have started, and its question is lost.
+Needed where a balancer asks the few that its settings name before these have
+started, as after a loss of power: its question is lost.
 """
 
 from collections.abc import Sequence
--- a/notchhoist/flows/published/pieces.py
+++ b/notchhoist/flows/published/pieces.py
@@ -1,9 +1,7 @@
 """A large change of the view in pieces: made once for all, joined once.
 
-The load it answers: after a loss of power each balancer that knows the view is
-asked for all of it by every other one at the same moment, over links that carry
-5 Mbit/s. 1,600 routes are 139 messages of 120 KB in all for each asker; packed
-they are 22 messages of 22 KB, made once for all askers.
+After a loss of power each balancer that knows the view is asked for all of it
+by every other one at once, over links as narrow as 5 Mbit/s.
 """
 
 from msgspec import Struct, field
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -47,10 +47,8 @@
 QUICK_S = 0.2
 QUICK_TRIES = 2
 """A process that knows nothing serves nobody: where nothing comes it asks anew
-so soon, seconds, and only each third call is given the time that a slow store
-needs. With 0.5 s and more for each call it took 0.22 s after a silent store's
-return until the first of 19 balancers knew, 0.61 s until the last. The calls
-are priced; some four more for each balancer and second of an outage."""
+so soon, seconds. Each third call is given the time that a slow store needs;
+calls are priced."""
 
 LISTING_FIRST_S = 0.5
 LISTING_MAX_S = 4.0
