--- a/notchhoist/flows/model/records.py
+++ b/notchhoist/flows/model/records.py
@@ -8,6 +8,9 @@
 REASONED = frozenset(
     ["reset", "refuse", "turn away", "give up finding", "leave to others"]
 )
+FOLLOWED = frozenset(["place", "find", "release", "give back"])
+"""Decisions on a caller's flow that cost it nothing."""
+
 REASONED_KEPT = 200
 """Decisions that cost a caller something are kept for questions: the last few
 seconds of a bad moment."""
@@ -47,6 +50,8 @@
     REFUSED = "refused"
     FINDS = "finds"
     FOUND = "found"
+    FOUND_ELSEWHERE = "found_elsewhere"
+    ASKED_WIDELY = "asked_widely"
     FOUND_NOWHERE = "found_nowhere"
     RULED_OUT_BY_AGE = "ruled_out_by_age"
     FINDS_GIVEN_UP = "finds_given_up"
