--- a/notchhoist/cli/asking_flows.py
+++ b/notchhoist/cli/asking_flows.py
@@ -111,6 +111,7 @@
     "zones": _from("zones", "balancer"),
     "pressure": _from("pressure", "balancer"),
     "splits": _from("splits", "balancer"),
+    "distances": _from("distances", "balancer"),
     "flows": _from("flows"),
     "requests": _from("requests", "agent"),
     "revisions": revisions,
--- a/notchhoist/flows/agent/handover.py
+++ b/notchhoist/flows/agent/handover.py
@@ -90,11 +90,13 @@
         held.balancer = host
         held.last_at = now
         held.sample = segment
+        if segment.size:
+            held.data = segment
         if held.phase is Phase.ACCEPTED:
             held.phase = Phase.OPEN
             held.since = now
             held.opening = None
-        if segment.size and not held.is_new(segment):
+        if segment.size and held.is_copy(segment, now):
             # A copy: the backend server may not have had the first one.
             self.watch.check_soon(now)
         if segment.resets:
--- a/notchhoist/flows/balancer/health.py
+++ b/notchhoist/flows/balancer/health.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct, field
 
+from notchhoist.flows.balancer.distances import Distances
 from notchhoist.flows.balancer.liveness import HostWatch
 from notchhoist.flows.balancer.resetting import FlowResetter
 from notchhoist.flows.boards.balancer_board import BalancerBoard
@@ -47,6 +48,10 @@
 before their flows are given up, seconds. One with 5 Mbit/s suspected 12 of 44
 agents within a second (incident inc-c48e), and all of them lived."""
 
+RESTS_S = 1.0
+"""A flow without a packet for so long rests, seconds: a caller that waits sends
+copies."""
+
 RESTART_S = 3.0
 """How long an agent that announced a restart is waited for, seconds."""
 
@@ -61,6 +66,7 @@
         board: What the balancer knows.
         resetter: Ends flows.
         hosts: Tells agents that are restarted from hosts that are lost.
+        distances: Is told what answers take.
         link_mbps: What this host's link carries, Mbit/s; 0 if unknown.
         waiting: Servers whose agents owe an answer, by id.
         heard_at: When any agent was last heard, seconds.
@@ -71,6 +77,7 @@
     board: BalancerBoard
     resetter: FlowResetter
     hosts: HostWatch
+    distances: Distances
     link_mbps: int = 0
     waiting: dict[str, Server] = field(default_factory=dict)
     heard_at: float = float("-inf")
@@ -88,6 +95,13 @@
         if server.probed_at is None and now - server.heard_at > DOUBT_S:
             self._probe(server, now)
 
+    def probe(self, server: Server, now: float) -> bool:
+        """Asks an agent for a sign of life unless it owes one already."""
+        if server.probed_at is not None:
+            return False
+        self._probe(server, now)
+        return True
+
     def _probe(self, server: Server, now: float) -> None:
         if server.probed_at is None:
             server.probed_at = now
@@ -113,6 +127,7 @@
                 "agent regained", b"", server.entry.server_id, server_host=host
             )
         server.heard_at = now
+        server.refused_since = None
         server.probed_at = None
         server.suspected = False
         server.lost = False
@@ -123,12 +138,23 @@
     def on_told(self, host: str, message: LoadTell, now: float) -> None:
         """Takes an agent's answer to a question for its load."""
         load = Load(message.flows, message.running, message.pace_ms)
-        self.on_heard(host, load, now)
         server = self.board.by_host.get(host)
+        if server is not None and not message.stopping:
+            self._measure(server, now)
+        self.on_heard(host, load, now)
         if server is not None and message.stopping:
             server.restarting_until = now + RESTART_S
             server.suspected = True
 
+    def _measure(self, server: Server, now: float) -> None:
+        """Takes the time of a probe that was sent once.
+
+        Probes have no numbers: an answer to one of several tells nothing.
+        """
+        sent_at = server.probe_sent_at
+        if server.probed_at is not None and server.probed_at == sent_at:
+            self.distances.note(server, sent_at, now)
+
     def suspect(self, server: Server, now: float, reason: str) -> None:
         """Gives a server no new flows until its agent is heard again."""
         if server.probed_at is None:
@@ -187,7 +213,7 @@
                 and silent >= lost_after_s
                 and self.hosts.shows_loss(server, now)
             ):
-                self._give_up(server, now)
+                self.give_up(server, now, "agent lost")
             if now - server.probe_sent_at >= PROBE_EVERY_S:
                 self._probe(server, now)
 
@@ -210,8 +236,17 @@
             self.judges_from = now + PROBE_EVERY_S
         self.ticked_at = now if self.waiting else float("inf")
 
-    def _give_up(self, server: Server, now: float) -> None:
-        """Resets the flows of a server whose host is dead or cut off."""
+    def give_up(
+        self, server: Server, now: float, reason: str, **inputs: object
+    ) -> None:
+        """Resets the flows of a server that is dead or cut off.
+
+        Args:
+            server: The server.
+            now: Runtime clock, seconds.
+            reason: Why, for the log.
+            inputs: What decided it, for the log.
+        """
         if not server.lost:
             server.lost = True
             self.board.records.counters[Count.LOST] += 1
@@ -224,11 +259,17 @@
             del self.board.flows[flow]
             if placement.closing or not placement.accepted:
                 continue
+            rests = now - placement.last_at > RESTS_S
+            unsure = rests and not placement.is_shown
+            if self.board.uses.resting and unsure:
+                continue  # Its caller may have chosen another server.
             self.resetter.reset(
                 placement.last,
-                "agent lost",
+                reason,
                 server=server.entry.server_id,
                 silent_s=round(now - server.heard_at, 3),
+                used_s=round(now - placement.last_at, 3),
+                **inputs,
             )
         if not server.listed:
             self.waiting.pop(server.entry.server_id, None)
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -5,16 +5,18 @@
 
 from notchhoist.base.draws import first_number, make_draw
 from notchhoist.flows.balancer.confirming import ViewConfirmer
+from notchhoist.flows.balancer.distances import make_distances
 from notchhoist.flows.balancer.evidence import Evidence
 from notchhoist.flows.balancer.finding import FlowFinder
 from notchhoist.flows.balancer.health import HealthKeeper
 from notchhoist.flows.balancer.informing import AgentInformer
 from notchhoist.flows.balancer.isolation import IsolationKeeper
 from notchhoist.flows.balancer.liveness import HostWatch
-from notchhoist.flows.balancer.opening import FlowOpener
+from notchhoist.flows.balancer.opening import FlowOpener, make_opener
 from notchhoist.flows.balancer.questions import make_questions
 from notchhoist.flows.balancer.rejoining import FlowRejoiner
 from notchhoist.flows.balancer.resetting import FlowResetter
+from notchhoist.flows.balancer.resting import RestingKeeper
 from notchhoist.flows.balancer.scope import SearchScope
 from notchhoist.flows.balancer.targeting import service_for
 from notchhoist.flows.balancer.trying import FlowTrier
@@ -64,6 +66,7 @@
         informer: Tells agents what is published of their servers.
         isolation: Notices when nobody else is heard.
         early: Packets that came before anything was known.
+        resting: Finds out about flows whose server may have ended.
         sweep_due: When old knowledge is next forgotten, seconds.
     """
 
@@ -79,6 +82,7 @@
     informer: AgentInformer
     isolation: IsolationKeeper
     early: EarlyPackets
+    resting: RestingKeeper
     sweep_due: float = 0.0
 
     @property
@@ -146,12 +150,15 @@
             service = service_for(self.board, route, segment.flow, now)
             self.finder.on_unknown(service, segment, now)
             return
+        if not placement.accepted:
+            self.opener.outcomes.on_chosen(segment, now)
         self.board.flows.move_to_end(segment.flow)
         server = placement.server
         if segment.size and segment.repeats(placement.last):
             self.health.doubt(server, now)
         placement.last_at = now
         placement.last = segment
+        placement.used_since = min(placement.used_since, now)
         placement.closing = placement.closing or segment.closes
         wish = self._wish(route, placement, segment, now)
         note = notes.to_agent(NoteKind.HELD, server.tag, wish)
@@ -186,7 +193,7 @@
         self._note_life(host, now)
         match kind:
             case NoteKind.TAKEN:
-                self.opener.on_accepted(host, segment, now)
+                self.opener.outcomes.on_accepted(host, segment, now)
             case NoteKind.FULL:
                 self.opener.on_full(host, segment, now)
             case NoteKind.BUSY:
@@ -244,6 +251,7 @@
         self.early.note_start(now)
         self.reroutings.look(now)
         self.opener.tick(now)
+        self.resting.tick(now)
         self.finder.tick(now)
         self.health.tick(now)
         self.isolation.tick(now)
@@ -256,6 +264,8 @@
 
     def _sweep(self, now: float) -> None:
         self.fleet.sweep(now)
+        self.finder.evidence.is_settled(now)
+        self.health.distances.sweep(now)
         flows = self.board.flows
         idle_s = self.board.table.idle_s if self.board.table else 0.0
         old = [
@@ -279,6 +289,7 @@
             self.health.due(),
             self.sharer.due(),
             self.informer.due(),
+            self.resting.due(),
             self.sweep_due,
         )
 
@@ -312,39 +323,43 @@
     board = BalancerBoard(zone, host, uses=uses)
     early = EarlyPackets()
     resetter = FlowResetter(board, codec)
-    health = HealthKeeper(board, resetter, HostWatch(board), link_mbps)
+    distances = make_distances(zone)
+    hosts = HostWatch(board)
+    health = HealthKeeper(board, resetter, hosts, distances, link_mbps)
     fleet = FleetKeeper(board, EraKeeper(board), ZoneKeeper(board))
-    numbers = make_draw(f"numbers of {seed}")
+    draw, numbers = make_draw(seed), make_draw(f"numbers of {seed}")
     sharer = ViewSharer(
         board, fleet, seeds, link_mbps, number=first_number(numbers)
     )
     informer = AgentInformer(board, sharer)
-    questions = make_questions(board, codec, first_number(numbers))
+    questions = make_questions(board, codec, distances, first_number(numbers))
     evidence = Evidence(board)
+    finder = FlowFinder(
+        board,
+        codec,
+        health,
+        resetter,
+        ViewConfirmer(board),
+        questions,
+        FlowTrier(board, codec, questions),
+        FlowRejoiner(board, codec, health),
+        evidence,
+        SearchScope(board, evidence),
+    )
     return BalancerNode(
         board=board,
         codec=codec,
         fleet=fleet,
         resetter=resetter,
         health=health,
-        opener=FlowOpener(
-            board, codec, health, resetter, make_draw(seed), early, informer
-        ),
-        finder=FlowFinder(
-            board,
-            codec,
-            health,
-            resetter,
-            ViewConfirmer(board),
-            questions,
-            FlowTrier(board, codec, questions),
-            FlowRejoiner(board, codec, health),
-            evidence,
-            SearchScope(board, evidence),
+        opener=make_opener(
+            board, codec, health, resetter, draw, early, informer
         ),
+        finder=finder,
         reroutings=Reroutings(board),
         sharer=sharer,
         informer=informer,
         isolation=IsolationKeeper(board, health, sharer),
         early=early,
+        resting=RestingKeeper(board, codec, health, finder),
     )
--- /dev/null
+++ b/notchhoist/flows/balancer/tests/test_resting.py
@@ -0,0 +1,98 @@
+"""A balancer looks after flows that rest where a server may have ended."""
+
+import pytest
+
+from notchhoist.flows.balancer.resting import COPIES
+from notchhoist.flows.decisions.ending import GONE_S, LEFT_S, has_ended
+from notchhoist.flows.model import notes
+from notchhoist.flows.model.effects import CheckHost, Reach, SendPeer
+from notchhoist.flows.model.fleet import FOREVER, Server
+from notchhoist.flows.model.messages import LoadAsk, LoadTell
+from notchhoist.flows.model.notes import NoteKind
+from notchhoist.flows.tests.balancing import balancer, open_flow, packets
+from notchhoist.flows.tests.crafting import entry, request
+
+
+class Fleet:
+    """A balancer with one flow that rests, and agents that answer."""
+
+    def __init__(self):
+        self.node = balancer()
+        self.host = open_flow(self.node)
+        self.node.on_caller(request(data=b"x", ack=77), 0.002)
+        self.number = int(self.host.rpartition(".")[2])
+        self.now = 0.0
+        self.sent = []
+        self.asked = []
+
+    def run(self, for_s):
+        until = self.now + for_s
+        while self.now < until:
+            self.now = round(self.now + 0.05, 3)
+            effects = self.node.tick(self.now)
+            self.sent += packets(effects)
+            for effect in effects:
+                host = getattr(effect, "host", "")
+                if isinstance(effect, CheckHost):
+                    self.node.on_host_checked(host, Reach.ACCEPTED, self.now)
+                elif isinstance(effect, SendPeer) and isinstance(
+                    effect.message, LoadAsk
+                ):
+                    self.asked.append(host)
+                    load = LoadTell(1, 0, 0, False)
+                    self.node.on_peer(host, load, self.now)
+
+
+def test_agents_are_asked_where_flows_rest_and_nowhere_else():
+    fleet = Fleet()
+    fleet.run(5.0)
+    assert set(fleet.asked) == {fleet.host}
+    assert 3 <= len(fleet.asked) <= 5
+    assert not any(balancer().tick(now / 10) for now in range(50))
+
+
+def test_the_flows_of_a_replaced_server_are_tried_by_a_few_copies():
+    fleet = Fleet()
+    fleet.run(5.0)
+    newer = entry(fleet.number, server_id="new", created=9)
+    fleet.node.fleet.on_entry(newer, 9, fleet.now)
+    fleet.run(10.0)
+    assert [host for host, _ in fleet.sent] == [fleet.host] * COPIES
+    kinds = {notes.kind_of(segment.note) for _, segment in fleet.sent}
+    assert kinds == {NoteKind.HELD}
+
+
+def test_an_entry_that_vanishes_again_brings_copies_again():
+    fleet = Fleet()
+    server_id = f"s{fleet.number}"
+    for revision in (6, 8):
+        fleet.node.fleet.on_removed(server_id, revision, fleet.now)
+        fleet.run(5.0)
+        back = entry(fleet.number)
+        fleet.node.fleet.on_entry(back, revision + 1, fleet.now)
+        fleet.run(1.0)
+    assert len(fleet.sent) == 2 * COPIES
+
+
+@pytest.mark.parametrize(
+    ("announced", "unlisted_at", "failed_at", "ends_at"),
+    [
+        (True, 5.0, 0.0, 3.0 + LEFT_S),
+        (True, 5.0, 3.0, 5.2 + LEFT_S),
+        (False, 5.0, 0.0, 5.0 + GONE_S),
+        (False, 5.0, 5.0, 7.2 + GONE_S),
+        (False, FOREVER, 0.0, FOREVER),
+    ],
+)
+def test_when_a_server_has_ended_along_with_its_agent(
+    announced, unlisted_at, failed_at, ends_at
+):
+    server = Server(entry(1, draining=announced), 1, 0.0)
+    server.unlisted_at = unlisted_at
+    server.refused_since = 3.0
+    ended = []
+    for tenths in range(50, 150):
+        server.checked_at = now = tenths / 10
+        if has_ended(server, failed_at, now):
+            ended.append(now)
+    assert min(ended, default=FOREVER) == pytest.approx(ends_at, abs=0.11)
--- a/notchhoist/flows/balancer/tests/test_splits.py
+++ b/notchhoist/flows/balancer/tests/test_splits.py
@@ -5,6 +5,7 @@
 from notchhoist.flows.balancer import scope
 from notchhoist.flows.balancer.finding import DENIED_WAIT_S
 from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.codec.message_codec import decode_message, encode_message
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import SendAgent, SendPeer
 from notchhoist.flows.model.messages import FlowsAsk, ViewAsk, ViewTell
@@ -157,6 +158,7 @@
         for item in effects
         if isinstance(item, SendPeer) and isinstance(item.message, ViewTell)
     ]
+    told = decode_message(encode_message(told))
     assert told.rerouted_for_ms == 11_000
     node = make_balancer("a", CODEC, "seed")
     node.on_peer("10.0.9.1", told, 1.001)
@@ -200,6 +202,21 @@
     assert asked_agents(effects) == [other]
 
 
+def test_a_flow_is_not_looked_for_at_the_service_that_took_its_address():
+    """Without splits too: its own service is asked, not the new one."""
+    node = balancer(split((OLD, 1)), services=(OLD,))
+    node.fleet.on_entry(entry(4, service=OLD), 2, 0.0)
+    [(host, _)] = packets(node.on_caller(request(flags=SYN), 2.0))
+    tell(node, host, request(flags=SYN), NoteKind.TAKEN, 2.001)
+    number = int(host.rsplit(".")[-1])
+    taken = entry(number, service=THIRD, server_id="s9", created=9)
+    node.fleet.on_entry(taken, 5, 2.01)
+    note = notes.to_balancer(NoteKind.RETURNED, notes.Load())
+    data = crafting.with_note(request(data=b"x"), note)
+    [asked] = asked_agents(node.on_agent(host, data, 2.02))
+    assert node.board.by_host[asked].entry.service == OLD
+
+
 def test_wide_searches_beyond_the_bound_are_left_alone(monkeypatch):
     """Asking everybody about everything is worse than a caller's next copy."""
     monkeypatch.setattr(scope, "WIDE_HEADS_MAX", 1)
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from notchhoist.flows.decisions.attempts import BusyShares
+from notchhoist.flows.decisions.reaching import ACCEPT_WAIT_S
 from notchhoist.flows.model.effects import Effect
 from notchhoist.flows.model.fleet import Route, RouteTable, Server
 from notchhoist.flows.model.mechanisms import ALL, Mechanisms
@@ -12,6 +13,9 @@
 from notchhoist.flows.model.segments import Segment
 from notchhoist.flows.model.view import FleetView
 
+ANSWER_S = 0.1
+"""An agent's answer is here within this time, seconds; 30 round trips."""
+
 
 class Placement(Struct, eq=False):
     """Where a balancer believes a flow to be.
@@ -24,6 +28,8 @@
         closing: The caller has ended it.
         asked_since: When the caller began to wait for its first request, or
             None once that has gone to the server.
+        used_since: When the first packet after the opening went there, seconds;
+            long ago for a flow that was found there.
     """
 
     server: Server
@@ -32,6 +38,17 @@
     last: Segment
     closing: bool = False
     asked_since: float | None = None
+    used_since: float = float("-inf")
+
+    @property
+    def is_shown(self) -> bool:
+        """Whether the agent has been heard since it got a packet of the flow.
+
+        It gives back at once what is not there: the caller may have chosen
+        another server, which another balancer had offered the flow to.
+        """
+        heard = self.server.heard_at - self.used_since > ANSWER_S
+        return heard and not self.last.opens
 
 
 class Opening(Struct, eq=False):
@@ -43,6 +60,7 @@
         service: Its service.
         route: Its route.
         sent_at: When it was last offered, seconds.
+        wait_s: How long that offer may go unanswered, seconds.
         tried: Ids of the servers that it was offered to.
         busy: Ids of those of them that had no free slot for it.
         if_free: It was last offered on the condition that a slot is free.
@@ -56,6 +74,7 @@
     sent_at: float
     tried: list[str]
     busy: list[str] = field(default_factory=list)
+    wait_s: float = ACCEPT_WAIT_S
     if_free: bool = False
     may_be_retry: bool = False
 
@@ -129,6 +148,7 @@
         zones: Availability zones that are or were evacuated, by name.
         fleet_known: The list of servers has been read.
         known_since: When it was first read, seconds.
+        whole_since: Since when every change to it is known, seconds.
         placing_since: When any balancer that is known of may first have placed
             a flow, seconds.
         splits: A route names several services.
@@ -140,6 +160,8 @@
         store_revision: Revision that the store named in its last answer.
         store_era: Era of the store that its last answer was of.
         flows: Where flows are, least recently used first.
+        displaced: Flows whose server has given its host to another one, with
+            the service of the former, until somebody looks after them.
         openings: New flows that wait for a server.
         busy_shares: How often new flows find no free slot.
         searches: Flows that are being looked for.
@@ -162,6 +184,7 @@
     zones: dict[str, ZoneState] = field(default_factory=dict)
     fleet_known: bool = False
     known_since: float = float("inf")
+    whole_since: float = float("inf")
     placing_since: float = float("inf")
     splits: bool = False
     placed: dict[bytes, collections.Counter[str]] = field(default_factory=dict)
@@ -172,6 +195,7 @@
     flows: collections.OrderedDict[bytes, Placement] = field(
         default_factory=collections.OrderedDict
     )
+    displaced: dict[bytes, str] = field(default_factory=dict)
     openings: dict[bytes, Opening] = field(default_factory=dict)
     busy_shares: BusyShares = field(default_factory=BusyShares)
     searches: dict[bytes, Search] = field(default_factory=dict)
@@ -182,3 +206,14 @@
     problems: list[str] = field(default_factory=list)
     isolated: bool = False
     uses: Mechanisms = ALL
+
+    def move_flows(self, old: Server, new: Server) -> None:
+        """Moves the flows of a server to the one that has replaced it.
+
+        Its agent will say that they are gone.
+        """
+        for flow, placement in self.flows.items():
+            if placement.server is old:
+                placement.server = new
+                # Several changes may be told at once: the first counts.
+                self.displaced.setdefault(flow, old.entry.service)
--- a/notchhoist/flows/model/held.py
+++ b/notchhoist/flows/model/held.py
@@ -24,6 +24,10 @@
 """How long a closed flow is kept for stray copies, seconds; above the longest
 pause between two copies, 1.6 s."""
 
+COPY_AFTER_S = 0.1
+"""Ends send data again after 0.2 s and more. What was seen before by its number
+and comes sooner was overtaken by the packet behind it, seconds."""
+
 STUCK_S = 1.5
 """A request that got no answer for so long, and for ``STUCK_PACES`` service
 times, no longer counts as holding a slot. Work takes up to six times the mean;
@@ -87,6 +91,11 @@
         request_at: When the newest part of it arrived, seconds.
         sampled: It was only tried, to answer a balancer's question.
         sample: The newest packet from the caller, to reset it by.
+        shown_at: When the server last sent a packet that shows it open,
+            seconds.
+        data: The newest packet from the caller that holds data.
+        asked_at: When the server was last asked about it by a copy of a packet,
+            seconds, or None.
     """
 
     phase: Phase
@@ -102,6 +111,9 @@
     request_at: float = 0.0
     sampled: bool = False
     sample: Segment | None = None
+    shown_at: float = float("-inf")
+    data: Segment | None = None
+    asked_at: float | None = None
 
     def wish_now(self, told: Wish, now: float) -> Wish:
         """Returns what is known of the caller of the first request.
@@ -131,6 +143,28 @@
         """Tells whether a server that lives cannot have forgotten it yet."""
         return self.phase is Phase.OPEN and now - self.since < YOUNG_S
 
+    @property
+    def was_open_here(self) -> bool:
+        """Whether the server itself has shown that it held the open flow."""
+        return self.phase is Phase.OPEN and self.shown_at > float("-inf")
+
+    @property
+    def rests_asked(self) -> bool:
+        """Whether its caller has sent nothing since the server was asked."""
+        return self.asked_at is not None and self.last_at <= self.asked_at
+
+    def note_shown(self, segment: Segment, now: float) -> None:
+        """Takes account of what a server's packet shows of the flow.
+
+        Another acceptance begins a new flow between the same addresses, which
+        its caller may open elsewhere.
+        """
+        if not segment.accepts:
+            self.shown_at = now
+        elif self.server_seq is not None and segment.seq != self.server_seq:
+            self.shown_at = float("-inf")
+            self.sample = self.data = None
+
     def chosen_by(self, segment: Segment) -> bool:
         """Tells whether a caller's packet shows that it chose this server."""
         if self.server_seq is None:
@@ -142,6 +176,16 @@
         end = segment.seq + segment.size
         return self.request_end is None or is_after(end, self.request_end)
 
+    def is_copy(self, segment: Segment, now: float) -> bool:
+        """Tells whether a caller sends data again.
+
+        Args:
+            segment: A packet with data.
+            now: Runtime clock, seconds.
+        """
+        overtaken = now - self.request_at < COPY_AFTER_S
+        return not overtaken and not self.is_new(segment)
+
     def note_request(self, segment: Segment, now: float) -> None:
         """Takes account of data from the caller that is new."""
         self.request_end = (segment.seq + segment.size) % SEQUENCE_MODULUS
