--- a/notchhoist/flows/balancer/health.py
+++ b/notchhoist/flows/balancer/health.py
@@ -45,8 +45,7 @@
 SUSPECTS_ON_NARROW = 2
 LOST_ON_NARROW_S = 2.4
 """On a narrow link, with more suspects than that, agents are silent this long
-before their flows are given up, seconds. One with 5 Mbit/s suspected 12 of 44
-agents within a second (incident inc-c48e), and all of them lived."""
+before their flows are given up, seconds."""
 
 RESTS_S = 1.0
 """A flow without a packet for so long rests, seconds: a caller that waits sends
--- a/notchhoist/flows/balancer/questions.py
+++ b/notchhoist/flows/balancer/questions.py
@@ -1,11 +1,10 @@
 """What a balancer asks agents about flows, one question at a time each.
 
-The load it answers: after a loss of power each caller's flow is unknown, and a
-balancer asked every agent of a service about each of them by itself. On hosts
-of 0.038 of a core 20 dead flows took 1,000 packets and 1.5 s; callers sent
-copies meanwhile, which began further searches. Here the flows that an agent is
-to be asked about wait while a question to it is under way, and then go in one.
-The work is bounded by the round trips that the hosts can make, whatever is
+The load it answers: after a loss of power each caller's flow is unknown, and
+asking every agent of a service about each of them by itself would take thin
+hosts longer than callers wait for their next copy. Here the flows that an agent
+is to be asked about wait while a question to it is under way, and then go in
+one. The work is bounded by the round trips that the hosts can make, whatever is
 searched for: it shrinks when they are slow.
 """
 
--- a/notchhoist/flows/balancer/trying.py
+++ b/notchhoist/flows/balancer/trying.py
@@ -39,8 +39,8 @@
     def try_unsure(self, search: Search, now: float) -> bool:
         """Tries all unsure agents of a search; tells whether there are any.
 
-        Every agent is unsure after a loss of power. Tried one after the other,
-        98 of them took 98 round trips, and a caller had left by then.
+        Every agent is unsure after a loss of power. Tried one after the other
+        they would take a round trip each, and callers leave meanwhile.
         """
         hosts = [host for host in search.unsure if host in self.board.by_host]
         search.unsure.clear()
--- a/notchhoist/flows/decisions/attempts.py
+++ b/notchhoist/flows/decisions/attempts.py
@@ -19,12 +19,10 @@
 most of the balance there is to gain."""
 
 FULL_SHARE = 0.97
-"""Share of attempts that find no free slot above which a service is full. At a
-load of 0.95 it is still lower, and asking all six is worth its messages."""
+"""Share of attempts that find no free slot above which a service is full."""
 
 SHARE_GAIN = 0.02
-"""Weight of one answer in that share: about the last 100, less than a second of
-a balancer with 50 new flows a second that are handed back three times each."""
+"""Weight of one answer in that share, which follows about the last 100."""
 
 
 FEW_ANSWERS = 10
--- a/notchhoist/flows/decisions/holding.py
+++ b/notchhoist/flows/decisions/holding.py
@@ -27,8 +27,8 @@
 """Service times before its caller gives up that a request should get its slot,
 and that it must. Work spreads like a lognormal distribution with a sigma of
 0.5: 92% takes less than the first, 8% less than the second. With one figure for
-both, requests that were to be picked at the last moment were given up just
-before: 39 of 777 were lost in a played outage, with two none."""
+both, requests that are to be picked at the last moment would be given up just
+before."""
 
 CLOSES_AFTER_S = 0.1
 """A caller that closes its flow so long after its request, seconds, and before
--- a/notchhoist/flows/decisions/queueing.py
+++ b/notchhoist/flows/decisions/queueing.py
@@ -123,9 +123,7 @@
     """Returns requests that would get no slot if all went to late ones.
 
     They are told at once, not when their time is over. Others are not known to
-    be in vain: a burst may end, and callers leave. With a fifth of the slots
-    reckoned for late ones, 6.5% instead of 4.5% of the requests went unserved
-    on a day with a burst of 2.5 times the traffic for six seconds.
+    be in vain: a burst may end, and callers leave.
 
     Args:
         waiting: The requests that wait.
--- a/notchhoist/flows/model/wishes.py
+++ b/notchhoist/flows/model/wishes.py
@@ -9,8 +9,7 @@
 
 RETRY_S = 1.6
 """A caller's second try begins at the latest so long after its first, seconds:
-after a try without an acceptance callers paused for 0.03 to 0.23 s, read off
-137 retries that ended unserved after a loss of power."""
+after a try without an acceptance callers pause for 0.03 to 0.23 s."""
 
 LEAST_LEFT_S = 0.05
 """Said of a caller whose time should be over by now, seconds: it has sent a
