Histories of resting flows: words are late as often as before

Cause: while the check was being written the share of late words had gone from 5% to 3%, since seven late probes in a row give a host up. That eased a check, and the lead had not noticed it at the merge. Ruled out: leaving it; no trace shows that more lateness is not allowed. Change: 5% again, in the test only.

--- a/notchhoist/flows/tests/test_resting_history.py
+++ b/notchhoist/flows/tests/test_resting_history.py
@@ -169,7 +169,7 @@
     history=st.lists(events, min_size=3, max_size=14),
     seed=st.integers(0, 1 << 16),
     loss=st.sampled_from([0.0, 0.02]),
-    late=st.sampled_from([0.0, 0.03]),
+    late=st.sampled_from([0.0, 0.05]),
 )
 def test_no_flow_that_lives_is_reset(history, seed, loss, late):
     assert not play(history, seed, loss, late).wrong
