Logs: where a configuration came from, how old knowledge was, what is in it

Ruled out: a line for each confirmation; two a second and host fill the log's bound. Change: 'configuration' names the teller, when what was held before was last confirmed and by whom, how many routes came and went, and a digest of the routes; 'reading' says when a balancer begins to read the store or ends, and why; 'reset' for want of a route says when the routes were last confirmed. The digest is kept up with each change of the view. No decision is changed.

--- a/notchhoist/daemon/flow_metrics.py
+++ b/notchhoist/daemon/flow_metrics.py
@@ -69,7 +69,7 @@
         "view_era": era_of(board.view.revision),
         "store_revision": count_of(board.store_revision),
         "store_era": board.store_era,
-        "view_age_seconds": now - node.sharer.confirmed_at,
+        "view_age_seconds": now - node.board.confirmed_at,
         "servers_suspected": sum(s.suspected for s in board.servers.values()),
         "servers_listed": sum(s.listed for s in board.servers.values()),
         "balancers_alive": len(node.sharer.alive(now)),
--- a/notchhoist/daemon/flow_state.py
+++ b/notchhoist/daemon/flow_state.py
@@ -111,7 +111,7 @@
         "refused": board.refused,
         "not_understood": len(board.problems),
         "view_revision": board.view.revision,
-        "view_age_s": _age(now, node.sharer.confirmed_at),
+        "view_age_s": _age(now, node.board.confirmed_at),
         "reads_store": node.sharer.is_reader(now),
         "isolated": board.isolated,
     }
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -144,7 +144,10 @@
             return
         self.board.records.counters[Count.NO_ROUTE] += 1
         self.board.flows.pop(segment.flow, None)
-        self.resetter.reset(segment, "no route", version=version)
+        confirmed = self.board.confirmed_clock
+        self.resetter.reset(
+            segment, "no route", version=version, confirmed_clock=confirmed
+        )
 
     def _forward(self, route: Route, segment: Segment, now: float) -> None:
         placement = self.board.flows.get(segment.flow)
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -159,6 +159,9 @@
             weights changed here.
         rerouted_at: When a route last named a service that it no longer names,
             seconds.
+        confirmed_at: Everything that the platform had published up to this
+            time is known, seconds.
+        confirmed_by: Host of the balancer that told so; empty for the platform.
         store_failed_at: When the store last failed this process, seconds.
         store_revision: Revision that the store named in its last answer.
         store_era: Era of the store that its last answer was of.
@@ -192,6 +195,8 @@
     splits: bool = False
     placed: dict[bytes, collections.Counter[str]] = field(default_factory=dict)
     rerouted_at: float = float("-inf")
+    confirmed_at: float = float("-inf")
+    confirmed_by: str = ""
     store_failed_at: float = float("-inf")
     store_revision: int = 0
     store_era: int = 0
@@ -210,6 +215,12 @@
     isolated: bool = False
     uses: Mechanisms = ALL
 
+    @property
+    def confirmed_clock(self) -> float | None:
+        """``confirmed_at`` for the log, seconds; None if there was none."""
+        never = self.confirmed_at == float("-inf")
+        return None if never else round(self.confirmed_at, 4)
+
     def move_flows(self, old: Server, new: Server) -> None:
         """Moves the flows of a server to the one that has replaced it.
 
--- a/notchhoist/flows/model/view.py
+++ b/notchhoist/flows/model/view.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct, field
 
+from notchhoist.flows.model.digests import route_digest
 from notchhoist.flows.model.fleet import (
     ColdBound,
     Route,
@@ -74,6 +75,7 @@
         changed_at: Revision of the last change of each server, route key, zone
             and the table's version (under ``None``), removals too.
         bounds_at: Revision at which bounds of cold servers last changed.
+        digest: Digest of the routes; see ``routes_digest``.
         forgotten_to: Removals up to this revision are no longer known.
     """
 
@@ -83,6 +85,7 @@
     evacuated: dict[str, int] = field(default_factory=dict)
     changed_at: dict[ViewKey, int] = field(default_factory=dict)
     bounds_at: int = 0
+    digest: int = 0
     forgotten_to: int = 0
 
     def put_table(
@@ -106,8 +109,11 @@
             return False
         old: Mapping[bytes, Route] = self.table.routes if self.table else {}
         for key in {*old, *table.routes}:
-            if old.get(key) != table.routes.get(key):
+            before, after = old.get(key), table.routes.get(key)
+            if before != after:
                 self.changed_at[key] = revision
+                self.digest -= route_digest(before) if before else 0
+                self.digest += route_digest(after) if after else 0
         self.changed_at[None] = revision
         if table.cold_bounds != (self.table.cold_bounds if self.table else ()):
             self.bounds_at = revision
--- a/notchhoist/flows/published/fleet_keeper.py
+++ b/notchhoist/flows/published/fleet_keeper.py
@@ -39,7 +39,11 @@
     on_host: dict[str, list[Server]] = field(default_factory=dict)
 
     def on_table(
-        self, table: RouteTable, revision: int, mends: bool = False
+        self,
+        table: RouteTable,
+        revision: int,
+        mends: bool = False,
+        teller: str = "",
     ) -> None:
         """Puts a configuration in force if it is newer.
 
@@ -47,20 +51,28 @@
             table: The configuration.
             revision: Revision of its change.
             mends: It also replaces one of the same version.
+            teller: Host of the balancer that told it; empty for the platform.
         """
         board = self.board
-        old = board.table.version if board.table else 0
+        former = board.table
         if not board.view.put_table(table, revision, mends):
             return
         board.table = table = board.view.table or table
+        before = former.routes if former else {}
         board.records.decide(
             "configuration",
             b"",
             "in force",
             version=table.version,
-            before=old,
+            before=former.version if former else 0,
             revision=revision,
             routes=len(table.routes),
+            added=len(table.routes.keys() - before.keys()),
+            dropped=len(before.keys() - table.routes.keys()),
+            digest=f"{board.view.digest:x}",
+            teller=teller or None,
+            confirmed_clock=board.confirmed_clock,
+            confirmed_by=board.confirmed_by or None,
         )
 
     def on_listing(
@@ -285,7 +297,9 @@
         """Tells whether everything is to be read once more after a restore."""
         return self.eras.unsettled and self.eras.is_settled(now)
 
-    def on_change(self, change: ViewChange, now: float) -> None:
+    def on_change(
+        self, change: ViewChange, now: float, teller: str = ""
+    ) -> None:
         """Takes what another balancer knows beyond this one."""
         board = self.board
         if change.base > board.view.revision:
@@ -307,7 +321,7 @@
             )
             newest = change.revision >= board.view.revision
             mends = change.base == 0 and newest
-            self.on_table(table, change.revision, mends)
+            self.on_table(table, change.revision, mends, teller)
             board.view.note_dropped(change.removed_routes, change.revision)
         if change.base == 0:
             self.on_listing(
--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -74,7 +74,6 @@
         askers: The newest question of each balancer.
         asked_at: When each question was asked that may still be answered.
         number: Number of the last question; see ``first_number``.
-        confirmed_at: When the platform last confirmed what is known, seconds.
         pushed: Revision that the askers were last told.
         ask_due: When to ask next, seconds.
         turn: Counts the questions.
@@ -95,7 +94,6 @@
     askers: dict[str, Question] = field(default_factory=dict)
     asked_at: dict[int, float] = field(default_factory=dict)
     number: int = 0
-    confirmed_at: float = float("-inf")
     pushed: int = 0
     ask_due: float = 0.0
     turn: int = 0
@@ -129,16 +127,17 @@
 
     def must_read(self, now: float) -> bool:
         """Tells whether to read the store now."""
-        fresh = now - self.confirmed_at < self.fresh_s
+        fresh = now - self.board.confirmed_at < self.fresh_s
         few = self.board.uses.few_readers and self.board.fleet_known
         return not fresh or not few or self.is_reader(now)
 
     def on_confirmed(self, now: float) -> None:
         """Notes that the platform has just confirmed what is known."""
-        if self.confirmed_at == float("-inf"):
+        if self.board.confirmed_at == float("-inf"):
             # Those that know nothing yet hear of it and ask back.
             self._ask(self._seeds(), now)
-        self.confirmed_at = now
+        self.board.confirmed_at = now
+        self.board.confirmed_by = ""
         self._push(now)
 
     def _seeds(self) -> list[str]:
@@ -164,7 +163,7 @@
         told = self.alive(now)[:MEMBERS_TOLD]
         members = tuple(self._member(member, now) for member in told)
         context = Context(
-            age_s=now - self.confirmed_at,
+            age_s=now - self.board.confirmed_at,
             members=members,
             asked=question.number,
             placing_for_ms=self._placing_for_ms(now),
@@ -202,7 +201,7 @@
         self._take_context(host, piece, now)
         if self._is_known(piece):
             if not self._is_of_earlier_era(piece):
-                self._note_confirmed(piece)
+                self._note_confirmed(host, piece)
             return
         try:
             tell = self.pieces.whole(host, piece, now)
@@ -231,9 +230,9 @@
         if change is None or self._is_of_earlier_era(change):
             return
         before = self.board.view.revision
-        self.fleet.on_change(change, now)
+        self.fleet.on_change(change, now, host)
         if change.base <= before:
-            self._note_confirmed(tell)
+            self._note_confirmed(host, tell)
             self._check(host, change, now)
         self.board.records.counters[Count.VIEWS_TOLD] += 1
         self._push(now)
@@ -261,15 +260,19 @@
         """
         return era_of(change.revision) < era_of(self.board.view.revision)
 
-    def _note_confirmed(self, tell: ViewTell | ViewPiece) -> None:
+    def _note_confirmed(self, host: str, tell: ViewTell | ViewPiece) -> None:
         """Notes since when what was told is confirmed for certain.
 
         The age is as of the telling, which came after the question that it
         names, and a tell may wait for a second before a full link.
         """
         asked_at = self.asked_at.get(tell.asked)
-        if asked_at is not None:
-            self.confirmed_at = max(self.confirmed_at, asked_at - tell.age_s)
+        if asked_at is None:
+            return
+        confirmed_at = asked_at - tell.age_s
+        if confirmed_at > self.board.confirmed_at:
+            self.board.confirmed_at = confirmed_at
+            self.board.confirmed_by = host
 
     def _check(self, host: str, change: ViewChange, now: float) -> None:
         """Asks for everything where differences have not led to the same."""
--- a/notchhoist/flows/published/tests/test_eras.py
+++ b/notchhoist/flows/published/tests/test_eras.py
@@ -127,7 +127,7 @@
     node.sharer.asked_at[7] = 1.0
     change = behind.board.view.since(node.board.view.revision)
     node.sharer.on_tell(HOSTS[1], ViewTell(change, 0.0, (), asked=7), 1.1)
-    assert node.sharer.confirmed_at == float("-inf")
+    assert node.board.confirmed_at == float("-inf")
     assert era_of(node.board.view.revision) == 2
 
 
--- a/notchhoist/flows/published/tests/test_pieces.py
+++ b/notchhoist/flows/published/tests/test_pieces.py
@@ -97,16 +97,16 @@
     asker.sharer.asked_at[1] = 0.3
     take(asker, datagrams[:-1], 0.4)
     assert not asker.sharer.pieces.incoming
-    assert asker.sharer.confirmed_at == pytest.approx(0.2)
+    assert asker.board.confirmed_at == pytest.approx(0.2)
 
 
 def test_a_view_of_before_a_restore_confirms_nothing():
     asker = make_balancer("a", CODEC, "x", ASKER)
     take(asker, told(teller(make_revision(1, 9))))
     asker.sharer.asked_at[1] = 0.3
-    before = asker.sharer.confirmed_at
+    before = asker.board.confirmed_at
     take(asker, told(teller(9)), 0.4)
-    assert asker.sharer.confirmed_at == before
+    assert asker.board.confirmed_at == before
 
 
 def test_a_view_that_is_to_mend_another_is_read_at_the_same_revision():
--- a/notchhoist/flows/published/tests/test_sharing.py
+++ b/notchhoist/flows/published/tests/test_sharing.py
@@ -320,7 +320,7 @@
         if isinstance(item.message, ViewTell)
     ]
     asker.on_peer(HOSTS[0], tell, 11.0)
-    assert asker.sharer.confirmed_at <= 10.0
+    assert asker.board.confirmed_at <= 10.0
     assert asker.sharer.must_read(10.0 + FRESH_S)
 
 
@@ -328,7 +328,7 @@
     asker = make_balancer("a", CODEC, "n", HOSTS[1], HOSTS)
     tell = ViewTell(ViewChange(1, version=1), 0.0, (), asked=77)
     asker.on_peer(HOSTS[0], tell, 5.0)
-    assert asker.sharer.confirmed_at == float("-inf")
+    assert asker.board.confirmed_at == float("-inf")
 
 
 def test_after_an_outage_the_first_that_knows_tells_everybody():
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -38,6 +38,7 @@
         named: The last answer named its era, so that no list is needed.
         answered_at: When the last usable answer came, seconds.
         asked_from: What was known when the list under way was asked for.
+        reading: Why the last look made a call, or why it did not.
         confirmed_era: Era of what was known when the confirmation under way was
             asked for.
     """
@@ -49,6 +50,7 @@
     named: bool = False
     answered_at: float = float("-inf")
     asked_from: int = 0
+    reading: str = ""
     confirmed_era: int = 0
 
     def next_call(self, now: float) -> StoreCall | None:
@@ -58,7 +60,9 @@
             None where another balancer tells enough; ``reader.due`` then says
             when to ask again.
         """
-        if not self.node.sharer.must_read(now):
+        needed = self.node.sharer.must_read(now)
+        self._note_reading(needed, now)
+        if not needed:
             self.reader.due = now + RECONSIDER_S
             return None
         board = self.node.board
@@ -70,6 +74,17 @@
             self.asked_from = board.view.revision
         return self.reader.next_call()
 
+    def _note_reading(self, needed: bool, now: float) -> None:
+        """Logs when this balancer begins to read the store, or ends."""
+        reader = self.node.sharer.is_reader(now)
+        reading = ("reader" if reader else "stale") if needed else "told"
+        if reading == self.reading:
+            return
+        self.reading = reading
+        clock = self.node.board.confirmed_clock
+        by = self.node.board.confirmed_by or None
+        self._decide("reading", reading, confirmed_clock=clock, confirmed_by=by)
+
     def on_answer(
         self,
         status: int,
@@ -259,10 +274,10 @@
             self.lost = True
             self._decide("store lost", reason)
 
-    def _decide(self, event: str, outcome: str) -> None:
+    def _decide(self, event: str, outcome: str, **inputs: object) -> None:
         records = self.node.board.records
         revision = self.node.board.view.revision
-        records.decide(event, b"", outcome, revision=revision)
+        records.decide(event, b"", outcome, revision=revision, **inputs)
 
     def _apply(self, event: StoreEvent, now: float) -> None:
         fleet = self.node.fleet
--- a/notchhoist/platform/tests/test_eras.py
+++ b/notchhoist/platform/tests/test_eras.py
@@ -83,14 +83,14 @@
 def test_a_refused_watch_confirms_nothing():
     feeder = known()
     feeder.on_answer(410, b"", 1.0, ERA_1)
-    assert feeder.node.sharer.confirmed_at == 0.0
+    assert feeder.node.board.confirmed_at == 0.0
 
 
 def test_a_confirmation_of_another_era_confirms_nothing():
     feeder = known()
     feeder.on_confirmation(200, changes(as_of=64), 1.0, ERA_2)
     assert feeder.node.board.view.revision == make_revision(1, 63)
-    assert feeder.node.sharer.confirmed_at == 0.0
+    assert feeder.node.board.confirmed_at == 0.0
 
 
 def test_an_answer_of_an_earlier_era_is_of_no_use():
