--- a/notchhoist/testing/opaque/store.py
+++ b/notchhoist/testing/opaque/store.py
@@ -8,6 +8,9 @@
 
 import attrs
 
+RESEND_S = 0.2
+"""After this a packet that was not acknowledged is sent again, seconds."""
+
 
 @attrs.frozen
 class Change:
@@ -48,6 +51,8 @@
         page_size: Items of one page.
         calls: Calls so far, refused ones too.
         answer_s: Time to an answer, seconds.
+        resent_share: Share of the answers that are lost once on their way and
+            sent again; part of a calm network.
         era: How often it has come back from a copy, from 1.
         names_era: Its answers say so.
         down: ``""``, ``silent``, ``busy`` (503), ``many`` (429) or ``reset``.
@@ -65,6 +70,7 @@
     page_size: int = 500
     calls: int = 0
     answer_s: float = 0.004
+    resent_share: float = 0.0
     era: int = 1
     names_era: bool = True
     down: str = ""
@@ -145,6 +151,13 @@
             return self.down
         return "silent" if self.rng.random() < self.lost_share else ""
 
+    def resend_delay(self) -> float:
+        """Returns how much later an answer comes than usual, seconds."""
+        if not self.resent_share:
+            return 0.0
+        resent = self.rng.random() < self.resent_share
+        return RESEND_S if resent else 0.0
+
     def read_range(self, query: dict[str, str]) -> bytes:
         """Answers ``/kv-range``."""
         with self.lock:
--- a/notchhoist/testing/opaque/store_link.py
+++ b/notchhoist/testing/opaque/store_link.py
@@ -7,6 +7,7 @@
 
 from notchhoist.platform.store import StoreCall
 from notchhoist.testing.opaque.hosts import Host
+from notchhoist.testing.opaque.store import RESEND_S
 
 if TYPE_CHECKING:
     from notchhoist.testing.opaque.world import OpaqueWorld
@@ -29,6 +30,9 @@
         """Makes the next call of a balancer, if it wants one."""
         if host.generation != generation or host.feeder is None:
             return
+        if host.frozen:
+            self.world.later(POLL_S, lambda: self.call(host, generation))
+            return
         call = host.feeder.next_call(self.world.now)
         if call is None:
             self._call_again(host, generation)
@@ -41,7 +45,7 @@
             lambda: self._on_no_answer(host, generation, number, "timeout"),
         )
         trouble = self.world.store.trouble_for(host.ip)
-        if trouble == "silent" or self.world.network.is_cut(host.ip, host.ip):
+        if trouble == "silent" or self._is_cut(host):
             return
         delay = self.world.store.answer_s + self.world.network.cross_zone_s
         if trouble == "reset":
@@ -68,7 +72,7 @@
         call = host.feeder.confirming_call()
         self.world.store.calls += 1
         trouble = self.world.store.trouble_for(host.ip)
-        cut = self.world.network.is_cut(host.ip, host.ip)
+        cut = self._is_cut(host)
         delay = self.world.store.answer_s + self.world.network.cross_zone_s
         if trouble in ("silent", "reset") or cut:
             delay = call.timeout_s
@@ -101,7 +105,7 @@
         query = dict(parse_qsl(parts.query, keep_blank_values=True))
         if parts.path == "/kv-range":
             body = self.world.store.read_range(query)
-            self._on_answer(host, generation, number, 200, body)
+            self._send(host, generation, number, 200, body)
             return
         status, changes = self.world.store.read_changes(query)
         ends_at = ends_at or self.world.now + int(query["wait_ms"]) / 1000
@@ -115,7 +119,26 @@
             return
         body = self.world.store.no_changes() if changes is None else changes
         if not self.world.store.trouble_for(host.ip):
-            self._on_answer(host, generation, number, status, body)
+            self._send(host, generation, number, status, body)
+
+    def _send(
+        self, host: Host, generation: int, number: int, status: int, body: bytes
+    ) -> None:
+        """Sends an answer; what is lost or cut off is sent again."""
+
+        def arrive() -> None:
+            if self._is_cut(host):
+                self.world.later(RESEND_S, arrive)
+                return
+            self.world.network.when_awake(
+                host,
+                lambda: self._on_answer(host, generation, number, status, body),
+            )
+
+        self.world.later(self.world.store.resend_delay(), arrive)
+
+    def _is_cut(self, host: Host) -> bool:
+        return self.world.network.is_cut(host.ip, host.ip)
 
     def _is_current(self, host: Host, generation: int, number: int) -> bool:
         same = host.generation == generation and host.calling == number
@@ -137,6 +160,13 @@
     ) -> None:
         if not self._is_current(host, generation, number):
             return
+        if host.frozen:
+            # What has come is read before anybody's silence is judged.
+            self.world.later(
+                POLL_S,
+                lambda: self._on_no_answer(host, generation, number, reason),
+            )
+            return
         host.calling += 1
         if host.feeder is not None:
             silent = reason in ("silent", "cut")
