Knowledge is dated by the question, not by when the answer is read

Cause: an answer of the store that had waited, on its way after a cut or before a process that stood still, confirmed what is known as of the moment of reading, and that age was told on. Ruled out: noticing pauses of the process only; an answer that is sent again by the network shows no pause. Change: an answer is as old as its question; word of no news is as old as the end of the watch, if that has passed. A watch ends when the last certain moment is one watch's time old, so knowledge grows no older than before.

--- a/notchhoist/daemon/store_calls.py
+++ b/notchhoist/daemon/store_calls.py
@@ -57,7 +57,7 @@
         feeder = self.feeder
         self._make(
             self.confirmer,
-            feeder.confirming_call(),
+            feeder.confirming_call(self.loop.clock()),
             feeder.on_confirmation,
             feeder.on_confirmation_failed,
         )
--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -131,15 +131,25 @@
         few = self.board.uses.few_readers and self.board.fleet_known
         return not fresh or not few or self.is_reader(now)
 
-    def on_confirmed(self, now: float) -> None:
-        """Notes that the platform has just confirmed what is known."""
+    def on_confirmed(self, now: float, age_s: float = 0.0) -> None:
+        """Notes that the platform has confirmed what is known.
+
+        Args:
+            now: Runtime clock, seconds.
+            age_s: How long ago the platform may have said so, seconds.
+        """
         if self.board.confirmed_at == float("-inf"):
             # Those that know nothing yet hear of it and ask back.
             self._ask(self._seeds(), now)
-        self.board.confirmed_at = now
-        self.board.confirmed_by = ""
+        self._note_certain(now - age_s, "")
         self._push(now)
 
+    def _note_certain(self, at: float, host: str) -> None:
+        """Notes up to when everything published is known, and from whom."""
+        if at > self.board.confirmed_at:
+            self.board.confirmed_at = at
+            self.board.confirmed_by = host
+
     def _seeds(self) -> list[str]:
         return [host for host in self.seeds if host != self.board.host]
 
@@ -267,12 +277,8 @@
         names, and a tell may wait for a second before a full link.
         """
         asked_at = self.asked_at.get(tell.asked)
-        if asked_at is None:
-            return
-        confirmed_at = asked_at - tell.age_s
-        if confirmed_at > self.board.confirmed_at:
-            self.board.confirmed_at = confirmed_at
-            self.board.confirmed_by = host
+        if asked_at is not None:
+            self._note_certain(asked_at - tell.age_s, host)
 
     def _check(self, host: str, change: ViewChange, now: float) -> None:
         """Asks for everything where differences have not led to the same."""
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -38,6 +38,9 @@
         named: The last answer named its era, so that no list is needed.
         answered_at: When the last usable answer came, seconds.
         asked_from: What was known when the list under way was asked for.
+        called_at: When the call under way was made, the first one of a list,
+            seconds.
+        confirming_since: When the confirmation under way was asked for.
         reading: Why the last look made a call, or why it did not.
         confirmed_era: Era of what was known when the confirmation under way was
             asked for.
@@ -50,6 +53,8 @@
     named: bool = False
     answered_at: float = float("-inf")
     asked_from: int = 0
+    called_at: float = float("-inf")
+    confirming_since: float = float("-inf")
     reading: str = ""
     confirmed_era: int = 0
 
@@ -72,7 +77,20 @@
             self.reader.list_anew()
         if not self.reader.page_after:
             self.asked_from = board.view.revision
-        return self.reader.next_call()
+            self.called_at = now
+        # Its end is to find what is known no older than one whole watch.
+        certain_s = board.confirmed_at + self.reader.watch_s - now
+        return self.reader.next_call(certain_s)
+
+    def _answer_age_s(self, now: float) -> float:
+        """Returns how old an answer that is read now may be, seconds.
+
+        It may have waited on its way or before this process. What the store
+        said came after the call, and word of no news after the watch's time.
+        """
+        since_call = now - self.called_at
+        held_s = self.reader.held_s
+        return since_call - held_s if since_call >= held_s else since_call
 
     def _note_reading(self, needed: bool, now: float) -> None:
         """Logs when this balancer begins to read the store, or ends."""
@@ -124,7 +142,7 @@
         # A refused watch or a first page of several confirms nothing.
         if board.fleet_known and self.reader.confirms:
             board.view.reach(self.reader.revision)
-            self.node.sharer.on_confirmed(now)
+            self.node.sharer.on_confirmed(now, self._answer_age_s(now))
             self.node.on_published(now)
 
     def _note_regained(self) -> None:
@@ -223,8 +241,9 @@
             self.lost = False
             self._decide("store regained", "told by others")
 
-    def confirming_call(self) -> StoreCall:
+    def confirming_call(self, now: float) -> StoreCall:
         """Returns the call that confirms what is known."""
+        self.confirming_since = now
         known = self.node.board.view.revision
         self.confirmed_era = era_of(known)
         return self.reader.confirming_call(known)
@@ -248,7 +267,7 @@
         for event in changes.events:
             self._apply(event, now)
         board.view.reach(changes.revision)
-        self.node.sharer.on_confirmed(now)
+        self.node.sharer.on_confirmed(now, now - self.confirming_since)
         self.node.finder.on_view_confirmed(now)
 
     def _check_era_of_view(self, era: int) -> None:
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -37,6 +37,9 @@
 WATCH_SHARE = 0.65
 """The same as a share of the bound; the rest is for noticing and reading."""
 
+LEAST_WAIT_S = 0.001
+"""A watch from which an answer is wanted at once."""
+
 ANSWER_S = 1.0
 """The store answers in 4 ms; when slow in a hundred times that, seconds."""
 
@@ -95,6 +98,9 @@
     Attributes:
         draw: Source of the jitter.
         watch_s: How long the store may hold a watch, seconds.
+        held_s: How long the store has held its last answer for certain, since
+            it was called: all of a watch's time where there was no news.
+        wait_s: How long it may hold the watch under way, seconds.
         want: What the next call reads.
         revision: Everything up to this revision of the store is known.
         era: Era of the store that its last answer was of.
@@ -113,6 +119,8 @@
 
     draw: Draw
     watch_s: float = WATCH_S
+    held_s: float = 0.0
+    wait_s: float = 0.0
     want: Want = Want.LISTING
     revision: int = 0
     era: int = 0
@@ -128,8 +136,12 @@
     page_revision: int = 0
     seen_revision: int = 0
 
-    def next_call(self) -> StoreCall:
-        """Returns the call to make when ``due`` has come."""
+    def next_call(self, wait_s: float = float("inf")) -> StoreCall:
+        """Returns the call to make when ``due`` has come.
+
+        Args:
+            wait_s: The store may hold a watch no longer than this, seconds.
+        """
         self.calls += 1
         if self.want is Want.LISTING:
             target = "/kv-range?path_prefix="
@@ -137,11 +149,11 @@
                 target += f"&after={_quoted(self.page_after)}"
             timeout_s = self._listing_timeout_s()
             return StoreCall("listing", target, timeout_s, LISTING_MAX_S)
-        target = (
-            f"/kv-watch?path_prefix=&after={count_of(self.revision)}"
-            f"&wait_ms={int(self.watch_s * 1000)}"
-        )
-        return StoreCall("watch", target, self.watch_s + ANSWER_S)
+        wait_ms = int(min(max(wait_s, LEAST_WAIT_S), self.watch_s) * 1000)
+        self.wait_s = wait_ms / 1000
+        after = count_of(self.revision)
+        target = f"/kv-watch?path_prefix=&after={after}&wait_ms={wait_ms}"
+        return StoreCall("watch", target, self.wait_s + ANSWER_S)
 
     def confirming_call(self, revision: int) -> StoreCall:
         """Returns a call for what is newer than a revision, answered at once.
@@ -150,7 +162,8 @@
         """
         self.calls += 1
         after = count_of(revision)
-        target = f"/kv-watch?path_prefix=&after={after}&wait_ms=1"
+        wait_ms = int(LEAST_WAIT_S * 1000)
+        target = f"/kv-watch?path_prefix=&after={after}&wait_ms={wait_ms}"
         return StoreCall("confirmation", target, CONFIRM_TIMEOUT_S)
 
     def _listing_timeout_s(self) -> float:
@@ -254,6 +267,7 @@
                 called.
         """
         self.confirms = False
+        self.held_s = 0.0
         try:
             useful = self.see_era(era)
         except PlatformError:
@@ -328,6 +342,7 @@
         self.confirms = True
         self.seen_revision = changes.revision
         self.revision = max(self.revision, changes.revision)
+        self.held_s = 0.0 if changes.told else self.wait_s
         self.due = now + GATHER_S if changes.told else now
         return changes.events
 
--- a/notchhoist/platform/tests/test_feeding.py
+++ b/notchhoist/platform/tests/test_feeding.py
@@ -131,3 +131,34 @@
     told_by_another(feeder, 5.2)
     assert feeder.node.sharer.is_reader(5.2)
     assert feeder.needs_answer(5.2)
+
+
+def test_an_answer_that_waited_is_as_old_as_its_question():
+    """What it told was passed on as of the moment when it was read."""
+    feeder = fed(item("op/config", CONFIGURATION))
+    feeder.next_call(1.0)
+    feeder.on_answer(200, changes(item("servers/i-1", ENTRY, 60)), 3.5)
+    assert feeder.node.board.confirmed_at == 1.0
+
+
+def test_word_of_no_news_is_as_old_as_the_end_of_the_watch():
+    feeder = fed(item("op/config", CONFIGURATION))
+    feeder.next_call(1.0)
+    wait_s = feeder.reader.wait_s
+    assert 0.0 < wait_s < feeder.reader.watch_s
+    feeder.on_answer(200, changes(as_of=50), 3.5)
+    assert feeder.node.board.confirmed_at == 1.0 + wait_s
+
+
+def test_word_of_no_news_that_came_too_early_is_as_old_as_its_question():
+    feeder = fed(item("op/config", CONFIGURATION))
+    feeder.next_call(0.1)
+    feeder.on_answer(200, changes(as_of=50), 0.2)
+    assert feeder.node.board.confirmed_at == 0.1
+
+
+def test_a_confirmation_is_as_old_as_its_question():
+    feeder = fed(item("op/config", CONFIGURATION))
+    feeder.confirming_call(1.0)
+    feeder.on_confirmation(200, changes(as_of=50), 1.4)
+    assert feeder.node.board.confirmed_at == 1.0
--- a/notchhoist/testing/opaque/changes.py
+++ b/notchhoist/testing/opaque/changes.py
@@ -8,6 +8,7 @@
 
 import random
 import sys
+from collections.abc import Callable
 from functools import partial
 from typing import Annotated
 
@@ -98,8 +99,10 @@
             return
         for_s = self.rng.uniform(*TROUBLE_LASTS_S)
         host = self.rng.choice(self.balancers())
-        kinds = [self.cut_store, self.cut_readers, self.cut_hosts]
-        kinds += [self.kill, self.freeze, self.forget]
+        kinds: list[Callable[[Host, float], None]] = [
+            *(self.cut_store, self.cut_readers, self.cut_hosts),
+            *(self.kill, self.freeze, self.forget),
+        ]
         self.rng.choice(kinds)(host, for_s)
         self.world.later(self.rng.uniform(*TROUBLE_GAPS_S), self.trouble)
 
@@ -183,14 +186,18 @@
     return day
 
 
-def play_without_readers(seed: int, seconds: float) -> Day:
+def play_without_readers(
+    seed: int, seconds: float, resent_share: float = LOSS
+) -> Day:
     """Plays a day on which the readers are cut off from the store for long.
 
     Args:
         seed: Seed of every draw.
         seconds: Time until the last change, seconds.
+        resent_share: Share of the store's answers that are sent again.
     """
     day = make_day(seed, seconds)
+    day.world.store.resent_share = resent_share
     cut = partial(day.cut_readers, day.balancers()[0], seconds)
     day.world.later(CALM_S, cut)
     day.world.run_until(seconds + CALM_S)
--- a/notchhoist/testing/opaque/store_link.py
+++ b/notchhoist/testing/opaque/store_link.py
@@ -69,7 +69,7 @@
         """Makes a call that is answered at once, beside the others."""
         if host.feeder is None:
             return
-        call = host.feeder.confirming_call()
+        call = host.feeder.confirming_call(self.world.now)
         self.world.store.calls += 1
         trouble = self.world.store.trouble_for(host.ip)
         cut = self._is_cut(host)
--- a/notchhoist/testing/opaque/tests/test_changes.py
+++ b/notchhoist/testing/opaque/tests/test_changes.py
@@ -13,5 +13,10 @@
     assert not faults(changes.play_without_readers(121, SECONDS), "LATE")
 
 
+def test_a_change_is_in_time_though_the_answer_that_tells_it_is_sent_again():
+    day = changes.play_without_readers(1, SECONDS, resent_share=1.0)
+    assert not faults(day, "LATE")
+
+
 def test_no_balancer_takes_what_it_knows_for_newer_than_it_is():
     assert not faults(changes.play(2, SECONDS), "UNTRUE")
