The bound of a change is a budget, with room for a call without an answer

What callers saw: a request handled as an older version allows, more than the bound after a change's acknowledgement. A host that nobody tells anything read at 0.9 of the bound, looked for that every 0.2 s, and had 0.1 s for the call. Ruled out: a threshold a little lower; a reader's watch lasted 0.65 of the bound, so that told knowledge would have been too old in calm, and every host would have read. Change: one module divides the bound: a watch 0.35, fresh 0.6, a first call 0.15. A look is due at the moment when knowledge is too old. Calls grow patient with failures, and a watch whose news are coming in is not ended in the middle.

--- a/notchhoist/daemon/flow_runner.py
+++ b/notchhoist/daemon/flow_runner.py
@@ -125,15 +125,16 @@
     """Begins to read the platform's store."""
     from notchhoist.daemon.http_call import HttpCaller
     from notchhoist.daemon.store_calls import StoreCalls
-    from notchhoist.flows.published.sharing import FRESH_SHARE
+    from notchhoist.flows.published.budget import Budget
     from notchhoist.platform.feeding import StoreFeeder
-    from notchhoist.platform.store import WATCH_SHARE, StoreReader
+    from notchhoist.platform.store import StoreReader
 
     settings, loop = daemon.settings, daemon.loop
     bound_s = min(settings.apply_s, settings.drain_s, settings.evacuate_s)
-    node.sharer.fresh_s = FRESH_SHARE * bound_s
+    budget = Budget(bound_s)
+    node.sharer.fresh_s = budget.fresh_s
     draw = make_draw(settings.name)
-    reader = StoreReader(draw, WATCH_SHARE * bound_s)
+    reader = StoreReader(draw, budget.watch_s, budget.answer_s)
     calls = StoreCalls(
         loop=loop,
         feeder=StoreFeeder(node, reader),
--- a/notchhoist/flows/published/__init__.py
+++ b/notchhoist/flows/published/__init__.py
@@ -2,6 +2,7 @@
 
 From the top down, each module imports only those above it:
 
+* ``budget``: how the time until a change must be in force is divided.
 * ``eras``: carries what is known over restores of the platform's store.
 * ``zones``: which availability zones are evacuated.
 * ``fleet_keeper``: takes news into the blackboard; nothing goes back.
--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -24,6 +24,7 @@
 from notchhoist.flows.model.view import ViewChange
 from notchhoist.flows.published import reroutings
 from notchhoist.flows.published.asking import READERS, hosts_to_ask, pause_s
+from notchhoist.flows.published.budget import Budget
 from notchhoist.flows.published.fleet_keeper import FleetKeeper
 from notchhoist.flows.published.parts import ViewParts
 from notchhoist.flows.published.pieces import ViewPieces
@@ -37,13 +38,9 @@
 """A balancer that was heard within this time is alive: each reader is asked
 once a second, and one answer may be lost."""
 
-FRESH_S = 2.7
+FRESH_S = Budget().fresh_s
 """What was confirmed within this time need not be read again, seconds, where a
-change must be in force within 3 s: above the 2 s that a reader's watch may
-last and the half second until it is asked."""
-
-FRESH_SHARE = 0.9
-"""The same as a share of the bound."""
+change must be in force within 3 s."""
 
 ASKED_WIDELY = 6
 """Balancers that are asked at once by one that hears no agent."""
@@ -125,9 +122,13 @@
         count = READERS + len(alive) // MEMBERS_A_READER
         return self.board.host in alive[:count]
 
+    def stale_at(self) -> float:
+        """Returns when what is known becomes too old, seconds."""
+        return self.board.confirmed_at + self.fresh_s
+
     def must_read(self, now: float) -> bool:
         """Tells whether to read the store now."""
-        fresh = now - self.board.confirmed_at < self.fresh_s
+        fresh = now < self.stale_at()
         few = self.board.uses.few_readers and self.board.fleet_known
         return not fresh or not few or self.is_reader(now)
 
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -21,6 +21,9 @@
 """How often a balancer that is told enough looks whether it still is, seconds;
 a fifteenth of the bound of a change."""
 
+RECONSIDER_AT_LEAST_S = 0.01
+"""Least time between two looks where what is known is nearly too old."""
+
 NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 
 PROBLEMS_KEPT = 200
@@ -68,7 +71,9 @@
         needed = self.node.sharer.must_read(now)
         self._note_reading(needed, now)
         if not needed:
-            self.reader.due = now + RECONSIDER_S
+            stale_at = self.node.sharer.stale_at()
+            soonest = now + RECONSIDER_AT_LEAST_S
+            self.reader.due = min(now + RECONSIDER_S, max(stale_at, soonest))
             return None
         board = self.node.board
         if board.fleet_known:
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -13,6 +13,7 @@
 from notchhoist.base.errors import PlatformError
 from notchhoist.flows.model.fleet import ServerEntry
 from notchhoist.flows.model.revisions import count_of, era_of, make_revision
+from notchhoist.flows.published.budget import Budget
 from notchhoist.platform.changes import read_changes
 from notchhoist.platform.checking import FieldError, Fields
 from notchhoist.platform.documents import decode_json
@@ -27,22 +28,18 @@
     read_item,
 )
 
+BUDGET = Budget()
+
 HISTORY_GONE = 410
 """Status of a watch from a revision that the store does not have."""
 
-WATCH_S = 2.0
-"""How long the store may hold a watch, seconds, where a change must be in force
-within 3 s. A watch whose answer is lost says nothing more."""
-
-WATCH_SHARE = 0.65
-"""The same as a share of the bound; the rest is for noticing and reading."""
+ANSWER_MAX_S = 1.8
+"""Longest time for an answer beyond a watch's time, seconds: a store whose
+answers come late is waited for longer after each failure."""
 
 LEAST_WAIT_S = 0.001
 """A watch from which an answer is wanted at once."""
 
-ANSWER_S = 1.0
-"""The store answers in 4 ms; when slow in a hundred times that, seconds."""
-
 CONFIRM_TIMEOUT_S = 0.5
 """A confirmation that takes longer than this helps nobody, seconds: without it
 the decision falls 0.7 s after the question."""
@@ -98,6 +95,8 @@
     Attributes:
         draw: Source of the jitter.
         watch_s: How long the store may hold a watch, seconds.
+        answer_s: How long a call waits for an answer at first, beyond a
+            watch's time, seconds.
         held_s: How long the store has held its last answer for certain, since
             it was called: all of a watch's time where there was no news.
         wait_s: How long it may hold the watch under way, seconds.
@@ -118,7 +117,8 @@
     """
 
     draw: Draw
-    watch_s: float = WATCH_S
+    watch_s: float = BUDGET.watch_s
+    answer_s: float = BUDGET.answer_s
     held_s: float = 0.0
     wait_s: float = 0.0
     want: Want = Want.LISTING
@@ -153,7 +153,12 @@
         self.wait_s = wait_ms / 1000
         after = count_of(self.revision)
         target = f"/kv-watch?path_prefix=&after={after}&wait_ms={wait_ms}"
-        return StoreCall("watch", target, self.wait_s + ANSWER_S)
+        timeout_s = self.wait_s + self._answer_timeout_s()
+        return StoreCall("watch", target, timeout_s, timeout_s + LISTING_MAX_S)
+
+    def _answer_timeout_s(self) -> float:
+        """Returns how long an answer may take; patience grows with failures."""
+        return min(ANSWER_MAX_S, self.answer_s * 2**self.failures)
 
     def confirming_call(self, revision: int) -> StoreCall:
         """Returns a call for what is newer than a revision, answered at once.
--- a/notchhoist/platform/tests/test_feeding.py
+++ b/notchhoist/platform/tests/test_feeding.py
@@ -2,12 +2,16 @@
 
 import json
 
+import pytest
+
 from notchhoist.base.draws import make_draw
 from notchhoist.flows.balancer.node import make_balancer
 from notchhoist.flows.model.effects import SendPeer
 from notchhoist.flows.model.messages import ViewAsk, ViewTell
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.revisions import make_revision
+from notchhoist.flows.published.asking import ASK_S
+from notchhoist.flows.published.budget import Budget
 from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.platform.store import StoreReader
@@ -18,6 +22,9 @@
 )
 from notchhoist.platform.tests.test_store import changes, item, page
 
+RESEND_S = 0.2
+"""After this the network sends a lost packet again, seconds."""
+
 
 def fed(*items):
     node = make_balancer("a", PacketCodec(), "seed", "10.0.0.1")
@@ -162,3 +169,26 @@
     feeder.confirming_call(1.0)
     feeder.on_confirmation(200, changes(as_of=50), 1.4)
     assert feeder.node.board.confirmed_at == 1.0
+
+
+@pytest.mark.parametrize("bound_s", [3.0, 5.0])
+def test_a_change_is_in_time_though_the_first_call_has_no_answer(bound_s):
+    """A host acted at 0.9 of the bound, and one lost call was too many."""
+    budget = Budget(bound_s)
+    feeder = fed(item("op/config", CONFIGURATION))
+    feeder.reader = StoreReader(make_draw("s"), budget.watch_s, budget.answer_s)
+    sharer = feeder.node.sharer
+    sharer.fresh_s = budget.fresh_s
+    called_at = sharer.stale_at()
+    lost = feeder.next_call(called_at)
+    feeder.on_failed("no answer in time", called_at + lost.timeout_s, True)
+    now = max(called_at + lost.timeout_s, feeder.reader.due)
+    assert feeder.next_call(now) is not None
+    assert now + RESEND_S <= sharer.board.confirmed_at + bound_s
+
+
+def test_told_knowledge_stays_fresh_while_the_readers_watch():
+    """Watches as long as they were made the others read by themselves."""
+    for bound_s in (3.0, 5.0):
+        budget = Budget(bound_s)
+        assert budget.watch_s + ASK_S + RESEND_S <= budget.fresh_s
