Those read the store whom it answers, not those that are alive

Cause: who reads, and whom the others ask, was chosen from the balancers that are alive. Those that the store does not answer stayed the readers, asked each other, and had every other host read by itself at the end of its time. Ruled out: asking more balancers at once; it makes each outage of the store as many questions as there are hosts. Change: each balancer says of itself whether the store has answered its last call, and tells what it heard of others. Those that are not answered come last in the order of readers; they try again after 5 s, and read again once they are answered. Who the balancers are has a module of its own, out of sharing. Conclusion: the class is a role given by liveness where ability counts.

--- a/notchhoist/daemon/flow_metrics.py
+++ b/notchhoist/daemon/flow_metrics.py
@@ -72,7 +72,7 @@
         "view_age_seconds": now - node.board.confirmed_at,
         "servers_suspected": sum(s.suspected for s in board.servers.values()),
         "servers_listed": sum(s.listed for s in board.servers.values()),
-        "balancers_alive": len(node.sharer.alive(now)),
+        "balancers_alive": len(node.sharer.membership.alive(now)),
         "routes_split": len(board.placed),
         "zones_evacuated": len(board.view.evacuated),
     }
--- a/notchhoist/flows/balancer/informing.py
+++ b/notchhoist/flows/balancer/informing.py
@@ -67,7 +67,7 @@
     def _look(self, now: float) -> None:
         """Notes which agents the newest changes concern."""
         before, self.seen = self.seen, self.board.view.revision
-        if not self.sharer.is_reader(now):
+        if not self.sharer.membership.is_reader(now):
             return
         for server in self.board.by_host.values():
             entry = server.entry
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -40,6 +40,7 @@
 from notchhoist.flows.model.segments import Segment, SegmentCodec
 from notchhoist.flows.published.eras import EraKeeper
 from notchhoist.flows.published.fleet_keeper import FleetKeeper
+from notchhoist.flows.published.membership import Membership
 from notchhoist.flows.published.reroutings import Reroutings
 from notchhoist.flows.published.sharing import ViewSharer
 from notchhoist.flows.published.zones import ZoneKeeper
@@ -308,8 +309,9 @@
     health = HealthKeeper(board, resetter, hosts, distances, link_mbps)
     fleet = FleetKeeper(board, EraKeeper(board), ZoneKeeper(board))
     draw, numbers = make_draw(seed), make_draw(f"numbers of {seed}")
+    membership = Membership(board, link_mbps)
     sharer = ViewSharer(
-        board, fleet, seeds, link_mbps, number=first_number(numbers)
+        board, fleet, seeds, membership, number=first_number(numbers)
     )
     informer = AgentInformer(board, sharer)
     questions = make_questions(board, codec, distances, first_number(numbers))
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -163,6 +163,7 @@
             time is known, seconds.
         confirmed_by: Host of the balancer that told so; empty for the platform.
         store_failed_at: When the store last failed this process, seconds.
+        store_answered_at: When it last answered it, seconds.
         store_revision: Revision that the store named in its last answer.
         store_era: Era of the store that its last answer was of.
         flows: Where flows are, least recently used first.
@@ -198,6 +199,7 @@
     confirmed_at: float = float("-inf")
     confirmed_by: str = ""
     store_failed_at: float = float("-inf")
+    store_answered_at: float = float("-inf")
     store_revision: int = 0
     store_era: int = 0
     flows: collections.OrderedDict[bytes, Placement] = field(
--- a/notchhoist/flows/codec/flow.thrift
+++ b/notchhoist/flows/codec/flow.thrift
@@ -29,9 +29,11 @@
 struct Zone { 1: string name, 2: i64 revision, 3: optional i64 era }
 struct ViewAsk {
   1: i64 revision, 2: i32 link_mbps, 3: optional i64 number, 4: optional i64 era,
-  5: optional bool reads_pieces
+  5: optional bool reads_pieces, 6: optional bool unserved
+}
+struct Member {
+  1: string host, 2: i32 link_mbps, 3: i32 age_ms, 4: optional bool unserved
 }
-struct Member { 1: string host, 2: i32 link_mbps, 3: i32 age_ms }
 struct ViewTell {
   1: i64 revision, 2: i64 base, 3: i32 age_ms, 4: list<Member> members,
   5: i32 part, 6: i32 parts, 7: i64 version, 8: double idle_s,
--- a/notchhoist/flows/codec/message_codec.py
+++ b/notchhoist/flows/codec/message_codec.py
@@ -66,6 +66,7 @@
                 message.number,
                 era_of(message.revision),
                 message.reads_pieces or None,
+                message.unserved or None,
             )
         case ViewTell():
             struct.view_tell = view_struct(message)
@@ -158,7 +159,8 @@
         view = struct.view_ask
         known = make_revision(view.era or 0, view.revision)
         number, reads_pieces = view.number or 0, bool(view.reads_pieces)
-        return ViewAsk(known, view.link_mbps, number, reads_pieces)
+        unserved = bool(view.unserved)
+        return ViewAsk(known, view.link_mbps, number, reads_pieces, unserved)
     if struct.view_tell is not None:
         return view_of(struct.view_tell)
     if struct.view_piece is not None:
--- a/notchhoist/flows/codec/view_codec.py
+++ b/notchhoist/flows/codec/view_codec.py
@@ -23,10 +23,11 @@
 _ADDED_LATER = {
     "FlowsTell": ("age_ms",),
     "LoadAsk": ("state",),
+    "Member": ("unserved",),
     "LoadTell": ("state_revision", "state_era"),
     "Server": ("born_ms", "era", "created_era", "withdrawn"),
     "ServerState": ("draining", "era"),
-    "ViewAsk": ("number", "era", "reads_pieces"),
+    "ViewAsk": ("number", "era", "reads_pieces", "unserved"),
     "ViewPiece": ("asked", "era", "placing_for_ms", "rerouted_for_ms"),
     "Zone": ("era",),
     "ViewTell": (
@@ -63,7 +64,8 @@
 
 def member_struct(member: Member) -> Any:
     """Returns the Thrift struct of a balancer."""
-    return ttypes.Member(member.host, member.link_mbps, member.age_ms)
+    unserved = member.unserved or None
+    return ttypes.Member(member.host, member.link_mbps, member.age_ms, unserved)
 
 
 def members_of(structs: Any) -> tuple[Member, ...]:
@@ -74,7 +76,9 @@
     """
     for struct in structs:
         check_whole(struct)
-    return tuple(Member(m.host, m.link_mbps, m.age_ms) for m in structs)
+    return tuple(
+        Member(m.host, m.link_mbps, m.age_ms, bool(m.unserved)) for m in structs
+    )
 
 
 def view_struct(tell: ViewTell) -> Any:
--- a/notchhoist/flows/model/messages.py
+++ b/notchhoist/flows/model/messages.py
@@ -111,11 +111,13 @@
         link_mbps: What its host's link carries, Mbit/s.
         age_ms: Time since it was heard, ms. Without it two balancers would
             keep a dead one alive by telling each other of it.
+        unserved: The platform's store has not answered its last call.
     """
 
     host: str
     link_mbps: int
     age_ms: int = 0
+    unserved: bool = False
 
 
 class ViewAsk(Struct, frozen=True):
@@ -126,12 +128,14 @@
         link_mbps: What the asker's link carries, Mbit/s.
         number: Number of the question, above 0.
         reads_pieces: The asker understands ``ViewPiece``.
+        unserved: See ``Member``.
     """
 
     revision: int
     link_mbps: int = 0
     number: int = 0
     reads_pieces: bool = False
+    unserved: bool = False
 
 
 class ViewTell(Struct, frozen=True):
--- a/notchhoist/flows/published/__init__.py
+++ b/notchhoist/flows/published/__init__.py
@@ -8,5 +8,6 @@
 * ``fleet_keeper``: takes news into the blackboard; nothing goes back.
 * ``states``: what an agent is told of its backend server.
 * ``parts``: cuts a view into messages and puts it together again.
+* ``membership``: which balancers there are, and which of them read the store.
 * ``sharing``: balancers tell each other, so that only a few read the platform.
 """
--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -5,7 +5,6 @@
 are: a process knows a few from its settings and hears of more by asking.
 """
 
-import zlib
 from collections.abc import Iterable
 
 from msgspec import Struct, field
@@ -23,21 +22,14 @@
 from notchhoist.flows.model.revisions import era_of
 from notchhoist.flows.model.view import ViewChange
 from notchhoist.flows.published import reroutings
-from notchhoist.flows.published.asking import READERS, hosts_to_ask, pause_s
+from notchhoist.flows.published.asking import hosts_to_ask, pause_s
 from notchhoist.flows.published.budget import Budget
 from notchhoist.flows.published.fleet_keeper import FleetKeeper
+from notchhoist.flows.published.membership import ALIVE_S, Membership
 from notchhoist.flows.published.parts import ViewParts
 from notchhoist.flows.published.pieces import ViewPieces
 from notchhoist.flows.published.telling import Context, Question, ViewTeller
 
-MEMBERS_A_READER = 64
-"""One more reader for each so many balancers: each asks twice a second, and
-130 questions a second take a reader 1% of a core."""
-
-ALIVE_S = 2.2
-"""A balancer that was heard within this time is alive: each reader is asked
-once a second, and one answer may be lost."""
-
 FRESH_S = Budget().fresh_s
 """What was confirmed within this time need not be read again, seconds, where a
 change must be in force within 3 s."""
@@ -45,7 +37,10 @@
 ASKED_WIDELY = 6
 """Balancers that are asked at once by one that hears no agent."""
 
-MEMBERS_TOLD = 16
+TRY_AGAIN_S = 5.0
+"""How often a balancer that the store does not answer tries again while others
+tell it enough, seconds. Calls are priced, refused ones too."""
+
 MEND_EVERY_S = 5.0
 """Least time between two questions for everything because views differ,
 seconds: a configuration of 1,600 routes fills a link of 5 Mbit/s for 0.7 s."""
@@ -53,9 +48,6 @@
 ANSWERS_KEPT_S = 10.0
 """A question is forgotten after this time, seconds: answers to it are stale."""
 
-FORGET_S = 60.0
-"""A balancer that was not heard for so long is forgotten."""
-
 
 class ViewSharer(Struct, eq=False):
     """Asks, answers and pushes what the platform has published.
@@ -64,10 +56,8 @@
         board: What the balancer knows.
         fleet: Takes what is new.
         seeds: Hosts of some balancers, from the settings.
-        link_mbps: What this host's link carries, Mbit/s.
+        membership: Which balancers there are, and who reads.
         fresh_s: What was confirmed within this time need not be read again.
-        members: When each balancer was last heard, by host.
-        links: What their links carry.
         askers: The newest question of each balancer.
         asked_at: When each question was asked that may still be answered.
         number: Number of the last question; see ``first_number``.
@@ -84,10 +74,8 @@
     board: BalancerBoard
     fleet: FleetKeeper
     seeds: tuple[str, ...]
-    link_mbps: int = 0
+    membership: Membership
     fresh_s: float = FRESH_S
-    members: dict[str, float] = field(default_factory=dict)
-    links: dict[str, int] = field(default_factory=dict)
     askers: dict[str, Question] = field(default_factory=dict)
     asked_at: dict[int, float] = field(default_factory=dict)
     number: int = 0
@@ -100,28 +88,6 @@
     pieces: ViewPieces = field(default_factory=ViewPieces)
     teller: ViewTeller = field(default_factory=ViewTeller)
 
-    def alive(self, now: float) -> list[str]:
-        """Returns the balancers that are alive, the readers first."""
-        heard = self.members.items()
-        hosts = {host for host, at in heard if now - at < ALIVE_S}
-        return sorted({*hosts, self.board.host}, key=self._rank)
-
-    def _rank(self, host: str) -> tuple[int, int, str]:
-        """Orders balancers alike everywhere, those with wide links first.
-
-        A whole configuration takes 0.7 s over a link of 5 Mbit/s, and packets
-        of flows wait behind it.
-        """
-        own = host == self.board.host
-        link = self.link_mbps if own else self.links.get(host, 0)
-        return (-link, zlib.crc32(host.encode()), host)
-
-    def is_reader(self, now: float) -> bool:
-        """Tells whether this balancer is one of those that read the store."""
-        alive = self.alive(now)
-        count = READERS + len(alive) // MEMBERS_A_READER
-        return self.board.host in alive[:count]
-
     def stale_at(self) -> float:
         """Returns when what is known becomes too old, seconds."""
         return self.board.confirmed_at + self.fresh_s
@@ -130,7 +96,10 @@
         """Tells whether to read the store now."""
         fresh = now < self.stale_at()
         few = self.board.uses.few_readers and self.board.fleet_known
-        return not fresh or not few or self.is_reader(now)
+        if not fresh or not few or self.membership.is_reader(now):
+            return True
+        unserved = self.membership.is_unserved(self.board.host)
+        return unserved and now >= self.board.store_failed_at + TRY_AGAIN_S
 
     def on_confirmed(self, now: float, age_s: float = 0.0) -> None:
         """Notes that the platform has confirmed what is known.
@@ -162,8 +131,9 @@
         """
         if not self.board.fleet_known and ask.revision > 0:
             self._ask([host], now)
-        self.members[host] = self.heard_at = now
-        self.links[host] = ask.link_mbps
+        self.heard_at = now
+        asker = Member(host, ask.link_mbps, unserved=ask.unserved)
+        self.membership.on_heard(asker, now)
         question = Question(now, ask.revision, ask.number, ask.reads_pieces)
         self.askers[host] = question
         self._tell(host, question, now)
@@ -171,11 +141,9 @@
     def _tell(self, host: str, question: Question, now: float) -> None:
         if not self.board.fleet_known:
             return
-        told = self.alive(now)[:MEMBERS_TOLD]
-        members = tuple(self._member(member, now) for member in told)
         context = Context(
             age_s=now - self.board.confirmed_at,
-            members=members,
+            members=self.membership.told(now),
             asked=question.number,
             placing_for_ms=self._placing_for_ms(now),
             rerouted_for_ms=reroutings.told_for_ms(self.board, now),
@@ -189,12 +157,6 @@
         since = self.board.placing_since
         return max(1, int((now - since) * 1000)) if since <= now else 0
 
-    def _member(self, host: str, now: float) -> Member:
-        if host == self.board.host:
-            return Member(host, self.link_mbps)
-        age_ms = int((now - self.members[host]) * 1000)
-        return Member(host, self.links.get(host, 0), age_ms)
-
     def _push(self, now: float) -> None:
         """Tells the askers of a change before they ask again."""
         if self.board.view.revision == self.pushed:
@@ -252,12 +214,10 @@
         self, host: str, tell: ViewTell | ViewPiece, now: float
     ) -> None:
         """Takes what is told beside a change, whatever becomes of that."""
-        self.members[host] = self.heard_at = now
+        self.heard_at = now
+        self.membership.on_message(host, now)
         for member in tell.members:
-            heard_at = now - member.age_ms / 1000
-            known = self.members.get(member.host, float("-inf"))
-            self.members[member.host] = max(known, heard_at)
-            self.links[member.host] = member.link_mbps
+            self.membership.on_heard(member, now)
         if tell.placing_for_ms:
             since = now - tell.placing_for_ms / 1000
             self.board.placing_since = min(self.board.placing_since, since)
@@ -308,7 +268,8 @@
             zones_there=change.evacuated_total,
         )
         reads = self.board.uses.pieces
-        message = ViewAsk(0, self.link_mbps, reads_pieces=reads)
+        link_mbps = self.membership.link_mbps
+        message = ViewAsk(0, link_mbps, reads_pieces=reads)
         self.board.outbox.append(SendPeer(host, message))
 
     def tick(self, now: float) -> None:
@@ -318,13 +279,11 @@
         knows = self.board.fleet_known
         self.ask_due = now + pause_s(knows)
         self.turn += 1
-        alive = [host for host in self.alive(now) if host != self.board.host]
+        alive = self.membership.alive(now)
+        alive.remove(self.board.host)
         seeds = [host for host in self._seeds() if host not in alive]
         self._ask(hosts_to_ask(self.turn, alive, seeds, knows), now)
-        heard = list(self.members.items())
-        for host in [host for host, at in heard if now - at > FORGET_S]:
-            del self.members[host]
-            self.links.pop(host, None)
+        self.membership.sweep(now)
         for number, at in list(self.asked_at.items()):
             if now - at > ANSWERS_KEPT_S:
                 del self.asked_at[number]
@@ -335,24 +294,22 @@
         for host in dict.fromkeys(hosts):
             self.number += 1
             self.asked_at[self.number] = now
-            revision = self.board.view.revision
             message = ViewAsk(
-                revision, self.link_mbps, self.number, self.board.uses.pieces
+                self.board.view.revision,
+                self.membership.link_mbps,
+                self.number,
+                self.board.uses.pieces,
+                self.membership.is_unserved(self.board.host),
             )
             self.board.outbox.append(SendPeer(host, message))
 
-    def _others(self) -> list[str]:
-        """Returns every balancer that was heard of lately or is a seed."""
-        hosts = [*self.members, *self.seeds]
-        return [host for host in hosts if host != self.board.host]
-
     def knows_others(self) -> bool:
         """Tells whether there are other balancers at all."""
-        return bool(self._others())
+        return bool(self.membership.others(self.seeds))
 
     def ask_widely(self, now: float) -> None:
         """Asks several balancers at once; any answer shows a path."""
-        self._ask(self._others()[:ASKED_WIDELY], now)
+        self._ask(self.membership.others(self.seeds)[:ASKED_WIDELY], now)
 
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
--- a/notchhoist/flows/published/tests/test_pieces.py
+++ b/notchhoist/flows/published/tests/test_pieces.py
@@ -47,7 +47,9 @@
 def test_a_whole_view_takes_a_narrow_link_a_twentieth_of_a_second():
     """139 messages of 120 KB to each asker took three tellers 0.6 s."""
     node = teller()
-    node.sharer.members = {f"10.100.100.{100 + n}": 0.0 for n in range(20)}
+    node.sharer.membership.heard = {
+        f"10.100.100.{100 + n}": 0.0 for n in range(20)
+    }
     datagrams = told(node)
     assert max(map(len, datagrams)) <= 1500 - 28
     assert sum(map(len, datagrams)) < NARROW_BYTES_S * 0.05
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -39,7 +39,6 @@
         lost: The last call had no usable answer.
         unsure: An outage may have hidden a restore; a list shows whether.
         named: The last answer named its era, so that no list is needed.
-        answered_at: When the last usable answer came, seconds.
         asked_from: What was known when the list under way was asked for.
         called_at: When the call under way was made, the first one of a list,
             seconds.
@@ -54,7 +53,6 @@
     lost: bool = False
     unsure: bool = False
     named: bool = False
-    answered_at: float = float("-inf")
     asked_from: int = 0
     called_at: float = float("-inf")
     confirming_since: float = float("-inf")
@@ -99,7 +97,7 @@
 
     def _note_reading(self, needed: bool, now: float) -> None:
         """Logs when this balancer begins to read the store, or ends."""
-        reader = self.node.sharer.is_reader(now)
+        reader = self.node.sharer.membership.is_reader(now)
         reading = ("reader" if reader else "stale") if needed else "told"
         if reading == self.reading:
             return
@@ -134,7 +132,7 @@
         self._note_revision()
         listed = _list_in(events)
         self.named = ERA_HEADER in headers
-        self.answered_at = now
+        self.node.board.store_answered_at = now
         if not self.named and self._is_unnamed_era(listed):
             self._begin_unnamed_era(now)
             return
@@ -163,7 +161,8 @@
         outage or while this process was told by others, and be ahead of what
         was known again: only a list shows that.
         """
-        told = now - self.answered_at > self.node.sharer.fresh_s
+        answered_at = self.node.board.store_answered_at
+        told = now - answered_at > self.node.sharer.fresh_s
         return self.unsure or (told and not self.named)
 
     def _is_unnamed_era(self, listed: ServersListed | None) -> bool:
@@ -269,6 +268,7 @@
         except PlatformError as error:
             self.on_confirmation_failed(str(error), now)
             return
+        board.store_answered_at = now
         for event in changes.events:
             self._apply(event, now)
         board.view.reach(changes.revision)
--- a/notchhoist/platform/tests/test_feeding.py
+++ b/notchhoist/platform/tests/test_feeding.py
@@ -125,8 +125,8 @@
     assert feeder.needs_answer(5.1)
     told_by_another(feeder, 5.2)
     assert feeder.node.is_ready
-    feeder.node.sharer.members |= {"10.0.0.2": 5.2, "10.0.0.4": 5.2}
-    feeder.node.sharer.links |= {"10.0.0.2": 100, "10.0.0.4": 100}
+    feeder.node.sharer.membership.heard |= {"10.0.0.2": 5.2, "10.0.0.4": 5.2}
+    feeder.node.sharer.membership.links |= {"10.0.0.2": 100, "10.0.0.4": 100}
     assert not feeder.needs_answer(5.2)
     feeder.on_not_needed(5.2)
     assert feeder.next_call(5.2) is None
@@ -136,7 +136,7 @@
 def test_a_balancer_that_is_to_read_for_others_reads_to_the_end():
     feeder = starting()
     told_by_another(feeder, 5.2)
-    assert feeder.node.sharer.is_reader(5.2)
+    assert feeder.node.sharer.membership.is_reader(5.2)
     assert feeder.needs_answer(5.2)
 
 
