A told configuration is put in force only where it is the teller's

Cause: differences are told against what the teller has seen. One that has skipped a version knows nothing of what that changed and the next put back, and a receiver that has the skipped version keeps it. Parts of two messages could be joined likewise. Ruled out: that readers skip versions; the store's watch tells each of them. Change: a change carries a digest of the teller's routes. A configuration that it does not lead to is not put in force, confirms nothing, and everything is asked for, after 0.5 s and then less often while that does not help. Routes that are told are noted as changed also where they are the same here. What a lost message told is asked for at once. Routes that went are forgotten like servers (2,501 kept after 2,500 changes before). Records travel in one order. The table has a keeper of its own. One test that called note_dropped calls note_told.

--- a/notchhoist/daemon/tests/test_flow_state.py
+++ b/notchhoist/daemon/tests/test_flow_state.py
@@ -26,7 +26,9 @@
     node = make_balancer("a", CODEC, "seed", "10.0.1.1")
     bound = ColdBound(crafting.SERVICE, 6.0, 2.0)
     routes = crafting.table().routes
-    node.fleet.on_table(RouteTable(1, routes, 15.0, cold_bounds=(bound,)), 1)
+    node.fleet.tables.on_table(
+        RouteTable(1, routes, 15.0, cold_bounds=(bound,)), 1
+    )
     listed = [
         (entry(1, zone="a", born_ms=7), 1),
         (entry(2, zone="b", warm_in_s=2.0), 1),
@@ -61,7 +63,7 @@
 
 def test_a_balancer_shows_how_pressed_a_service_is():
     node = make_balancer("a", CODEC, "seed", "10.0.1.1")
-    node.fleet.on_table(crafting.table(), 1)
+    node.fleet.tables.on_table(crafting.table(), 1)
     listed = [(entry(1), 1), (entry(2), 1), (entry(3, draining=True), 1)]
     node.fleet.on_listing(listed, 1, 0.0)
     node.on_caller(request(flags=SYN, port=1), 1.0)
@@ -77,7 +79,7 @@
 def test_a_balancer_shows_splits_and_flows_that_outlived_a_change():
     node = make_balancer("a", CODEC, "seed", "10.0.1.1")
     halves = crafting.route(targets=(("hallbook", 1), ("scoredrop", 1)))
-    node.fleet.on_table(crafting.table(routes=[halves]), 1)
+    node.fleet.tables.on_table(crafting.table(routes=[halves]), 1)
     listed = [(entry(1), 1), (entry(2, service="scoredrop"), 1)]
     node.fleet.on_listing(listed, 1, 0.0)
     node.on_published(0.0)
@@ -88,7 +90,7 @@
     assert sum(row["placed"] for row in before.values()) == 40
     assert all(0.2 < row["share_placed"] < 0.8 for row in before.values())
     assert not any(row["outlived"] for row in before.values())
-    node.fleet.on_table(crafting.table(2, [crafting.route()]), 2)
+    node.fleet.tables.on_table(crafting.table(2, [crafting.route()]), 2)
     node.on_published(1.0)
     first, second = dump(node, "splits", 2.0)
     assert (first["share"], second["share"]) == (1.0, 0.0)
@@ -100,7 +102,7 @@
 
 def test_a_balancer_shows_how_far_zones_are():
     node = make_balancer("a", CODEC, "seed", "10.0.1.1")
-    node.fleet.on_table(crafting.table(), 1)
+    node.fleet.tables.on_table(crafting.table(), 1)
     node.fleet.on_listing([(entry(1), 1), (entry(2, "b"), 1)], 1, 0.0)
     near, far = node.board.servers.values()
     near.pace_ms = far.pace_ms = 15
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -38,12 +38,13 @@
 from notchhoist.flows.model.notes import NoteKind
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.segments import Segment, SegmentCodec
-from notchhoist.flows.published.eras import EraKeeper
-from notchhoist.flows.published.fleet_keeper import FleetKeeper
+from notchhoist.flows.published.fleet_keeper import (
+    FleetKeeper,
+    make_fleet_keeper,
+)
 from notchhoist.flows.published.membership import Membership
 from notchhoist.flows.published.reroutings import Reroutings
 from notchhoist.flows.published.sharing import ViewSharer
-from notchhoist.flows.published.zones import ZoneKeeper
 
 SWEEP_S = 1.0
 CLOSED_KEPT_S = 3.0
@@ -307,7 +308,7 @@
     distances = make_distances(zone)
     hosts = HostWatch(board)
     health = HealthKeeper(board, resetter, hosts, distances, link_mbps)
-    fleet = FleetKeeper(board, EraKeeper(board), ZoneKeeper(board))
+    fleet = make_fleet_keeper(board)
     draw, numbers = make_draw(seed), make_draw(f"numbers of {seed}")
     membership = Membership(board, link_mbps)
     sharer = ViewSharer(
--- a/notchhoist/flows/balancer/tests/test_anew.py
+++ b/notchhoist/flows/balancer/tests/test_anew.py
@@ -31,7 +31,7 @@
 
 def balancer(servers=2, warm=()):
     node = make_balancer("a", CODEC, "seed")
-    node.fleet.on_table(crafting.table(), 1)
+    node.fleet.tables.on_table(crafting.table(), 1)
     entries = [
         (entry(n, warm_in_s=0.0 if n in warm else 2.0), 1)
         for n in range(1, servers + 1)
--- a/notchhoist/flows/balancer/tests/test_balancer.py
+++ b/notchhoist/flows/balancer/tests/test_balancer.py
@@ -84,7 +84,7 @@
 
 def test_a_configuration_never_goes_back():
     node = balancer(version=5)
-    node.fleet.on_table(crafting.table(version=4, routes=[]), 9)
+    node.fleet.tables.on_table(crafting.table(version=4, routes=[]), 9)
     assert node.board.table.version == 5
 
 
@@ -236,7 +236,7 @@
 def resets_with_silent_agents(link_mbps, silent, until_s, agents=8):
     """Lets some of the agents be silent from 0.05 s on; counts resets."""
     node = make_balancer("a", CODEC, "seed", link_mbps=link_mbps)
-    node.fleet.on_table(crafting.table(), 1)
+    node.fleet.tables.on_table(crafting.table(), 1)
     entries = [(entry(n), 1) for n in range(1, agents + 1)]
     node.fleet.on_listing(entries, 1, 0.0)
     for port in range(40001, 40001 + 2 * agents):
--- a/notchhoist/flows/balancer/tests/test_evacuating.py
+++ b/notchhoist/flows/balancer/tests/test_evacuating.py
@@ -22,7 +22,7 @@
     made = type(table)(
         table.version, table.routes, table.idle_s, cold_bounds=bounds
     )
-    node.fleet.on_table(made, 1)
+    node.fleet.tables.on_table(made, 1)
     entries = [
         (entry(n, zone=ZONES[n % 3], warm_in_s=cold_s), 1)
         for n in range(1, servers + 1)
--- a/notchhoist/flows/balancer/tests/test_finding.py
+++ b/notchhoist/flows/balancer/tests/test_finding.py
@@ -215,7 +215,7 @@
 
 def test_a_service_that_has_started_anew_holds_nothing_old():
     node = make_balancer("a", CODEC, "seed")
-    node.fleet.on_table(crafting.table(), 1)
+    node.fleet.tables.on_table(crafting.table(), 1)
     entries = [(entry(n, warm_in_s=2.0), 1) for n in (1, 2)]
     node.fleet.on_listing(entries, 1, 4.0)
     assert confirms(deny_everywhere(node, request(data=b"x"), 5.0))
@@ -224,7 +224,7 @@
 def test_a_service_that_started_anew_and_is_warm_holds_nothing_old():
     """Callers waited 3.3 s for a reset where balancers start slowly."""
     node = make_balancer("a", CODEC, "seed")
-    node.fleet.on_table(crafting.table(), 1)
+    node.fleet.tables.on_table(crafting.table(), 1)
     entries = [(entry(n, warm_in_s=0.7), 1) for n in (1, 2)]
     node.fleet.on_listing(entries, 1, 4.0)
     for number in (1, 2):
@@ -234,7 +234,7 @@
 
 def test_one_old_server_may_have_company_that_is_not_listed():
     node = make_balancer("a", CODEC, "seed")
-    node.fleet.on_table(crafting.table(), 1)
+    node.fleet.tables.on_table(crafting.table(), 1)
     entries = [(entry(1), 1), (entry(2, warm_in_s=2.0), 1)]
     node.fleet.on_listing(entries, 1, 4.0)
     assert not confirms(deny_everywhere(node, request(data=b"x"), 5.0))
--- a/notchhoist/flows/balancer/tests/test_isolation.py
+++ b/notchhoist/flows/balancer/tests/test_isolation.py
@@ -20,7 +20,7 @@
 
     def __init__(self, others=(OTHER,)):
         self.node = make_balancer("a", CODEC, "seed", "10.0.1.1", others)
-        self.node.fleet.on_table(crafting.table(), 1)
+        self.node.fleet.tables.on_table(crafting.table(), 1)
         entries = [(entry(n), 1) for n in range(1, 5)]
         self.node.fleet.on_listing(entries, 1, 0.0)
         self.heard = {"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4", OTHER}
--- a/notchhoist/flows/balancer/tests/test_lives.py
+++ b/notchhoist/flows/balancer/tests/test_lives.py
@@ -12,7 +12,7 @@
 
 def life(number):
     node = make_balancer("a", CODEC, f"life {number}", "10.9.0.1", SEEDS)
-    node.fleet.on_table(crafting.table(), 1)
+    node.fleet.tables.on_table(crafting.table(), 1)
     node.fleet.on_listing([(entry(1), 1)], 1, 0.0)
     return node
 
--- a/notchhoist/flows/balancer/tests/test_reaching.py
+++ b/notchhoist/flows/balancer/tests/test_reaching.py
@@ -19,7 +19,7 @@
 def balancer(far_s=0.0098, pace_ms=15, kind=ONCE, zones=ZONES, uses=ALL):
     """Makes a balancer of zone a that has measured its distances."""
     node = make_balancer("a", crafting.CODEC, "seed", uses=uses)
-    node.fleet.on_table(crafting.table(routes=[crafting.route(kind)]), 1)
+    node.fleet.tables.on_table(crafting.table(routes=[crafting.route(kind)]), 1)
     names = [zone for zone, count in zones.items() for _ in range(count)]
     entries = [
         (entry(number, zone, slots=1), 1)
--- a/notchhoist/flows/balancer/tests/test_splits.py
+++ b/notchhoist/flows/balancer/tests/test_splits.py
@@ -42,7 +42,7 @@
 def balancer(*routes, services=(OLD, NEW, THIRD), now=-100.0):
     """A balancer with one server of each service; it has just read them."""
     node = make_balancer("a", CODEC, "seed")
-    node.fleet.on_table(crafting.table(routes=list(routes)), 1)
+    node.fleet.tables.on_table(crafting.table(routes=list(routes)), 1)
     entries = [
         (entry(n, service=service), 1) for n, service in enumerate(services, 1)
     ]
@@ -52,7 +52,7 @@
 
 
 def change(node, *routes, version=2, now=1.0):
-    node.fleet.on_table(crafting.table(version, list(routes)), version)
+    node.fleet.tables.on_table(crafting.table(version, list(routes)), version)
     node.on_published(now)
 
 
--- a/notchhoist/flows/balancer/tests/test_targeting.py
+++ b/notchhoist/flows/balancer/tests/test_targeting.py
@@ -17,7 +17,7 @@
 def balancer(targets, servers):
     node = make_balancer("a", crafting.CODEC, "seed")
     route = crafting.route(targets=targets)
-    node.fleet.on_table(crafting.table(routes=[route]), 1)
+    node.fleet.tables.on_table(crafting.table(routes=[route]), 1)
     node.fleet.on_listing([(item, 1) for item in servers], 1, 0.0)
     return node, route
 
--- a/notchhoist/flows/codec/flow.thrift
+++ b/notchhoist/flows/codec/flow.thrift
@@ -43,7 +43,7 @@
   15: optional list<ColdBound> cold_bounds, 16: optional list<Zone> evacuated,
   17: optional list<Zone> returned, 18: optional i32 evacuated_total,
   19: optional i64 asked, 20: optional i64 era, 21: optional i32 placing_for_ms,
-  22: optional i32 rerouted_for_ms
+  22: optional i32 rerouted_for_ms, 23: optional i64 routes_digest
 }
 
 /** data: a piece of a compressed ViewTell; members: in the first piece only. */
--- a/notchhoist/flows/codec/view_codec.py
+++ b/notchhoist/flows/codec/view_codec.py
@@ -39,6 +39,7 @@
         "evacuated",
         "returned",
         "evacuated_total",
+        "routes_digest",
     ),
 }
 """Fields that processes of an earlier version do not send."""
@@ -110,6 +111,7 @@
         asked=tell.asked,
         placing_for_ms=tell.placing_for_ms or None,
         rerouted_for_ms=tell.rerouted_for_ms or None,
+        routes_digest=change.routes_digest,
     )
 
 
@@ -190,6 +192,7 @@
         evacuated=_zones_of(struct.evacuated),
         returned=_zones_of(struct.returned),
         evacuated_total=struct.evacuated_total or 0,
+        routes_digest=struct.routes_digest,
     )
     return ViewTell(
         change,
--- a/notchhoist/flows/decisions/tests/test_early.py
+++ b/notchhoist/flows/decisions/tests/test_early.py
@@ -74,7 +74,7 @@
 
 
 def publish(node, now):
-    node.fleet.on_table(crafting.table(), 1)
+    node.fleet.tables.on_table(crafting.table(), 1)
     node.fleet.on_listing([(crafting.entry(1), 1)], 1, now)
     node.on_published(now)
     return node.take_effects()
--- a/notchhoist/flows/model/tests/test_mechanisms.py
+++ b/notchhoist/flows/model/tests/test_mechanisms.py
@@ -16,7 +16,7 @@
 def test_requests_are_served_without(name):
     uses = mechanisms.ALL.without([name])
     balancer = make_balancer("a", CODEC, "seed", uses=uses)
-    balancer.fleet.on_table(crafting.table(), 1)
+    balancer.fleet.tables.on_table(crafting.table(), 1)
     balancer.fleet.on_listing([(crafting.entry(1), 1)], 1, 0.0)
     syn = request(flags=SYN)
     [(host, offered)] = packets(balancer.on_caller(syn, 0.0))
--- a/notchhoist/flows/model/view.py
+++ b/notchhoist/flows/model/view.py
@@ -1,6 +1,6 @@
 """What the platform publishes, by revision, so that differences can travel."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from msgspec import Struct, field
 
@@ -45,6 +45,8 @@
         evacuated: Zones whose evacuation was asked for, with the revision.
         returned: Zones whose evacuation was withdrawn, likewise.
         evacuated_total: Evacuated zones that it has then.
+        routes_digest: Digest of the routes that it has then; None where the
+            teller cannot say, as processes of earlier versions cannot.
     """
 
     revision: int
@@ -61,6 +63,7 @@
     evacuated: tuple[tuple[str, int], ...] = ()
     returned: tuple[tuple[str, int], ...] = ()
     evacuated_total: int = 0
+    routes_digest: int | None = None
 
 
 class FleetView(Struct, eq=False):
@@ -118,6 +121,7 @@
         if table.cold_bounds != (self.table.cold_bounds if self.table else ()):
             self.bounds_at = revision
         self.table = table
+        self._forget_removals()
         return True
 
     def _note_republished(self, revision: int) -> None:
@@ -132,6 +136,15 @@
             self.changed_at[None] = revision
             self.forgotten_to = max(self.forgotten_to, revision)
 
+    @property
+    def told_digest(self) -> int | None:
+        """Digest of the routes; None where some are kept unread.
+
+        Others that have read the same document do not have those.
+        """
+        kept = self.table is not None and self.table.unread
+        return None if kept else self.digest
+
     def put_server(self, entry: ServerEntry, revision: int) -> bool:
         """Takes an entry if it is newer than what is known."""
         if revision <= self.changed_at.get(entry.server_id, 0):
@@ -178,13 +191,17 @@
             self.bounds_at,
         )
 
-    def note_dropped(self, keys: Iterable[bytes], revision: int) -> None:
-        """Notes routes that were dropped, also such as were never known here.
+    def note_told(self, change: ViewChange) -> None:
+        """Notes which routes others have seen changing.
 
-        Others that are told by this process may know them.
+        Also such as are the same here as before: a version that was skipped
+        here had others, and processes that are told from here may have it.
         """
-        for key in keys:
-            self.changed_at[key] = max(self.changed_at.get(key, 0), revision)
+        told = (route.service_key for route in change.routes)
+        for key in (*told, *change.removed_routes):
+            known = self.changed_at.get(key, 0)
+            self.changed_at[key] = max(known, change.revision)
+        self._forget_removals()
 
     def note_whole(self, revision: int) -> None:
         """Notes that everything was read anew.
@@ -200,10 +217,12 @@
         self.revision = max(self.revision, revision)
 
     def _forget_removals(self) -> None:
+        routes = self.table.routes if self.table else {}
         gone = [
             key
             for key in self.changed_at
-            if isinstance(key, str) and key not in self.servers
+            if (isinstance(key, str) and key not in self.servers)
+            or (isinstance(key, bytes) and key not in routes)
         ]
         if len(gone) <= REMOVED_KEPT:
             return
@@ -226,9 +245,10 @@
         base = revision if revision >= self.forgotten_to else 0
         changed = {key for key, at in self.changed_at.items() if at > base}
         routes: Mapping[bytes, Route] = self.table.routes if self.table else {}
-        keys = [key for key in changed if isinstance(key, bytes)]
-        ids = [key for key in changed if isinstance(key, str)]
-        zones = [key.zone for key in changed if isinstance(key, ZoneKey)]
+        # In one order, so that parts of two equal messages fit together.
+        keys = sorted(key for key in changed if isinstance(key, bytes))
+        ids = sorted(key for key in changed if isinstance(key, str))
+        zones = sorted(key.zone for key in changed if isinstance(key, ZoneKey))
         new_table = self.table is not None and None in changed
         return ViewChange(
             revision=self.revision,
@@ -261,4 +281,5 @@
                 if zone not in self.evacuated
             ),
             evacuated_total=len(self.evacuated),
+            routes_digest=self.told_digest,
         )
--- a/notchhoist/flows/published/fleet_keeper.py
+++ b/notchhoist/flows/published/fleet_keeper.py
@@ -9,13 +9,13 @@
 from notchhoist.flows.boards.balancer_board import BalancerBoard
 from notchhoist.flows.model.fleet import (
     FOREVER,
-    RouteTable,
     Server,
     ServerEntry,
 )
 from notchhoist.flows.model.notes import service_tag
 from notchhoist.flows.model.view import ViewChange
 from notchhoist.flows.published.eras import EraKeeper, newest_word
+from notchhoist.flows.published.tables import TableKeeper
 from notchhoist.flows.published.zones import ZoneKeeper
 
 UNLISTED_KEPT_S = 60.0
@@ -30,51 +30,16 @@
         board: What the balancer knows.
         eras: Carries what is known over restores of the platform's store.
         zones: Keeps which availability zones are evacuated.
+        tables: Keeps the configuration.
         on_host: Its servers by host.
     """
 
     board: BalancerBoard
     eras: EraKeeper
     zones: ZoneKeeper
+    tables: TableKeeper
     on_host: dict[str, list[Server]] = field(default_factory=dict)
 
-    def on_table(
-        self,
-        table: RouteTable,
-        revision: int,
-        mends: bool = False,
-        teller: str = "",
-    ) -> None:
-        """Puts a configuration in force if it is newer.
-
-        Args:
-            table: The configuration.
-            revision: Revision of its change.
-            mends: It also replaces one of the same version.
-            teller: Host of the balancer that told it; empty for the platform.
-        """
-        board = self.board
-        former = board.table
-        if not board.view.put_table(table, revision, mends):
-            return
-        board.table = table = board.view.table or table
-        before = former.routes if former else {}
-        board.records.decide(
-            "configuration",
-            b"",
-            "in force",
-            version=table.version,
-            before=former.version if former else 0,
-            revision=revision,
-            routes=len(table.routes),
-            added=len(table.routes.keys() - before.keys()),
-            dropped=len(before.keys() - table.routes.keys()),
-            digest=f"{board.view.digest:x}",
-            teller=teller or None,
-            confirmed_clock=board.confirmed_clock,
-            confirmed_by=board.confirmed_by or None,
-        )
-
     def on_listing(
         self,
         entries: Sequence[tuple[ServerEntry, int]],
@@ -299,30 +264,18 @@
 
     def on_change(
         self, change: ViewChange, now: float, teller: str = ""
-    ) -> None:
-        """Takes what another balancer knows beyond this one."""
+    ) -> bool:
+        """Takes what another balancer knows beyond this one.
+
+        Returns:
+            Whether it leads to what the teller knows. It is passed over where
+            something before it is missing, and where the routes would differ.
+        """
         board = self.board
         if change.base > board.view.revision:
-            return  # Something between is missing; it is asked for again.
-        if change.version:
-            known = board.table.routes if board.table and change.base else {}
-            routes = {
-                key: route
-                for key, route in known.items()
-                if key not in change.removed_routes
-            }
-            for route in change.routes:
-                routes[route.service_key] = route
-            table = RouteTable(
-                change.version,
-                routes,
-                change.idle_s,
-                cold_bounds=change.cold_bounds,
-            )
-            newest = change.revision >= board.view.revision
-            mends = change.base == 0 and newest
-            self.on_table(table, change.revision, mends, teller)
-            board.view.note_dropped(change.removed_routes, change.revision)
+            return False
+        if change.version and not self.tables.on_told(change, teller):
+            return False
         if change.base == 0:
             self.on_listing(
                 change.servers,
@@ -330,7 +283,7 @@
                 now,
                 evacuated=change.evacuated,
             )
-            return
+            return True
         for zone, asked_at in change.evacuated:
             self.zones.on_evacuated(zone, asked_at, now)
         for zone, withdrawn_at in change.returned:
@@ -340,6 +293,7 @@
         for server_id in change.removed_servers:
             self.on_removed(server_id, change.revision, now)
         board.view.reach(change.revision)
+        return True
 
     def sweep(self, now: float) -> None:
         """Forgets servers whose entries vanished long ago."""
@@ -362,3 +316,10 @@
             known = board.by_host.get(server.entry.host)
             if known is None or server.listed or not known.listed:
                 board.by_host[server.entry.host] = server
+
+
+def make_fleet_keeper(board: BalancerBoard) -> FleetKeeper:
+    """Makes the keeper of what is published, for a balancer's blackboard."""
+    return FleetKeeper(
+        board, EraKeeper(board), ZoneKeeper(board), TableKeeper(board)
+    )
--- a/notchhoist/flows/published/parts.py
+++ b/notchhoist/flows/published/parts.py
@@ -35,17 +35,21 @@
     """Views that come in parts.
 
     Attributes:
-        incoming: Their parts, by sender, base and revision: two answers of one
-            sender that begin at different revisions are two views.
+        incoming: Their parts, by sender, base, revision and number of parts:
+            two answers of one sender that begin at different revisions are two
+            views.
     """
 
-    incoming: dict[tuple[str, int, int], Parts] = field(default_factory=dict)
+    incoming: dict[tuple[str, int, int, int], Parts] = field(
+        default_factory=dict
+    )
 
     def whole(self, host: str, tell: ViewTell, now: float) -> ViewChange | None:
         """Takes a part; returns the view once all of its parts have come."""
         if tell.parts == 1:
             return tell.change
-        key = (host, tell.change.base, tell.change.revision)
+        change = tell.change
+        key = (host, change.base, change.revision, tell.parts)
         parts = self.incoming.setdefault(key, Parts(tell.parts, now))
         parts.by_number[tell.part] = tell.change
         if len(parts.by_number) < parts.total:
--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -41,9 +41,14 @@
 """How often a balancer that the store does not answer tries again while others
 tell it enough, seconds. Calls are priced, refused ones too."""
 
-MEND_EVERY_S = 5.0
-"""Least time between two questions for everything because views differ,
-seconds: a configuration of 1,600 routes fills a link of 5 Mbit/s for 0.7 s."""
+MEND_FIRST_S = 0.5
+MEND_MOST_S = 8.0
+"""Bounds of the time between two questions for everything because views differ,
+seconds. It doubles while they go on differing: a configuration of 1,600 routes
+fills a link of 5 Mbit/s for 0.7 s."""
+
+GAP_ASK_S = 0.1
+"""Least time between two questions for what a message left out, seconds."""
 
 ANSWERS_KEPT_S = 10.0
 """A question is forgotten after this time, seconds: answers to it are stale."""
@@ -65,6 +70,8 @@
         ask_due: When to ask next, seconds.
         turn: Counts the questions.
         mend_due: When a whole view may be asked for again, seconds.
+        mend_pause_s: Time until then after the next one, seconds.
+        gap_due: When what a message left out may be asked for again, seconds.
         heard_at: When any other balancer was last heard, seconds.
         parts: Views of which parts have come.
         pieces: The same of compressed ones.
@@ -83,6 +90,8 @@
     ask_due: float = 0.0
     turn: int = 0
     mend_due: float = float("-inf")
+    mend_pause_s: float = MEND_FIRST_S
+    gap_due: float = float("-inf")
     heard_at: float = float("-inf")
     parts: ViewParts = field(default_factory=ViewParts)
     pieces: ViewPieces = field(default_factory=ViewPieces)
@@ -203,10 +212,13 @@
         if change is None or self._is_of_earlier_era(change):
             return
         before = self.board.view.revision
-        self.fleet.on_change(change, now, host)
-        if change.base <= before:
+        if self.fleet.on_change(change, now, host):
             self._note_confirmed(host, tell)
             self._check(host, change, now)
+        elif change.base > before:
+            self._ask_about_gap(host, now)
+        else:
+            self._mend(host, change, now)
         self.board.records.counters[Count.VIEWS_TOLD] += 1
         self._push(now)
 
@@ -241,27 +253,46 @@
         if asked_at is not None:
             self._note_certain(asked_at - tell.age_s, host)
 
+    def _ask_about_gap(self, host: str, now: float) -> None:
+        """Asks for what came between what is known and a difference."""
+        if now >= self.gap_due:
+            self.gap_due = now + GAP_ASK_S
+            self._ask([host], now)
+
     def _check(self, host: str, change: ViewChange, now: float) -> None:
         """Asks for everything where differences have not led to the same."""
         view = self.board.view
-        if view.revision != change.revision or now < self.mend_due:
+        if view.revision != change.revision:
             return
         routes = len(view.table.routes) if view.table else 0
-        if (routes, len(view.servers), len(view.evacuated)) == (
+        same = (routes, len(view.servers), len(view.evacuated)) == (
             change.routes_total,
             change.servers_total,
             change.evacuated_total,
-        ):
+        )
+        digests = (view.told_digest, change.routes_digest)
+        if same and (None in digests or digests[0] == digests[1]):
+            self.mend_pause_s = MEND_FIRST_S
+        else:
+            self._mend(host, change, now)
+
+    def _mend(self, host: str, change: ViewChange, now: float) -> None:
+        """Asks for everything, less often while it does not help."""
+        if now < self.mend_due:
             return
-        self.mend_due = now + MEND_EVERY_S
+        self.mend_due = now + self.mend_pause_s
+        self.mend_pause_s = min(2 * self.mend_pause_s, MEND_MOST_S)
+        view = self.board.view
         self.board.records.decide(
             "view differs",
             b"",
             "asked for everything",
             teller=host,
             revision=change.revision,
-            routes=routes,
+            routes=len(view.table.routes) if view.table else 0,
             routes_there=change.routes_total,
+            digest=f"{view.digest:x}",
+            digest_there=f"{change.routes_digest or 0:x}",
             servers=len(view.servers),
             servers_there=change.servers_total,
             zones=len(view.evacuated),
--- a/notchhoist/flows/published/tests/test_eras.py
+++ b/notchhoist/flows/published/tests/test_eras.py
@@ -28,7 +28,7 @@
 def knowing(*entries, host=HOSTS[0]):
     """A balancer that knows some entries at 63 of the first era."""
     node = make_balancer("a", CODEC, host, host)
-    node.fleet.on_table(crafting.table(4), at(60))
+    node.fleet.tables.on_table(crafting.table(4), at(60))
     return listed(node, [(item, at(41)) for item in entries], at(63))
 
 
@@ -135,10 +135,10 @@
     """It asked from beyond our revision of it, and was told nothing."""
     node = knowing(entry(1))
     started = make_balancer("a", CODEC, "n", HOSTS[1])
-    started.fleet.on_table(crafting.table(3), at(30, 2))
+    started.fleet.tables.on_table(crafting.table(3), at(30, 2))
     for one in (node, started):
         listed(one, [(entry(1), at(41, 2))], at(57, 2), 1.0)
-    node.fleet.on_table(crafting.table(4), at(58, 2))
+    node.fleet.tables.on_table(crafting.table(4), at(58, 2))
     node.board.view.reach(at(58, 2))
     tell(node, started)
     assert started.board.table.version == 4
@@ -223,7 +223,7 @@
     def read(self, node, now):
         era = self.era
         table = crafting.table(self.version)
-        node.fleet.on_table(table, at(self.version_at, era))
+        node.fleet.tables.on_table(table, at(self.version_at, era))
         entries = [
             (
                 entry(int(name[1:]), created=at(created, era), **fields),
--- a/notchhoist/flows/published/tests/test_fleet_keeper.py
+++ b/notchhoist/flows/published/tests/test_fleet_keeper.py
@@ -85,7 +85,7 @@
 
 def test_an_entry_moved_to_a_service_without_a_route_is_strange():
     node = listed([entry(1)])
-    node.fleet.on_table(crafting.table(), 1)
+    node.fleet.tables.on_table(crafting.table(), 1)
     node.fleet.on_entry(entry(1, service="nobody"), 5, 1.0)
     server = node.board.servers["s1"]
     assert server.entry.service == crafting.SERVICE
@@ -165,20 +165,20 @@
 
 def test_a_route_that_cannot_be_read_any_more_stays_as_it_was():
     node = listed([entry(1)])
-    node.fleet.on_table(table_of(1, 443, 444), 1)
-    node.fleet.on_table(table_of(2, 444, unread=[443]), 2)
+    node.fleet.tables.on_table(table_of(1, 443, 444), 1)
+    node.fleet.tables.on_table(table_of(2, 444, unread=[443]), 2)
     assert ports_of(node) == {443, 444}
-    node.fleet.on_table(table_of(3, 444, unread=[443]), 3)
+    node.fleet.tables.on_table(table_of(3, 444, unread=[443]), 3)
     assert ports_of(node) == {443, 444}
-    node.fleet.on_table(table_of(4, 444), 4)
+    node.fleet.tables.on_table(table_of(4, 444), 4)
     assert ports_of(node) == {444}
 
 
 def test_one_that_started_later_is_told_it_and_does_not_take_it_away():
     elder, younger = listed([entry(1)]), listed([entry(1)])
-    elder.fleet.on_table(table_of(1, 443, 444), 1)
+    elder.fleet.tables.on_table(table_of(1, 443, 444), 1)
     for node in (elder, younger):
-        node.fleet.on_table(table_of(2, 444, unread=[443]), 2)
+        node.fleet.tables.on_table(table_of(2, 444, unread=[443]), 2)
     assert ports_of(younger) == {444}
     told = younger.board.view.since(0)
     elder.fleet.on_change(told, 1.0)
--- a/notchhoist/flows/published/tests/test_pieces.py
+++ b/notchhoist/flows/published/tests/test_pieces.py
@@ -21,7 +21,7 @@
 def teller(revision=9):
     made = make_balancer("a", CODEC, "t", TELLER)
     routes = [crafting.route(port=1000 + n) for n in range(ROUTES)]
-    made.fleet.on_table(crafting.table(3, routes), 5)
+    made.fleet.tables.on_table(crafting.table(3, routes), 5)
     servers = [(entry(n), 1) for n in range(SERVERS)]
     made.fleet.on_listing(servers, revision, 0.0)
     made.sharer.on_confirmed(0.0)
--- a/notchhoist/flows/published/tests/test_sharing.py
+++ b/notchhoist/flows/published/tests/test_sharing.py
@@ -40,7 +40,9 @@
     def publish(self, host, *entries, revision, version=0):
         node = self.nodes[host]
         if version:
-            node.fleet.on_table(crafting.table(version=version), revision)
+            node.fleet.tables.on_table(
+                crafting.table(version=version), revision
+            )
         for item in entries:
             node.fleet.on_entry(item, revision, self.now)
         node.board.fleet_known = True
@@ -173,9 +175,9 @@
     """It knew no removals, and a dropped route was used for 14 s more."""
     behind, teller = (make_balancer("a", CODEC, n, n) for n in HOSTS[:2])
     kept, dropped = crafting.route(port=443), crafting.route(port=444)
-    behind.fleet.on_table(crafting.table(6, [kept, dropped]), 20)
+    behind.fleet.tables.on_table(crafting.table(6, [kept, dropped]), 20)
     behind.fleet.on_listing([(entry(1), 3), (entry(2), 4)], 20, 0.0)
-    teller.fleet.on_table(crafting.table(11, [kept]), 22)
+    teller.fleet.tables.on_table(crafting.table(11, [kept]), 22)
     teller.fleet.on_listing([(entry(1), 3)], 22, 0.0)
     change = teller.board.view.since(20)
     assert change.base == 0
@@ -190,7 +192,7 @@
     view.put_table(crafting.table(9), 9)
     view.note_whole(9)
     view.put_table(crafting.table(11), 11)
-    view.note_dropped([b"skipped"], 11)
+    view.note_told(ViewChange(11, removed_routes=(b"skipped",)))
     view.reach(11)
     assert b"skipped" in view.since(10).removed_routes
 
@@ -231,7 +233,7 @@
 
     def read(node):
         table = crafting.table(version, list(routes.values()))
-        node.fleet.on_table(table, changed_at)
+        node.fleet.tables.on_table(table, changed_at)
         node.fleet.on_listing(
             list(entries.values()), revision, 0.0, evacuated=list(zones.items())
         )
@@ -306,7 +308,7 @@
 def test_a_tell_that_waited_before_a_link_is_as_old_as_it_is():
     """Reckoned from its arrival it looked a second newer, past the bound."""
     teller, asker = (make_balancer("a", CODEC, n, n, HOSTS) for n in HOSTS[:2])
-    teller.fleet.on_table(crafting.table(), 1)
+    teller.fleet.tables.on_table(crafting.table(), 1)
     teller.fleet.on_listing([(entry(1), 1)], 1, 0.0)
     teller.sharer.on_confirmed(0.0)
     [ask] = [
@@ -338,7 +340,7 @@
     fleet.run(0.3)
     last = HOSTS[3]
     node = fleet.nodes[last]
-    node.fleet.on_table(crafting.table(), 5)
+    node.fleet.tables.on_table(crafting.table(), 5)
     node.fleet.on_listing([(entry(1), 4)], 5, fleet.now)
     node.sharer.on_confirmed(fleet.now)
     fleet.carry(last, node.take_effects())
--- a/notchhoist/flows/tests/balancing.py
+++ b/notchhoist/flows/tests/balancing.py
@@ -17,7 +17,7 @@
 
 def balancer(servers=3, now=0.0, **fields):
     node = make_balancer("a", CODEC, "seed")
-    node.fleet.on_table(crafting.table(**fields), 1)
+    node.fleet.tables.on_table(crafting.table(**fields), 1)
     entries = [(entry(n), 1) for n in range(1, servers + 1)]
     node.fleet.on_listing(entries, 1, now)
     return node
--- a/notchhoist/flows/tests/history.py
+++ b/notchhoist/flows/tests/history.py
@@ -62,7 +62,7 @@
     def _balancer(self, ip):
         seed = f"{ip} {self.now}"
         node: BalancerNode = make_balancer("a", CODEC, seed, ip, uses=self.uses)
-        node.fleet.on_table(crafting.table(), 1)
+        node.fleet.tables.on_table(crafting.table(), 1)
         entries = [
             (host.entry, self.revision)
             for host in self.hosts.values()
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -310,7 +310,7 @@
                 self.node.board.refused = ""
                 for problem in event.table.problems:
                     self._note_problem(problem)
-                fleet.on_table(event.table, event.revision)
+                fleet.tables.on_table(event.table, event.revision)
             case items.ServersListed():
                 fleet.on_listing(
                     event.entries,
