Where views of one version differ, the platform decides

What callers saw: on the code as landed, shown by a script: of two balancers with the same version, the one that lacked a route made the other drop it too, 0.1 s later. A route that had been added was answered by a reset at hosts that had served it. Cause: a balancer that noticed a difference asked the other one for everything and took it over, whichever of them was wrong. A wrong view spread to right ones. Its own reading did not mend it: the same version was passed over. Ruled out: a vote among balancers; the platform knows. Change: what is told differently for the same version has everything read from the platform, and what is read replaces the same version. Mending has a module of its own; so have calls to the store and their time-outs, and the sharer a factory. Evidence: the script on the code as landed (routes 443 and 444 beside 443: both 443 0.1 s later).

--- a/notchhoist/daemon/store_calls.py
+++ b/notchhoist/daemon/store_calls.py
@@ -8,8 +8,8 @@
 from notchhoist.daemon.loop import Loop
 from notchhoist.flows.model.effects import Effect
 from notchhoist.flows.model.records import Timing
+from notchhoist.platform.calls import StoreCall
 from notchhoist.platform.feeding import StoreFeeder
-from notchhoist.platform.store import StoreCall
 
 
 class StoreCalls(Struct, eq=False):
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -42,9 +42,11 @@
     FleetKeeper,
     make_fleet_keeper,
 )
-from notchhoist.flows.published.membership import Membership
 from notchhoist.flows.published.reroutings import Reroutings
-from notchhoist.flows.published.sharing import ViewSharer
+from notchhoist.flows.published.sharing import (
+    ViewSharer,
+    make_view_sharer,
+)
 
 SWEEP_S = 1.0
 CLOSED_KEPT_S = 3.0
@@ -310,10 +312,8 @@
     health = HealthKeeper(board, resetter, hosts, distances, link_mbps)
     fleet = make_fleet_keeper(board)
     draw, numbers = make_draw(seed), make_draw(f"numbers of {seed}")
-    membership = Membership(board, link_mbps)
-    sharer = ViewSharer(
-        board, fleet, seeds, membership, number=first_number(numbers)
-    )
+    number = first_number(numbers)
+    sharer = make_view_sharer(board, fleet, seeds, link_mbps, number)
     informer = AgentInformer(board, sharer)
     questions = make_questions(board, codec, distances, first_number(numbers))
     evidence = Evidence(board)
--- a/notchhoist/flows/published/__init__.py
+++ b/notchhoist/flows/published/__init__.py
@@ -10,5 +10,6 @@
 * ``states``: what an agent is told of its backend server.
 * ``parts``: cuts a view into messages and puts it together again.
 * ``membership``: which balancers there are, and which of them read the store.
+* ``mending``: has everything told or read anew where views differ.
 * ``sharing``: balancers tell each other, so that only a few read the platform.
 """
--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -26,6 +26,7 @@
 from notchhoist.flows.published.budget import Budget
 from notchhoist.flows.published.fleet_keeper import FleetKeeper
 from notchhoist.flows.published.membership import ALIVE_S, Membership
+from notchhoist.flows.published.mending import ViewMender
 from notchhoist.flows.published.parts import ViewParts
 from notchhoist.flows.published.pieces import ViewPieces
 from notchhoist.flows.published.telling import Context, Question, ViewTeller
@@ -41,12 +42,6 @@
 """How often a balancer that the store does not answer tries again while others
 tell it enough, seconds. Calls are priced, refused ones too."""
 
-MEND_FIRST_S = 0.5
-MEND_MOST_S = 8.0
-"""Bounds of the time between two questions for everything because views differ,
-seconds. It doubles while they go on differing: a configuration of 1,600 routes
-fills a link of 5 Mbit/s for 0.7 s."""
-
 GAP_ASK_S = 0.1
 """Least time between two questions for what a message left out, seconds."""
 
@@ -62,6 +57,7 @@
         fleet: Takes what is new.
         seeds: Hosts of some balancers, from the settings.
         membership: Which balancers there are, and who reads.
+        mender: Has everything told or read anew where views differ.
         fresh_s: What was confirmed within this time need not be read again.
         askers: The newest question of each balancer.
         asked_at: When each question was asked that may still be answered.
@@ -69,8 +65,6 @@
         pushed: Revision that the askers were last told.
         ask_due: When to ask next, seconds.
         turn: Counts the questions.
-        mend_due: When a whole view may be asked for again, seconds.
-        mend_pause_s: Time until then after the next one, seconds.
         gap_due: When what a message left out may be asked for again, seconds.
         heard_at: When any other balancer was last heard, seconds.
         parts: Views of which parts have come.
@@ -82,6 +76,7 @@
     fleet: FleetKeeper
     seeds: tuple[str, ...]
     membership: Membership
+    mender: ViewMender
     fresh_s: float = FRESH_S
     askers: dict[str, Question] = field(default_factory=dict)
     asked_at: dict[int, float] = field(default_factory=dict)
@@ -89,8 +84,6 @@
     pushed: int = 0
     ask_due: float = 0.0
     turn: int = 0
-    mend_due: float = float("-inf")
-    mend_pause_s: float = MEND_FIRST_S
     gap_due: float = float("-inf")
     heard_at: float = float("-inf")
     parts: ViewParts = field(default_factory=ViewParts)
@@ -105,7 +98,9 @@
         """Tells whether to read the store now."""
         fresh = now < self.stale_at()
         few = self.board.uses.few_readers and self.board.fleet_known
-        if not fresh or not few or self.membership.is_reader(now):
+        if not fresh or not few or self.mender.doubtful:
+            return True
+        if self.membership.is_reader(now):
             return True
         unserved = self.membership.is_unserved(self.board.host)
         return unserved and now >= self.board.store_failed_at + TRY_AGAIN_S
@@ -214,11 +209,11 @@
         before = self.board.view.revision
         if self.fleet.on_change(change, now, host):
             self._note_confirmed(host, tell)
-            self._check(host, change, now)
+            self.mender.check(host, change, now)
         elif change.base > before:
             self._ask_about_gap(host, now)
         else:
-            self._mend(host, change, now)
+            self.mender.ask_for_all(host, change, now)
         self.board.records.counters[Count.VIEWS_TOLD] += 1
         self._push(now)
 
@@ -259,50 +254,6 @@
             self.gap_due = now + GAP_ASK_S
             self._ask([host], now)
 
-    def _check(self, host: str, change: ViewChange, now: float) -> None:
-        """Asks for everything where differences have not led to the same."""
-        view = self.board.view
-        if view.revision != change.revision:
-            return
-        routes = len(view.table.routes) if view.table else 0
-        same = (routes, len(view.servers), len(view.evacuated)) == (
-            change.routes_total,
-            change.servers_total,
-            change.evacuated_total,
-        )
-        digests = (view.told_digest, change.routes_digest)
-        if same and (None in digests or digests[0] == digests[1]):
-            self.mend_pause_s = MEND_FIRST_S
-        else:
-            self._mend(host, change, now)
-
-    def _mend(self, host: str, change: ViewChange, now: float) -> None:
-        """Asks for everything, less often while it does not help."""
-        if now < self.mend_due:
-            return
-        self.mend_due = now + self.mend_pause_s
-        self.mend_pause_s = min(2 * self.mend_pause_s, MEND_MOST_S)
-        view = self.board.view
-        self.board.records.decide(
-            "view differs",
-            b"",
-            "asked for everything",
-            teller=host,
-            revision=change.revision,
-            routes=len(view.table.routes) if view.table else 0,
-            routes_there=change.routes_total,
-            digest=f"{view.digest:x}",
-            digest_there=f"{change.routes_digest or 0:x}",
-            servers=len(view.servers),
-            servers_there=change.servers_total,
-            zones=len(view.evacuated),
-            zones_there=change.evacuated_total,
-        )
-        reads = self.board.uses.pieces
-        link_mbps = self.membership.link_mbps
-        message = ViewAsk(0, link_mbps, reads_pieces=reads)
-        self.board.outbox.append(SendPeer(host, message))
-
     def tick(self, now: float) -> None:
         """Asks one of the readers; forgets what is old."""
         if now < self.ask_due:
@@ -345,3 +296,24 @@
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
         return self.ask_due
+
+
+def make_view_sharer(
+    board: BalancerBoard,
+    fleet: FleetKeeper,
+    seeds: tuple[str, ...],
+    link_mbps: int,
+    number: int,
+) -> ViewSharer:
+    """Makes what shares a balancer's view with others.
+
+    Args:
+        board: What the balancer knows.
+        fleet: Takes what is new.
+        seeds: Hosts of some balancers.
+        link_mbps: What the host's link carries, Mbit/s.
+        number: Number that the first question follows.
+    """
+    membership = Membership(board, link_mbps)
+    mender = ViewMender(board, membership)
+    return ViewSharer(board, fleet, seeds, membership, mender, number=number)
--- a/notchhoist/platform/__init__.py
+++ b/notchhoist/platform/__init__.py
@@ -8,6 +8,7 @@
 * ``eras``: which state of the store an answer is of.
 * ``settings``: the settings file of a process.
 * ``changes``: what watches on the store have told.
+* ``calls``: a call to the store, and how long it may take.
 * ``store``: which call to make next to the platform's store, and what its
   answers mean.
 * ``unnamed_eras``: restores of a store that does not say so.
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -10,11 +10,12 @@
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.revisions import count_of, era_of
 from notchhoist.platform import items
+from notchhoist.platform.calls import HISTORY_GONE, StoreCall
 from notchhoist.platform.changes import read_confirmation
 from notchhoist.platform.checking import FieldError
 from notchhoist.platform.eras import ERA_HEADER, read_era
 from notchhoist.platform.items import ServersListed, StoreEvent
-from notchhoist.platform.store import HISTORY_GONE, StoreCall, StoreReader
+from notchhoist.platform.store import StoreReader
 from notchhoist.platform.unnamed_eras import went_back
 
 RECONSIDER_S = 0.2
@@ -85,16 +86,6 @@
         certain_s = board.confirmed_at + self.reader.watch_s - now
         return self.reader.next_call(certain_s)
 
-    def _answer_age_s(self, now: float) -> float:
-        """Returns how old an answer that is read now may be, seconds.
-
-        It may have waited on its way or before this process. What the store
-        said came after the call, and word of no news after the watch's time.
-        """
-        since_call = now - self.called_at
-        held_s = self.reader.held_s
-        return since_call - held_s if since_call >= held_s else since_call
-
     def _note_reading(self, needed: bool, now: float) -> None:
         """Logs when this balancer begins to read the store, or ends."""
         reader = self.node.sharer.membership.is_reader(now)
@@ -139,13 +130,17 @@
         if self.lost:
             self._note_regained()
         self.unsure = self.unsure and listed is None
+        if listed is not None:
+            self.node.sharer.mender.on_listed()
         for event in events:
             self._apply(event, now)
         board = self.node.board
         # A refused watch or a first page of several confirms nothing.
         if board.fleet_known and self.reader.confirms:
             board.view.reach(self.reader.revision)
-            self.node.sharer.on_confirmed(now, self._answer_age_s(now))
+            self.node.sharer.on_confirmed(
+                now, self.reader.answer_age_s(now - self.called_at)
+            )
             self.node.on_published(now)
 
     def _note_regained(self) -> None:
@@ -163,7 +158,8 @@
         """
         answered_at = self.node.board.store_answered_at
         told = now - answered_at > self.node.sharer.fresh_s
-        return self.unsure or (told and not self.named)
+        doubtful = self.node.sharer.mender.doubtful
+        return self.unsure or doubtful or (told and not self.named)
 
     def _is_unnamed_era(self, listed: ServersListed | None) -> bool:
         """Tells whether a list without an era is of a new one."""
@@ -310,7 +306,7 @@
                 self.node.board.refused = ""
                 for problem in event.table.problems:
                     self._note_problem(problem)
-                fleet.tables.on_table(event.table, event.revision)
+                fleet.tables.on_table(event.table, event.revision, mends=True)
             case items.ServersListed():
                 fleet.on_listing(
                     event.entries,
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -14,6 +14,17 @@
 from notchhoist.flows.model.fleet import ServerEntry
 from notchhoist.flows.model.revisions import count_of, era_of, make_revision
 from notchhoist.flows.published.budget import Budget
+from notchhoist.platform.calls import (
+    CONFIRM_TIMEOUT_S,
+    GATHER_S,
+    HISTORY_GONE,
+    LEAST_WAIT_S,
+    LISTING_MAX_S,
+    StoreCall,
+    answer_timeout_s,
+    listing_timeout_s,
+    pause_s,
+)
 from notchhoist.platform.changes import read_changes
 from notchhoist.platform.checking import FieldError, Fields
 from notchhoist.platform.documents import decode_json
@@ -30,41 +41,6 @@
 
 BUDGET = Budget()
 
-HISTORY_GONE = 410
-"""Status of a watch from a revision that the store does not have."""
-
-ANSWER_MAX_S = 1.8
-"""Longest time for an answer beyond a watch's time, seconds: a store whose
-answers come late is waited for longer after each failure."""
-
-LEAST_WAIT_S = 0.001
-"""A watch from which an answer is wanted at once."""
-
-CONFIRM_TIMEOUT_S = 0.5
-"""A confirmation that takes longer than this helps nobody, seconds: without it
-the decision falls 0.7 s after the question."""
-
-QUICK_S = 0.2
-QUICK_TRIES = 2
-"""A process that knows nothing serves nobody: where nothing comes it asks anew
-so soon, seconds. Each third call is given the time that a slow store needs;
-calls are priced."""
-
-LISTING_FIRST_S = 0.5
-LISTING_MAX_S = 4.0
-"""Bounds of the time for a listing. The store answers in 4 ms, in 0.4 s when
-slow; 1,600 routes take 0.7 s over a link of 5 Mbit/s, and are waited for while
-they come in."""
-
-PAUSE_FIRST_S = 0.1
-PAUSE_MAX_S = 1.0
-"""Bounds of the pause after a failed call, which doubles. Refused calls are
-priced; a second is a third of the bound of a configuration."""
-
-GATHER_S = 0.25
-"""Pause after a watch that told something, so that one call tells what comes
-in quick succession; a twelfth of the bound of a configuration."""
-
 
 class Want(enum.Enum):
     """What the next call reads."""
@@ -73,22 +49,6 @@
     CHANGES = "changes"
 
 
-class StoreCall(Struct, frozen=True):
-    """A call to be made.
-
-    Attributes:
-        purpose: What it is for, for the metrics.
-        target: Path and query.
-        timeout_s: How long nothing may come, seconds.
-        most_s: How long it may take while its answer comes in, seconds.
-    """
-
-    purpose: str
-    target: str
-    timeout_s: float
-    most_s: float = 0.0
-
-
 class StoreReader(Struct, eq=False):
     """Decides the next call and reads the answers.
 
@@ -147,18 +107,26 @@
             target = "/kv-range?path_prefix="
             if self.page_after:
                 target += f"&after={_quoted(self.page_after)}"
-            timeout_s = self._listing_timeout_s()
+            timeout_s = listing_timeout_s(self.knows, self.failures)
             return StoreCall("listing", target, timeout_s, LISTING_MAX_S)
         wait_ms = int(min(max(wait_s, LEAST_WAIT_S), self.watch_s) * 1000)
         self.wait_s = wait_ms / 1000
         after = count_of(self.revision)
         target = f"/kv-watch?path_prefix=&after={after}&wait_ms={wait_ms}"
-        timeout_s = self.wait_s + self._answer_timeout_s()
+        timeout_s = self.wait_s + answer_timeout_s(self.answer_s, self.failures)
         return StoreCall("watch", target, timeout_s, timeout_s + LISTING_MAX_S)
 
-    def _answer_timeout_s(self) -> float:
-        """Returns how long an answer may take; patience grows with failures."""
-        return min(ANSWER_MAX_S, self.answer_s * 2**self.failures)
+    def answer_age_s(self, since_call_s: float) -> float:
+        """Returns how old an answer that is read now may be, seconds.
+
+        It may have waited on its way or before this process. What the store
+        said came after the call, and word of no news after the watch's time.
+
+        Args:
+            since_call_s: Time since the call, seconds.
+        """
+        late = since_call_s >= self.held_s
+        return since_call_s - self.held_s if late else since_call_s
 
     def confirming_call(self, revision: int) -> StoreCall:
         """Returns a call for what is newer than a revision, answered at once.
@@ -171,14 +139,6 @@
         target = f"/kv-watch?path_prefix=&after={after}&wait_ms={wait_ms}"
         return StoreCall("confirmation", target, CONFIRM_TIMEOUT_S)
 
-    def _listing_timeout_s(self) -> float:
-        """Returns how long a listing may take; patience grows with failures."""
-        patient, quick = divmod(self.failures, QUICK_TRIES + 1)
-        if not self.knows and quick < QUICK_TRIES:
-            return QUICK_S
-        doublings = self.failures if self.knows else patient
-        return min(LISTING_MAX_S, LISTING_FIRST_S * 2**doublings)
-
     @property
     def knows(self) -> bool:
         """Whether anything published is known."""
@@ -234,7 +194,7 @@
             now: Runtime clock, seconds.
             silent: The time until it was given up has passed already.
         """
-        pause = min(PAUSE_MAX_S, PAUSE_FIRST_S * 2**self.failures)
+        pause = pause_s(self.failures)
         if silent and not self.knows:
             pause = 0.0
         self.failures += 1
--- a/notchhoist/platform/tests/test_feeding.py
+++ b/notchhoist/platform/tests/test_feeding.py
@@ -7,6 +7,7 @@
 from notchhoist.base.draws import make_draw
 from notchhoist.flows.balancer.node import make_balancer
 from notchhoist.flows.model.effects import SendPeer
+from notchhoist.flows.model.fleet import RouteTable
 from notchhoist.flows.model.messages import ViewAsk, ViewTell
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.revisions import make_revision
@@ -192,3 +193,18 @@
     for bound_s in (3.0, 5.0):
         budget = Budget(bound_s)
         assert budget.watch_s + ASK_S + RESEND_S <= budget.fresh_s
+
+
+def test_a_doubtful_view_is_read_anew_and_mended():
+    """The same version was passed over, whatever it held."""
+    feeder = fed(item("op/config", CONFIGURATION))
+    board, mender = feeder.node.board, feeder.node.sharer.mender
+    [route] = board.table.routes.values()
+    wrong = RouteTable(board.table.version, {}, board.table.idle_s)
+    feeder.node.fleet.tables.on_table(wrong, 50, mends=True)
+    assert not board.table.routes
+    mender.doubtful = True
+    assert feeder.next_call(0.1).purpose == "listing"
+    feeder.on_answer(200, page(item("op/config", CONFIGURATION)), 0.2)
+    assert list(board.table.routes.values()) == [route]
+    assert not mender.doubtful
--- a/notchhoist/testing/opaque/__init__.py
+++ b/notchhoist/testing/opaque/__init__.py
@@ -10,6 +10,7 @@
 * ``callers``: callers with retries by the platform's rules.
 * ``store``: the store, and each way in which it misbehaves.
 * ``judge``: what must hold, from what callers and backend servers saw.
+* ``config_judge``: what must hold of the configuration at each balancer.
 * ``hosts``: a host and what runs on it.
 * ``published``: documents in the store.
 * ``store_link``: calls to the store on their way.
@@ -21,5 +22,6 @@
 * ``report``: the outcome of a run, as text.
 * ``record``: the outcome of a run, second by second, as JSON.
 * ``experiment``: the command line.
+* ``restores``, ``changes``: random days of one kind, each with a command line.
 * ``page``: records as a page with pictures.
 """
--- a/notchhoist/testing/opaque/store_link.py
+++ b/notchhoist/testing/opaque/store_link.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from notchhoist.platform.store import StoreCall
+from notchhoist.platform.calls import StoreCall
 from notchhoist.testing.opaque.hosts import Host
 from notchhoist.testing.opaque.store import RESEND_S
 
--- a/notchhoist/testing/tests/test_commands.py
+++ b/notchhoist/testing/tests/test_commands.py
@@ -4,12 +4,13 @@
 import pytest
 
 from notchhoist.cli import flow_story, losses
-from notchhoist.testing.opaque import experiment, page, restores
+from notchhoist.testing.opaque import changes, experiment, page, restores
 from notchhoist.testing.soak import run as soak
 
 COMMANDS = {
     "losses": losses.Command,
     "flow-story": flow_story.Command,
+    "changes": changes.Command,
     "experiment": experiment.Command,
     "page": page.Command,
     "restores": restores.Command,
