Those that read the store are told of wherever few do

What callers saw: nothing shown; found by reading. Hosts tell each other of 16 at most, by rank. Where the store turns the first 16 away, hosts of a large fleet that know no others have nobody to ask who reads. Cause: the order of those that are told of leaves out who can read. Ruled out: telling of everybody; 68 names do not fit a datagram. Change: the first four in the order of readers are told of before the others. Evidence: test_balancers_that_read_are_told_of_though_many_before_them_cannot failed before (the reader was not among the 16). Comments of two modules beside.

--- a/notchhoist/flows/published/membership.py
+++ b/notchhoist/flows/published/membership.py
@@ -23,6 +23,9 @@
 once a second, and one answer may be lost."""
 
 MEMBERS_TOLD = 16
+READERS_TOLD = 4
+"""Members told of because they read or are the next to: where the store answers
+few, these are not among the first by rank."""
 
 FORGET_S = 60.0
 """A balancer that was not heard for so long is forgotten."""
@@ -100,11 +103,14 @@
     def told(self, now: float) -> tuple[Member, ...]:
         """Returns what others are told: this balancer, and the first others.
 
-        By their rank alone, so that word of those that cannot read gets round.
+        By their rank alone but for the readers, so that word of those that
+        cannot read gets round.
         """
-        others = sorted(self._alive(now) - {self.board.host}, key=self._rank)
-        hosts = [self.board.host, *others[: MEMBERS_TOLD - 1]]
-        return tuple(self._member(host, now) for host in hosts)
+        readers = self.alive(now)[:READERS_TOLD]
+        others = sorted(self._alive(now), key=self._rank)
+        hosts = dict.fromkeys([self.board.host, *readers, *others])
+        told = list(hosts)[:MEMBERS_TOLD]
+        return tuple(self._member(host, now) for host in told)
 
     def _member(self, host: str, now: float) -> Member:
         unserved = self.is_unserved(host)
--- a/notchhoist/flows/published/sharing.py
+++ b/notchhoist/flows/published/sharing.py
@@ -1,8 +1,7 @@
 """A balancer's controller for what balancers tell each other.
 
-A few of them read the platform's store, chosen alike by all from those that
-are alive; the others hear of changes from these. Nobody publishes who they
-are: a process knows a few from its settings and hears of more by asking.
+A few of them read the platform's store; the others ask these for what has
+changed, and are told at once by those that they have asked.
 """
 
 from collections.abc import Iterable
--- a/notchhoist/flows/published/tests/test_sharing.py
+++ b/notchhoist/flows/published/tests/test_sharing.py
@@ -416,3 +416,16 @@
     membership.on_heard(Member(HOSTS[1], 100, 0, unserved=False), 10.0)
     membership.on_heard(Member(HOSTS[1], 100, 500, unserved=True), 10.1)
     assert not membership.is_unserved(HOSTS[1])
+
+
+def test_balancers_that_read_are_told_of_though_many_before_them_cannot():
+    node = make_balancer("a", CODEC, "n", HOSTS[0])
+    membership = node.sharer.membership
+    for number in range(40):
+        cut = Member(f"10.1.0.{number}", 1000, unserved=True)
+        membership.on_heard(cut, 5.0)
+    reader = Member("10.2.0.1", 10)
+    membership.on_heard(reader, 5.0)
+    told = membership.told(5.0)
+    assert reader in told
+    assert sum(member.unserved for member in told) > 10
