--- a/notchhoist/platform/documents.py
+++ b/notchhoist/platform/documents.py
@@ -35,7 +35,7 @@
 
 ROUTES_KEPT = 8192
 """Routes whose text is kept with what it says: a new version repeats nearly all
-of them, and 1,500 take 30 ms to read."""
+of them."""
 
 CAREFUL_KIND = "unsafe"
 """Requests of a kind that is not known are taken to run at most once."""
