--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,117 +1,84 @@
-"""An address goes to another service whose 16-bit tag is the same.
+"""A route gets another service, then all balancers are killed at once.
 
-The names of two services have the same tag in the notes of the balancers. A
-backend of one of them is gone, and its address goes to a backend of the other
-while the platform's store is down, so that no balancer learns of it.
+A flow that was opened before the change stays with its backend. Its next
+request comes long after the balancers are back, and must not be reset.
 """
 
 import asyncio
-import os
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins import Backend, Lab, Packet, configuration, play
+from standins import CONTACT_S, Flow, Lab, configuration, play
 
-SERVICE = os.environ.get("SERVICE", "report")
-OTHER = "program"
-DOWN_S = float(os.environ.get("DOWN_S", "4.5"))
-REUSE_AFTER_S = 2.2
-PAUSE_S = 0.02
+FLOWS = 12
 
 
 async def scenario(lab: Lab, trouble: bool) -> None:
     """Plays the case on a deployment."""
     for _ in range(2):
         lab.add_front()
-    gone = lab.add_side(SERVICE)
-    lab.add_side(SERVICE)
-    lab.add_side(OTHER)
+    for service in ("hallbook", "hallbook", "hallbook-b", "hallbook-b"):
+        lab.add_side(service)
     address = (f"{lab.prefix}.4.1", 443)
-    other_address = (f"{lab.prefix}.4.2", 443)
-    routes = {
-        "reports": (address, SERVICE),
-        "programme": (other_address, OTHER),
-    }
-    lab.store.put("op/config", configuration(3, routes))
-    permitted = {address: SERVICE, other_address: OTHER}
-    lab.on_opening = lambda backend, packet: judge_opening(
-        lab, backend, packet, permitted
-    )
-    lab.on_run = lambda backend, number, line: judge_run(
-        lab, backend, number, line
+    lab.store.put(
+        "op/config", configuration(3, {"booking": (address, "hallbook")})
     )
+    lab.on_reset = lambda flow, own: judge(lab, flow, own)
     await lab.start()
-    ends_at = time.monotonic() + 16.0
-    traffic = asyncio.ensure_future(send_requests(lab, address, ends_at))
-    await asyncio.sleep(3.0)
+    flows = [await lab.clients.open(address) for _ in range(FLOWS)]
+    open_flows = [flow for flow in flows if flow is not None]
+    if len(open_flows) < FLOWS:
+        raise RuntimeError("a flow did not open before the disruption")
+    await ask_all(lab, open_flows)
+    lab.store.put(
+        "op/config", configuration(7, {"booking": (address, "hallbook-b")})
+    )
+    lab.record("acknowledged: version 7, booking goes to hallbook-b")
+    await asyncio.sleep(4.0)
+    fresh = await lab.clients.open(address)
+    if fresh is None or "answered" not in await lab.clients.ask(
+        fresh, "/new", 2.5
+    ):
+        raise RuntimeError("no new flow under the new version")
+    await lab.clients.close(fresh)
+    await ask_all(lab, open_flows)
     if trouble:
-        lab.record(f"{gone.name} is gone, with its backend and daemon")
-        lab.backends[0].crash()
-        gone.kill()
-        await asyncio.sleep(1.0)
-        if DOWN_S:
-            lab.store.down = True
-            lab.record("the store is down (silent)")
-        await asyncio.sleep(REUSE_AFTER_S - 1.0)
-        lab.record(f"the address of {gone.name} goes to {OTHER}")
-        gone.service = OTHER
-        gone.start()
-        await lab.add_backend(gone, OTHER).start()
-        if DOWN_S:
-            await asyncio.sleep(DOWN_S - (REUSE_AFTER_S - 1.0))
-            lab.store.down = False
-            lab.record("the store is back")
-    await traffic
-
-
-async def send_requests(
-    lab: Lab, address: tuple[str, int], ends_at: float
-) -> None:
-    """Sends requests for reports, a flow each."""
-    pending: set[asyncio.Task[None]] = set()
-    while time.monotonic() < ends_at:
-        task = asyncio.ensure_future(send_one(lab, address))
-        pending.add(task)
-        task.add_done_callback(pending.discard)
-        await asyncio.sleep(PAUSE_S)
-    await asyncio.gather(*pending)
-
-
-async def send_one(lab: Lab, address: tuple[str, int]) -> None:
-    """Opens a flow for one request and closes it."""
-    flow = await lab.clients.open(address)
-    if flow is not None:
-        await lab.clients.ask(flow, "/reports", 2.5)
-        await lab.clients.close(flow)
-
-
-def judge_opening(
-    lab: Lab,
-    backend: Backend,
-    packet: Packet,
-    permitted: dict[tuple[str, int], str],
-) -> None:
-    """Writes down an opening packet that no configuration permits."""
-    if permitted[packet.dst] != backend.service:
-        lab.record(
-            f"backend {backend.server_id} of {backend.service} takes the "
-            f"opening packet of client {packet.src[1]} to {packet.dst[0]}"
-        )
-
-
-def judge_run(lab: Lab, backend: Backend, number: str, line: str) -> None:
-    """Judges by the rule ROUTE which service runs a request."""
+        for front in lab.fronts:
+            front.kill()
+        await asyncio.sleep(0.5)
+        for front in lab.fronts:
+            front.start()
+        await asyncio.sleep(0.3)
+        await lab.wait_ready(10.0)
+    await asyncio.sleep(CONTACT_S + 2.0)
+    await ask_all(lab, open_flows)
+
+
+async def ask_all(lab: Lab, flows: list[Flow]) -> None:
+    """Sends a request on each flow, one after the other."""
+    for flow in flows:
+        await lab.clients.ask(flow, "/booking", 2.5)
+
+
+def judge(lab: Lab, flow: Flow, own: bool) -> None:
+    """Judges a reset that a client got by the rule FLOW, part (a)."""
+    now = time.monotonic()
+    holder = [b for b in lab.backends if b.holds(flow.own, flow.service)]
+    calm = all(
+        machine.process is not None and now - machine.started_at > CONTACT_S
+        for machine in [*lab.fronts, *lab.sides]
+    )
     text = (
-        f"backend {backend.server_id} of {backend.service} runs {number}"
-        f" ({line})"
+        f"client {flow.own[1]}, flow {now - flow.opened_at:.1f} s old, held by "
+        f"{[b.server_id for b in holder]}, all machines in touch: {calm}"
     )
-    if backend.service != SERVICE:
-        lab.break_rule("ROUTE", text)
+    if own and holder and calm:
+        lab.break_rule("FLOW", f"reset of the system's own: {text}")
     else:
-        lab.record(text)
+        lab.record(f"reset, no breach: {text}")
 
 
 if __name__ == "__main__":
