--- a/review/standins.py
+++ b/review/standins.py
@@ -374,7 +374,7 @@
 
     async def start(self) -> None:
         """Opens its sockets and writes its entry."""
-        address = (self.machine.ip, self.lab.app_port)
+        address = (self.machine.bound, self.lab.app_port)
         self.udp = await open_udp(address, self._on_datagram)
         self.tcp = await asyncio.start_server(self._on_health, *address)
         self.alive = True
@@ -401,6 +401,8 @@
 
     async def _beat(self) -> None:
         while self.alive:
+            if self.lab.is_cut(self.machine):
+                await self._lapse_unless_healed()
             if not self.lab.store.down:
                 cold = self.started_at + 2.0 - time.monotonic()
                 entry = {
@@ -420,6 +422,17 @@
             # While the store is down, tries again soon after its return.
             await asyncio.sleep(0.2 if self.lab.store.down else HEARTBEAT_S)
 
+    async def _lapse_unless_healed(self) -> None:
+        """Waits for the end of a cut; its entry goes after three heartbeats."""
+        silent_since = time.monotonic() - HEARTBEAT_S
+        while self.lab.is_cut(self.machine):
+            await asyncio.sleep(0.05)
+            silent_s = time.monotonic() - silent_since
+            if self.written and silent_s >= 3 * HEARTBEAT_S:
+                self.lab.store.remove(f"servers/{self.server_id}")
+                self.lab.record(f"entry of {self.server_id} is removed")
+                self.written = {}
+
     async def _on_health(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -434,7 +447,7 @@
 
     def _send(self, packet: Packet) -> None:
         if self.alive:
-            to = (self.machine.ip, self.lab.outbound_port)
+            to = (self.machine.bound, self.lab.outbound_port)
             self.udp.sendto(packet.encode(), to)
 
     def _emit(
@@ -550,7 +563,10 @@
         self.lab = lab
         self.name = name
         self.kind = kind
-        self.ip = f"{lab.prefix}.1.{number}"
+        self.bound = f"{lab.prefix}.1.{number}"
+        # Behind a proxy, others know a machine by an address of the proxy.
+        part = 5 if lab.proxied else 1
+        self.ip = f"{lab.prefix}.{part}.{number}"
         self.service = ""
         self.process: subprocess.Popen[bytes] | None = None
         self.started_at = 0.0
@@ -561,13 +577,14 @@
         """Writes its settings file as the page lays it out."""
         lab = self.lab
         listen = {
-            "datagram_addr": f"{self.ip}:{lab.packet_port}",
-            "ready": f"{self.ip}:{lab.ready_port}",
+            "datagram_addr": f"{self.bound}:{lab.packet_port}",
+            "ready": f"{self.bound}:{lab.ready_port}",
         }
         settings: dict[str, Any] = {
             "node": self.name,
             "class": self.kind,
             "ip": self.ip,
+            "bind_ip": self.bound,
             "zone": lab.zone,
             "region": "whanganui",
             "zones": {lab.zone: "whanganui"},
@@ -607,12 +624,12 @@
         }
         if self.kind == "front":
             settings |= {"role": "balancer", "serves": ["front", "control"]}
-            listen["control"] = f"{self.ip}:{lab.control_port}"
+            listen["control"] = f"{self.bound}:{lab.control_port}"
         else:
             settings |= {"role": "agent", "serves": ["side"]}
             settings["service"] = self.service
-            settings["app"] = f"{self.ip}:{lab.app_port}"
-            listen["outbound"] = f"{self.ip}:{lab.outbound_port}"
+            settings["app"] = f"{self.bound}:{lab.app_port}"
+            listen["outbound"] = f"{self.bound}:{lab.outbound_port}"
         path = lab.folder / f"{self.name}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
         return path
@@ -650,6 +667,89 @@
         self.misses = 2
 
 
+class Proxy:
+    """Stands before a machine; drops all datagrams of a machine cut off.
+
+    It passes on datagrams between daemons, and takes the connections by which
+    a daemon checks whether a host is there. While the machine is cut off, such
+    connections hang, as its queue of new connections is kept full.
+    """
+
+    def __init__(self, lab: "Lab", machine: Machine) -> None:
+        """Creates the proxy of a machine."""
+        self.lab = lab
+        self.machine = machine
+        self.cut = False
+        self.udp: dict[int, asyncio.DatagramTransport] = {}
+        self.server: asyncio.Server | None = None
+        self.blocked: list[socket.socket] = []
+
+    async def open(self) -> None:
+        """Opens the proxy's sockets."""
+        loop = asyncio.get_running_loop()
+        for port in (self.lab.inner_port, self.lab.inner_port + 1):
+            transport, _ = await loop.create_datagram_endpoint(
+                lambda port=port: _Relay(self, port),
+                local_addr=(self.machine.ip, port),
+            )
+            self.udp[port] = transport
+        await self._open_port()
+
+    def on_datagram(self, raw: bytes, source: str, port: int) -> None:
+        """Passes on a datagram that a daemon sent to this machine."""
+        sender = self.lab.proxies.get(source)
+        if sender is None or self.cut or sender.cut:
+            return
+        sender.udp[port].sendto(raw, (self.machine.bound, port))
+
+    async def _open_port(self) -> None:
+        self.server = await asyncio.start_server(
+            lambda _, writer: writer.close(), self.machine.ip, METRICS_PORT
+        )
+
+    def close_port(self) -> None:
+        """Closes the port for checks."""
+        if self.server is not None:
+            self.server.close()
+        self.server = None
+        for sock in self.blocked:
+            sock.close()
+        self.blocked = []
+
+    async def set_cut(self, cut: bool) -> None:
+        """Cuts the machine off from all others, or ends that."""
+        self.lab.record(f"{self.machine.name} cut off: {cut}")
+        self.cut = cut
+        self.close_port()
+        if not cut:
+            await self._open_port()
+            return
+        address = (self.machine.ip, METRICS_PORT)
+        full = socket.socket()
+        full.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        full.bind(address)
+        full.listen(0)
+        self.blocked = [full]
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(address)
+            self.blocked.append(filler)
+
+
+class _Relay(asyncio.DatagramProtocol):
+    def __init__(self, proxy: Proxy, port: int) -> None:
+        self.proxy = proxy
+        self.port = port
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Passes on a datagram."""
+        self.proxy.on_datagram(data, addr[0], self.port)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignores that nobody listened to an earlier datagram."""
+
+
 @dataclass
 class Flow:
     """A flow at its client."""
@@ -794,8 +894,10 @@
 
     zone = "war-memorial"
 
-    def __init__(self, record: Path) -> None:
+    def __init__(self, record: Path, proxied: bool = False) -> None:
         """Chooses addresses and ports that are free."""
+        self.proxied = proxied
+        self.proxies: dict[str, Proxy] = {}
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.record = Record(record)
         self.deploy = tomllib.loads(
@@ -820,7 +922,7 @@
             prefix = f"127.{random.randint(100, 250)}"
             base = random.randint(20_000, 30_000)
             self.ports = [base + 20 * item for item in range(8)]
-            hosts = [f"{prefix}.1.{n}" for n in range(1, 12)]
+            hosts = [f"{prefix}.{p}.{n}" for p in (1, 5) for n in range(1, 12)]
             hosts += [f"{prefix}.2.1", f"{prefix}.3.1"]
             if all(_is_free(host, port) for host in hosts for port in self.all):
                 return prefix
@@ -907,12 +1009,19 @@
         for backend in self.backends:
             await backend.start()
         for machine in [*self.fronts, *self.sides]:
+            await self.add_proxy(machine)
             machine.start()
         self.bootstrap = False
         self.spawn(self._watch_readiness())
         await self.wait_ready(10.0)
         await asyncio.sleep(1.0)
 
+    async def add_proxy(self, machine: Machine) -> None:
+        """Opens the proxy of a machine if the deployment has proxies."""
+        if self.proxied:
+            self.proxies[machine.bound] = Proxy(self, machine)
+            await self.proxies[machine.bound].open()
+
     async def wait_ready(self, limit_s: float) -> None:
         """Waits until every front daemon is in.
 
@@ -939,7 +1048,7 @@
 
     async def _ready_of(self, machine: Machine) -> int:
         reader, writer = await asyncio.open_connection(
-            machine.ip, self.ready_port
+            machine.bound, self.ready_port
         )
         try:
             writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -948,6 +1057,11 @@
         finally:
             writer.close()
 
+    def is_cut(self, machine: Machine) -> bool:
+        """Tells whether a machine is cut off from all others."""
+        proxy = self.proxies.get(machine.bound)
+        return proxy is not None and proxy.cut
+
     def route(self, packet: Packet, udp: asyncio.DatagramTransport) -> None:
         """Hands a client's packet to a daemon, as the routers do."""
         ready = [item for item in self.fronts if item.misses < 2]
@@ -955,12 +1069,14 @@
             ready = self.fronts
         key = f"{packet.src}{packet.dst}".encode()
         chosen = ready[zlib.crc32(key) % len(ready)]
-        udp.sendto(packet.encode(), (chosen.ip, self.packet_port))
+        udp.sendto(packet.encode(), (chosen.bound, self.packet_port))
 
     def close(self) -> None:
         """Ends all processes that were started, and removes the folder."""
         for machine in [*self.fronts, *self.sides]:
             machine.kill()
+        for proxy in self.proxies.values():
+            proxy.close_port()
         for task in self.tasks:
             task.cancel()
         kept = os.environ.get("REVIEW_KEEP")
@@ -1008,13 +1124,15 @@
 
 
 def play(
-    folder: Path, scenario: Callable[[Lab, bool], Awaitable[None]]
+    folder: Path,
+    scenario: Callable[[Lab, bool], Awaitable[None]],
+    proxied: bool = False,
 ) -> None:
     """Plays a scenario and exits with 1, 0 or 2 as the issue asks."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
-        lab = Lab(folder / "record.txt")
+        lab = Lab(folder / "record.txt", proxied)
         try:
             await asyncio.wait_for(scenario(lab, trouble), 110.0)
         except Exception as error:
