Review, case 3: one backend of four, inside the site's share

Cause: with two backends of a service the one that goes was half of them, where the site file names a share of 0.25. The stand-ins also chose loopback addresses that the soak's tests use.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -27,7 +27,8 @@
     for _ in range(2):
         lab.add_front()
     gone = lab.add_side(SERVICE)
-    lab.add_side(SERVICE)
+    for _ in range(3):
+        lab.add_side(SERVICE)
     lab.add_side(OTHER)
     address = (f"{lab.prefix}.4.1", 443)
     other_address = (f"{lab.prefix}.4.2", 443)
--- a/review/standins.py
+++ b/review/standins.py
@@ -923,7 +923,7 @@
 
     def _free_prefix(self) -> str:
         for _ in range(100):
-            prefix = f"127.{random.randint(100, 250)}"
+            prefix = f"127.{random.randint(214, 250)}"
             base = random.randint(20_000, 30_000)
             self.ports = [base + 20 * item for item in range(8)]
             hosts = [f"{prefix}.{p}.{n}" for p in (1, 5) for n in range(1, 12)]
