--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,7 @@
 
 from standins import CONTACT_S, Flow, Lab, configuration, play
 
-CUT_S = 12.0
+CUT_S = 11.8
 FLOWS = 24
 
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,7 +15,7 @@
 
 from standins import CONTACT_S, Flow, Lab, Machine, configuration, play
 
-FREEZE_S = 5.0
+FREEZE_S = 4.9
 ATTEMPTS = 120
 """Flows that are opened while the routers still use the frozen machine."""
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -17,7 +17,7 @@
 
 SERVICE = os.environ.get("SERVICE", "report")
 OTHER = "program"
-DOWN_S = float(os.environ.get("DOWN_S", "4.5"))
+DOWN_S = float(os.environ.get("DOWN_S", "4.4"))
 REUSE_AFTER_S = 2.2
 PAUSE_S = 0.02
 
