Fix: a server lost while its entry was unlisted stayed lost

What callers saw: after a cut of a server's host during which its entry lapsed, flows at that server were reset by balancers that had seen the cut ("found nowhere", asked 6 of 7), though the server ran and was listed; a service whose only server it was took no flow at all.

Cause: only an answer to a probe puts a lost server back into use. AgentHealthMonitor.declare_lost took an unlisted server out of the probed ones and left unanswered_probe_at, which keeps every other path from probing it. Nothing undid that when the entry came back. Searches leave lost agents out, so the absence of the flow was "proven" without the one agent that had it.

Ruled out: an entry that did not come back (it is in the logs); a store that had not confirmed the list (`confirmed` is true).

Change: every suspected or lost agent that owes no answer is probed once a second until it is heard or its server is forgotten, whatever took it out of use. A server has an unanswered_probe_at exactly while it is in awaiting_reply, which is kept by host. Why it works: no path can leave a server out of use and unprobed.

The same cause elsewhere: an agent that announced a restart was never probed again without flows of its own; a server whose id had gone to another host was dropped from awaiting_reply in the same way.

--- a/notchhoist/flows/balancer/health.py
+++ b/notchhoist/flows/balancer/health.py
@@ -60,8 +60,9 @@
 class AgentHealthMonitor(Struct, eq=False):
     """Keeps reported loads fresh and detects silent agents.
 
-    An agent is probed only while packets are sent to it, so an idle fleet
-    causes no probe traffic.
+    An agent in use is probed only while packets are sent to it, so an idle
+    fleet causes no probe traffic. An agent out of use is probed until it is
+    heard again, since it gets no packets that would show its return.
 
     Attributes:
         board: State of the balancer.
@@ -69,7 +70,8 @@
         host_checker: Tells restarting agents from lost hosts.
         distances: Gets the round-trip times of probes.
         link_mbps: Bandwidth of this host's link, Mbit/s; 0 if unknown.
-        awaiting_reply: Servers whose agents owe an answer, by id.
+        awaiting_reply: Servers whose agents owe an answer, by host. Exactly
+            these have an ``unanswered_probe_at``.
         heard_at: When any agent was last heard, seconds.
         last_tick_at: When silence was last evaluated, seconds.
         detection_resumes_at: Silence is ignored until then, seconds.
@@ -114,10 +116,31 @@
         return True
 
     def _probe(self, server: Server, now: float) -> None:
+        """Probes an agent, which owes an answer from now on."""
         if server.unanswered_probe_at is None:
             server.unanswered_probe_at = now
+        self.awaiting_reply[server.entry.host] = server
+        self._send_probe(server, now)
+
+    def probe_unavailable(self, now: float) -> None:
+        """Probes agents that are out of use and owe no answer.
+
+        Any answer puts them back into use, whatever took them out: a loss while
+        their entry was unlisted, or the announcement of a restart. Their
+        silence proves nothing new.
+        """
+        unavailable = [
+            server
+            for host, server in self.board.by_host.items()
+            if (server.suspected or server.lost)
+            and host not in self.awaiting_reply
+        ]
+        unavailable.sort(key=lambda server: server.probe_sent_at)
+        for server in unavailable[:PROBES_PER_S]:
+            self._send_probe(server, now)
+
+    def _send_probe(self, server: Server, now: float) -> None:
         server.probe_sent_at = now
-        self.awaiting_reply[server.entry.server_id] = server
         state = None
         if needs_agent_update(self.board, server):
             state = server_state(self.board, server, now)
@@ -126,36 +149,53 @@
         message = LoadAsk(server.entry.slots, state)
         self.board.outbox.append(SendPeer(server.entry.host, message))
 
-    def on_heard(self, host: str, load: Load, now: float) -> None:
-        """Handles any message of an agent, all of which report its load."""
+    def on_heard(
+        self, host: str, load: Load, now: float, stopping: bool = False
+    ) -> None:
+        """Handles any message of an agent, all of which report its load.
+
+        Args:
+            host: Host of the agent.
+            load: The load that it reports.
+            now: Runtime clock, seconds.
+            stopping: It announces that it stops.
+        """
         server = self.board.by_host.get(host)
         if server is None:
             return
         self.heard_at = now
-        self.awaiting_reply.pop(server.entry.server_id, None)
-        if server.suspected:
+        self._stop_awaiting(server)
+        if server.suspected and not stopping:
             self.board.records.record_decision(
-                "agent regained", b"", server.entry.server_id, server_host=host
+                "agent regained",
+                b"",
+                server.entry.server_id,
+                server_host=host,
+                lost=server.lost,
+                listed=server.listed,
+                silent_s=round(now - server.heard_at, 3),
             )
         server.heard_at = now
         server.refused_since = None
-        server.unanswered_probe_at = None
-        server.suspected = False
+        server.suspected = stopping
         server.lost = False
         if not self.board.uses.own_offers:
             server.offered = 0
         server.record_load(load.flows, load.running, load.service_time_ms)
 
+    def _stop_awaiting(self, server: Server) -> None:
+        self.awaiting_reply.pop(server.entry.host, None)
+        server.unanswered_probe_at = None
+
     def on_load_tell(self, host: str, message: LoadTell, now: float) -> None:
         """Handles an agent's answer to a load probe."""
         load = Load(message.flows, message.running, message.pace_ms)
         server = self.board.by_host.get(host)
         if server is not None and not message.stopping:
             self._record_round_trip(server, now)
-        self.on_heard(host, load, now)
+        self.on_heard(host, load, now, message.stopping)
         if server is not None and message.stopping:
             server.restarting_until = now + RESTART_WAIT_S
-            server.suspected = True
 
     def _record_round_trip(self, server: Server, now: float) -> None:
         """Records the round-trip time of a probe that was sent only once.
@@ -215,9 +255,9 @@
         detects = now >= self.detection_resumes_at
         trusts_silence = detects and self._hears_enough_agents(now)
         lost_after_s = self._lost_after_s()
-        for server_id, server in list(self.awaiting_reply.items()):
-            if self.board.servers.get(server_id) is not server:
-                del self.awaiting_reply[server_id]
+        for host, server in list(self.awaiting_reply.items()):
+            if self.board.by_host.get(host) is not server:
+                self._stop_awaiting(server)
                 continue
             if server.unanswered_probe_at is None:
                 continue
@@ -265,14 +305,14 @@
             reason: Reason for the log.
             inputs: Facts behind the decision, for the log.
         """
-        if not server.lost:
-            server.lost = True
-            self.board.records.counters[Count.LOST] += 1
         flows = [
             (flow, placement)
             for flow, placement in self.board.flows.items()
             if placement.server is server
         ]
+        if not server.lost:
+            server.lost = True
+            self._record_loss(server, len(flows), reason, now)
         for flow, placement in flows:
             del self.board.flows[flow]
             if placement.closing or not placement.accepted:
@@ -291,7 +331,22 @@
                 **inputs,
             )
         if not server.listed:
-            self.awaiting_reply.pop(server.entry.server_id, None)
+            self._stop_awaiting(server)
+
+    def _record_loss(
+        self, server: Server, flows: int, reason: str, now: float
+    ) -> None:
+        self.board.records.counters[Count.LOST] += 1
+        self.board.records.record_decision(
+            "agent lost",
+            b"",
+            server.entry.server_id,
+            server_host=server.entry.host,
+            reason=reason,
+            listed=server.listed,
+            silent_s=round(now - server.heard_at, 3),
+            flows=flows,
+        )
 
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -254,6 +254,7 @@
     def _sweep(self, now: float) -> None:
         self.fleet.sweep(now)
         self.finder.absence.is_list_stable(now)
+        self.health.probe_unavailable(now)
         self.health.distances.sweep(now)
         flows = self.board.flows
         idle_s = self.board.table.idle_s if self.board.table else 0.0
