Fix: a search did not ask an agent again that it had dropped as lost

What callers saw: a flow at a server whose agent was lost while a search for the flow waited for it, and heard again before the end of that search, could be reset ("found nowhere") before the agent had answered.

Cause: FlowFinder._check_unanswered drops a lost agent from the unanswered ones but left it among the asked ones, so unqueried_agents did not name it again when it was back, and the end of the search did not wait for it.

Change: the dropped agent and its query are removed from the search. Why it works: unqueried_agents, which every search evaluates before it ends, names each agent that is not lost and has not answered.

Test failing before ("assert 1 == 0" on resets): test_agent_that_was_lost_during_a_search_is_queried_on_its_return.

--- a/notchhoist/flows/balancer/finding.py
+++ b/notchhoist/flows/balancer/finding.py
@@ -337,7 +337,9 @@
         for host in list(search.unanswered):
             server = self.board.by_host.get(host)
             if server is None or server.lost:
+                # It is queried anew if it is heard again before the end.
                 search.unanswered.discard(host)
+                self.queries.forget(flow, {host}, search.asked.pop(host))
         if not search.unanswered:
             self._advance(flow, search, now)
         elif now - search.since >= SEARCH_TIMEOUT_S:
--- a/notchhoist/flows/balancer/tests/test_health.py
+++ b/notchhoist/flows/balancer/tests/test_health.py
@@ -23,6 +23,7 @@
         node: The balancer.
         cut: Hosts that answer nothing.
         holders: Hosts whose servers hold the flow that is searched for.
+        lose_queries: Hosts that answer probes but get no queries about flows.
         resets: Number of resets that callers got.
         now: Runtime clock, seconds.
     """
@@ -31,6 +32,7 @@
         self.node = balancer(servers)
         self.cut = set()
         self.holders = set()
+        self.lose_queries = set()
         self.resets = 0
         self.now = 0.0
 
@@ -47,11 +49,14 @@
                 )
             elif isinstance(effect, SendPeer) and effect.host not in self.cut:
                 reply = self.reply(effect.host, effect.message)
-                self.handle(self.node.on_peer(effect.host, reply, self.now))
+                if reply is not None:
+                    self.handle(self.node.on_peer(effect.host, reply, self.now))
 
     def reply(self, host, message):
         if not isinstance(message, FlowsAsk):
             return LoadTell(0, 0, 0, False)
+        if host in self.lose_queries:
+            return None
         flows = tuple(CODEC.decode_request(raw).flow for raw in message.heads)
         if host in self.holders:
             return FlowsTell(message.number, present=flows)
@@ -169,3 +174,22 @@
     agents.cut.clear()
     agents.run(RETURN_S)
     assert not server.suspected
+
+
+def test_agent_that_was_lost_during_a_search_is_queried_on_its_return():
+    """Regression: its answer was not awaited when it was heard again."""
+    agents = Agents()
+    agents.holders.add("10.0.0.2")
+    agents.cut.add("10.0.0.2")
+    agents.search()
+    server = agents.node.board.by_host["10.0.0.2"]
+    while not server.lost:
+        agents.run(STEP_S)
+    agents.cut.clear()
+    agents.lose_queries.add("10.0.0.2")
+    agents.run(1.5)
+    assert agents.resets == 0
+    agents.lose_queries.clear()
+    agents.run(RETURN_S)
+    assert agents.resets == 0
+    assert agents.node.board.flows
