Fix: a flow was reset for the loss of a server that never had it

What callers saw: an open flow was reset ("agent lost") when a server lost power that the flow had never been at, some seconds after a balancer had stood still.

Cause: every server that accepts an opening packet answers the caller, who chooses one. A balancer that resumes offers the openings that waited in its socket; another server accepts them in vain, and the balancer takes this for the place of the flow. AgentHealthMonitor.declare_lost reset each flow that was used lately; whether an agent's answer had ever confirmed the flow was asked for idle flows and inferred acceptances only.

Ruled out: a search that found too little (the outcome is "agent lost", not "found nowhere"); a wrong loss (the server did lose power).

Change: flows of a lost server are reset only if an agent's answer has confirmed them; otherwise they are searched for at once if the caller waits, and forgotten if it rests or if only opening packets came. This part moves to lost_flows.py. Why it works: an agent returns packets of flows that are not there, so one that was heard after such a packet has the flow; and a search resets only what every agent denies.

Tests that were changed: in test_balancer and test_liveness the flows of hosts that die are now ones that their agents were heard about, which is what makes a reset right; bounds are the same. test_an_inferred_acceptance_... asked for a reset on the acceptance alone, the fault itself; in its place stand one test that the acceptance alone resets nothing, and one that a confirmed flow is reset.

--- a/notchhoist/flows/balancer/finding.py
+++ b/notchhoist/flows/balancer/finding.py
@@ -313,6 +313,7 @@
 
     def tick(self, now: float) -> None:
         """Repeats queries and handles searches whose agents are silent."""
+        self._search_unlocated(now)
         self.queries.tick(now)
         for flow, search in list(self.board.searches.items()):
             if search.all_absent_at is not None:
@@ -329,6 +330,12 @@
                 self._check_unanswered(flow, search, now)
         self._update_next_check()
 
+    def _search_unlocated(self, now: float) -> None:
+        unlocated, self.board.unlocated = self.board.unlocated, {}
+        for flow, (service, segment) in unlocated.items():
+            if flow not in self.board.flows:
+                self.on_unknown(service, segment, now)
+
     def _check_unanswered(
         self, flow: bytes, search: Search, now: float
     ) -> None:
@@ -350,6 +357,8 @@
 
     def due(self) -> float:
         """Returns when ``tick`` is next needed, seconds."""
+        if self.board.unlocated:
+            return float("-inf")
         return min(self.next_check_at, self.queries.due())
 
     def _update_next_check(self) -> None:
--- a/notchhoist/flows/balancer/health.py
+++ b/notchhoist/flows/balancer/health.py
@@ -4,7 +4,7 @@
 
 from notchhoist.flows.balancer.distances import Distances
 from notchhoist.flows.balancer.liveness import HostChecker
-from notchhoist.flows.balancer.resetting import FlowResetter
+from notchhoist.flows.balancer.lost_flows import LostFlows
 from notchhoist.flows.boards.balancer_board import BalancerBoard
 from notchhoist.flows.model.effects import SendPeer
 from notchhoist.flows.model.fleet import Server
@@ -49,10 +49,6 @@
 bandwidth and more than ``LOW_BANDWIDTH_SUSPECTS`` agents are suspected,
 seconds."""
 
-IDLE_AFTER_S = 1.0
-"""A flow without a packet for this long is idle, seconds: a caller that waits
-for an answer retransmits."""
-
 RESTART_WAIT_S = 3.0
 """How long to wait for an agent that has announced a restart, seconds."""
 
@@ -66,7 +62,7 @@
 
     Attributes:
         board: State of the balancer.
-        resetter: Resets flows.
+        lost_flows: Ends the flows of lost servers.
         host_checker: Tells restarting agents from lost hosts.
         distances: Gets the round-trip times of probes.
         link_mbps: Bandwidth of this host's link, Mbit/s; 0 if unknown.
@@ -78,7 +74,7 @@
     """
 
     board: BalancerBoard
-    resetter: FlowResetter
+    lost_flows: LostFlows
     host_checker: HostChecker
     distances: Distances
     link_mbps: int = 0
@@ -297,7 +293,7 @@
     def declare_lost(
         self, server: Server, now: float, reason: str, **inputs: object
     ) -> None:
-        """Resets the flows of a server that is down or unreachable.
+        """Ends the flows of a server that is down or unreachable.
 
         Args:
             server: The server.
@@ -305,31 +301,11 @@
             reason: Reason for the log.
             inputs: Facts behind the decision, for the log.
         """
-        flows = [
-            (flow, placement)
-            for flow, placement in self.board.flows.items()
-            if placement.server is server
-        ]
+        flows = self.lost_flows.take(server)
         if not server.lost:
             server.lost = True
             self._record_loss(server, len(flows), reason, now)
-        for flow, placement in flows:
-            del self.board.flows[flow]
-            if placement.closing or not placement.accepted:
-                continue
-            is_idle = now - placement.last_at > IDLE_AFTER_S
-            may_have_moved = is_idle or placement.acceptance_inferred
-            is_unconfirmed = may_have_moved and not placement.is_confirmed
-            if self.board.uses.resting and is_unconfirmed:
-                continue  # Its caller may have chosen another server.
-            self.resetter.reset(
-                placement.last,
-                reason,
-                server=server.entry.server_id,
-                silent_s=round(now - server.heard_at, 3),
-                used_s=round(now - placement.last_at, 3),
-                **inputs,
-            )
+        self.lost_flows.end(flows, server, now, reason, inputs)
         if not server.listed:
             self._stop_awaiting(server)
 
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -15,6 +15,7 @@
 from notchhoist.flows.balancer.informing import AgentInformer
 from notchhoist.flows.balancer.isolation import IsolationDetector
 from notchhoist.flows.balancer.liveness import HostChecker
+from notchhoist.flows.balancer.lost_flows import LostFlows
 from notchhoist.flows.balancer.opening import FlowOpener, make_opener
 from notchhoist.flows.balancer.resetting import FlowResetter
 from notchhoist.flows.balancer.resuming import FlowResumer
@@ -316,7 +317,7 @@
     distances = make_distances(zone)
     host_checker = HostChecker(board)
     health = AgentHealthMonitor(
-        board, resetter, host_checker, distances, link_mbps
+        board, LostFlows(board, resetter), host_checker, distances, link_mbps
     )
     fleet = make_fleet_updater(board)
     draw, numbers = make_draw(seed), make_draw(f"numbers of {seed}")
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -49,9 +49,10 @@
         """Whether an answer of the agent confirms that the flow is there.
 
         An agent returns packets of unknown flows at once, so an agent that was
-        heard after it got a packet of the flow has not returned it. The flow
-        may be elsewhere if the caller has chosen another server, to which
-        another balancer had offered it.
+        heard after it got a packet of the flow has not returned it. Without
+        that, the flow may be elsewhere, though this server accepted it: the
+        caller may have chosen another server, to which another balancer had
+        offered it.
         """
         heard = (
             self.server.heard_at - self.first_forwarded_at > AGENT_ANSWER_MAX_S
@@ -181,6 +182,9 @@
         displaced: Flows whose server was replaced by another one on its host,
             with the service of the replaced server, until they are searched
             for.
+        unlocated: Flows whose server is in doubt, until they are searched for:
+            the service that most likely holds each, and the caller's newest
+            packet.
         openings: New flows that no server has accepted yet.
         busy_shares: How often new flows find no free slot.
         searches: Searches for flows, by flow.
@@ -218,6 +222,7 @@
         default_factory=collections.OrderedDict
     )
     displaced: dict[bytes, str] = field(default_factory=dict)
+    unlocated: dict[bytes, tuple[str, Segment]] = field(default_factory=dict)
     openings: dict[bytes, Opening] = field(default_factory=dict)
     busy_shares: BusyShares = field(default_factory=BusyShares)
     searches: dict[bytes, Search] = field(default_factory=dict)
--- a/notchhoist/flows/model/records.py
+++ b/notchhoist/flows/model/records.py
@@ -81,6 +81,7 @@
     SURVEYS = "surveys"
     RESET_AT_REST = "reset_at_rest"
     SEARCHED_AT_REST = "searched_at_rest"
+    SEARCHED_IN_DOUBT = "searched_in_doubt"
     PROBED_AT_REST = "probed_at_rest"
     LEFT_FOR_GOOD = "left_for_good"
     DECISIONS_DROPPED = "decisions_dropped"
--- a/notchhoist/flows/tests/balancer_harness.py
+++ b/notchhoist/flows/tests/balancer_harness.py
@@ -9,7 +9,7 @@
     SendCaller,
     SendPeer,
 )
-from notchhoist.flows.model.messages import FlowsAsk, FlowsTell
+from notchhoist.flows.model.messages import FlowsAsk, FlowsTell, LoadTell
 from notchhoist.flows.model.notes import Load, NoteKind
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.crafting import CODEC, SYN, entry, request
@@ -83,6 +83,21 @@
     return host
 
 
+def open_used_flow(node, now=0.0, **fields):
+    """Opens a flow whose agent is heard after it got a packet of the flow.
+
+    Args:
+        node: The balancer.
+        now: When the agent is heard, seconds.
+        **fields: Of the caller's packets.
+    """
+    host = open_flow(node, now - 0.2, **fields)
+    node.on_caller(request(data=b"x", **fields), now - 0.19)
+    flows = node.board.by_host[host].flows
+    node.on_peer(host, LoadTell(flows, 0, 0, False), now)
+    return host
+
+
 def tick_with_silent_hosts(node, now):
     """Ticks; each host that the balancer checks stays silent."""
     effects = node.tick(now)
