Fix: opening packets that waited through a stall were offered too late

Cause: FlowDaemon handed on what had waited in its sockets, and FlowOpener repeated offers however old; a caller waits 1.4 s. The runtime of the CoAP path drops such datagrams. An agent that stood still did the same to its server. An agent's message that had waited counted as heard now, and so as an answer to packets sent later.

Change: the event loop tells a stall: it woke up 0.4 s late or was busy for as long. Opening packets that were waiting then are dropped if it lasted as long as a caller waits; a balancer and an agent forget offers and deferred openings of that age. A flow is confirmed only by a message that was read after the backlog. Reading moves from flow_daemon.py to receiving.py. Why it works: what is read until a socket is first found empty waited, and no older packet is left; nothing else is dropped.

Log: `stalled`, which no line told before.

Tests failing before: the code had no such place; on the code before, test_a_flow_is_not_offered_once_its_caller_has_given_up and test_answer_that_waited_during_a_stall_confirms_no_flow fail.

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -13,7 +13,7 @@
 from msgspec.structs import replace
 
 from notchhoist.base import datagrams
-from notchhoist.base.errors import CodecError, SettingsRefusedError
+from notchhoist.base.errors import SettingsRefusedError
 from notchhoist.daemon.decision_groups import group_decisions
 from notchhoist.daemon.flow_journal import FlowJournal, flow_text
 from notchhoist.daemon.flow_metrics import (
@@ -30,6 +30,7 @@
     check_udp_port,
 )
 from notchhoist.daemon.ports import Ports, SocketRole
+from notchhoist.daemon.receiving import DatagramReceiver
 from notchhoist.daemon.signals import watch_signals
 from notchhoist.flows.model.effects import (
     CheckBackend,
@@ -44,7 +45,7 @@
     SendPeer,
 )
 from notchhoist.flows.model.mechanisms import NAMES
-from notchhoist.flows.model.records import Count, Timing
+from notchhoist.flows.model.records import Timing
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.platform.readiness import status_for
 from notchhoist.platform.settings import (
@@ -74,9 +75,6 @@
 """How long an agent of a draining server waits at most for the exit of the
 server after a request to stop, seconds: idle flows there end with the exit."""
 
-PACKETS_PER_TIMING = 64
-"""One packet in this many is timed, which saves the clock calls of the rest."""
-
 SETTINGS_CHECK_INTERVAL_S = 5.0
 """How often the settings file is checked for changes, seconds. The platform may
 change it without a signal, and nothing in it is urgent."""
@@ -98,7 +96,6 @@
         tick_timer: Timer of the next tick.
         confirm: Reads the store at once; None in a process that does not read
             it.
-        packets_read: Number of packets read so far; some are timed.
         settings_changed_at: When the settings file was last modified, in
             nanoseconds.
     """
@@ -111,7 +108,6 @@
     ports: Ports
     tick_timer: Timer = field(default_factory=lambda: Timer(float("inf"), None))
     confirm: Callable[[], None] | None = None
-    packets_read: int = 0
     settings_changed_at: int = 0
 
     @property
@@ -133,10 +129,14 @@
     def start(self) -> None:
         """Starts to serve: sets up sockets, HTTP ports, signals and timers."""
         loop = self.loop
-        sockets = self.ports.sockets
-        loop.on_readable(sockets[SocketRole.PACKETS], self._on_packets)
-        loop.on_readable(sockets[SocketRole.PEERS], self._on_peers)
-        loop.on_readable(sockets[SocketRole.CONTROL], self._on_control)
+        DatagramReceiver(
+            self.settings.balances,
+            self.ports,
+            self.node,
+            self.codec,
+            self.journal,
+            self.perform,
+        ).start(loop)
         open_http_port(loop, self.settings.ready, self._answer_readiness)
         metrics_at = (self.settings.bind_ip, METRICS_PORT)
         open_http_port(loop, metrics_at, self._answer_metrics_port)
@@ -179,67 +179,11 @@
         reply = answer_state(self.node, settings.name, settings.zone, path, now)
         return reply or Reply(404)
 
-    def _on_packets(self) -> None:
-        balances = self.settings.balances
-        for raw, _ in datagrams.receive_batch(
-            self.ports.sockets[SocketRole.PACKETS]
-        ):
-            now = self.loop.clock()
-            try:
-                if balances:
-                    segment = self.codec.decode_request(raw)
-                    effects = self.balancer.on_caller(segment, now)
-                else:
-                    segment = self.codec.decode_answer(raw)
-                    effects = self.agent.on_backend(segment, now)
-            except CodecError as error:
-                self._on_malformed(error)
-                continue
-            self.perform(effects)
-            self.packets_read += 1
-            if self.packets_read % PACKETS_PER_TIMING == 0:
-                self.observe(Timing.FORWARDING, "forwarded", now)
-
     def observe(self, timing: Timing, outcome: str, since: float) -> None:
         """Adds the time since a moment to the histogram of a duration."""
         elapsed_s = self.loop.clock() - since
         self.node.board.records.observe(timing, "", outcome, elapsed_s)
 
-    def _on_peers(self) -> None:
-        balances = self.settings.balances
-        for raw, (host, _) in datagrams.receive_batch(
-            self.ports.sockets[SocketRole.PEERS]
-        ):
-            now = self.loop.clock()
-            try:
-                segment = self.codec.decode_request(raw)
-            except CodecError as error:
-                self._on_malformed(error)
-                continue
-            if balances:
-                self.perform(self.balancer.on_agent(host, segment, now))
-            else:
-                self.perform(self.agent.on_balancer(host, segment, now))
-
-    def _on_control(self) -> None:
-        from notchhoist.flows.codec.message_codec import decode_message
-
-        for raw, (host, _) in datagrams.receive_batch(
-            self.ports.sockets[SocketRole.CONTROL]
-        ):
-            try:
-                message = decode_message(raw)
-            except CodecError as error:
-                self._on_malformed(error)
-                continue
-            now = self.loop.clock()
-            self.perform(self.node.on_peer(host, message, now))
-
-    def _on_malformed(self, error: CodecError) -> None:
-        counters = self.node.board.records.counters
-        counters[Count.MALFORMED] += 1
-        self.journal.log("malformed", reason=str(error))
-
     def perform(self, effects: Iterable[Effect]) -> None:
         """Performs effects and schedules the next tick."""
         for effect in effects:
--- a/notchhoist/daemon/loop.py
+++ b/notchhoist/daemon/loop.py
@@ -10,12 +10,18 @@
 import itertools
 import selectors
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from msgspec import Struct, field
 
 Clock = Callable[[], float]
 Callback = Callable[[], None]
+StallCallback = Callable[[float, Sequence[object]], None]
+"""Gets the length of a stall, seconds, and the sockets that are readable."""
+
+STALL_S = 0.4
+"""Shortest time for which the loop must not have run to count as stalled,
+seconds."""
 
 _READ = selectors.EVENT_READ
 _WRITE = selectors.EVENT_WRITE
@@ -46,6 +52,10 @@
         timers: Heap of the timers, by time and sequence number.
         sequence: Numbers that order timers of the same time.
         running: Whether ``run`` continues; False after ``stop``.
+        on_stall: Called before the sockets are read if the process was paused
+            or got no CPU time, or if its callbacks took long.
+        woken_at: When the last iteration stopped waiting, seconds; None before
+            the first.
     """
 
     clock: Clock
@@ -55,6 +65,8 @@
     timers: list[tuple[float, int, Timer]] = field(default_factory=list)
     sequence: "itertools.count[int]" = field(default_factory=itertools.count)
     running: bool = True
+    on_stall: StallCallback | None = None
+    woken_at: float | None = None
 
     def on_readable(self, sock: socket.socket, callback: Callback) -> None:
         """Calls a function whenever a socket is readable."""
@@ -102,7 +114,11 @@
         Sockets precede timers: after a stall of the process, answers that
         wait in the sockets must be read before timeouts are evaluated.
         """
-        for key, _ in self.selector.select(self._select_timeout()):
+        waits_since = self.clock()
+        timeout_s = self._select_timeout(waits_since)
+        ready = [key for key, _ in self.selector.select(timeout_s)]
+        self._detect_stall(waits_since, timeout_s, ready)
+        for key in ready:
             key.data()
         now = self.clock()
         while self.timers and self.timers[0][0] <= now:
@@ -110,9 +126,32 @@
             if callback is not None:
                 callback()
 
-    def _select_timeout(self) -> float | None:
+    def _detect_stall(
+        self,
+        waits_since: float,
+        timeout_s: float | None,
+        ready: Sequence[selectors.SelectorKey],
+    ) -> None:
+        """Reports a stall since the last iteration stopped waiting.
+
+        Args:
+            waits_since: When this iteration began to wait, seconds.
+            timeout_s: How long it was to wait at most, seconds, or None.
+            ready: Sockets that are readable or writable.
+        """
+        woken_at = self.clock()
+        overslept_s = 0.0
+        if timeout_s is not None:
+            overslept_s = woken_at - waits_since - timeout_s
+        busy_s = 0.0 if self.woken_at is None else waits_since - self.woken_at
+        self.woken_at = woken_at
+        stalled_s = max(overslept_s, busy_s)
+        if stalled_s >= STALL_S and self.on_stall is not None:
+            self.on_stall(stalled_s, [key.fileobj for key in ready])
+
+    def _select_timeout(self, now: float) -> float | None:
         while self.timers and self.timers[0][2].callback is None:
             heapq.heappop(self.timers)
         if not self.timers:
             return None
-        return max(0.0, self.timers[0][0] - self.clock())
+        return max(0.0, self.timers[0][0] - now)
--- a/notchhoist/flows/agent/flow_offers.py
+++ b/notchhoist/flows/agent/flow_offers.py
@@ -16,6 +16,7 @@
 from notchhoist.flows.model.effects import SendBackend
 from notchhoist.flows.model.notes import NoteKind
 from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.request_hints import ATTEMPT_TIMEOUT_S
 from notchhoist.flows.model.segments import Segment, SegmentCodec
 
 ACCEPT_TIMEOUT_S = 0.025
@@ -191,9 +192,12 @@
             self.replies.send_load(host, now)
 
     def decide_deferred(self, now: float) -> None:
-        """Offers or refuses all deferred flows."""
+        """Offers or refuses all deferred flows that callers still wait for."""
         openings, self.deferred = self.deferred, {}
         for item in openings.values():
+            if now - item.since >= ATTEMPT_TIMEOUT_S:
+                self.board.records.counters[Count.OPENINGS_EXPIRED] += 1
+                continue
             self._offer_or_refuse(item.host, item.segment, True, now)
 
     def tick(self, now: float) -> None:
--- a/notchhoist/flows/agent/tests/test_flow_offers.py
+++ b/notchhoist/flows/agent/tests/test_flow_offers.py
@@ -8,6 +8,8 @@
 from notchhoist.flows.model.effects import SendBalancer, SendPeer
 from notchhoist.flows.model.messages import LoadAsk, LoadTell, ServerState
 from notchhoist.flows.model.notes import NoteKind
+from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.request_hints import ATTEMPT_TIMEOUT_S
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.agent_harness import (
     BALANCER,
@@ -131,6 +133,14 @@
     assert len(to_backend(effects)) == 1
 
 
+def test_deferred_flow_is_not_offered_once_its_caller_has_given_up():
+    """The agent stood still while it waited for the report."""
+    node = agent(started=START)
+    offer_flow(node, 1, kind=NoteKind.PLACE_BOUNDED)
+    assert not to_backend(node.tick(START + ATTEMPT_TIMEOUT_S))
+    assert node.board.records.counters[Count.OPENINGS_EXPIRED] == 1
+
+
 def test_deferred_flows_get_the_lowest_limit_without_a_report():
     node = agent()
     for port in range(10):
--- a/notchhoist/flows/balancer/lost_flows.py
+++ b/notchhoist/flows/balancer/lost_flows.py
@@ -63,7 +63,7 @@
             if placement.closing or not placement.accepted:
                 continue
             used_s = now - placement.last_at
-            confirmed = placement.is_confirmed
+            confirmed = placement.is_confirmed(board.resumed_at)
             if board.uses.resting and not confirmed:
                 self._search(flow, placement, used_s)
                 continue
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -231,6 +231,13 @@
         self.health.host_checker.on_checked(host, reach, now)
         return self.take_effects()
 
+    def on_resumed(self, now: float) -> None:
+        """Handles that messages which waited through a stall have been read.
+
+        What agents said during the stall is no answer to any later packet.
+        """
+        self.board.resumed_at = now
+
     def on_published(self, now: float) -> None:
         """Handles changes of what the platform publishes."""
         self.reroute_detector.check(now)
--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -23,7 +23,10 @@
 from notchhoist.flows.model.fleet import RequestKind, Route, Server
 from notchhoist.flows.model.notes import NoteKind
 from notchhoist.flows.model.records import Count
-from notchhoist.flows.model.request_hints import RequestHints
+from notchhoist.flows.model.request_hints import (
+    ATTEMPT_TIMEOUT_S,
+    RequestHints,
+)
 from notchhoist.flows.model.segments import Segment, SegmentCodec
 from notchhoist.flows.published.states import cold_bound_of
 
@@ -68,6 +71,9 @@
             self._send(placement.server, segment, hints, now)
             return
         opening = self.board.openings.get(flow)
+        if opening is not None and _is_expired(opening, now):
+            self._expire(opening)
+            opening = None
         if opening is None:
             opening = self._begin(route, segment, now)
             self.board.openings[flow] = opening
@@ -102,8 +108,14 @@
         slot is free. Then it is offered unconditionally to the best of the
         servers that had none: their load reports are recent, while those of
         other servers are older than a request takes.
+
+        Once its caller has given up, it is offered no more: a server would open
+        it in vain, though its caller may have opened it elsewhere.
         """
         board = self.board
+        if _is_expired(opening, now):
+            self._expire(opening)
+            return
         open_servers = server_selection.outside_evacuated_zones(
             board.by_service.get(opening.service, []), board.view.evacuated
         )
@@ -234,6 +246,14 @@
         self.board.outbox.append(SendAgent(server.entry.host, datagram))
         self.health.on_packet_sent(server, now)
 
+    def _expire(self, opening: Opening) -> None:
+        """Forgets a flow whose caller no longer waits for its opening."""
+        board = self.board
+        self.outcomes.end_offer(opening)
+        board.openings.pop(opening.segment.flow, None)
+        board.flows.pop(opening.segment.flow, None)
+        board.records.counters[Count.OPENINGS_EXPIRED] += 1
+
     def _reject(self, opening: Opening, willing: int, now: float) -> None:
         """Gives up placing a flow; nothing has run, so the caller may retry."""
         board = self.board
@@ -325,6 +345,11 @@
         )
 
 
+def _is_expired(opening: Opening, now: float) -> bool:
+    """Tells whether the caller of a new flow no longer waits for it."""
+    return now - opening.waiting_since >= ATTEMPT_TIMEOUT_S
+
+
 def make_opener(
     board: BalancerBoard,
     codec: SegmentCodec,
--- a/notchhoist/flows/balancer/tests/test_accepting.py
+++ b/notchhoist/flows/balancer/tests/test_accepting.py
@@ -5,6 +5,7 @@
 from notchhoist.flows.model.messages import LoadTell
 from notchhoist.flows.model.notes import Load, NoteKind
 from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.request_hints import ATTEMPT_TIMEOUT_S
 from notchhoist.flows.tests.balancer_harness import (
     balancer,
     packets,
@@ -36,6 +37,17 @@
     assert second != first
 
 
+def test_a_flow_is_not_offered_once_its_caller_has_given_up():
+    """Regression: a balancer that resumed after a stall offered it again."""
+    node = balancer()
+    syn, _ = offer_flow(node)
+    effects = node.tick(ATTEMPT_TIMEOUT_S)
+    assert not packets(effects)
+    assert not resets(effects)
+    assert not node.board.openings
+    assert packets(node.on_caller(syn, ATTEMPT_TIMEOUT_S + 0.1))
+
+
 def test_data_of_the_caller_shows_that_the_only_server_has_accepted():
     """The report of the acceptance was lost; the flow was opened twice."""
     node = balancer()
--- a/notchhoist/flows/balancer/tests/test_lost_flows.py
+++ b/notchhoist/flows/balancer/tests/test_lost_flows.py
@@ -1,7 +1,8 @@
 """Flows of a server that is lost, and of one that only seems to have them."""
 
+from notchhoist.flows.model.notes import NoteKind
 from notchhoist.flows.tests.answering_agents import STEP_S, Agents
-from notchhoist.flows.tests.balancer_harness import open_flow
+from notchhoist.flows.tests.balancer_harness import open_flow, send_agent_note
 from notchhoist.flows.tests.crafting import SYN, request
 
 RETRANSMISSION_PAUSES_S = (0.2, 0.4, 0.9)
@@ -65,3 +66,24 @@
         send(agents, seq=1)
         agents.run(pause_s)
     assert agents.resets == 1
+
+
+def test_answer_that_waited_during_a_stall_confirms_no_flow():
+    """Regression: it was taken for an answer to a packet that came later."""
+    agents = Agents(servers=2)
+    host = open_flow(agents.node, agents.now)
+    [other] = set(agents.node.board.by_host) - {host}
+    agents.holders.add(other)
+    agents.run(1.0)
+    send(agents, seq=1)
+    agents.cut.add(host)
+    agents.now += 3.0
+    opened = request(flags=SYN)
+    send_agent_note(agents.node, host, opened, NoteKind.ACCEPTED, agents.now)
+    agents.node.on_resumed(agents.now)
+    for step in range(2, 60):
+        if step % 10 == 1:
+            send(agents, seq=step)
+        agents.run(STEP_S)
+    assert agents.node.board.by_host[host].lost
+    assert agents.resets == 0
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -44,19 +44,20 @@
     first_forwarded_at: float = float("-inf")
     acceptance_inferred: bool = False
 
-    @property
-    def is_confirmed(self) -> bool:
-        """Whether an answer of the agent confirms that the flow is there.
+    def is_confirmed(self, resumed_at: float) -> bool:
+        """Tells whether an answer of the agent confirms that the flow is there.
 
         An agent returns packets of unknown flows at once, so an agent that was
         heard after it got a packet of the flow has not returned it. Without
         that, the flow may be elsewhere, though this server accepted it: the
         caller may have chosen another server, to which another balancer had
         offered it.
+
+        Args:
+            resumed_at: See ``BalancerBoard``.
         """
-        heard = (
-            self.server.heard_at - self.first_forwarded_at > AGENT_ANSWER_MAX_S
-        )
+        since = max(self.first_forwarded_at, resumed_at)
+        heard = self.server.heard_at - since > AGENT_ANSWER_MAX_S
         return heard and not self.last.opens
 
 
@@ -193,6 +194,8 @@
         stopping: A planned stop has begun.
         refused: Why the last published document was refused, or empty.
         problems: Parts of published documents that were not understood.
+        resumed_at: When this process last resumed after a stall, seconds.
+            Messages that arrived during the stall were read up to then.
         isolated: Neither agents nor other balancers are heard.
         uses: Which mechanisms are in use.
     """
@@ -231,6 +234,7 @@
     stopping: bool = False
     refused: str = ""
     problems: list[str] = field(default_factory=list)
+    resumed_at: float = float("-inf")
     isolated: bool = False
     uses: Mechanisms = ALL
 
--- a/notchhoist/flows/model/records.py
+++ b/notchhoist/flows/model/records.py
@@ -84,6 +84,7 @@
     SEARCHED_IN_DOUBT = "searched_in_doubt"
     PROBED_AT_REST = "probed_at_rest"
     LEFT_FOR_GOOD = "left_for_good"
+    OPENINGS_EXPIRED = "openings_expired"
     DECISIONS_DROPPED = "decisions_dropped"
     TIMINGS_DROPPED = "timings_dropped"
 
