Fix: an agent took flows of another service whose name has its tag

Cause: an agent told only by a hash of 16 bits of the service's name that a packet was for the former service of its address; the names `report` and `program` have the same (30596). The balancer went by the address: answers to its probes showed it the lost server alive.

Change: an opening packet is followed by the name of its service, and the agent compares names. LoadTell reports the agent's service (optional field 7); a server whose agent reports another service gets no new flow. Why it works: only an opening packet can start a flow at a server; a server returns all others.

Versions side by side: an agent of the version before drops the packet with a name, answers the probe that goes with the first offer without naming a service, and the offer is repeated at once without the name. A balancer of the version before sends none; the tag decides as before (open until both are replaced).

--- a/benchmarks/bench_flow_capacity.py
+++ b/benchmarks/bench_flow_capacity.py
@@ -25,6 +25,7 @@
 )
 from notchhoist.flows.model.messages import LoadAsk, LoadTell, ViewAsk
 from notchhoist.flows.model.notes import Load, NoteKind
+from notchhoist.flows.model.service_names import decode_from_balancer
 from notchhoist.platform.packets import PacketCodec, service_key
 from notchhoist.testing.opaque.frames import ACK, SYN, Frame, encode_frame
 
@@ -74,11 +75,12 @@
         if isinstance(effect, SendPeer):
             sent += len(encode_message(effect.message)) + HEADERS_BYTES
             if isinstance(effect.message, LoadAsk):
-                told = LoadTell(30, 1, 60, False)
+                service = node.board.by_host[effect.host].entry.service
+                told = LoadTell(30, 1, 60, False, service=service)
                 sent += len(encode_message(told)) + HEADERS_BYTES
                 node.on_peer(effect.host, told, now)
             continue
-        segment = CODEC.decode_request(effect.datagram)
+        segment, _ = decode_from_balancer(CODEC, effect.datagram)
         if notes.kind_of(segment.note) is NoteKind.PLACE:
             note = notes.to_balancer(NoteKind.ACCEPTED, Load(30, 1, 60))
             header = CODEC.header_with_note(segment, note)
--- a/notchhoist/daemon/flow_state.py
+++ b/notchhoist/daemon/flow_state.py
@@ -197,6 +197,7 @@
         "load_age_s": _age(now, server.heard_at),
         "suspected": server.suspected,
         "lost": server.lost,
+        "other_service": server.other_service,
         "cold": now < server.warm_at,
     }
 
--- a/notchhoist/daemon/receiving.py
+++ b/notchhoist/daemon/receiving.py
@@ -14,6 +14,7 @@
 from notchhoist.flows.model.effects import Effect
 from notchhoist.flows.model.records import Count, Timing
 from notchhoist.flows.model.segments import Segment, SegmentCodec
+from notchhoist.flows.model.service_names import decode_from_balancer
 
 if TYPE_CHECKING:
     from notchhoist.flows.agent.node import AgentNode
@@ -136,14 +137,19 @@
         for raw, (host, _) in batch:
             now = self.ports.loop.clock()
             try:
-                segment = self.codec.decode_request(raw)
+                if self.balances:
+                    segment, service = self.codec.decode_request(raw), ""
+                else:
+                    segment, service = decode_from_balancer(self.codec, raw)
             except CodecError as error:
                 self._on_malformed(error)
                 continue
             if self.balances:
                 self.perform(self.balancer.on_agent(host, segment, now))
             elif not self._is_expired(segment, waited):
-                self.perform(self.agent.on_balancer(host, segment, now))
+                self.perform(
+                    self.agent.on_balancer(host, segment, now, service)
+                )
         if waited:
             self._note_backlog_read()
 
--- a/notchhoist/daemon/tests/test_receiving.py
+++ b/notchhoist/daemon/tests/test_receiving.py
@@ -30,7 +30,7 @@
         self.seen.append(("syn" if segment.opens else "data", now))
         return []
 
-    def on_balancer(self, host, segment, now):
+    def on_balancer(self, host, segment, now, service):
         return self.on_caller(segment, now)
 
     def on_backend(self, segment, now):
--- a/notchhoist/flows/agent/node.py
+++ b/notchhoist/flows/agent/node.py
@@ -91,15 +91,23 @@
         return self.counter.load(now)
 
     def on_balancer(
-        self, host: str, segment: Segment, now: float
+        self, host: str, segment: Segment, now: float, service: str = ""
     ) -> list[Effect]:
-        """Handles a packet from a balancer."""
+        """Handles a packet from a balancer.
+
+        Args:
+            host: Host of the balancer.
+            segment: The packet.
+            now: Runtime clock, seconds.
+            service: The service that an opening packet is for; empty if the
+                balancer gives only its tag.
+        """
         board = self.board
         board.balancers[host] = now
         kind = notes.kind_of(segment.note)
         if kind is NoteKind.QUERY:
             self._answer_lookup(host, segment, now)
-        elif notes.tag_of(segment) != board.tag:
+        elif not self._is_for_this_service(segment, service):
             board.records.counters[Count.WRONG_SERVICE] += 1
             self.replies.return_packet(host, segment, "other service", now)
         elif board.backend_gone:
@@ -113,6 +121,11 @@
             self.forwarder.forward(host, segment, kind, now)
         return self._take_effects()
 
+    def _is_for_this_service(self, segment: Segment, service: str) -> bool:
+        if service:
+            return service == self.board.service
+        return notes.tag_of(segment) == self.board.tag
+
     def _answer_lookup(self, host: str, segment: Segment, now: float) -> None:
         kind = self.lookup.presence_of(segment, notes.tag_of(segment), now)
         self.replies.send_note(host, kind, segment, now)
--- a/notchhoist/flows/agent/replies.py
+++ b/notchhoist/flows/agent/replies.py
@@ -82,5 +82,6 @@
             load.service_time_ms,
             self.board.stopping,
             state.revision if state else 0,
+            self.board.service,
         )
         self.board.outbox.append(SendPeer(host, message))
--- a/notchhoist/flows/agent/tests/test_flow_offers.py
+++ b/notchhoist/flows/agent/tests/test_flow_offers.py
@@ -127,7 +127,7 @@
     node = agent()
     effects = offer_flow(node, 1, kind=NoteKind.PLACE_BOUNDED)
     [load_report] = [item for item in effects if isinstance(item, SendPeer)]
-    assert load_report.message == LoadTell(0, 0, 0, False, 0)
+    assert load_report.message == LoadTell(0, 0, 0, False, 0, crafting.SERVICE)
     assert not to_backend(effects)
     effects = report_state(node, START + 0.004, cold_for_s=1.0, bound_per_s=6.0)
     assert len(to_backend(effects)) == 1
--- a/notchhoist/flows/balancer/health.py
+++ b/notchhoist/flows/balancer/health.py
@@ -122,13 +122,13 @@
         """Probes agents that are out of use and owe no answer.
 
         Any answer puts them back into use, whatever took them out: a loss while
-        their entry was unlisted, or the announcement of a restart. Their
-        silence proves nothing new.
+        their entry was unlisted, the announcement of a restart, or another
+        service at their address. Their silence proves nothing new.
         """
         unavailable = [
             server
             for host, server in self.board.by_host.items()
-            if (server.suspected or server.lost)
+            if (server.suspected or server.lost or server.other_service)
             and host not in self.awaiting_reply
         ]
         unavailable.sort(key=lambda server: server.probe_sent_at)
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -21,6 +21,7 @@
 from notchhoist.flows.balancer.resuming import FlowResumer
 from notchhoist.flows.balancer.sample_packets import SampleSender
 from notchhoist.flows.balancer.scope import SearchScope
+from notchhoist.flows.balancer.service_identity import ServiceIdentifier
 from notchhoist.flows.balancer.targeting import service_for
 from notchhoist.flows.boards.balancer_board import BalancerBoard
 from notchhoist.flows.decisions.early_packets import EarlyPackets
@@ -72,6 +73,7 @@
         synchronizer: Synchronizes the published view with other balancers.
         informer: Sends agents the published state of their servers.
         isolation: Detects that this balancer is isolated.
+        identifier: Learns which service an agent runs.
         early: Buffers packets that arrive before routes and servers are known.
         idle_monitor: Checks idle flows whose server may be down.
         sweep_due: When expired state is next removed, seconds.
@@ -89,6 +91,7 @@
     synchronizer: ViewSynchronizer
     informer: AgentInformer
     isolation: IsolationDetector
+    identifier: ServiceIdentifier
     early: EarlyPackets
     idle_monitor: IdleFlowMonitor
     sweep_due: float = 0.0
@@ -206,6 +209,7 @@
         match message:
             case LoadTell():
                 self.health.on_load_tell(host, message, now)
+                self.identifier.on_load_tell(host, message, now)
                 self.informer.on_load_tell(host, message, now)
                 self._repeat_overdue_question(host, now)
             case FlowsTell():
@@ -347,21 +351,21 @@
         absence,
         SearchScope(board, absence),
     )
+    opener = make_opener(board, codec, health, resetter, draw, early, informer)
     return BalancerNode(
         board=board,
         codec=codec,
         fleet=fleet,
         resetter=resetter,
         health=health,
-        opener=make_opener(
-            board, codec, health, resetter, draw, early, informer
-        ),
+        opener=opener,
         forwarder=FlowForwarder(board, codec, health),
         finder=finder,
         reroute_detector=RerouteDetector(board),
         synchronizer=synchronizer,
         informer=informer,
         isolation=IsolationDetector(board, health, synchronizer),
+        identifier=ServiceIdentifier(board, opener),
         early=early,
         idle_monitor=IdleFlowMonitor(board, codec, health, finder),
     )
--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -28,6 +28,7 @@
     RequestHints,
 )
 from notchhoist.flows.model.segments import Segment, SegmentCodec
+from notchhoist.flows.model.service_names import with_service
 from notchhoist.flows.published.states import cold_bound_of
 
 PLACEMENTS_MAX = 200_000
@@ -243,6 +244,8 @@
             self.board.records.counters[Count.OFFERED_IF_FREE] += 1
         note = notes.to_agent(kind, server.tag, hints)
         datagram = self.codec.with_note(segment, note)
+        if server.reads_names:
+            datagram = with_service(datagram, server.entry.service)
         self.board.outbox.append(SendAgent(server.entry.host, datagram))
         self.health.on_packet_sent(server, now)
 
@@ -320,6 +323,15 @@
             server.at_cold_bound_until = now + notes.pause_of(segment.note)
         self.on_refused(host, segment, now)
 
+    def repeat_offers(self, server: Server, now: float) -> None:
+        """Repeats the offers that a server's agent has not answered."""
+        for opening in list(self.board.openings.values()):
+            placement = self.board.flows.get(opening.segment.flow)
+            if placement is not None and placement.server is server:
+                age_s = now - opening.waiting_since
+                hints = opening.route.request_hints(age_s, opening.may_be_retry)
+                self._send(server, opening.segment, hints, now, opening.if_free)
+
     def tick(self, now: float) -> None:
         """Offers a flow elsewhere if its agent has not answered in time."""
         overdue = [
--- a/notchhoist/flows/codec/flow.thrift
+++ b/notchhoist/flows/codec/flow.thrift
@@ -11,7 +11,8 @@
 struct LoadAsk { 1: i32 slots, 2: optional ServerState state }
 struct LoadTell {
   1: i32 flows, 2: i32 running, 3: i32 pace_ms, 4: bool stopping,
-  5: optional i64 state_revision, 6: optional i64 state_era
+  5: optional i64 state_revision, 6: optional i64 state_era,
+  7: optional string service_name
 }
 
 struct Target { 1: string service_name, 2: i32 weight }
--- a/notchhoist/flows/codec/message_codec.py
+++ b/notchhoist/flows/codec/message_codec.py
@@ -52,6 +52,7 @@
                 message.stopping,
                 count_of(message.state_revision),
                 era_of(message.state_revision),
+                message.service or None,
             )
         case FlowsAsk(number, tag, heads, samples):
             struct.flows_ask = ttypes.FlowsAsk(
@@ -150,6 +151,7 @@
             make_revision(
                 load_report.state_era or 0, load_report.state_revision or 0
             ),
+            load_report.service_name or "",
         )
     if struct.flows_ask is not None:
         flows_query = struct.flows_ask
--- a/notchhoist/flows/codec/tests/test_versions.py
+++ b/notchhoist/flows/codec/tests/test_versions.py
@@ -74,6 +74,7 @@
     [
         LoadAsk(3, ServerState(9, 7, True, 0.5, 1.5, 6.0, 2.0)),
         LoadTell(4, 1, 60, False, 9),
+        LoadTell(4, 1, 60, False, 9, "hallbook"),
         ViewAsk(9, 100, 4),
         ViewTell(CHANGE, 0.25, (Member("10.0.0.1", 5, 20),), asked=4),
     ],
--- a/notchhoist/flows/codec/view_codec.py
+++ b/notchhoist/flows/codec/view_codec.py
@@ -24,7 +24,7 @@
     "FlowsTell": ("age_ms",),
     "LoadAsk": ("state",),
     "Member": ("unserved",),
-    "LoadTell": ("state_revision", "state_era"),
+    "LoadTell": ("state_revision", "state_era", "service_name"),
     "Server": ("born_ms", "era", "created_era", "withdrawn"),
     "ServerState": ("draining", "era"),
     "ViewAsk": ("number", "era", "reads_pieces", "unserved"),
--- a/notchhoist/flows/decisions/server_selection.py
+++ b/notchhoist/flows/decisions/server_selection.py
@@ -111,6 +111,8 @@
 def accepts_new_flows(server: Server, now: float) -> bool:
     """Tells whether a server takes new flows, according to its entry.
 
+    A server whose address has another service by now takes none.
+
     Args:
         server: The server.
         now: Runtime clock, seconds.
@@ -118,7 +120,8 @@
     usable_entry = (
         server.listed or now - server.unlisted_at < UNLISTED_USE_MAX_S
     )
-    return usable_entry and not server.entry.draining
+    closed = server.entry.draining or server.other_service
+    return usable_entry and not closed
 
 
 def usable_servers(servers: Sequence[Server], now: float) -> list[Server]:
--- a/notchhoist/flows/decisions/tests/test_early_packets.py
+++ b/notchhoist/flows/decisions/tests/test_early_packets.py
@@ -13,6 +13,7 @@
 from notchhoist.flows.model.effects import SendAgent
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.request_hints import ATTEMPT_TIMEOUT_S
+from notchhoist.flows.model.service_names import decode_from_balancer
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.crafting import CODEC, SYN, request
 
@@ -87,7 +88,8 @@
     assert not node.on_caller(opening(copies=2), 10.1)
     effects = publish(node, 10.3)
     [sent] = [item for item in effects if isinstance(item, SendAgent)]
-    wish = notes.hints_of(CODEC.decode_request(sent.datagram).note)
+    offered, _ = decode_from_balancer(CODEC, sent.datagram)
+    wish = notes.hints_of(offered.note)
     assert wish.waited_s == pytest.approx(0.7)
     assert wish.may_be_retry
     assert node.board.records.counters[Count.KEPT_EARLY] == 1
--- a/notchhoist/flows/model/fleet.py
+++ b/notchhoist/flows/model/fleet.py
@@ -225,6 +225,10 @@
             last sent to its agent.
         state_sent_at: When that was sent, seconds.
         is_restart: It has the id of a server that it has replaced.
+        reads_names: Its agent reads the name of the service behind an opening
+            packet, as far as is known.
+        other_service: The service that the agent at its address runs, if that
+            is not its own; else empty.
     """
 
     entry: ServerEntry
@@ -248,6 +252,8 @@
     state_sent_revision: int = 0
     state_sent_at: float = float("-inf")
     is_restart: bool = False
+    reads_names: bool = True
+    other_service: str = ""
 
     def record_offer(self) -> None:
         """Counts a new flow that is offered to the server."""
--- a/notchhoist/flows/model/messages.py
+++ b/notchhoist/flows/model/messages.py
@@ -54,6 +54,8 @@
         stopping: The agent is about to stop and will be started again.
         state_revision: Revision of the newest ``ServerState`` that the agent
             has; 0 for none.
+        service: Service of its backend server; empty from an agent that does
+            not read the name of a service behind an opening packet.
     """
 
     flows: int
@@ -61,6 +63,7 @@
     pace_ms: int
     stopping: bool
     state_revision: int = 0
+    service: str = ""
 
 
 class FlowsAsk(Struct, frozen=True):
--- a/notchhoist/flows/model/segments.py
+++ b/notchhoist/flows/model/segments.py
@@ -66,6 +66,12 @@
             CodecError: The bytes are no packet.
         """
 
+    def length_of(self, raw: bytes) -> int:
+        """Returns the length of the packet at the start of some bytes.
+
+        It may exceed the number of bytes if the packet is incomplete.
+        """
+
     def with_note(self, segment: Segment, note: int) -> bytes:
         """Returns the packet with another note; it can go to any server."""
 
--- a/notchhoist/flows/tests/balancer_harness.py
+++ b/notchhoist/flows/tests/balancer_harness.py
@@ -11,6 +11,7 @@
 )
 from notchhoist.flows.model.messages import FlowsAsk, FlowsTell, LoadTell
 from notchhoist.flows.model.notes import Load, NoteKind
+from notchhoist.flows.model.service_names import decode_from_balancer
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.crafting import CODEC, SYN, entry, request
 
@@ -26,7 +27,7 @@
 def packets(effects):
     """Returns the packets for agents as (host, segment)."""
     return [
-        (effect.host, CODEC.decode_request(effect.datagram))
+        (effect.host, decode_from_balancer(CODEC, effect.datagram)[0])
         for effect in effects
         if isinstance(effect, SendAgent)
     ]
--- a/notchhoist/flows/tests/network.py
+++ b/notchhoist/flows/tests/network.py
@@ -15,6 +15,7 @@
 from notchhoist.flows.model import effects as ef
 from notchhoist.flows.model.effects import ConnectResult
 from notchhoist.flows.model.fleet import ServerEntry
+from notchhoist.flows.model.service_names import decode_from_balancer
 from notchhoist.flows.tests.crafting import ACK, CODEC, SYN, answer, bounced
 
 STEP_S = 0.05
@@ -201,8 +202,8 @@
         if agent is None:
             return
         if isinstance(raw, bytes):
-            segment = CODEC.decode_request(raw)
-            effects = agent.on_balancer(ip, segment, self.now)
+            segment, service = decode_from_balancer(CODEC, raw)
+            effects = agent.on_balancer(ip, segment, self.now, service)
         else:
             effects = agent.on_peer(ip, raw, self.now)
         self.perform_agent(host, effects)
--- a/notchhoist/platform/packets.py
+++ b/notchhoist/platform/packets.py
@@ -73,6 +73,10 @@
         """See ``SegmentCodec``."""
         return _decode(raw, from_caller=False)
 
+    def length_of(self, raw: bytes) -> int:
+        """See ``SegmentCodec``."""
+        return HEAD_BYTES + int.from_bytes(raw[_LENGTH_AT:HEAD_BYTES], "big")
+
     def with_note(self, segment: Segment, note: int) -> bytes:
         """See ``SegmentCodec``."""
         raw = segment.raw
--- a/notchhoist/testing/opaque/network.py
+++ b/notchhoist/testing/opaque/network.py
@@ -11,6 +11,7 @@
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.flows.codec.message_codec import decode_message
 from notchhoist.flows.model.effects import Effect
+from notchhoist.flows.model.service_names import decode_from_balancer
 from notchhoist.links.packets import HEADERS_BYTES, Outgoing
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.testing.opaque.callers import CallerModel
@@ -147,11 +148,13 @@
             return
 
         def take() -> None:
-            segment = self.world.codec.decode_request(raw)
+            codec, now = self.world.codec, self.world.now
             if isinstance(host.node, BalancerNode):
-                todo = host.node.on_agent(source.ip, segment, self.world.now)
+                segment = codec.decode_request(raw)
+                todo = host.node.on_agent(source.ip, segment, now)
             elif isinstance(host.node, AgentNode):
-                todo = host.node.on_balancer(source.ip, segment, self.world.now)
+                segment, service = decode_from_balancer(codec, raw)
+                todo = host.node.on_balancer(source.ip, segment, now, service)
             else:
                 return
             self.world.perform(host, todo)
