Split the balancer's modules on openings and callers' packets

Change: offer_choice.py chooses the server of an offer, caller_packets.py routes a caller's packet; the likely hosts of a flow are found in scope.py. No behaviour changes.

Measured: all tests of notchhoist pass, none is changed but for the path of one attribute in test_locality.

--- a/notchhoist/flows/balancer/__init__.py
+++ b/notchhoist/flows/balancer/__init__.py
@@ -5,17 +5,19 @@
 * ``resetting``: resets flows; ``confirming``: asks the platform to confirm the
   list of servers.
 * ``distances``: round-trip times to agents.
-* ``liveness``, ``health``, ``isolation``: failure detection for hosts, agents
-  and this balancer.
+* ``liveness``, ``lost_flows``, ``health``, ``isolation``: failure detection for
+  hosts, agents and this balancer, and the flows of lost servers.
 * ``informing``: sends agents the published state of their servers.
 * ``targeting``: chooses the service of a new flow; ``locality``: weighs the
-  network distance of servers; ``accepting``: outcomes of offers; ``opening``:
-  places new flows.
+  network distance of servers; ``offer_choice``: chooses the server of an offer;
+  ``accepting``: outcomes of offers; ``opening``: places new flows;
+  ``service_identity``: learns which service an agent runs.
 * ``forwarding``: forwards packets of placed flows.
 * ``flow_queries``, ``sample_packets``, ``absence``, ``scope``,
   ``search_records``, ``finding``: search for flows that this balancer does not
   know; ``resuming``: handles flows once they are found.
 * ``idle_flows``: idle flows whose server may be down.
+* ``caller_packets``: routes the packets of callers.
 * ``node``: combines the controllers.
 
 ``decisions.early_packets`` buffers a caller's packet until routes and servers
--- a/notchhoist/flows/balancer/finding.py
+++ b/notchhoist/flows/balancer/finding.py
@@ -20,7 +20,6 @@
 from notchhoist.flows.balancer.sample_packets import SampleSender
 from notchhoist.flows.balancer.scope import SearchScope
 from notchhoist.flows.boards.balancer_board import BalancerBoard, Search
-from notchhoist.flows.decisions import server_selection
 from notchhoist.flows.model.messages import FlowsTell
 from notchhoist.flows.model.notes import Load, NoteKind
 from notchhoist.flows.model.records import Count
@@ -109,16 +108,7 @@
         if segment.resets or len(board.searches) >= SEARCHES_MAX:
             return
         services = self.scope.candidate_services(service, segment)
-        known = board.by_service.get(services[0], [])
-        likely = server_selection.candidates(segment.flow, known, board.zone)
-        if board.view.evacuated:
-            others = server_selection.outside_evacuated_zones(
-                known, board.view.evacuated
-            )
-            likely += server_selection.candidates(
-                segment.flow, others, board.zone
-            )
-        hosts = {item.entry.host for item in likely if not item.lost}
+        hosts = self.scope.likely_hosts(services[0], segment.flow)
         hosts.discard(absent_at)
         reported_absent = self.scope.tags_of([absent_at])
         search = Search(
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -5,6 +5,7 @@
 
 from notchhoist.base.draws import first_number, make_draw
 from notchhoist.flows.balancer.absence import AbsenceChecker
+from notchhoist.flows.balancer.caller_packets import CallerPackets
 from notchhoist.flows.balancer.confirming import ViewConfirmer
 from notchhoist.flows.balancer.distances import make_distances
 from notchhoist.flows.balancer.finding import FlowFinder
@@ -22,12 +23,10 @@
 from notchhoist.flows.balancer.sample_packets import SampleSender
 from notchhoist.flows.balancer.scope import SearchScope
 from notchhoist.flows.balancer.service_identity import ServiceIdentifier
-from notchhoist.flows.balancer.targeting import service_for
 from notchhoist.flows.boards.balancer_board import BalancerBoard
 from notchhoist.flows.decisions.early_packets import EarlyPackets
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import ConnectResult, Effect
-from notchhoist.flows.model.fleet import Route
 from notchhoist.flows.model.mechanisms import ALL, Mechanisms
 from notchhoist.flows.model.messages import (
     FlowsTell,
@@ -67,14 +66,13 @@
         resetter: Resets flows.
         health: Monitors the health of agents.
         opener: Places new flows.
-        forwarder: Forwards packets of placed flows.
         finder: Searches for flows that are not known here.
         reroute_detector: Detects routes that no longer name a service.
         synchronizer: Synchronizes the published view with other balancers.
         informer: Sends agents the published state of their servers.
         isolation: Detects that this balancer is isolated.
         identifier: Learns which service an agent runs.
-        early: Buffers packets that arrive before routes and servers are known.
+        caller_packets: Routes packets of callers.
         idle_monitor: Checks idle flows whose server may be down.
         sweep_due: When expired state is next removed, seconds.
     """
@@ -85,14 +83,13 @@
     resetter: FlowResetter
     health: AgentHealthMonitor
     opener: FlowOpener
-    forwarder: FlowForwarder
     finder: FlowFinder
     reroute_detector: RerouteDetector
     synchronizer: ViewSynchronizer
     informer: AgentInformer
     isolation: IsolationDetector
     identifier: ServiceIdentifier
-    early: EarlyPackets
+    caller_packets: CallerPackets
     idle_monitor: IdleFlowMonitor
     sweep_due: float = 0.0
 
@@ -107,69 +104,9 @@
         """Handles a packet of a caller."""
         board = self.board
         board.records.counters[Count.CALLER_PACKETS] += 1
-        self._handle_caller(segment, now)
+        self.caller_packets.handle(segment, now)
         return self.take_effects()
 
-    def _handle_caller(self, segment: Segment, now: float) -> None:
-        board = self.board
-        if board.table is None or not board.fleet_known:
-            self._keep_early(segment, now)
-            return
-        route = board.table.routes.get(segment.service_key)
-        if route is None:
-            self._reject_unrouted(segment, board.table.version, now)
-        elif segment.opens:
-            self.opener.on_opening(route, segment, now)
-        else:
-            self._forward(route, segment, now)
-
-    def _keep_early(self, segment: Segment, now: float) -> None:
-        counters = self.board.records.counters
-        kept = self.board.uses.early and self.early.keep(segment, now)
-        counters[Count.KEPT_EARLY if kept else Count.NO_CONFIGURATION] += 1
-
-    def _replay_early(self, now: float) -> None:
-        """Processes packets that came before routes and servers were known."""
-        board = self.board
-        if not self.early.by_flow or board.table is None:
-            return
-        if not board.fleet_known:
-            return
-        kept = len(self.early.by_flow)
-        segments = self.early.take(now)
-        board.records.record_decision(
-            "serve early packets",
-            b"",
-            "served",
-            kept=kept,
-            served=len(segments),
-            version=board.table.version,
-        )
-        for segment in segments:
-            self._handle_caller(segment, now)
-
-    def _reject_unrouted(
-        self, segment: Segment, version: int, now: float
-    ) -> None:
-        if segment.resets:
-            return
-        self.board.records.counters[Count.NO_ROUTE] += 1
-        self.board.flows.pop(segment.flow, None)
-        confirmed = self.board.confirmed_clock
-        self.resetter.reset(
-            segment, "no route", version=version, confirmed_clock=confirmed
-        )
-
-    def _forward(self, route: Route, segment: Segment, now: float) -> None:
-        placement = self.board.flows.get(segment.flow)
-        if placement is None:
-            service = service_for(self.board, route, segment.flow, now)
-            self.finder.on_unknown(service, segment, now)
-            return
-        if not placement.accepted:
-            self.opener.outcomes.on_data_before_acceptance(segment, now)
-        self.forwarder.forward(route, placement, segment, now)
-
     def on_agent(self, host: str, segment: Segment, now: float) -> list[Effect]:
         """Handles a packet of an agent."""
         self.board.records.counters[Count.PEER_PACKETS] += 1
@@ -245,11 +182,11 @@
     def on_published(self, now: float) -> None:
         """Handles changes of what the platform publishes."""
         self.reroute_detector.check(now)
-        self._replay_early(now)
+        self.caller_packets.replay_early(now)
 
     def tick(self, now: float) -> list[Effect]:
         """Performs the periodic work that is due."""
-        self.early.note_start(now)
+        self.caller_packets.early.note_start(now)
         self.reroute_detector.check(now)
         self.opener.tick(now)
         self.idle_monitor.tick(now)
@@ -359,13 +296,19 @@
         resetter=resetter,
         health=health,
         opener=opener,
-        forwarder=FlowForwarder(board, codec, health),
         finder=finder,
         reroute_detector=RerouteDetector(board),
         synchronizer=synchronizer,
         informer=informer,
         isolation=IsolationDetector(board, health, synchronizer),
         identifier=ServiceIdentifier(board, opener),
-        early=early,
+        caller_packets=CallerPackets(
+            board,
+            resetter,
+            opener,
+            FlowForwarder(board, codec, health),
+            finder,
+            early,
+        ),
         idle_monitor=IdleFlowMonitor(board, codec, health, finder),
     )
--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -1,7 +1,5 @@
 """Balancer controller that places new flows."""
 
-from collections.abc import Sequence
-
 from msgspec import Struct
 
 from notchhoist.base.draws import Draw
@@ -9,6 +7,7 @@
 from notchhoist.flows.balancer.health import AgentHealthMonitor
 from notchhoist.flows.balancer.informing import AgentInformer
 from notchhoist.flows.balancer.locality import ZoneLocality
+from notchhoist.flows.balancer.offer_choice import OfferChooser
 from notchhoist.flows.balancer.resetting import FlowResetter
 from notchhoist.flows.balancer.targeting import count_new_flow, service_for
 from notchhoist.flows.boards.balancer_board import (
@@ -16,11 +15,10 @@
     Opening,
     Placement,
 )
-from notchhoist.flows.decisions import server_selection
 from notchhoist.flows.decisions.early_packets import EarlyPackets
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import SendAgent
-from notchhoist.flows.model.fleet import RequestKind, Route, Server
+from notchhoist.flows.model.fleet import Route, Server
 from notchhoist.flows.model.notes import NoteKind
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.request_hints import (
@@ -45,10 +43,9 @@
         codec: Codec of the packets.
         health: Monitors the health of agents.
         resetter: Resets flows.
-        draw: Random numbers in [0, 1).
         early: Tells whether an opening packet may belong to a retry.
         informer: Sends agents the state that they need before they get a flow.
-        locality: Weighs the network distance of servers.
+        chooser: Chooses the servers that flows are offered to.
         outcomes: Processes the outcomes of offers.
     """
 
@@ -56,10 +53,9 @@
     codec: SegmentCodec
     health: AgentHealthMonitor
     resetter: FlowResetter
-    draw: Draw
     early: EarlyPackets
     informer: AgentInformer
-    locality: ZoneLocality
+    chooser: OfferChooser
     outcomes: OfferOutcomes
 
     def on_opening(self, route: Route, segment: Segment, now: float) -> None:
@@ -103,61 +99,32 @@
         )
 
     def offer(self, opening: Opening, now: float) -> None:
-        """Offers a flow to the best server that it has not been offered to.
-
-        A flow first gets a few conditional offers, which are accepted only if a
-        slot is free. Then it is offered unconditionally to the best of the
-        servers that had none: their load reports are recent, while those of
-        other servers are older than a request takes.
+        """Offers a flow to the best server; see ``OfferChooser``.
 
         Once its caller has given up, it is offered no more: a server would open
         it in vain, though its caller may have opened it elsewhere.
         """
-        board = self.board
         if _is_expired(opening, now):
             self._expire(opening)
             return
-        open_servers = server_selection.outside_evacuated_zones(
-            board.by_service.get(opening.service, []), board.view.evacuated
-        )
-        servers = server_selection.usable_servers(open_servers, now)
-        shortlist = server_selection.candidates(
-            opening.segment.flow, open_servers, board.zone
-        )
-        shortlist = [item for item in servers if item in shortlist]
-        costs = self.locality.costs(shortlist)
-        untried = self._untried(opening, shortlist)
-        if_free = bool(untried) and self._offers_conditionally(opening)
-        if_free = if_free and not self.locality.prefers_nearby_queue(
-            opening, untried, costs
-        )
-        choices = (
-            self.locality.servers_to_ask(opening, untried, costs, now)
-            if if_free
-            else self._busy_servers(opening, servers) or untried
-        )
-        choices = choices or self._untried(opening, servers)
-        server = server_selection.choose_server(
-            choices,
-            opening.route.kind,
-            board.zone,
-            now,
-            self.draw,
-            board.uses,
-            costs,
-        )
+        choice = self.chooser.choose(opening, now)
+        server = choice.server
         if server is None:
-            self._reject(opening, len(servers), now)
+            self._reject(opening, choice.willing, now)
             return
         self.outcomes.end_offer(opening)
-        opening.if_free = if_free and cold_bound_of(board, server).per_s == 0
-        self._record_offer(opening, server, len(choices), now)
+        bound = cold_bound_of(self.board, server)
+        opening.if_free = choice.if_free and bound.per_s == 0
+        self._record_offer(opening, server, choice.choices, now)
         opening.tried.append(server.entry.server_id)
         opening.sent_at = now
-        opening.wait_s = self.locality.accept_wait_s(server)
+        opening.wait_s = self.chooser.locality.accept_wait_s(server)
         server.record_offer()
         self.informer.before_offer(server, now)
         self._record_placement(opening, server, now)
+        self._send_offer(opening, server, now)
+
+    def _send_offer(self, opening: Opening, server: Server, now: float) -> None:
         age_s = now - opening.waiting_since
         hints = opening.route.request_hints(age_s, opening.may_be_retry)
         self._send(server, opening.segment, hints, now, opening.if_free)
@@ -183,35 +150,6 @@
             found_busy=len(opening.busy),
         )
 
-    def _offers_conditionally(self, opening: Opening) -> bool:
-        """Tells whether the next offer is conditional on a free slot."""
-        board = self.board
-        if not board.uses.if_free or opening.route.kind is RequestKind.UPLOAD:
-            return False
-        attempts = board.busy_shares.attempts(opening.service)
-        return len(opening.busy) < attempts
-
-    def _busy_servers(
-        self, opening: Opening, servers: Sequence[Server]
-    ) -> list[Server]:
-        """Returns the servers without a free slot where a flow may queue.
-
-        The list is empty once the flow has been offered unconditionally.
-        """
-        if not opening.if_free:
-            return []
-        busy = opening.busy
-        return [item for item in servers if item.entry.server_id in busy]
-
-    def _untried(
-        self, opening: Opening, servers: Sequence[Server]
-    ) -> list[Server]:
-        return [
-            server
-            for server in servers
-            if server.entry.server_id not in opening.tried
-        ]
-
     def _record_placement(
         self, opening: Opening, server: Server, now: float
     ) -> None:
@@ -387,9 +325,10 @@
         codec=codec,
         health=health,
         resetter=resetter,
-        draw=draw,
         early=early,
         informer=informer,
-        locality=ZoneLocality(board, health.distances),
+        chooser=OfferChooser(
+            board, draw, ZoneLocality(board, health.distances)
+        ),
         outcomes=OfferOutcomes(board, health.distances),
     )
--- a/notchhoist/flows/balancer/scope.py
+++ b/notchhoist/flows/balancer/scope.py
@@ -13,6 +13,7 @@
 
 from notchhoist.flows.balancer.absence import AbsenceChecker
 from notchhoist.flows.boards.balancer_board import BalancerBoard, Search
+from notchhoist.flows.decisions import server_selection
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.segments import Segment
 from notchhoist.flows.published.reroutings import may_hold_rerouted_flows
@@ -57,6 +58,18 @@
         first = likely if likely in named else named[0]
         return tuple(dict.fromkeys((first, *named)))
 
+    def likely_hosts(self, service: str, flow: bytes) -> set[str]:
+        """Returns the hosts of the servers that a flow was likely placed at."""
+        board = self.board
+        known = board.by_service.get(service, [])
+        likely = server_selection.candidates(flow, known, board.zone)
+        if board.view.evacuated:
+            others = server_selection.outside_evacuated_zones(
+                known, board.view.evacuated
+            )
+            likely += server_selection.candidates(flow, others, board.zone)
+        return {item.entry.host for item in likely if not item.lost}
+
     def tags_of(self, hosts: Iterable[str]) -> dict[str, int]:
         """Returns the service tags for queries to agents, by host.
 
--- a/notchhoist/flows/balancer/tests/test_locality.py
+++ b/notchhoist/flows/balancer/tests/test_locality.py
@@ -125,10 +125,10 @@
     servers = list(node.board.servers.values())
     for server in servers:
         server.running = 1
-    before = node.opener.locality.costs(servers)["b"].flows
+    before = node.opener.chooser.locality.costs(servers)["b"].flows
     for number in range(20):
         node.board.busy_shares.record(crafting.SERVICE, busy=number % 5 == 0)
-    assert node.opener.locality.costs(servers)["b"].flows > before
+    assert node.opener.chooser.locality.costs(servers)["b"].flows > before
 
 
 def test_remote_servers_get_offers_if_no_server_is_local():
