--- a/notchhoist/flows/tests/test_reset_histories.py
+++ b/notchhoist/flows/tests/test_reset_histories.py
@@ -148,6 +148,21 @@
     ],
     # Some flows end with an incarnation of the server, others start after it.
     [("flap", ONE, 0.3, True), ("open", 4, False), ("ask", 0, 1)],
+    # A server is lost while it is unlisted, and gets flows after its return
+    # through the balancer that could reach it.
+    [
+        *(("lapse", ONE, 8.0), ("cut", ONE, BALANCERS[0], False)),
+        *(("ask", number, 2) for number in range(4)),
+        *(("rest", 4.0), ("rest", 4.0)),
+        *(("open", 4, False), ("open", 4, False), ("rest", 4.0)),
+        *(("ask", number, 3) for number in range(10)),
+    ],
+    # Two servers accepted each flow; one of them is lost while callers wait.
+    [
+        *(("rest", 4.0), ("open", 4, True), ("open", 4, True), ("rest", 2.5)),
+        ("power", TWO, 6.0),
+        *(("ask", number, 3) for number in range(10)),
+    ],
 ]
 """Histories in which an open flow is reset if one of the guards is removed."""
 
