Fix: a refused late copy of an opening packet reset an open flow

What callers saw: an open flow could be reset ("no slot in time") by a balancer when a copy of its opening packet arrived seconds late.

Cause: FlowOpener.on_refused took every refusal of an accepted flow for one that had got no slot. A restarted agent does not know the flow and refuses an opening packet where its server drains or its zone is evacuated, and the flow is open there.

Change: a refused opening packet of an accepted flow resets nothing. If only opening packets have come from the caller the flow is offered anew, else it stays. Why it works: an opening packet says nothing of a flow that its caller has used.

--- a/notchhoist/flows/balancer/opening.py
+++ b/notchhoist/flows/balancer/opening.py
@@ -232,9 +232,27 @@
             self.outcomes.record_duration(opening, "refused", now)
             self.offer(opening, now)
         elif placement is not None and is_current:
-            # The flow was accepted but never got a slot; nothing has run.
-            del self.board.flows[segment.flow]
+            self._on_accepted_refused(placement, segment, now)
+
+    def _on_accepted_refused(
+        self, placement: Placement, segment: Segment, now: float
+    ) -> None:
+        """Handles a refusal of a flow that its server has accepted.
+
+        If it is an opening packet that is refused and the caller has sent more
+        since, it was a late copy, and its flow is open.
+        """
+        flows, table = self.board.flows, self.board.table
+        if not segment.opens:
+            # It never got a slot; nothing has run.
+            del flows[segment.flow]
+            host = placement.server.entry.host
             self.resetter.reset(segment, "no slot in time", server_host=host)
+            return
+        route = table.routes.get(segment.service_key) if table else None
+        if placement.last.opens and route is not None:
+            del flows[segment.flow]
+            self.on_opening(route, segment, now)
 
     def on_busy(self, host: str, segment: Segment, now: float) -> None:
         """Handles a conditional offer that came back without a free slot."""
--- a/notchhoist/flows/tests/test_reset_histories.py
+++ b/notchhoist/flows/tests/test_reset_histories.py
@@ -157,6 +157,13 @@
         *(("open", 4, False), ("open", 4, False), ("rest", 4.0)),
         *(("ask", number, 3) for number in range(10)),
     ],
+    # An agent that has restarted beside a draining server refuses a late copy
+    # of the opening packet of an open flow.
+    [
+        *(("open", 4, False), ("restart agent", ONE, 0.8, False)),
+        *(("drain", ONE, True), ("rest", 2.5)),
+        *(("late opening", number) for number in range(8)),
+    ],
     # Two servers accepted each flow; one of them is lost while callers wait.
     [
         *(("rest", 4.0), ("open", 4, True), ("open", 4, True), ("rest", 2.5)),
