Fix: an agent kept the drain of an earlier server on its host

What callers saw: servers that had taken the place of drained ones on hosts whose agents ran on got no flow ("turn away", "backend server leaves"), for good; with most servers replaced, too few were left and requests failed.

Cause: a balancer informs an agent of its server's state only while that is special. The state of a ready server is not, so nobody told the agent that had been told of a drain that another server follows, or that the drain is withdrawn.

Change: an agent that reports the revision of a state gets each newer one. Why it works: the report itself shows that the agent holds something older, whichever balancer had sent it.

Tests failing before: two in test_evacuating.py ("not enough values to unpack", nothing was sent).

--- a/notchhoist/flows/balancer/informing.py
+++ b/notchhoist/flows/balancer/informing.py
@@ -108,11 +108,18 @@
             self.send_state(server, now)
 
     def on_load_tell(self, host: str, message: LoadTell, now: float) -> None:
-        """Handles an agent's report of the state revision that it has."""
+        """Handles an agent's report of the state revision that it has.
+
+        An agent that once needed a state gets each newer one: it may hold the
+        drain of an earlier server on its host, or one that was withdrawn.
+        """
         server = self.board.by_host.get(host)
-        if server is None or not needs_agent_update(self.board, server):
+        if server is None:
             return
         newest = self.board.view.state_revision(server.entry)
+        has_older = 0 < message.state_revision < newest
+        if not has_older and not needs_agent_update(self.board, server):
+            return
         if message.state_revision >= newest:
             self.pending.pop(server.entry.server_id, None)
         elif (
--- a/notchhoist/flows/balancer/tests/test_evacuating.py
+++ b/notchhoist/flows/balancer/tests/test_evacuating.py
@@ -215,3 +215,34 @@
     states = dict(sent_states(node.tick(1.0)))
     assert [state.draining for state in states.values()] == [True]
     assert set(states) == {"10.0.0.1"}
+
+
+def test_the_agent_of_a_server_that_follows_a_drained_one_gets_the_state():
+    """Regression: it refused the flows of the new server for good."""
+    node = balancer()
+    node.fleet.on_entry(entry(1, zone="b", draining=True), 5, 1.0)
+    follower = entry(1, zone="b", server_id="s1-new", created=7)
+    node.fleet.on_entry(follower, 7, 4.0)
+    node.board.view.advance_to(7)
+    report = LoadTell(0, 0, 0, False, 5, crafting.SERVICE)
+    [(host, state)] = sent_states(node.on_peer("10.0.0.1", report, 5.0))
+    assert host == "10.0.0.1"
+    assert not state.draining
+    report = LoadTell(0, 0, 0, False, state.revision, crafting.SERVICE)
+    assert not sent_states(node.on_peer("10.0.0.1", report, 5.5))
+
+
+def test_the_agent_of_a_server_whose_drain_is_withdrawn_gets_the_state():
+    """Another writer had overwritten the entry until the next heartbeat."""
+    node = balancer()
+    node.fleet.on_entry(entry(1, zone="b", draining=True), 5, 1.0)
+    node.fleet.on_entry(entry(1, zone="b"), 6, 2.0)
+    report = LoadTell(0, 0, 0, False, 5, crafting.SERVICE)
+    [(_, state)] = sent_states(node.on_peer("10.0.0.1", report, 3.0))
+    assert not state.draining
+
+
+def test_an_agent_without_a_state_gets_none():
+    node = balancer()
+    report = LoadTell(0, 0, 0, False, 0, crafting.SERVICE)
+    assert not sent_states(node.on_peer("10.0.0.1", report, 3.0))
