Fix: returns that were lost in a cut confirmed a flow at the wrong server

What callers saw: an open flow could be reset ("agent lost") for the loss of a server that had accepted it in vain, if that server's agent had been cut off from the balancer in one direction while it returned packets of the flow.

Cause: Placement.is_confirmed took any later message of the agent for the sign that it had not returned the packet; the return itself may be lost.

Change: a server has the span in which its agent last failed to answer in time; a packet that was forwarded then confirms nothing, a later one does. A flow that a search found needs no confirmation. Why it works: outside such a span an agent answers in time, so a return is heard as other answers are.

Test failing before: test_returns_that_are_lost_in_a_cut_confirm_no_flow.

--- a/notchhoist/flows/balancer/health.py
+++ b/notchhoist/flows/balancer/health.py
@@ -160,6 +160,9 @@
         if server is None:
             return
         self.heard_at = now
+        owed_since = server.unanswered_probe_at
+        if owed_since is not None and now - owed_since >= SUSPECT_AFTER_S:
+            server.silent_from, server.silent_until = server.heard_at, now
         self._stop_awaiting(server)
         if server.suspected and not stopping:
             self.board.records.record_decision(
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -47,18 +47,27 @@
     def is_confirmed(self, resumed_at: float) -> bool:
         """Tells whether an answer of the agent confirms that the flow is there.
 
-        An agent returns packets of unknown flows at once, so an agent that was
-        heard after it got a packet of the flow has not returned it. Without
-        that, the flow may be elsewhere, though this server accepted it: the
+        An agent returns packets of unknown flows at once. So an agent that was
+        heard after it got a packet of the flow has not returned it, unless it
+        was silent when it got the packet, so that what it sent may be lost.
+        Otherwise the flow may be elsewhere, though this server accepted it: the
         caller may have chosen another server, to which another balancer had
         offered it.
 
         Args:
             resumed_at: See ``BalancerBoard``.
         """
-        since = max(self.first_forwarded_at, resumed_at)
-        heard = self.server.heard_at - since > AGENT_ANSWER_MAX_S
-        return heard and not self.last.opens
+        if self.last.opens:
+            return False
+        if self.first_forwarded_at == float("-inf"):
+            return True
+        forwarded_at = self.first_forwarded_at
+        if self.server.was_silent_at(forwarded_at):
+            forwarded_at = self.last_at
+        if self.server.was_silent_at(forwarded_at):
+            return False
+        since = max(forwarded_at, resumed_at)
+        return self.server.heard_at - since > AGENT_ANSWER_MAX_S
 
 
 class Opening(Struct, eq=False):
--- a/notchhoist/flows/model/fleet.py
+++ b/notchhoist/flows/model/fleet.py
@@ -210,6 +210,9 @@
         heard_at: When its agent was last heard.
         unanswered_probe_at: When the first unanswered health probe was sent, or
             None.
+        silent_from: When its agent was last heard before it last failed to
+            answer in time, seconds.
+        silent_until: When it was heard again, seconds.
         probe_sent_at: When the last health probe was sent.
         suspected: Its agent has not answered in time; it gets no new flows.
         lost: Its agent has been silent for so long that it is declared lost,
@@ -242,6 +245,8 @@
     service_time_ms: int = 0
     heard_at: float = float("-inf")
     unanswered_probe_at: float | None = None
+    silent_from: float = float("-inf")
+    silent_until: float = float("-inf")
     probe_sent_at: float = float("-inf")
     suspected: bool = False
     lost: bool = False
@@ -282,6 +287,10 @@
         self.running = running + self.offered
         self.service_time_ms = service_time_ms
 
+    def was_silent_at(self, when: float) -> bool:
+        """Tells whether what its agent sent at a time may have been lost."""
+        return self.silent_from <= when < self.silent_until
+
     @property
     def listed(self) -> bool:
         """Whether its entry is published."""
--- a/notchhoist/flows/tests/test_reset_histories.py
+++ b/notchhoist/flows/tests/test_reset_histories.py
@@ -203,3 +203,19 @@
     """Code that resets no flow at all would pass the test above."""
     worlds = [play(history, 0, 0.0, 0.0) for history in REGRESSIONS]
     assert any(world.resets for world in worlds)
+
+
+def test_returns_that_are_lost_in_a_cut_confirm_no_flow():
+    """Regression: a flow was reset for the loss of a server without it.
+
+    That server returned packets of the flow while its answers were cut off.
+    """
+    history = [
+        ("full", TWO),
+        *(("open", 2, True), ("rest", 0.2), ("ask", 9, 1)),
+        ("cut", ONE, BALANCERS[1], False),
+        *(("rest", 0.2), ("rest", 1.0), ("ask", 5, 3), ("open", 3, False)),
+        *(("rest", 1.0), ("rest", 1.0), ("late opening", 3)),
+        *(("drain", TWO, False), ("power", ONE, 6.0)),
+    ]
+    assert not play(history, 13554, 0.02, 0.0).wrong
