--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -247,6 +247,37 @@
         self.health: asyncio.Server | None = None
         self.transport: asyncio.DatagramTransport | None = None
         self.draining_at = 0.0
+        self.service = "booking"
+        self.cold_until = 0.0
+        self.lives = 0
+
+    def crash(self) -> None:
+        """Ends at once; it announces nothing, its entry lapses later."""
+        self.alive = False
+        self.flows = {}
+        if self.transport is not None:
+            self.transport.close()
+        if self.health is not None:
+            self.health.close()
+        loop = asyncio.get_running_loop()
+        loop.call_later(3.6, self.world.store.remove, f"servers/{self.name}")
+
+    async def reborn(self, cold_s: float) -> None:
+        """Starts as a new incarnation with a new id; slow at first."""
+        self.lives += 1
+        self.name = f"{self.name}-{self.lives}"
+        self.cold_until = time.monotonic() + cold_s
+        await self.start()
+        self.beat(self.name)
+
+    def beat(self, name: str) -> None:
+        """Writes the entry again each 1.2 s while the backend is slow."""
+        if self.name == name and self.alive:
+            slow = time.monotonic() < self.cold_until
+            self.announce()
+            if slow:
+                loop = asyncio.get_running_loop()
+                loop.call_later(1.2, self.beat, name)
 
     async def start(self) -> None:
         """Starts it and writes its entry."""
@@ -269,14 +300,15 @@
 
     def announce(self) -> None:
         """Writes its entry into the store."""
+        left = max(0.0, self.cold_until - time.monotonic())
         entry = {
-            "service": "booking",
+            "service": self.service,
             "address": f"{self.ip}:{APP}",
             "zone": "zone-a",
             "version": "v1",
             "slots": 5,
             "state": "draining" if self.draining else "ready",
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": int(left * 1000),
             "seq": 1,
         }
         self.world.store.put(f"servers/{self.name}", entry)
@@ -528,6 +560,7 @@
         self.world, self.name, self.ip, self.role = world, name, ip, role
         self.process: subprocess.Popen[bytes] | None = None
         self.settings = world.folder / f"{name}.json"
+        self.service = "booking"
         self.zone = "zone-b" if name == "front-1" else "zone-a"
 
     def start(self, bootstrap: bool) -> None:
@@ -578,7 +611,7 @@
         else:
             listen["outbound"] = f"{self.ip}:{OUTBOUND}"
             fields["app"] = f"{self.ip}:{APP}"
-            fields["service"] = "booking"
+            fields["service"] = self.service
         self.settings.write_text(json.dumps(fields))
         with (ROOT / "deploy/system.toml").open("rb") as file:
             run = tomllib.load(file)["roles"][self.role]["run"]
@@ -705,13 +738,13 @@
         if client is not None:
             client.take(packet)
 
-    def configure(self, version: int) -> None:
-        """Writes a configuration."""
+    def configure(self, version: int, service: str = "booking") -> None:
+        """Writes a configuration; its one route goes to a service."""
         route = {
             "name": "booking",
             "host": ROUTE[0],
             "path_prefix": f"/{ROUTE[1]}/",
-            "service": "booking",
+            "service": service,
             "kind": "unsafe",
             "timeout_ms": 8000,
             "target_latency_ms": 300,
@@ -723,7 +756,10 @@
             {
                 "version": version,
                 "routes": [route],
-                "services": [{"name": "booking", "health_path": "/health"}],
+                "services": [
+                    {"name": name, "health_path": "/health"}
+                    for name in ("booking", "booking-next")
+                ],
                 "limits": {"idle_timeout_ms": 15000},
             },
         )
@@ -754,7 +790,7 @@
                 writer.close()
                 if b" 200 " in line:
                     return True
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.03)
         return False
 
     def tick(self) -> None:
@@ -787,6 +823,7 @@
     folder: Path,
     backends: int = 3,
     started: int = 0,
+    others: int = 0,
 ) -> int:
     """Plays a case and writes its record.
 
@@ -795,6 +832,7 @@
         folder: Where the record goes.
         backends: Machines with a backend.
         started: How many backends run from the start; 0 for all.
+        others: How many more backends run another service.
 
     Returns:
         1 if a rule was broken, 0 if not, 2 if the case could not run.
@@ -802,8 +840,11 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main() -> int:
-        world = World(backends=backends)
-        world.started = started or backends
+        world = World(backends=backends + others)
+        world.started = started or backends + others
+        for item in range(backends, backends + others):
+            world.backends[item].service = "booking-next"
+            world.agents[item].service = "booking-next"
         try:
             if not await world.start():
                 world.note("not ready")
