Fix: flows that outlived a loss of power and a kill of every daemon were reset

Cause: agents that have just started were believed that a flow is not theirs where every server of the service was in slow start when first seen and no balancer had placed flows before they started. When all balancers are killed during the slow start, none remembers earlier placements, and that was taken for "there were none".

Ruled out: servers unknown to the balancers (all were listed), silent agents.

Why this works: the conclusion is a presumption and ends while nothing is promised: contact_ms (now read from the settings) less a second after an agent's start. Later its server is asked by sample packets, which it returns if it does not hold the flow.

--- a/notchhoist/daemon/flow_runner.py
+++ b/notchhoist/daemon/flow_runner.py
@@ -73,6 +73,7 @@
         settings.peers,
         math.ceil(settings.link_mbps),
         settings.uses,
+        settings.contact_s,
     )
 
 
--- a/notchhoist/flows/balancer/absence.py
+++ b/notchhoist/flows/balancer/absence.py
@@ -11,7 +11,7 @@
 from notchhoist.flows.decisions.completeness import (
     is_complete,
     is_list_stable,
-    saw_all_flows,
+    presumably_saw_all_flows,
 )
 from notchhoist.flows.model.messages import FlowsTell
 from notchhoist.flows.model.notes import NoteKind
@@ -85,9 +85,9 @@
     ) -> NoteKind:
         """Returns what an agent's answer that it is unsure of flows proves.
 
-        ``ABSENT`` if the whole service restarted and the agent has been running
-        since flows could first be placed, so that it has seen every flow of its
-        server; otherwise ``UNSURE``.
+        ``ABSENT`` if the whole service has just restarted and the agent has
+        been running since flows could first be placed, so that it has
+        presumably seen every flow of its server; otherwise ``UNSURE``.
         """
         board = self.board
         server = board.by_host.get(host)
@@ -95,7 +95,13 @@
             return NoteKind.UNSURE
         servers = board.by_service.get(server.entry.service, [])
         started_at = now - tell.age_ms / 1000
-        if not saw_all_flows(servers, started_at, board.first_placement_at):
+        if not presumably_saw_all_flows(
+            servers,
+            started_at,
+            board.first_placement_at,
+            now,
+            board.contact_s,
+        ):
             return NoteKind.UNSURE
         board.records.counters[Count.RULED_OUT_BY_AGE] += len(tell.unsure)
         return NoteKind.ABSENT
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -24,6 +24,7 @@
 from notchhoist.flows.balancer.scope import SearchScope
 from notchhoist.flows.balancer.service_identity import ServiceIdentifier
 from notchhoist.flows.boards.balancer_board import BalancerBoard
+from notchhoist.flows.decisions.completeness import CONTACT_S
 from notchhoist.flows.decisions.early_packets import EarlyPackets
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import ConnectResult, Effect
@@ -247,6 +248,7 @@
     seeds: tuple[str, ...] = (),
     link_mbps: int = 0,
     uses: Mechanisms = ALL,
+    contact_s: float = CONTACT_S,
 ) -> BalancerNode:
     """Creates a balancer without any knowledge of routes and servers.
 
@@ -258,8 +260,9 @@
         seeds: Hosts of some other balancers.
         link_mbps: Bandwidth of the host's link, Mbit/s; 0 if unknown.
         uses: Mechanisms in use.
+        contact_s: See ``BalancerBoard``.
     """
-    board = BalancerBoard(zone, host, uses=uses)
+    board = BalancerBoard(zone, host, contact_s, uses=uses)
     early = EarlyPackets()
     resetter = FlowResetter(board, codec)
     distances = make_distances(zone)
--- a/notchhoist/flows/balancer/tests/test_anew.py
+++ b/notchhoist/flows/balancer/tests/test_anew.py
@@ -7,9 +7,10 @@
 import pytest
 
 from notchhoist.flows.balancer.node import make_balancer
-from notchhoist.flows.decisions.completeness import RESTART_MIN_S
+from notchhoist.flows.decisions.completeness import CONTACT_S, RESTART_MIN_S
 from notchhoist.flows.model.effects import SendPeer
 from notchhoist.flows.model.messages import FlowsTell, ViewAsk, ViewTell
+from notchhoist.flows.model.notes import NoteKind
 from notchhoist.flows.model.view import ViewChange
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.balancer_harness import (
@@ -17,6 +18,7 @@
     queried_agents,
     resets,
     sample_packets,
+    send_agent_note,
 )
 from notchhoist.flows.tests.crafting import CODEC, entry, request
 
@@ -29,8 +31,8 @@
 LOST = request(data=b"more", seq=500, ack=900)
 
 
-def balancer(servers=2, warm=()):
-    node = make_balancer("a", CODEC, "seed")
+def balancer(servers=2, warm=(), contact_s=CONTACT_S):
+    node = make_balancer("a", CODEC, "seed", contact_s=contact_s)
     node.fleet.tables.on_table(crafting.table(), 1)
     entries = [
         (entry(n, warm_in_s=0.0 if n in warm else 2.0), 1)
@@ -94,6 +96,37 @@
     assert len(sample_packets(search_lost_flow(node, [OLD_AGENT_MS] * 2))) == 2
 
 
+def test_agents_get_samples_once_promises_hold_for_them():
+    """Guards against resets of flows that outlived two failures of all hosts.
+
+    All lose power, flows are placed, and every daemon is killed while the
+    servers are still in slow start: no process is left that saw flows begin.
+    """
+    node = balancer()
+    contact_ms = round(CONTACT_S * 1000)
+    now = KNOWN_AT + CONTACT_S
+    effects = search_lost_flow(node, [contact_ms] * 2, now)
+    assert len(sample_packets(effects)) == 2
+    assert not is_reset_when_confirmed(node, now)
+
+
+def test_flow_at_an_agent_with_a_sample_is_kept():
+    node = balancer()
+    now = KNOWN_AT + CONTACT_S
+    effects = search_lost_flow(node, [round(CONTACT_S * 1000)] * 2, now)
+    host, segment = sample_packets(effects)[0]
+    send_agent_note(node, host, segment, NoteKind.PRESENT, now)
+    assert node.board.flows[LOST.flow].server.entry.host == host
+
+
+def test_contact_time_of_the_settings_counts():
+    node = balancer(contact_s=1.5)
+    late = search_lost_flow(node, [700] * 2, KNOWN_AT + 0.7)
+    assert len(sample_packets(late)) == 2
+    early = search_lost_flow(balancer(contact_s=1.5), [400] * 2, KNOWN_AT + 0.4)
+    assert not sample_packets(early)
+
+
 def test_agents_of_older_versions_report_no_age():
     assert len(sample_packets(search_lost_flow(balancer(), [0, 0]))) == 2
 
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from notchhoist.flows.decisions.attempts import BusyShares
+from notchhoist.flows.decisions.completeness import CONTACT_S
 from notchhoist.flows.decisions.zone_distance import ACCEPT_WAIT_S
 from notchhoist.flows.model.effects import Effect
 from notchhoist.flows.model.fleet import Route, RouteTable, Server
@@ -163,6 +164,8 @@
     Attributes:
         zone: Its availability zone.
         host: IP address of its host.
+        contact_s: How long after the start of a process nothing is promised for
+            flows that pass it, seconds.
         view: What the platform publishes, by revision.
         table: The configuration in force, or None before the first.
         servers: Backend servers by id; exited ones are kept for a while.
@@ -211,6 +214,7 @@
 
     zone: str
     host: str
+    contact_s: float = CONTACT_S
     view: FleetView = field(default_factory=FleetView)
     table: RouteTable | None = None
     servers: dict[str, Server] = field(default_factory=dict)
--- a/notchhoist/flows/decisions/completeness.py
+++ b/notchhoist/flows/decisions/completeness.py
@@ -21,11 +21,23 @@
 """Shortest time from the exit of a process until its successor answers,
 seconds."""
 
+CONTACT_S = 4.0
+"""Default time after the start of a process during which the platform promises
+nothing for flows that pass it, seconds."""
 
-def saw_all_flows(
-    servers: Sequence[Server], started_at: float, placing_since: float
+AGENT_STARTUP_MAX_S = 1.0
+"""Longest time from the start of an agent's process until its age begins to
+count, seconds."""
+
+
+def presumably_saw_all_flows(
+    servers: Sequence[Server],
+    started_at: float,
+    placing_since: float,
+    now: float,
+    contact_s: float = CONTACT_S,
 ) -> bool:
-    """Tells whether an agent has seen every flow of its server begin.
+    """Tells whether an agent is presumed to have seen all flows of its server.
 
     If every server of a service was in slow start when it was first seen, the
     whole service has restarted, and its flows are no older than the first
@@ -33,16 +45,27 @@
     them all. So has one that started at most ``RESTART_MIN_S`` later: no
     previous incarnation of it can have exited in between.
 
-    Without this rule a sample packet of each flow that has ended is sent to
-    every server of its service, while the same hosts place all callers of the
+    This may be wrong: if all daemons were killed once more during the slow
+    start, no balancer remembers that flows were placed before. Nothing that is
+    left tells this from a single power loss but the servers themselves. So the
+    presumption ends while the agent is still too young for the platform to
+    promise anything for its server's flows; samples decide from then on.
+
+    Without it a sample packet of each flow that has ended is sent to every
+    server of its service, while the same hosts place all callers of the
     service.
 
     Args:
         servers: Known servers of the service.
         started_at: When the agent started, seconds.
-        placing_since: Earliest time at which any balancer may have placed a
-            flow, seconds.
+        placing_since: Earliest time at which any known balancer may have placed
+            a flow, seconds.
+        now: Runtime clock, seconds.
+        contact_s: How long after the start of an agent nothing is promised for
+            flows of its server, seconds.
     """
+    if now - started_at > contact_s - AGENT_STARTUP_MAX_S:
+        return False
     if started_at > placing_since + RESTART_MIN_S:
         return False
     return bool(servers) and all(server.first_seen_cold for server in servers)
--- a/notchhoist/flows/tests/history.py
+++ b/notchhoist/flows/tests/history.py
@@ -65,13 +65,18 @@
         node: BalancerNode = make_balancer("a", CODEC, seed, ip, uses=self.uses)
         node.fleet.tables.on_table(crafting.table(), 1)
         entries = [
-            (host.entry, self.revision)
+            (self._entry_now(host.entry), self.revision)
             for host in self.hosts.values()
             if host.entry is not None
         ]
         node.fleet.on_listing(entries, self.revision, self.now)
         return node
 
+    def _entry_now(self, entry):
+        """Returns an entry with what is left of the server's slow start."""
+        left_s = self.hosts[entry.host].cold_until - self.now
+        return replace(entry, warm_in_s=max(0.0, left_s))
+
     # Events.
 
     def start_agent(self, ip, since=None):
@@ -95,8 +100,11 @@
         if self.hosts[ip].agent is None and not self.hosts[ip].powered_off:
             self.start_agent(ip)
 
-    def start_server(self, ip, service=crafting.SERVICE, same_id=False):
+    def start_server(
+        self, ip, service=crafting.SERVICE, same_id=False, cold_s=0.0
+    ):
         host = self.hosts[ip]
+        host.cold_until = self.now + cold_s
         known = host.entry.server_id if host.entry else ""
         number = next(self.numbers)
         server_id = known if same_id and known else f"s{number}"
@@ -108,7 +116,7 @@
         self.publish(
             ip,
             ServerEntry(
-                *(server_id, service, ip, "a", 3, False),
+                *(server_id, service, ip, "a", 3, False, cold_s),
                 created=self.revision + 1,
                 born_ms=number,
             ),
--- a/notchhoist/flows/tests/network.py
+++ b/notchhoist/flows/tests/network.py
@@ -67,6 +67,7 @@
     server: Server | None = None
     entry: ServerEntry | None = None
     powered_off: bool = False
+    cold_until: float = float("-inf")
     cut_from_store: bool = False
     agent_down_since: float = float("inf")
     cut_until: float = float("-inf")
--- a/notchhoist/platform/settings.py
+++ b/notchhoist/platform/settings.py
@@ -54,6 +54,8 @@
         drain_s: A draining server must get no new work after this, seconds.
         apply_s: A configuration must be in force after this, seconds.
         evacuate_s: An evacuated zone must get nothing new after this, seconds.
+        contact_s: How long after the start of a process nothing is promised for
+            flows that pass it, seconds.
         cold_overage: Factor by which new flows of cold servers may exceed
             their cold bound.
         cold_slack: New flows per second that they may get in addition; None if
@@ -83,6 +85,7 @@
     apply_s: float
     grace_s: float
     evacuate_s: float = 3.0
+    contact_s: float = 4.0
     cold_overage: float = 1.0
     cold_slack: float | None = None
     first_start: bool = False
@@ -196,6 +199,7 @@
         apply_s=seconds("config_apply_ms", 0.001, 3000),
         grace_s=seconds("grace_s", 1.0, 6),
         evacuate_s=seconds("evacuate_ms", 0.001, 3000),
+        contact_s=seconds("contact_ms", 0.001, 4000),
         cold_overage=tolerated.value_or(
             lambda: bounds.number("cold_overage", 0, 1e6, default=1.0), 1.0
         ),
--- a/notchhoist/platform/tests/test_settings.py
+++ b/notchhoist/platform/tests/test_settings.py
@@ -51,6 +51,12 @@
     assert (settings.apply_s, settings.link_mbps) == (2.0, 5.3)
 
 
+def test_contact_time_is_read_and_has_a_default():
+    assert decode_host_settings(text(FRONT)).contact_s == 4.0
+    bounds = {"contact_ms": 2500}
+    assert decode_host_settings(text(FRONT, bounds=bounds)).contact_s == 2.5
+
+
 def test_an_agent():
     settings = decode_host_settings(text(SIDE))
     assert not settings.balances
