Fix: flows at a service that their route no longer names were reset after a kill

Cause: searches leave out services that a route does not name unless a route is known to have dropped one within the lifetime of a flow. Only balancers know that. Where all of them have just started none does, and that was taken for "no route has changed".

Ruled out: the agents (they run on, and answer "present" once they are asked).

Why this works: a balancer knows since when it has known of every such change, and counts what was before as unknown. It learns from others for how long they have known (reroutes_known_for_ms, optional on the wire); only reports of balancers that know the receiver's first configuration count. Until the known time covers the lifetime of a flow every agent is asked before a flow is considered dead. On the first start of the system there are no older flows.

With it, the same cause: of two versions in one answer of the store the first was not compared; a change that is pushed on before it is dated claims no history. New gauge reroutes_known_seconds.

Failing before (unknown time not counted): 18 of the 30 combinations of test_fleet_restarts: test_flows_of_a_changed_route_outlive_kills, and 4 of test_splits (test_started_balancer_searches_services_that_routes_no_longer_name, test_balancers_that_all_started_lately_do_not_reassure_each_other, test_report_of_a_balancer_with_an_older_configuration_is_no_history, test_report_of_an_earlier_version_is_no_history). Messages of both versions decoded by the other one's code, by hand and in test_versions.

--- a/notchhoist/daemon/flow_metrics.py
+++ b/notchhoist/daemon/flow_metrics.py
@@ -59,6 +59,8 @@
 
 
 def _balancer_gauges(node: BalancerNode, now: float) -> dict[str, float]:
+    from notchhoist.flows.published.reroutings import history_ms
+
     board = node.board
     return {
         "flows": len(board.flows),
@@ -74,6 +76,7 @@
         "servers_listed": sum(s.listed for s in board.servers.values()),
         "balancers_alive": len(node.synchronizer.membership.alive(now)),
         "routes_split": len(board.placed),
+        "reroutes_known_seconds": history_ms(board, now) / 1000,
         "zones_evacuated": len(board.view.evacuated),
     }
 
--- a/notchhoist/daemon/flow_runner.py
+++ b/notchhoist/daemon/flow_runner.py
@@ -74,6 +74,7 @@
         math.ceil(settings.link_mbps),
         settings.uses,
         settings.contact_s,
+        settings.first_start,
     )
 
 
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -249,6 +249,7 @@
     link_mbps: int = 0,
     uses: Mechanisms = ALL,
     contact_s: float = CONTACT_S,
+    first_start: bool = False,
 ) -> BalancerNode:
     """Creates a balancer without any knowledge of routes and servers.
 
@@ -261,8 +262,12 @@
         link_mbps: Bandwidth of the host's link, Mbit/s; 0 if unknown.
         uses: Mechanisms in use.
         contact_s: See ``BalancerBoard``.
+        first_start: The whole system starts for the first time, so no flow is
+            older than the balancer.
     """
     board = BalancerBoard(zone, host, contact_s, uses=uses)
+    if first_start:
+        board.reroutes_known_since = float("-inf")
     early = EarlyPackets()
     resetter = FlowResetter(board, codec)
     distances = make_distances(zone)
--- a/notchhoist/flows/balancer/tests/test_splits.py
+++ b/notchhoist/flows/balancer/tests/test_splits.py
@@ -1,6 +1,7 @@
 """A balancer searches for flows of routes that split now or did recently."""
 
 import pytest
+from msgspec.structs import replace
 
 from notchhoist.flows.balancer import scope
 from notchhoist.flows.balancer.finding import UNCONFIRMED_RESET_DELAY_S
@@ -16,7 +17,11 @@
 )
 from notchhoist.flows.model.notes import NoteKind, service_tag
 from notchhoist.flows.model.view import ViewChange
-from notchhoist.flows.published.reroutings import REROUTE_KEPT_S
+from notchhoist.flows.published.reroutings import (
+    REROUTE_KEPT_S,
+    history_ms,
+    reroute_age_ms,
+)
 from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.agent_harness import agent
 from notchhoist.flows.tests.balancer_harness import (
@@ -39,9 +44,11 @@
     return crafting.route(targets=targets, port=port)
 
 
-def balancer(*routes, services=(OLD, NEW, THIRD), now=-100.0):
+def balancer(
+    *routes, services=(OLD, NEW, THIRD), now=-100.0, first_start=False
+):
     """A balancer with one server of each service, just read from the store."""
-    node = make_balancer("a", CODEC, "seed")
+    node = make_balancer("a", CODEC, "seed", first_start=first_start)
     node.fleet.tables.on_table(crafting.table(routes=list(routes)), 1)
     entries = [
         (entry(n, service=service), 1) for n, service in enumerate(services, 1)
@@ -182,6 +189,107 @@
     assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST, OLD_HOST]
 
 
+def report_of(node, now, host="10.0.9.9"):
+    """Returns what a balancer reports to another one, sent over the wire."""
+    effects = node.on_peer(host, ViewAsk(0, number=1), now)
+    [update] = [
+        item.message
+        for item in effects
+        if isinstance(item, SendPeer) and isinstance(item.message, ViewTell)
+    ]
+    return decode_message(encode_message(update))
+
+
+def test_started_balancer_searches_services_that_routes_no_longer_name():
+    """Guards against resets after a change of a route and a restart of all.
+
+    Flows stay at the former service, and no balancer is left that knows it.
+    """
+    node = balancer(split_route((NEW, 1)), services=(OLD, NEW), now=0.0)
+    assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST, OLD_HOST]
+    effects = answer_query(node, OLD_HOST, LOST, NoteKind.PRESENT, 2.02)
+    assert [host for host, _ in packets(effects)] == [OLD_HOST]
+
+
+def test_first_start_of_the_system_has_no_former_services():
+    node = balancer(
+        split_route((NEW, 1)), services=(OLD, NEW), now=0.0, first_start=True
+    )
+    assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST]
+
+
+def test_started_balancer_learns_that_no_route_has_changed():
+    older = balancer(split_route((NEW, 1)), services=(OLD, NEW))
+    report = report_of(older, now=1.0)
+    assert report.reroutes_known_for_ms == REROUTE_KEPT_S * 1000
+    node = balancer(split_route((NEW, 1)), services=(OLD, NEW), now=0.5)
+    node.on_peer("10.0.9.1", report, 1.001)
+    assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST]
+
+
+def test_balancers_that_all_started_lately_do_not_reassure_each_other():
+    nodes = [
+        balancer(split_route((NEW, 1)), services=(OLD, NEW), now=now)
+        for now in (0.0, 0.2)
+    ]
+    for tenths in range(10, 20):
+        reports = [report_of(node, tenths / 10) for node in nodes]
+        for node, report in zip(nodes, reversed(reports), strict=True):
+            node.on_peer("10.0.9.1", report, tenths / 10)
+    for node in nodes:
+        assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST, OLD_HOST]
+
+
+def test_report_of_a_balancer_with_an_older_configuration_is_no_history():
+    """The configuration that it lacks may have changed a route."""
+    behind = balancer(split_route((OLD, 1)), services=(OLD, NEW))
+    report = report_of(behind, now=1.0)
+    node = make_balancer("a", CODEC, "seed")
+    table = crafting.table(7, [split_route((NEW, 1))])
+    node.fleet.tables.on_table(table, 7)
+    node.fleet.on_listing(
+        [(entry(1, service=OLD), 1), (entry(2, service=NEW), 1)], 7, 0.5
+    )
+    node.tick(0.5)
+    node.on_peer("10.0.9.1", report, 1.001)
+    assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST, OLD_HOST]
+
+
+def test_report_of_an_earlier_version_is_no_history():
+    older = balancer(split_route((NEW, 1)), services=(OLD, NEW))
+    report = replace(report_of(older, now=1.0), reroutes_known_for_ms=0)
+    node = balancer(split_route((NEW, 1)), services=(OLD, NEW), now=0.5)
+    node.on_peer("10.0.9.1", report, 1.001)
+    assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST, OLD_HOST]
+
+
+def test_reroute_that_is_not_dated_yet_is_not_reported_as_known():
+    """Changes are pushed to others before they are dated."""
+    node = balancer(split_route((OLD, 1)), services=(OLD, NEW))
+    table = crafting.table(2, [split_route((NEW, 1))])
+    node.fleet.tables.on_table(table, 2)
+    assert history_ms(node.board, 1.0) == 0
+    node.on_published(1.0)
+    assert history_ms(node.board, 1.0) == REROUTE_KEPT_S * 1000
+    assert reroute_age_ms(node.board, 1.5) == 500
+
+
+def test_change_and_reversal_in_one_answer_of_the_store_are_remembered():
+    """Others may have placed flows by the configuration in between."""
+    node = balancer(split_route((NEW, 1)), services=(OLD, NEW))
+    for version, service in ((2, OLD), (3, NEW)):
+        table = crafting.table(version, [split_route((service, 1))])
+        node.fleet.tables.on_table(table, version)
+    node.on_published(1.0)
+    assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST, OLD_HOST]
+
+
+def test_unknown_history_ends_with_the_flow_lifetime():
+    node = balancer(split_route((NEW, 1)), services=(OLD, NEW), now=0.0)
+    later = 0.1 + REROUTE_KEPT_S
+    assert search_lost_flow(node, [NEW_HOST], later)[1] == [NEW_HOST]
+
+
 def test_pieces_of_a_known_view_still_report_former_routes():
     """Guards against ignoring them in a balancer that reads the store."""
     node = balancer(split_route((NEW, 1)), services=(OLD, NEW))
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -183,6 +183,13 @@
             several, since its weights last changed here.
         rerouted_at: When a route last named a service that it no longer names,
             seconds.
+        has_new_reroute: A configuration that did so was put in force and has
+            not been dated yet.
+        reroutes_known_since: Since when every such change is known, seconds.
+        first_table_revision: Revision of the first configuration that was known
+            here.
+        last_checked_table: The configuration up to which such changes are
+            dated.
         confirmed_at: Everything that the platform had published up to this
             time is known, seconds.
         confirmed_by: Host of the balancer that reported this; empty for the
@@ -228,6 +235,10 @@
     splits: bool = False
     placed: dict[bytes, collections.Counter[str]] = field(default_factory=dict)
     rerouted_at: float = float("-inf")
+    has_new_reroute: bool = False
+    reroutes_known_since: float = float("inf")
+    first_table_revision: float = float("inf")
+    last_checked_table: RouteTable | None = None
     confirmed_at: float = float("-inf")
     confirmed_by: str = ""
     store_failed_at: float = float("-inf")
--- a/notchhoist/flows/codec/flow.thrift
+++ b/notchhoist/flows/codec/flow.thrift
@@ -44,7 +44,8 @@
   15: optional list<ColdBound> cold_bounds, 16: optional list<Zone> evacuated,
   17: optional list<Zone> returned, 18: optional i32 evacuated_total,
   19: optional i64 asked, 20: optional i64 era, 21: optional i32 placing_for_ms,
-  22: optional i32 rerouted_for_ms, 23: optional i64 routes_digest
+  22: optional i32 rerouted_for_ms, 23: optional i64 routes_digest,
+  24: optional i32 reroutes_known_for_ms
 }
 
 /** data: a piece of a compressed ViewTell; members: only in the first piece. */
@@ -52,7 +53,7 @@
   1: i64 revision, 2: i64 base, 3: i32 age_ms, 4: list<Member> members,
   5: i32 part, 6: i32 parts, 7: binary data, 8: optional i64 asked,
   9: optional i64 era, 10: optional i32 placing_for_ms,
-  11: optional i32 rerouted_for_ms
+  11: optional i32 rerouted_for_ms, 12: optional i32 reroutes_known_for_ms
 }
 
 /** heads: headers of packets of the flows; samples: sample packets. */
--- a/notchhoist/flows/codec/tests/test_versions.py
+++ b/notchhoist/flows/codec/tests/test_versions.py
@@ -6,6 +6,7 @@
 """
 
 import pytest
+from msgspec.structs import replace
 from thrift.protocol import TCompactProtocol
 from thrift.transport import TTransport
 
@@ -20,6 +21,7 @@
     Member,
     ServerState,
     ViewAsk,
+    ViewPiece,
     ViewTell,
 )
 from notchhoist.flows.model.revisions import make_revision
@@ -58,6 +60,31 @@
 }
 
 
+AGES = {"placing_for_ms": 5, "rerouted_for_ms": 6}
+BEFORE_REROUTE_HISTORIES = {
+    "1502cc160e160615f403190c150015021600170000000000000000190c1908190c19081500"
+    "1500190c190c190c150016001600150a150c0000": ViewTell(
+        ViewChange(7, 3), 0.25, (), **AGES
+    ),
+    "1502fc160e160615f403190c1500150418017816021600150a150c0000": ViewPiece(
+        7, 3, 0.25, (), 0, 2, b"x", 1, **AGES
+    ),
+}
+"""Written by the version before balancers reported for how long they have known
+of changed routes."""
+
+
+@pytest.mark.parametrize("text", BEFORE_REROUTE_HISTORIES)
+def test_version_without_reroute_histories_is_understood_both_ways(text):
+    message = BEFORE_REROUTE_HISTORIES[text]
+    assert decode_message(bytes.fromhex(text)) == message
+    newer = encode_message(replace(message, reroutes_known_for_ms=65_000))
+    assert decode_message(newer).reroutes_known_for_ms == 65_000
+    # The fields of the earlier version are where it expects them.
+    assert newer.startswith(bytes.fromhex(text[:-4]))
+    assert encode_message(message).hex() == text
+
+
 @pytest.mark.parametrize("text", FORMER)
 def test_a_message_of_the_former_version_is_understood(text):
     assert decode_message(bytes.fromhex(text)) == FORMER[text]
--- a/notchhoist/flows/codec/view_codec.py
+++ b/notchhoist/flows/codec/view_codec.py
@@ -28,13 +28,20 @@
     "Server": ("born_ms", "era", "created_era", "withdrawn"),
     "ServerState": ("draining", "era"),
     "ViewAsk": ("number", "era", "reads_pieces", "unserved"),
-    "ViewPiece": ("asked", "era", "placing_for_ms", "rerouted_for_ms"),
+    "ViewPiece": (
+        "asked",
+        "era",
+        "placing_for_ms",
+        "rerouted_for_ms",
+        "reroutes_known_for_ms",
+    ),
     "Zone": ("era",),
     "ViewTell": (
         "asked",
         "era",
         "placing_for_ms",
         "rerouted_for_ms",
+        "reroutes_known_for_ms",
         "cold_bounds",
         "evacuated",
         "returned",
@@ -111,6 +118,7 @@
         asked=update.asked,
         placing_for_ms=update.placing_for_ms or None,
         rerouted_for_ms=update.rerouted_for_ms or None,
+        reroutes_known_for_ms=update.reroutes_known_for_ms or None,
         routes_digest=change.routes_digest,
     )
 
@@ -203,6 +211,7 @@
         struct.asked or 0,
         struct.placing_for_ms or 0,
         struct.rerouted_for_ms or 0,
+        struct.reroutes_known_for_ms or 0,
     )
 
 
--- a/notchhoist/flows/codec/view_pieces.py
+++ b/notchhoist/flows/codec/view_pieces.py
@@ -67,6 +67,7 @@
         asked=piece.asked,
         placing_for_ms=piece.placing_for_ms or None,
         rerouted_for_ms=piece.rerouted_for_ms or None,
+        reroutes_known_for_ms=piece.reroutes_known_for_ms or None,
     )
 
 
@@ -90,4 +91,5 @@
         asked=struct.asked or 0,
         placing_for_ms=struct.placing_for_ms or 0,
         rerouted_for_ms=struct.rerouted_for_ms or 0,
+        reroutes_known_for_ms=struct.reroutes_known_for_ms or 0,
     )
--- a/notchhoist/flows/model/messages.py
+++ b/notchhoist/flows/model/messages.py
@@ -158,6 +158,8 @@
         rerouted_for_ms: Time since a route last named a service that it no
             longer names, or since any route last named several services, ms; 0
             if not recently.
+        reroutes_known_for_ms: For how long the sender, or a balancer that told
+            it, has known of all such changes, ms; 0 if not reported.
     """
 
     change: ViewChange
@@ -168,6 +170,7 @@
     asked: int = 0
     placing_for_ms: int = 0
     rerouted_for_ms: int = 0
+    reroutes_known_for_ms: int = 0
 
 
 class ViewPiece(Struct, frozen=True):
@@ -184,6 +187,7 @@
         asked: See ``ViewTell``.
         placing_for_ms: See ``ViewTell``.
         rerouted_for_ms: See ``ViewTell``.
+        reroutes_known_for_ms: See ``ViewTell``.
     """
 
     revision: int
@@ -196,6 +200,7 @@
     asked: int = 0
     placing_for_ms: int = 0
     rerouted_for_ms: int = 0
+    reroutes_known_for_ms: int = 0
 
 
 PeerMessage = (
--- a/notchhoist/flows/published/reroutings.py
+++ b/notchhoist/flows/published/reroutings.py
@@ -1,8 +1,10 @@
 """Tracks whether flows may be at services that their routes no longer name.
 
 A flow stays where it was opened when its route changes. A balancer that has
-just started knows the current routes only, so balancers tell each other how
-long ago a route last dropped a service.
+just started knows the current routes only. So balancers tell each other how
+long ago a route last dropped a service, and for how long they have known of
+every such change. A balancer that no other one could tell of the time before
+its start assumes a change then.
 """
 
 from collections import Counter
@@ -11,6 +13,7 @@
 
 from notchhoist.flows.boards.balancer_board import BalancerBoard
 from notchhoist.flows.model.fleet import RouteTable
+from notchhoist.flows.model.messages import ViewPiece, ViewTell
 
 MAX_FLOW_AGE_S = 60.0
 """The platform guarantees nothing for flows that are older, seconds."""
@@ -33,49 +36,78 @@
     return max(1, round(age_s * 1000)) if age_s < REROUTE_KEPT_S else 0
 
 
-def on_reroute_age(
-    board: BalancerBoard, age_ms: int, query_sent_at: float
+def history_ms(board: BalancerBoard, now: float) -> int:
+    """Returns for how long every change of a route is known, to report.
+
+    Returns:
+        Milliseconds, at most ``REROUTE_KEPT_S``; 0 without a configuration.
+    """
+    if board.table is not board.last_checked_table:
+        return 0  # The newest change has not been looked at.
+    known_s = max(now - board.reroutes_known_since, 0.0)
+    return round(min(known_s, REROUTE_KEPT_S) * 1000)
+
+
+def on_report(
+    board: BalancerBoard,
+    update: ViewTell | ViewPiece,
+    revision: int,
+    query_sent_at: float,
 ) -> None:
-    """Applies the age of a route change that another balancer reports.
+    """Applies what another balancer reports of changed routes.
+
+    Its history is of use only if it reaches up to the first configuration that
+    is known here, and so only if the other balancer knows that one too.
 
     Args:
         board: The balancer's blackboard.
-        age_ms: How long ago a route last changed, ms; 0 if not lately.
+        update: The report.
+        revision: Revision up to which the other balancer knows everything.
         query_sent_at: When the query that this answers was sent, seconds. If
-            the age counted from the arrival of the response, two balancers that
-            report to each other over a saturated link would never forget the
+            ages counted from the arrival of the response, two balancers that
+            report to each other over a saturated link would never forget a
             change.
     """
-    if age_ms:
+    if update.rerouted_for_ms:
         board.rerouted_at = max(
-            board.rerouted_at, query_sent_at - age_ms / 1000
+            board.rerouted_at, query_sent_at - update.rerouted_for_ms / 1000
+        )
+    known_for_ms = update.reroutes_known_for_ms
+    if known_for_ms and board.first_table_revision <= revision:
+        board.reroutes_known_since = min(
+            board.reroutes_known_since,
+            query_sent_at - known_for_ms / 1000,
         )
 
 
 def may_hold_rerouted_flows(board: BalancerBoard, now: float) -> bool:
     """Returns whether a service may hold flows of routes not naming it."""
-    return board.splits or now - board.rerouted_at < REROUTE_KEPT_S
+    last_at = max(board.rerouted_at, board.reroutes_known_since)
+    return board.splits or now - last_at < REROUTE_KEPT_S
 
 
 class RerouteDetector(Struct, eq=False):
-    """Detects routes that no longer name a service.
+    """Dates the changes of routes that no longer name a service.
 
     Attributes:
         board: The balancer's blackboard.
-        last_table: The configuration at the last check.
     """
 
     board: BalancerBoard
-    last_table: RouteTable | None = None
 
     def check(self, now: float) -> None:
-        """Compares the configuration in force with the last one."""
+        """Looks at the configuration in force if it has changed."""
         board = self.board
         table = board.table
-        if table is None or table is self.last_table:
+        before = board.last_checked_table
+        if table is None or table is before:
             return
-        before, self.last_table = self.last_table, table
-        if before is not None and _drops_service(before, table):
+        board.last_checked_table = table
+        if before is None:
+            board.first_table_revision = board.view.changed_at[None]
+            board.reroutes_known_since = min(board.reroutes_known_since, now)
+        if board.has_new_reroute:
+            board.has_new_reroute = False
             board.rerouted_at = now
         former = before.routes if before is not None else {}
         split = [route for route in table.routes.values() if route.is_split]
@@ -88,7 +120,7 @@
         }
 
 
-def _drops_service(before: RouteTable, after: RouteTable) -> bool:
+def drops_service(before: RouteTable, after: RouteTable) -> bool:
     """Returns whether a route of both no longer names one of its services."""
     for key, former in before.routes.items():
         route = after.routes.get(key)
--- a/notchhoist/flows/published/tables.py
+++ b/notchhoist/flows/published/tables.py
@@ -8,6 +8,7 @@
 from notchhoist.flows.model.digests import routes_digest
 from notchhoist.flows.model.fleet import Route, RouteTable
 from notchhoist.flows.model.view import ViewChange
+from notchhoist.flows.published.reroutings import drops_service
 
 
 def apply_change(
@@ -71,6 +72,8 @@
         if not board.view.put_table(table, revision, replace_same_version):
             return
         board.table = table = board.view.table or table
+        if former is not None and drops_service(former, table):
+            board.has_new_reroute = True
         before = former.routes if former else {}
         board.records.record_decision(
             "configuration",
--- a/notchhoist/flows/published/update_messages.py
+++ b/notchhoist/flows/published/update_messages.py
@@ -33,6 +33,7 @@
         asked: Number of the query that is answered.
         placing_for_ms: For how long flows may have been placed, ms.
         rerouted_for_ms: How long ago a route last changed its services, ms.
+        reroutes_known_for_ms: For how long all such changes are known, ms.
     """
 
     age_s: float
@@ -40,6 +41,7 @@
     asked: int
     placing_for_ms: int
     rerouted_for_ms: int
+    reroutes_known_for_ms: int
 
 
 class UpdateBuilder(Struct, eq=False):
@@ -82,6 +84,7 @@
             context.asked,
             context.placing_for_ms,
             context.rerouted_for_ms,
+            context.reroutes_known_for_ms,
         )
         for part, data in enumerate(packed)
     ]
@@ -101,6 +104,7 @@
             context.asked,
             context.placing_for_ms,
             context.rerouted_for_ms,
+            context.reroutes_known_for_ms,
         )
         for part, item in enumerate(parts)
     ]
--- a/notchhoist/flows/published/view_sync.py
+++ b/notchhoist/flows/published/view_sync.py
@@ -165,6 +165,7 @@
             asked=query.number,
             placing_for_ms=self._placing_for_ms(now),
             rerouted_for_ms=reroutings.reroute_age_ms(self.board, now),
+            reroutes_known_for_ms=reroutings.history_ms(self.board, now),
         )
         change = self.board.view.changes_since(query.revision)
         in_pieces = self.board.uses.pieces and query.reads_pieces
@@ -189,7 +190,7 @@
 
     def on_piece(self, host: str, piece: ViewPiece, now: float) -> None:
         """Handles a piece of a compressed update."""
-        self._apply_context(host, piece, now)
+        self._apply_context(host, piece, piece.revision, now)
         if self._is_redundant(piece):
             if not self._is_of_earlier_era(piece):
                 self._confirm_as_of_query(host, piece)
@@ -217,7 +218,7 @@
 
     def on_update(self, host: str, update: ViewTell, now: float) -> None:
         """Handles an update of another balancer."""
-        self._apply_context(host, update, now)
+        self._apply_context(host, update, update.change.revision, now)
         change = self.parts.add(host, update, now)
         if change is None or self._is_of_earlier_era(change):
             return
@@ -233,7 +234,11 @@
         self._push_updates(now)
 
     def _apply_context(
-        self, host: str, update: ViewTell | ViewPiece, now: float
+        self,
+        host: str,
+        update: ViewTell | ViewPiece,
+        revision: int,
+        now: float,
     ) -> None:
         """Applies what is sent along with a change, even if that is ignored."""
         self.heard_at = now
@@ -246,7 +251,7 @@
                 self.board.first_placement_at, since
             )
         sent_at = self.query_sent_at.get(update.asked, now)
-        reroutings.on_reroute_age(self.board, update.rerouted_for_ms, sent_at)
+        reroutings.on_report(self.board, update, revision, sent_at)
 
     def _is_of_earlier_era(self, change: ViewChange | ViewPiece) -> bool:
         """Returns whether a sender does not know of a restore of the store yet.
--- a/notchhoist/flows/tests/history.py
+++ b/notchhoist/flows/tests/history.py
@@ -51,6 +51,7 @@
         self.uses = uses
         self.numbers = itertools.count(1)
         self.callers = {}
+        self.table = crafting.table()
         self.wrong = []
         self.resets = 0
         self.balancers = {ip: self._balancer(ip) for ip in BALANCERS}
@@ -63,7 +64,7 @@
     def _balancer(self, ip):
         seed = f"{ip} {self.now}"
         node: BalancerNode = make_balancer("a", CODEC, seed, ip, uses=self.uses)
-        node.fleet.tables.on_table(crafting.table(), 1)
+        node.fleet.tables.on_table(self.table, 1)
         entries = [
             (self._entry_now(host.entry), self.revision)
             for host in self.hosts.values()
@@ -122,6 +123,19 @@
             ),
         )
 
+    def configure(self, *targets):
+        """Publishes a configuration whose route names the given services."""
+        version = self.table.version + 1
+        route = crafting.route(targets=targets)
+        self.table = table = crafting.table(version, [route])
+        self.revision += 1
+
+        def apply(node, at=self.revision):
+            node.fleet.tables.on_table(table, at)
+            node.on_published(self.now)
+
+        self._publish_event(apply)
+
     def crash(self, ip):
         server = self.hosts[ip].server
         if server is not None:
@@ -138,13 +152,13 @@
         if self.hosts[ip].server is None and not self.hosts[ip].powered_off:
             self.start_server(ip, same_id=same_id)
 
-    def reassign_host(self, ip, away_s=0.5):
+    def reassign_host(self, ip, away_s=0.5, service=OTHER_SERVICE):
         """Reassigns a host to another service, with a new agent."""
         if self.hosts[ip].powered_off:
             return
         self.crash(ip)
         self.hosts[ip].agent = None
-        self.start_server(ip, OTHER_SERVICE)
+        self.start_server(ip, service)
         self.later(away_s, partial(self._restart_agent, ip))
 
     def drain(self, ip, slow=False):
--- a/notchhoist/flows/tests/test_fleet_restarts.py
+++ b/notchhoist/flows/tests/test_fleet_restarts.py
@@ -8,6 +8,7 @@
 import pytest
 
 from notchhoist.flows.decisions.completeness import CONTACT_S
+from notchhoist.flows.tests import crafting
 from notchhoist.flows.tests.history import Simulation
 from notchhoist.flows.tests.network import BALANCERS, HOSTS
 
@@ -91,3 +92,45 @@
         world.ask(port)
     world.run(1.0)
     assert all(caller.dead for caller in world.callers.values())
+
+
+def kill_in_turn(world):
+    for ip in BALANCERS * 2:
+        world.restart_balancer(ip)
+        world.run(0.5)
+
+
+OLD, NEW = (crafting.SERVICE, 1), ("tidepool", 1)
+CHANGES = {
+    "another service": [(NEW,)],
+    "another service and back": [(NEW,), (OLD,)],
+    "a split": [(OLD, NEW)],
+    "a split that lost a service": [(OLD, NEW), (NEW,)],
+    "a split with another weight": [(OLD, NEW), ((OLD[0], 0), NEW)],
+}
+KILLS = {
+    "balancers": [kill_balancers],
+    "balancers twice": [kill_balancers, kill_balancers],
+    "balancers in turn": [kill_in_turn],
+    "all": [kill_all],
+    "agents, then balancers": [kill_agents, kill_balancers],
+    "balancers, then agents": [kill_balancers, kill_agents],
+}
+
+
+@pytest.mark.parametrize("kill", KILLS)
+@pytest.mark.parametrize("change", CHANGES)
+def test_flows_of_a_changed_route_outlive_kills(change, kill):
+    """Guards against routes whose former services no process remembers."""
+    world = Simulation(seed=1)
+    world.reassign_host(HOSTS[-1], service=NEW[0])
+    world.run(1.0)
+    open_flows(world)
+    for targets in CHANGES[change]:
+        world.configure(*targets)
+        world.run(0.5)
+        open_flows(world, 2)
+    for kill_some in KILLS[kill]:
+        kill_some(world)
+        world.run(0.6)
+    assert not lost_flows(world)
