Wide searches leave out services that are newer than the routes

Hosts of other services that had left were waited for, and their lists were not complete.

Change, for the case alone that it is unknown whether a route named others: * Services whose servers were all in slow start when first seen, with entries created after the configuration in force was written, are left out: their flows were placed by that configuration. * None is asked while this process has just started, nothing is promised and every server of the named services has started too. Its age counts from the first line of the program, which is passed on. * None is asked after a silent sample: such a search ends without a reset anyway.

--- a/benchmarks/bench_start.py
+++ b/benchmarks/bench_start.py
@@ -27,7 +27,7 @@
 BIND = """
 loop = Loop(lambda: 0.0)
 journal = FlowJournal("h", loop.clock, loop.clock, lambda line: None)
-daemon = make_daemon(load_host_settings(sys.argv[1]), loop, journal)
+daemon = make_daemon(load_host_settings(sys.argv[1]), loop, journal, 0.0)
 daemon.start()
 """
 LOAD_COAP = "import notchhoist.daemon.main"
--- a/notchhoist/daemon/__main__.py
+++ b/notchhoist/daemon/__main__.py
@@ -17,6 +17,7 @@
 import sys  # noqa: E402
 import time  # noqa: E402
 
+STARTED_AT = time.monotonic()
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_BIND = 3
 
@@ -51,7 +52,7 @@
     from notchhoist.daemon.flow_runner import run_host
 
     try:
-        run_host(settings, time.monotonic, time.time)
+        run_host(settings, time.monotonic, time.time, STARTED_AT)
     except OSError as error:
         print(f"{settings.name}: {error}", file=sys.stderr)
         return EXIT_CANNOT_BIND
--- a/notchhoist/daemon/flow_runner.py
+++ b/notchhoist/daemon/flow_runner.py
@@ -27,10 +27,19 @@
 
 
 def make_daemon(
-    settings: HostSettings, loop: Loop, journal: FlowJournal
+    settings: HostSettings,
+    loop: Loop,
+    journal: FlowJournal,
+    started_at: float,
 ) -> FlowDaemon:
     """Creates the daemon of a process and opens its sockets.
 
+    Args:
+        settings: Settings from the platform.
+        loop: The event loop.
+        journal: Writes the log.
+        started_at: When the process started by the loop's clock, seconds.
+
     Raises:
         OSError: An address cannot be bound.
     """
@@ -38,7 +47,7 @@
     node: BalancerNode | AgentNode
     if settings.balances:
         packets = settings.packets
-        node = _make_balancer(settings, codec)
+        node = _make_balancer(settings, codec, started_at)
     else:
         packets = settings.outbound or settings.packets
         node = _make_agent(settings, codec, loop.clock())
@@ -62,7 +71,9 @@
     )
 
 
-def _make_balancer(settings: HostSettings, codec: PacketCodec) -> BalancerNode:
+def _make_balancer(
+    settings: HostSettings, codec: PacketCodec, started_at: float
+) -> BalancerNode:
     from notchhoist.flows.balancer.node import make_balancer
 
     return make_balancer(
@@ -75,6 +86,7 @@
         settings.uses,
         settings.contact_s,
         settings.first_start,
+        started_at,
     )
 
 
@@ -99,13 +111,16 @@
     )
 
 
-def run_host(settings: HostSettings, clock: Clock, wall: Clock) -> None:
+def run_host(
+    settings: HostSettings, clock: Clock, wall: Clock, started_at: float
+) -> None:
     """Runs a process until it gets a request to stop.
 
     Args:
         settings: Settings from the platform.
         clock: The runtime's clock.
         wall: Time of day.
+        started_at: When the process started by that clock, seconds.
 
     Raises:
         OSError: An address cannot be bound.
@@ -114,7 +129,7 @@
 
     loop = Loop(clock)
     journal = FlowJournal(settings.name, clock, wall, write_to_stdout)
-    daemon = make_daemon(settings, loop, journal)
+    daemon = make_daemon(settings, loop, journal, started_at)
     daemon.start()
     gc.enable()
     if settings.balances:
--- a/notchhoist/flows/balancer/absence.py
+++ b/notchhoist/flows/balancer/absence.py
@@ -9,8 +9,11 @@
 
 from notchhoist.flows.boards.balancer_board import BalancerBoard
 from notchhoist.flows.decisions.completeness import (
+    began_after,
+    have_restarted,
     is_complete,
     is_list_stable,
+    is_unpromised,
     presumably_saw_all_flows,
 )
 from notchhoist.flows.model.messages import FlowsTell
@@ -80,6 +83,35 @@
             return False
         return self.stable_list_since == board.list_complete_since
 
+    def presumes_power_loss(self, services: Iterable[str], now: float) -> bool:
+        """Tells whether all hosts have presumably just lost power.
+
+        This process has just started, and all servers of some services too. It
+        may be wrong, but nothing is promised for flows that pass this process
+        yet.
+        """
+        board = self.board
+        if not is_unpromised(board.started_at, now, board.contact_s):
+            return False
+        return all(
+            have_restarted(board.by_service.get(service, ()))
+            for service in services
+        )
+
+    def services_older_than_routes(self) -> list[str]:
+        """Returns the services with servers that earlier routes may have named.
+
+        A flow was placed after its server's entry had been created, and so by
+        the configuration in force if that is older than the entry.
+        """
+        board = self.board
+        written_at = board.view.changed_at.get(None, 0)
+        return [
+            service
+            for service, servers in board.by_service.items()
+            if not began_after(servers, written_at)
+        ]
+
     def interpret_unsure(
         self, host: str, tell: FlowsTell, now: float
     ) -> NoteKind:
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -250,6 +250,7 @@
     uses: Mechanisms = ALL,
     contact_s: float = CONTACT_S,
     first_start: bool = False,
+    started_at: float = float("-inf"),
 ) -> BalancerNode:
     """Creates a balancer without any knowledge of routes and servers.
 
@@ -264,8 +265,9 @@
         contact_s: See ``BalancerBoard``.
         first_start: The whole system starts for the first time, so no flow is
             older than the balancer.
+        started_at: When the process started, seconds.
     """
-    board = BalancerBoard(zone, host, contact_s, uses=uses)
+    board = BalancerBoard(zone, host, started_at, contact_s, uses=uses)
     if first_start:
         board.reroutes_known_since = float("-inf")
     early = EarlyPackets()
--- a/notchhoist/flows/balancer/scope.py
+++ b/notchhoist/flows/balancer/scope.py
@@ -16,7 +16,10 @@
 from notchhoist.flows.decisions import server_selection
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.segments import Segment
-from notchhoist.flows.published.reroutings import may_hold_rerouted_flows
+from notchhoist.flows.published.reroutings import (
+    has_rerouted,
+    knows_reroutes,
+)
 
 WIDE_QUERIES_MAX = 100_000
 """Maximum number of flow headers in pending queries to agents of services that
@@ -94,7 +97,10 @@
         Returns:
             Their agents to query, with their tags.
         """
-        if search.is_truncated or not self._may_be_elsewhere(now):
+        if search.is_truncated:
+            return {}
+        others = self._other_services(search, now)
+        if not others:
             return {}
         # An upper bound: listing the agents of a large platform for each of
         # many searches would block the process.
@@ -102,7 +108,7 @@
         if self.wide_queries + most > WIDE_QUERIES_MAX:
             search.is_truncated = True
             return {}
-        every = (*search.services, *self.board.by_service)
+        every = (*search.services, *others)
         search.services = tuple(dict.fromkeys(every))
         fresh = self.unqueried_agents(search)
         if fresh:
@@ -111,10 +117,24 @@
         search.widened_by += len(fresh)
         return fresh
 
-    def _may_be_elsewhere(self, now: float) -> bool:
-        return self.board.uses.splits and may_hold_rerouted_flows(
-            self.board, now
-        )
+    def _other_services(self, search: Search, now: float) -> list[str]:
+        """Returns services that may have the flow though no route names them.
+
+        Where it is only unknown whether a route named others before, those
+        whose servers are all newer than the routes are left out. All are where
+        a named service may hold the flow: an agent whose server did not return
+        its sample, which may be because the server has the flow.
+        """
+        board = self.board
+        if not board.uses.splits:
+            return []
+        if has_rerouted(board, now):
+            return list(board.by_service)
+        if search.silent or knows_reroutes(board, now):
+            return []
+        if self.absence.presumes_power_loss(search.services, now):
+            return []
+        return self.absence.services_older_than_routes()
 
     def on_ended(self, search: Search) -> None:
         """Releases the query budget of a search that has ended."""
--- a/notchhoist/flows/balancer/tests/test_splits.py
+++ b/notchhoist/flows/balancer/tests/test_splits.py
@@ -6,7 +6,9 @@
 from notchhoist.flows.balancer import scope
 from notchhoist.flows.balancer.finding import UNCONFIRMED_RESET_DELAY_S
 from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.balancer.sample_packets import SAMPLE_WAIT_MIN_S
 from notchhoist.flows.codec.message_codec import decode_message, encode_message
+from notchhoist.flows.decisions.completeness import CONTACT_S
 from notchhoist.flows.model import notes
 from notchhoist.flows.model.effects import SendAgent, SendPeer
 from notchhoist.flows.model.messages import (
@@ -284,6 +286,76 @@
     assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST, OLD_HOST]
 
 
+def restarted_balancer(
+    old_server, new_server, started_at=float("-inf"), routes_at=5
+):
+    """A balancer that knows nothing of former routes, with chosen entries."""
+    node = make_balancer("a", CODEC, "seed", started_at=started_at)
+    table = crafting.table(1, [split_route((NEW, 1))])
+    node.fleet.tables.on_table(table, routes_at)
+    entries = [
+        (entry(1, service=OLD, **old_server), 9),
+        (entry(2, service=NEW, **new_server), 9),
+    ]
+    node.fleet.on_listing(entries, 9, 1.0)
+    node.tick(1.0)
+    return node
+
+
+COLD_SINCE_ROUTES = {"warm_in_s": 2.0, "created": 8}
+
+
+def test_services_that_are_newer_than_the_routes_are_not_searched():
+    """After a loss of power dead flows are looked for where they may be."""
+    node = restarted_balancer(COLD_SINCE_ROUTES, COLD_SINCE_ROUTES)
+    assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST]
+
+
+@pytest.mark.parametrize(
+    "server",
+    [
+        {"warm_in_s": 2.0, "created": 4},
+        {"warm_in_s": 0.0, "created": 8},
+        {"warm_in_s": 0.0, "created": 4},
+    ],
+)
+def test_service_with_a_server_that_may_be_older_than_the_routes(server):
+    """An entry that lapsed in an outage is created anew, its server is not."""
+    node = restarted_balancer(server, COLD_SINCE_ROUTES)
+    assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST, OLD_HOST]
+
+
+def test_known_reroute_is_searched_at_newer_services_too():
+    node = restarted_balancer(COLD_SINCE_ROUTES, COLD_SINCE_ROUTES)
+    change_routes(node, split_route((OLD, 1)), version=2, now=1.1)
+    change_routes(node, split_route((NEW, 1)), version=3, now=1.2)
+    assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST, OLD_HOST]
+
+
+def test_silent_sample_is_not_followed_by_a_wide_search():
+    """A server does not return the sample of a flow that it has."""
+    left_over = {"warm_in_s": 0.0, "created": 4}
+    node = restarted_balancer(left_over, left_over)
+    search_lost_flow(node)
+    effects = answer_query(node, NEW_HOST, LOST, NoteKind.UNSURE, 2.01)
+    assert sample_packets(effects)
+    effects = node.tick(2.02 + SAMPLE_WAIT_MIN_S)
+    assert not queried_agents(effects)
+    assert not resets(effects)
+    assert LOST.flow not in node.board.searches
+
+
+def test_loss_of_power_is_presumed_only_while_nothing_is_promised():
+    left_over = {"warm_in_s": 0.0, "created": 4}
+    node = restarted_balancer(left_over, COLD_SINCE_ROUTES, started_at=1.0)
+    assert search_lost_flow(node, [NEW_HOST], 1.5)[1] == [NEW_HOST]
+    later = 1.0 + CONTACT_S
+    node = restarted_balancer(left_over, COLD_SINCE_ROUTES, started_at=1.0)
+    assert search_lost_flow(node, [NEW_HOST], later)[1] == [NEW_HOST, OLD_HOST]
+    warm = restarted_balancer(left_over, left_over, started_at=1.0)
+    assert search_lost_flow(warm, [NEW_HOST], 1.5)[1] == [NEW_HOST, OLD_HOST]
+
+
 def test_unknown_history_ends_with_the_flow_lifetime():
     node = balancer(split_route((NEW, 1)), services=(OLD, NEW), now=0.0)
     later = 0.1 + REROUTE_KEPT_S
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -164,6 +164,7 @@
     Attributes:
         zone: Its availability zone.
         host: IP address of its host.
+        started_at: When this process started, seconds.
         contact_s: How long after the start of a process nothing is promised for
             flows that pass it, seconds.
         view: What the platform publishes, by revision.
@@ -221,6 +222,7 @@
 
     zone: str
     host: str
+    started_at: float = float("-inf")
     contact_s: float = CONTACT_S
     view: FleetView = field(default_factory=FleetView)
     table: RouteTable | None = None
--- a/notchhoist/flows/decisions/completeness.py
+++ b/notchhoist/flows/decisions/completeness.py
@@ -25,9 +25,41 @@
 """Default time after the start of a process during which the platform promises
 nothing for flows that pass it, seconds."""
 
-AGENT_STARTUP_MAX_S = 1.0
-"""Longest time from the start of an agent's process until its age begins to
-count, seconds."""
+STARTUP_MAX_S = 1.0
+"""Longest time from the start of a process until its age begins to count,
+seconds."""
+
+
+def is_unpromised(
+    started_at: float, now: float, contact_s: float = CONTACT_S
+) -> bool:
+    """Tells whether nothing is promised yet for flows that pass a process.
+
+    Args:
+        started_at: When the process started, by its own count, seconds.
+        now: Runtime clock, seconds.
+        contact_s: How long after its start nothing is promised, seconds.
+    """
+    return now - started_at <= contact_s - STARTUP_MAX_S
+
+
+def have_restarted(servers: Sequence[Server]) -> bool:
+    """Tells whether every server was in slow start when it was first seen."""
+    return bool(servers) and all(server.first_seen_cold for server in servers)
+
+
+def began_after(servers: Sequence[Server], revision: int) -> bool:
+    """Tells whether every server of a service began after a revision.
+
+    Only an entry of a server in slow start tells that. A warm server may have
+    become unlisted in an outage, so that its entry was created anew.
+
+    Args:
+        servers: Known servers of the service.
+        revision: A revision of the platform's store.
+    """
+    created = [server.entry.created for server in servers]
+    return have_restarted(servers) and min(created) > revision
 
 
 def presumably_saw_all_flows(
@@ -64,11 +96,11 @@
         contact_s: How long after the start of an agent nothing is promised for
             flows of its server, seconds.
     """
-    if now - started_at > contact_s - AGENT_STARTUP_MAX_S:
+    if not is_unpromised(started_at, now, contact_s):
         return False
     if started_at > placing_since + RESTART_MIN_S:
         return False
-    return bool(servers) and all(server.first_seen_cold for server in servers)
+    return have_restarted(servers)
 
 
 def is_list_stable(
@@ -123,4 +155,4 @@
         return True
     if now - store_failed_at < REANNOUNCE_S:
         return False
-    return bool(servers) and all(server.first_seen_cold for server in servers)
+    return have_restarted(servers)
--- a/notchhoist/flows/published/reroutings.py
+++ b/notchhoist/flows/published/reroutings.py
@@ -80,10 +80,14 @@
         )
 
 
-def may_hold_rerouted_flows(board: BalancerBoard, now: float) -> bool:
-    """Returns whether a service may hold flows of routes not naming it."""
-    last_at = max(board.rerouted_at, board.reroutes_known_since)
-    return board.splits or now - last_at < REROUTE_KEPT_S
+def has_rerouted(board: BalancerBoard, now: float) -> bool:
+    """Returns whether a route splits or has lately dropped a service."""
+    return board.splits or now - board.rerouted_at < REROUTE_KEPT_S
+
+
+def knows_reroutes(board: BalancerBoard, now: float) -> bool:
+    """Returns whether all changes of routes are known for long enough."""
+    return now - board.reroutes_known_since >= REROUTE_KEPT_S
 
 
 class RerouteDetector(Struct, eq=False):
--- a/notchhoist/flows/tests/history.py
+++ b/notchhoist/flows/tests/history.py
@@ -63,7 +63,9 @@
 
     def _balancer(self, ip):
         seed = f"{ip} {self.now}"
-        node: BalancerNode = make_balancer("a", CODEC, seed, ip, uses=self.uses)
+        node: BalancerNode = make_balancer(
+            "a", CODEC, seed, ip, uses=self.uses, started_at=self.now
+        )
         node.fleet.tables.on_table(self.table, 1)
         entries = [
             (self._entry_now(host.entry), self.revision)
--- a/notchhoist/flows/tests/test_fleet_restarts.py
+++ b/notchhoist/flows/tests/test_fleet_restarts.py
@@ -83,6 +83,16 @@
     assert not lost_flows(world)
 
 
+def test_flows_outlive_a_kill_while_the_store_shows_slow_starts_of_old():
+    """The store came back from a copy that is older than the servers are."""
+    world = Simulation(seed=1)
+    open_flows(world)
+    for host in world.hosts.values():
+        host.cold_until = world.now + COLD_S
+    kill_all(world)
+    assert not lost_flows(world)
+
+
 def test_flows_lost_with_the_power_are_reset():
     world = Simulation(seed=1)
     open_flows(world)
--- a/notchhoist/testing/opaque/world.py
+++ b/notchhoist/testing/opaque/world.py
@@ -192,7 +192,13 @@
             name = f"{host.name}/{host.generation}"
             seeds = self._seeds()
             node = make_balancer(
-                host.zone, self.codec, name, host.ip, seeds, uses=self.uses
+                host.zone,
+                self.codec,
+                name,
+                host.ip,
+                seeds,
+                uses=self.uses,
+                started_at=self.now,
             )
             host.node = node
             host.feeder = StoreFeeder(node, StoreReader(make_draw(name)))
