Searches for unknown former services wait for the named ones

Cause: a search that waits for an agent looks around every 0.1 s and went on to other services then. After a kill of all daemons hosts with little processor need longer than that for their answers, so nearly every search of a living flow asked all services.

Change: where it is only unknown whether routes named other services, these are asked once every agent of the named ones has answered and every sample has come back. A reroute that is known is searched as before.

--- a/notchhoist/flows/balancer/scope.py
+++ b/notchhoist/flows/balancer/scope.py
@@ -121,16 +121,16 @@
         """Returns services that may have the flow though no route names them.
 
         Where it is only unknown whether a route named others before, those
-        whose servers are all newer than the routes are left out. All are where
-        a named service may hold the flow: an agent whose server did not return
-        its sample, which may be because the server has the flow.
+        whose servers are all newer than the routes are left out. All are while
+        a named service may have the flow: an agent has not answered, or its
+        server has not returned the sample.
         """
         board = self.board
         if not board.uses.splits:
             return []
         if has_rerouted(board, now):
             return list(board.by_service)
-        if search.silent or knows_reroutes(board, now):
+        if search.unanswered or search.silent or knows_reroutes(board, now):
             return []
         if self.absence.presumes_power_loss(search.services, now):
             return []
--- a/notchhoist/flows/balancer/tests/test_splits.py
+++ b/notchhoist/flows/balancer/tests/test_splits.py
@@ -332,6 +332,18 @@
     assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST, OLD_HOST]
 
 
+def test_wide_search_for_unknown_reroutes_waits_for_the_named_services():
+    """Slow answers of many agents would double the load after a restart."""
+    left_over = {"warm_in_s": 0.0, "created": 4}
+    node = restarted_balancer(left_over, left_over)
+    search_lost_flow(node)
+    later = [node.tick(2.0 + tenths / 10) for tenths in range(1, 10)]
+    asked = {host for effects in later for host in queried_agents(effects)}
+    assert asked <= {NEW_HOST}
+    effects = answer_query(node, NEW_HOST, LOST, NoteKind.ABSENT, 3.0)
+    assert queried_agents(effects) == [OLD_HOST]
+
+
 def test_silent_sample_is_not_followed_by_a_wide_search():
     """A server does not return the sample of a flow that it has."""
     left_over = {"warm_in_s": 0.0, "created": 4}
