Fix: histories of routes that new balancers report to each other grew too fast

Cause: the length of a reported history counted from the query that the report answers, as the age of a change does. For an age that errs to the safe side; a history it makes longer by the time under way, and two balancers that report to each other added it again with each exchange. After a kill of all balancers they would have known "for 65 s" that no route had changed within half a minute, and reset flows elsewhere.

Evidence: test_balancers_that_all_started_lately_do_not_reassure_each_other with answers that take a second: 65 s of history at 30 s. Nobody has seen it on a deployment.

Change: it counts from the arrival.

--- a/notchhoist/flows/balancer/absence.py
+++ b/notchhoist/flows/balancer/absence.py
@@ -91,6 +91,8 @@
         yet.
         """
         board = self.board
+        if not board.uses.anew:
+            return False
         if not is_unpromised(board.started_at, now, board.contact_s):
             return False
         return all(
--- a/notchhoist/flows/balancer/scope.py
+++ b/notchhoist/flows/balancer/scope.py
@@ -4,7 +4,8 @@
 that the route names. While any route splits, or if one did within the lifetime
 of a flow, the current weights do not determine the flow's service; to a
 balancer that has just started, neither do the current routes. In these cases
-all agents of the platform are queried before a flow is considered dead.
+the agents of all other services that may have the flow are queried before it is
+considered dead.
 """
 
 from collections.abc import Iterable
--- a/notchhoist/flows/balancer/tests/test_splits.py
+++ b/notchhoist/flows/balancer/tests/test_splits.py
@@ -230,16 +230,21 @@
 
 
 def test_balancers_that_all_started_lately_do_not_reassure_each_other():
+    """Reports may wait at a saturated link for longer than they are apart."""
     nodes = [
         balancer(split_route((NEW, 1)), services=(OLD, NEW), now=now)
         for now in (0.0, 0.2)
     ]
-    for tenths in range(10, 20):
-        reports = [report_of(node, tenths / 10) for node in nodes]
+    for tenths in range(10, 300):
+        now = tenths / 10
+        reports = [report_of(node, now) for node in nodes]
         for node, report in zip(nodes, reversed(reports), strict=True):
-            node.on_peer("10.0.9.1", report, tenths / 10)
+            node.synchronizer.query_sent_at[1] = now - 1.0
+            node.on_peer("10.0.9.1", report, now)
     for node in nodes:
-        assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST, OLD_HOST]
+        assert history_ms(node.board, 30.0) <= 30_000
+        asked = search_lost_flow(node, [NEW_HOST], 30.0)[1]
+        assert asked == [NEW_HOST, OLD_HOST]
 
 
 def test_report_of_a_balancer_with_an_older_configuration_is_no_history():
@@ -364,6 +369,9 @@
     later = 1.0 + CONTACT_S
     node = restarted_balancer(left_over, COLD_SINCE_ROUTES, started_at=1.0)
     assert search_lost_flow(node, [NEW_HOST], later)[1] == [NEW_HOST, OLD_HOST]
+    node = restarted_balancer(left_over, COLD_SINCE_ROUTES, started_at=1.0)
+    node.board.uses = node.board.uses.without(["anew"])
+    assert search_lost_flow(node, [NEW_HOST], 1.5)[1] == [NEW_HOST, OLD_HOST]
     warm = restarted_balancer(left_over, left_over, started_at=1.0)
     assert search_lost_flow(warm, [NEW_HOST], 1.5)[1] == [NEW_HOST, OLD_HOST]
 
--- a/notchhoist/flows/published/reroutings.py
+++ b/notchhoist/flows/published/reroutings.py
@@ -53,6 +53,7 @@
     update: ViewTell | ViewPiece,
     revision: int,
     query_sent_at: float,
+    now: float,
 ) -> None:
     """Applies what another balancer reports of changed routes.
 
@@ -64,9 +65,11 @@
         update: The report.
         revision: Revision up to which the other balancer knows everything.
         query_sent_at: When the query that this answers was sent, seconds. If
-            ages counted from the arrival of the response, two balancers that
-            report to each other over a saturated link would never forget a
-            change.
+            the age of a change counted from the arrival of the response, two
+            balancers that report to each other over a saturated link would
+            never forget it.
+        now: Runtime clock, seconds. If the length of the history counted from
+            the query, their histories would grow faster than time.
     """
     if update.rerouted_for_ms:
         board.rerouted_at = max(
@@ -75,8 +78,7 @@
     known_for_ms = update.reroutes_known_for_ms
     if known_for_ms and board.first_table_revision <= revision:
         board.reroutes_known_since = min(
-            board.reroutes_known_since,
-            query_sent_at - known_for_ms / 1000,
+            board.reroutes_known_since, now - known_for_ms / 1000
         )
 
 
--- a/notchhoist/flows/published/view_sync.py
+++ b/notchhoist/flows/published/view_sync.py
@@ -251,7 +251,7 @@
                 self.board.first_placement_at, since
             )
         sent_at = self.query_sent_at.get(update.asked, now)
-        reroutings.on_report(self.board, update, revision, sent_at)
+        reroutings.on_report(self.board, update, revision, sent_at, now)
 
     def _is_of_earlier_era(self, change: ViewChange | ViewPiece) -> bool:
         """Returns whether a sender does not know of a restore of the store yet.
