Fix: searches reset living flows on answers that were no longer believed

What callers saw: nobody has met it; found by reading and by histories of kills drawn at random. All hosts lose power, every daemon is killed during the slow start, and 2.5 s later the agent of another host is killed for 2 s: the next request on a flow that a living server holds is answered by a reset 5.0 s after the first kill, when the balancer, the server's host and its agent are in touch.

Cause: whether an agent that has just started is presumed to know its server's flows was looked at when it answered. A search waits up to 4 s for other agents, and the reset went out at its end, beyond the time for which the presumption may be wrong.

Why this works: the search keeps the starts of the agents that it presumes on, and the presumption is looked at again before the next step and before the reset. Where it no longer holds, also because a balancer has told of earlier placements, samples go to the servers.

Failing before: test_fleet_restarts: test_search_that_outlasts_a_presumption_resets_no_living_flow test_anew: test_answer_is_presumed_no_longer_than_promises_are_open, test_earlier_placement_that_is_told_during_a_search_counts After: these pass, and all tests under notchhoist/flows.

--- a/notchhoist/flows/balancer/absence.py
+++ b/notchhoist/flows/balancer/absence.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct, field
 
-from notchhoist.flows.boards.balancer_board import BalancerBoard
+from notchhoist.flows.boards.balancer_board import BalancerBoard, Search
 from notchhoist.flows.decisions.completeness import (
     began_after,
     have_restarted,
@@ -127,15 +127,45 @@
         server = board.by_host.get(host)
         if not tell.age_ms or server is None or not board.uses.anew:
             return NoteKind.UNSURE
-        servers = board.by_service.get(server.entry.service, [])
         started_at = now - tell.age_ms / 1000
-        if not presumably_saw_all_flows(
-            servers,
+        if not self._saw_all_flows(server.entry.service, started_at, now):
+            return NoteKind.UNSURE
+        board.records.counters[Count.RULED_OUT_BY_AGE] += len(tell.unsure)
+        return NoteKind.ABSENT
+
+    def _saw_all_flows(
+        self, service: str, started_at: float, now: float
+    ) -> bool:
+        board = self.board
+        return presumably_saw_all_flows(
+            board.by_service.get(service, ()),
             started_at,
             board.first_placement_at,
             now,
             board.contact_s,
+        )
+
+    def retract_presumptions(self, search: Search, now: float) -> bool:
+        """Makes agents unsure again if they are no longer presumed to know.
+
+        A search may last longer than the presumption, and a balancer may learn
+        of earlier placements meanwhile.
+
+        Returns:
+            Whether there were any such agents.
+        """
+        if not search.presumed:
+            return False
+        by_host = self.board.by_host
+        hosts = search.presumed.keys() & by_host.keys()
+        services = {by_host[host].entry.service for host in hosts}
+        starts = search.presumed.values()
+        if all(
+            self._saw_all_flows(service, started_at, now)
+            for service in services
+            for started_at in (min(starts), max(starts))
         ):
-            return NoteKind.UNSURE
-        board.records.counters[Count.RULED_OUT_BY_AGE] += len(tell.unsure)
-        return NoteKind.ABSENT
+            return False
+        search.unsure += search.presumed
+        search.presumed.clear()
+        return True
--- a/notchhoist/flows/balancer/finding.py
+++ b/notchhoist/flows/balancer/finding.py
@@ -173,8 +173,12 @@
                 self._handle_answer(host, NoteKind.ABSENT, flow, now)
         unsure = self.absence.interpret_unsure(host, tell, now)
         for flow in tell.unsure:
-            if flow in asked:
-                self._handle_answer(host, unsure, flow, now)
+            search = self.board.searches.get(flow)
+            if search is None or flow not in asked:
+                continue
+            if unsure is NoteKind.ABSENT:
+                search.presumed[host] = now - tell.age_ms / 1000
+            self._handle_answer(host, unsure, flow, now)
 
     def _handle_answer(
         self, host: str, kind: NoteKind, flow: bytes, now: float
@@ -235,6 +239,7 @@
 
     def _advance(self, flow: bytes, search: Search, now: float) -> None:
         """Queries more agents, samples unsure ones, or ends the search."""
+        self.absence.retract_presumptions(search, now)
         more = (
             self._query(search, self.scope.unqueried_agents(search), now)
             or self.sample_sender.send_to_unsure(search, now)
@@ -285,6 +290,10 @@
 
     def _conclude_absent(self, flow: bytes, search: Search, now: float) -> None:
         """Queries agents that became known meanwhile, or resets the flow."""
+        if self.absence.retract_presumptions(search, now):
+            search.all_absent_at = None
+            self._advance(flow, search, now)
+            return
         if self._query_remaining(search, now):
             return
         if search.is_truncated:
--- a/notchhoist/flows/balancer/tests/test_anew.py
+++ b/notchhoist/flows/balancer/tests/test_anew.py
@@ -119,6 +119,29 @@
     assert node.board.flows[LOST.flow].server.entry.host == host
 
 
+def test_answer_is_presumed_no_longer_than_promises_are_open():
+    """Guards against a search that ends after its answers lost their worth."""
+    node = balancer()
+    assert not sample_packets(search_lost_flow(node, [OLD_AGENT_MS] * 2))
+    node.finder.on_view_confirmed(KNOWN_AT + CONTACT_S)
+    effects = node.take_effects()
+    assert not resets(effects)
+    assert len(sample_packets(effects)) == 2
+
+
+def test_earlier_placement_that_is_told_during_a_search_counts():
+    node = balancer()
+    assert not sample_packets(search_lost_flow(node, [OLD_AGENT_MS] * 2))
+    change = ViewChange(1, 1, 1, 15.0, (), (), (), (), 1, 2)
+    node.on_peer(
+        "10.0.9.9", ViewTell(change, 0.1, (), placing_for_ms=5000), NOW
+    )
+    node.finder.on_view_confirmed(NOW)
+    effects = node.take_effects()
+    assert not resets(effects)
+    assert len(sample_packets(effects)) == 2
+
+
 def test_contact_time_of_the_settings_counts():
     node = balancer(contact_s=1.5)
     late = search_lost_flow(node, [700] * 2, KNOWN_AT + 0.7)
--- a/notchhoist/flows/tests/test_fleet_restarts.py
+++ b/notchhoist/flows/tests/test_fleet_restarts.py
@@ -83,6 +83,24 @@
     assert not lost_flows(world)
 
 
+def test_search_that_outlasts_a_presumption_resets_no_living_flow():
+    """An agent's answer is believed too long if another one is waited for."""
+    world = Simulation(seed=1)
+    lose_power(world)
+    open_flows(world, 1)
+    kill_all(world)
+    world.run(CONTACT_S - 1.5)
+    [port] = world.callers
+    other = next(
+        host.ip for host in world.hosts.values() if port not in host.server.open
+    )
+    world.stop_agent(other, 2.0, planned=False)
+    world.ask(port, copies=3)
+    world.run(5.0)
+    assert not world.wrong
+    assert not world.callers[port].dead
+
+
 def test_flows_outlive_a_kill_while_the_store_shows_slow_starts_of_old():
     """The store came back from a copy that is older than the servers are."""
     world = Simulation(seed=1)
