--- a/notchhoist/flows/tests/history.py
+++ b/notchhoist/flows/tests/history.py
@@ -51,7 +51,7 @@
         self.uses = uses
         self.numbers = itertools.count(1)
         self.callers = {}
-        self.table = crafting.table()
+        self.table, self.table_revision = crafting.table(), 1
         self.wrong = []
         self.resets = 0
         self.balancers = {ip: self._balancer(ip) for ip in BALANCERS}
@@ -62,18 +62,25 @@
         self.run(0.1)
 
     def _balancer(self, ip):
+        """Returns a balancer that has read the store."""
+        node = self._unread_balancer(ip)
+        self._read_store(node, [host.entry for host in self.hosts.values()])
+        return node
+
+    def _unread_balancer(self, ip, seeds=()) -> BalancerNode:
         seed = f"{ip} {self.now}"
-        node: BalancerNode = make_balancer(
-            "a", CODEC, seed, ip, uses=self.uses, started_at=self.now
+        return make_balancer(
+            "a", CODEC, seed, ip, seeds, uses=self.uses, started_at=self.now
         )
-        node.fleet.tables.on_table(self.table, 1)
-        entries = [
-            (self._entry_now(host.entry), self.revision)
-            for host in self.hosts.values()
-            if host.entry is not None
+
+    def _read_store(self, node, entries):
+        node.fleet.tables.on_table(self.table, self.table_revision)
+        listing = [
+            (self._entry_now(entry), self.revision)
+            for entry in entries
+            if entry is not None
         ]
-        node.fleet.on_listing(entries, self.revision, self.now)
-        return node
+        node.fleet.on_listing(listing, self.revision, self.now)
 
     def _entry_now(self, entry):
         """Returns an entry with what is left of the server's slow start."""
@@ -131,6 +138,7 @@
         route = crafting.route(targets=targets)
         self.table = table = crafting.table(version, [route])
         self.revision += 1
+        self.table_revision = self.revision
 
         def apply(node, at=self.revision):
             node.fleet.tables.on_table(table, at)
