Fix: searches of lost flows waited for servers of other services that left

What callers saw: after a loss of all power the callers of dead flows that rested for 5 s or more waited seconds longer for their reset than before.

Cause: for the lifetime of a flow new balancers do not know whether routes named other services, and ask those with any server that may be older than the routes. A release left such servers, and searches then waited for each agent of the service that had stopped: 3 s of refused connections and more, one server after the other.

Evidence: the searches given up name as silent hosts of draining servers only (10.6.0.62, 10.5.0.42, 10.4.0.52, 10.2.0.50, 10.1.0.62), lost 3 to 8 s after their agents were last heard; asked_widely is not 0 in the late resets.

One that leaves while a search waits for it is dropped. Services that routes name, and known reroutes, are searched as before.

Failing before, in test_splits: test_only_servers_that_may_be_older_than_the_routes_are_searched, test_servers_that_have_left_are_not_waited_for, test_server_that_leaves_during_a_search_is_not_waited_for (without the drop), test_servers_that_were_removed_in_an_outage_are_searched.

--- a/notchhoist/flows/balancer/absence.py
+++ b/notchhoist/flows/balancer/absence.py
@@ -10,6 +10,7 @@
 from notchhoist.flows.boards.balancer_board import BalancerBoard, Search
 from notchhoist.flows.decisions.completeness import (
     began_after,
+    has_left,
     have_restarted,
     is_complete,
     is_list_stable,
@@ -32,12 +33,16 @@
         checked_at: Clock value that the cache is valid for, seconds.
         stable_list_since: The ``list_complete_since`` for which the server list
             has become stable; see ``is_list_stable``.
+        former_hosts_by_service: Result of ``former_hosts``, cached likewise.
+        former_hosts_at: Clock value that this result is valid for, seconds.
     """
 
     board: BalancerBoard
     complete_by_service: dict[str, bool] = field(default_factory=dict)
     checked_at: float = float("-inf")
     stable_list_since: float = float("-inf")
+    former_hosts_by_service: dict[str, set[str]] = field(default_factory=dict)
+    former_hosts_at: float = float("-inf")
 
     def hosts_of(self, services: Iterable[str]) -> set[str]:
         """Returns the hosts whose agents may have flows of some services."""
@@ -49,8 +54,9 @@
             if not server.lost
         }
 
-    def is_complete(self, services: Iterable[str], now: float) -> bool:
-        """Tells whether every running server of some services is known."""
+    def is_complete(self, search: Search, now: float) -> bool:
+        """Tells whether every running server is known that may have a flow."""
+        services = (*search.services, *search.former_services)
         return all(self._is_complete(service, now) for service in services)
 
     def _is_complete(self, service: str, now: float) -> bool:
@@ -100,19 +106,43 @@
             for service in services
         )
 
-    def services_older_than_routes(self) -> list[str]:
-        """Returns the services with servers that earlier routes may have named.
+    def former_hosts(self, now: float) -> dict[str, set[str]]:
+        """Returns hosts that may have flows placed by earlier configurations.
 
         A flow was placed after its server's entry had been created, and so by
-        the configuration in force if that is older than the entry.
+        the configuration in force if that is older than the entry. Servers that
+        have left hold no flow.
+
+        Returns:
+            The hosts by service; services without such a host are left out.
         """
+        if now == self.former_hosts_at:
+            return self.former_hosts_by_service
         board = self.board
+        self.former_hosts_at = now
         written_at = board.view.changed_at.get(None, 0)
-        return [
-            service
-            for service, servers in board.by_service.items()
-            if not began_after(servers, written_at)
-        ]
+        by_service: dict[str, set[str]] = {}
+        for service, servers in board.by_service.items():
+            hosts = {
+                server.entry.host
+                for server in servers
+                if not server.lost
+                and not began_after(server, written_at)
+                and not has_left(server, board.store_failed_at, now)
+            }
+            if hosts:
+                by_service[service] = hosts
+        self.former_hosts_by_service = by_service
+        return by_service
+
+    def hosts_to_query(self, search: Search, now: float) -> set[str]:
+        """Returns the hosts whose agents may have the flow of a search."""
+        hosts = self.hosts_of(search.services)
+        if search.former_services:
+            former = self.former_hosts(now)
+            for service in search.former_services:
+                hosts |= former.get(service, set())
+        return hosts
 
     def interpret_unsure(
         self, host: str, tell: FlowsTell, now: float
--- a/notchhoist/flows/balancer/finding.py
+++ b/notchhoist/flows/balancer/finding.py
@@ -145,7 +145,7 @@
 
     def _query_remaining(self, search: Search, now: float) -> bool:
         """Queries all other possible agents; returns whether there are any."""
-        fresh = self.scope.unqueried_agents(search) or self.scope.widen(
+        fresh = self.scope.unqueried_agents(search, now) or self.scope.widen(
             search, now
         )
         return self._query(search, fresh, now)
@@ -241,7 +241,7 @@
         """Queries more agents, samples unsure ones, or ends the search."""
         self.absence.retract_presumptions(search, now)
         more = (
-            self._query(search, self.scope.unqueried_agents(search), now)
+            self._query(search, self.scope.unqueried_agents(search, now), now)
             or self.sample_sender.send_to_unsure(search, now)
             or self._query(search, self.scope.widen(search, now), now)
         )
@@ -264,7 +264,7 @@
         """Ends a search once the flow's absence is proven and confirmed."""
         if not self.board.uses.confirming or search.all_absent_at is None:
             return
-        if not self.absence.is_complete(search.services, now):
+        if not self.absence.is_complete(search, now):
             return
         if self.confirmer.confirmed_up_to >= search.since:
             self._conclude_absent(flow, search, now)
@@ -338,11 +338,10 @@
     def _check_unanswered(
         self, flow: bytes, search: Search, now: float
     ) -> None:
-        """Drops lost agents, then queries remaining ones or gives up."""
+        """Drops agents that left, then queries remaining ones or gives up."""
         search.sent_at = now
         for host in list(search.unanswered):
-            server = self.board.by_host.get(host)
-            if server is None or server.lost:
+            if self.scope.is_out_of_scope(search, host, now):
                 # It is queried anew if it is heard again before the end.
                 search.unanswered.discard(host)
                 self.queries.forget(flow, {host}, search.asked.pop(host))
--- a/notchhoist/flows/balancer/scope.py
+++ b/notchhoist/flows/balancer/scope.py
@@ -84,58 +84,72 @@
         by_host = self.board.by_host
         return {host: by_host[host].tag for host in hosts if host in by_host}
 
-    def unqueried_agents(self, search: Search) -> dict[str, int]:
+    def unqueried_agents(self, search: Search, now: float) -> dict[str, int]:
         """Returns the agents of a search still to be queried, with tags."""
-        tags = self.tags_of(self.absence.hosts_of(search.services))
+        tags = self.tags_of(self.absence.hosts_to_query(search, now))
         asked = search.asked
         return {
             host: tag for host, tag in tags.items() if asked.get(host) != tag
         }
 
+    def is_out_of_scope(self, search: Search, host: str, now: float) -> bool:
+        """Tells whether an agent that was queried need not answer any more.
+
+        It is lost, or its server may have belonged to a former service of the
+        route and has left.
+        """
+        server = self.board.by_host.get(host)
+        if server is None or server.lost:
+            return True
+        if not search.former_services:
+            return False
+        return host not in self.absence.hosts_to_query(search, now)
+
     def widen(self, search: Search, now: float) -> dict[str, int]:
         """Extends a search to all other services that may have the flow.
 
         Returns:
             Their agents to query, with their tags.
         """
-        if search.is_truncated:
-            return {}
-        others = self._other_services(search, now)
-        if not others:
+        board = self.board
+        if search.is_truncated or not board.uses.splits:
             return {}
+        former: tuple[str, ...] = ()
+        if not has_rerouted(board, now):
+            former = self._former_services(search, now)
+            if not former:
+                return {}
         # An upper bound: listing the agents of a large platform for each of
         # many searches would block the process.
-        most = len(self.board.by_host) - len(search.asked)
+        most = len(board.by_host) - len(search.asked)
         if self.wide_queries + most > WIDE_QUERIES_MAX:
             search.is_truncated = True
             return {}
-        every = (*search.services, *others)
-        search.services = tuple(dict.fromkeys(every))
-        fresh = self.unqueried_agents(search)
+        if former:
+            search.former_services = former
+        else:
+            every = (*search.services, *board.by_service)
+            search.services = tuple(dict.fromkeys(every))
+        fresh = self.unqueried_agents(search, now)
         if fresh:
-            self.board.records.counters[Count.ASKED_WIDELY] += 1
+            board.records.counters[Count.ASKED_WIDELY] += 1
         self.wide_queries += len(fresh)
         search.widened_by += len(fresh)
         return fresh
 
-    def _other_services(self, search: Search, now: float) -> list[str]:
-        """Returns services that may have the flow though no route names them.
+    def _former_services(self, search: Search, now: float) -> tuple[str, ...]:
+        """Returns services that an earlier route may have named.
 
-        Where it is only unknown whether a route named others before, those
-        whose servers are all newer than the routes are left out. All are while
-        a named service may have the flow: an agent has not answered, or its
-        server has not returned the sample.
+        There are none while a named service may have the flow: an agent has not
+        answered, or its server has not returned the sample.
         """
-        board = self.board
-        if not board.uses.splits:
-            return []
-        if has_rerouted(board, now):
-            return list(board.by_service)
-        if search.unanswered or search.silent or knows_reroutes(board, now):
-            return []
+        if search.unanswered or search.silent:
+            return ()
+        if knows_reroutes(self.board, now):
+            return ()
         if self.absence.presumes_power_loss(search.services, now):
-            return []
-        return self.absence.services_older_than_routes()
+            return ()
+        return tuple(self.absence.former_hosts(now))
 
     def on_ended(self, search: Search) -> None:
         """Releases the query budget of a search that has ended."""
--- a/notchhoist/flows/balancer/search_records.py
+++ b/notchhoist/flows/balancer/search_records.py
@@ -10,8 +10,9 @@
 
 def services_text(search: Search) -> str:
     """Returns the names of the searched services, for the log."""
-    named = " ".join(search.services[:SERVICES_LOGGED_MAX])
-    more = len(search.services) - SERVICES_LOGGED_MAX
+    every = tuple(dict.fromkeys(search.services + search.former_services))
+    named = " ".join(every[:SERVICES_LOGGED_MAX])
+    more = len(every) - SERVICES_LOGGED_MAX
     return f"{named} and {more} more" if more > 0 else named
 
 
--- a/notchhoist/flows/balancer/tests/test_splits.py
+++ b/notchhoist/flows/balancer/tests/test_splits.py
@@ -330,6 +330,71 @@
     assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST, OLD_HOST]
 
 
+def former_service_balancer(*servers):
+    """A restarted balancer with some servers of a service that may be former.
+
+    Args:
+        servers: Fields of the entries of its servers.
+    """
+    node = make_balancer("a", CODEC, "seed")
+    table = crafting.table(1, [split_route((NEW, 1))])
+    node.fleet.tables.on_table(table, 5)
+    named = entry(2, service=NEW, **COLD_SINCE_ROUTES)
+    former = [
+        entry(number, service=OLD, **fields)
+        for number, fields in enumerate(servers, 3)
+    ]
+    listing = [(item, 9) for item in (named, *former)]
+    node.fleet.on_listing(listing, 9, 1.0)
+    node.tick(1.0)
+    return node
+
+
+LEFT_OVER = {"warm_in_s": 0.0, "created": 4}
+
+
+def test_only_servers_that_may_be_older_than_the_routes_are_searched():
+    """Guards against searches that wait for any agent of a former service."""
+    node = former_service_balancer(LEFT_OVER, COLD_SINCE_ROUTES)
+    assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST, "10.0.0.3"]
+
+
+def test_servers_that_have_left_are_not_waited_for():
+    """Guards against callers that wait longer while servers are replaced.
+
+    The agent of a server that has left is silent for seconds.
+    """
+    node = former_service_balancer(LEFT_OVER, COLD_SINCE_ROUTES)
+    node.fleet.on_removed("s3", 10, 1.5)
+    assert search_lost_flow(node, [NEW_HOST], 4.0)[1] == [NEW_HOST]
+    node.finder.on_view_confirmed(4.1)
+    assert resets(node.take_effects())
+
+
+def test_server_that_leaves_during_a_search_is_not_waited_for():
+    node = former_service_balancer(LEFT_OVER, COLD_SINCE_ROUTES)
+    assert search_lost_flow(node, [NEW_HOST], 4.0)[1] == [NEW_HOST, "10.0.0.3"]
+    node.fleet.on_removed("s3", 10, 4.05)
+    node.tick(4.2)
+    node.finder.on_view_confirmed(4.3)
+    assert resets(node.take_effects())
+
+
+def test_servers_that_were_removed_in_an_outage_are_searched():
+    node = former_service_balancer(LEFT_OVER, COLD_SINCE_ROUTES)
+    node.fleet.on_removed("s3", 10, 1.5)
+    node.board.store_failed_at = 1.9
+    assert search_lost_flow(node, [NEW_HOST], 4.0)[1] == [NEW_HOST, "10.0.0.3"]
+
+
+def test_unknown_reroute_needs_a_complete_list_of_former_services():
+    node = former_service_balancer(LEFT_OVER)
+    answer_all = (NEW_HOST, "10.0.0.3")
+    assert search_lost_flow(node, answer_all, 2.0)[1] == list(answer_all)
+    node.finder.on_view_confirmed(2.1)
+    assert not resets(node.take_effects())
+
+
 def test_known_reroute_is_searched_at_newer_services_too():
     node = restarted_balancer(COLD_SINCE_ROUTES, COLD_SINCE_ROUTES)
     change_routes(node, split_route((OLD, 1)), version=2, now=1.1)
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -105,6 +105,8 @@
     Attributes:
         services: Services that may hold the flow, the most likely one first;
             logs and metrics name that one.
+        former_services: Services that earlier routes may have named, if it is
+            unknown whether any did.
         waiting: Packets that wait for the outcome.
         unanswered: Hosts of agents that have not answered.
         unsure: Hosts of agents that started too recently to know.
@@ -133,6 +135,7 @@
     waiting: list[Segment]
     unanswered: set[str]
     unsure: list[str]
+    former_services: tuple[str, ...] = ()
     presumed: dict[str, float] = field(default_factory=dict)
     sampled: set[str] = field(default_factory=set)
     answered_s: float = 0.0
--- a/notchhoist/flows/decisions/completeness.py
+++ b/notchhoist/flows/decisions/completeness.py
@@ -48,18 +48,31 @@
     return bool(servers) and all(server.first_seen_cold for server in servers)
 
 
-def began_after(servers: Sequence[Server], revision: int) -> bool:
-    """Tells whether every server of a service began after a revision.
+def began_after(server: Server, revision: int) -> bool:
+    """Tells whether a server began after a revision.
 
     Only an entry of a server in slow start tells that. A warm server may have
     become unlisted in an outage, so that its entry was created anew.
 
     Args:
-        servers: Known servers of the service.
+        server: A known server.
         revision: A revision of the platform's store.
     """
-    created = [server.entry.created for server in servers]
-    return have_restarted(servers) and min(created) > revision
+    return server.first_seen_cold and server.entry.created > revision
+
+
+def has_left(server: Server, store_failed_at: float, now: float) -> bool:
+    """Tells whether a server has gone by what the platform publishes.
+
+    A living server that can reach the store is listed, but for a while after an
+    outage of the store.
+
+    Args:
+        server: A known server.
+        store_failed_at: When the store last failed this balancer, seconds.
+        now: Runtime clock, seconds.
+    """
+    return not server.listed and now - store_failed_at >= REANNOUNCE_S
 
 
 def presumably_saw_all_flows(
