Soak: a rolling restart of many balancers ends before the checks

Cause: the time of a rolling restart was that of three balancers. With four a zone the last of twelve is stopped after 28.6 s, when the checks at the end already run.

Change: the run lasts until planned work has ended, and then as long as before.

Failing before: test_a_rolling_restart_of_many_balancers_ends_before_the_checks.

--- a/notchhoist/testing/soak/fleet.py
+++ b/notchhoist/testing/soak/fleet.py
@@ -83,6 +83,8 @@
         version: Newest version of the configuration.
         active_faults: Faults in progress, by name; while there are any, time
             bounds do not hold.
+        planned_until: When planned work that began has ended, seconds; it takes
+            longer the more daemons there are.
         drops: Number of current troubles that drop a route, by port.
         splits: Services with weights of split routes, by port.
         traffic_on: Whether callers send requests.
@@ -106,6 +108,7 @@
     streams: dict[str, StreamProxy] = attrs.Factory(dict)
     version: int = 0
     active_faults: set[str] = attrs.Factory(set)
+    planned_until: float = 0.0
     drops: Counter[int] = attrs.Factory(Counter)
     splits: dict[int, tuple[tuple[str, int], ...]] = attrs.Factory(dict)
     traffic_on: bool = False
--- a/notchhoist/testing/soak/run.py
+++ b/notchhoist/testing/soak/run.py
@@ -121,7 +121,8 @@
     for step in steps:
         fleet.loop.call_later(step.at, partial(_begin_trouble, fleet, step))
     over_at = fleet.loop.clock() + _last_trouble_ends_at(steps)
-    fleet.run_until(over_at + SETTLE_S)
+    fleet.run_until(over_at)
+    fleet.run_until(max(over_at, fleet.planned_until) + SETTLE_S)
 
 
 def _run_calm_phase(fleet: Fleet) -> None:
--- a/notchhoist/testing/soak/tests/test_soak.py
+++ b/notchhoist/testing/soak/tests/test_soak.py
@@ -1,15 +1,17 @@
 """Tests of the soak test's parts, and short runs with real processes."""
 
 import itertools
+from types import SimpleNamespace
 
 import pytest
 
-from notchhoist.testing.soak import final_checks
+from notchhoist.testing.soak import final_checks, run
 from notchhoist.testing.soak.addresses import BLOCKS, Block
 from notchhoist.testing.soak.plan import (
     LATER_SEEDS,
     NEWEST_SEEDS,
     SPLIT_SEEDS,
+    Step,
     make_plan,
 )
 from notchhoist.testing.soak.run import run_seed
@@ -32,6 +34,43 @@
     assert outcome.asked > 0
 
 
+class PausedLoop:
+    """An event loop whose clock moves only in ``run_until``."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.due = []
+
+    def clock(self):
+        return self.now
+
+    def call_later(self, delay_s, action):
+        self.due.append((self.now + delay_s, action))
+
+    def run_until(self, end):
+        while self.due and min(at for at, _ in self.due) <= end:
+            item = min(self.due, key=lambda pair: pair[0])
+            self.due.remove(item)
+            self.now, action = item
+            action()
+        self.now = end
+
+
+def test_a_rolling_restart_of_many_balancers_ends_before_the_checks():
+    """Guards against checks of a balancer that was stopped just before."""
+    loop, stopped_at = PausedLoop(), []
+    balancers = [SimpleNamespace(stop=stopped_at.append) for _ in range(12)]
+    fleet = SimpleNamespace(
+        loop=loop,
+        balancers=balancers,
+        planned_until=0.0,
+        run_until=loop.run_until,
+    )
+    run._run_troubles(fleet, [Step(1.0, "roll-balancers", 0.0, 1)])
+    assert len(stopped_at) == 12
+    assert loop.now >= max(stopped_at) + run.SETTLE_S
+
+
 def test_a_seed_always_makes_the_same_plan():
     assert make_plan(7, 20.0) == make_plan(7, 20.0)
     assert make_plan(7, 20.0) != make_plan(8, 20.0)
--- a/notchhoist/testing/soak/troubles.py
+++ b/notchhoist/testing/soak/troubles.py
@@ -103,6 +103,8 @@
             daemon.stop(fleet.loop.clock())
 
         fleet.loop.call_later(number * ROLL_GAP_S, stop)
+    ends_at = fleet.loop.clock() + len(order) * ROLL_GAP_S
+    fleet.planned_until = max(fleet.planned_until, ends_at)
     return heal_nothing
 
 
