Check in constant time whether a queried agent has left

Cause: made the hosts of a search anew for each agent that had not answered, every 0.1 s. After a kill of all balancers that is every agent of the services that routes do not name.

The hosts that count are the same: those of the named services, and of others the cached ones that may be older than the routes.

--- a/notchhoist/flows/balancer/scope.py
+++ b/notchhoist/flows/balancer/scope.py
@@ -101,9 +101,10 @@
         server = self.board.by_host.get(host)
         if server is None or server.lost:
             return True
-        if not search.former_services:
+        service = server.entry.service
+        if not search.former_services or service in search.services:
             return False
-        return host not in self.absence.hosts_to_query(search, now)
+        return host not in self.absence.former_hosts(now).get(service, ())
 
     def widen(self, search: Search, now: float) -> dict[str, int]:
         """Extends a search to all other services that may have the flow.
