--- a/notchhoist/flows/published/reroutings.py
+++ b/notchhoist/flows/published/reroutings.py
@@ -3,8 +3,8 @@
 A flow stays where it was opened when its route changes. A balancer that has
 just started knows the current routes only. So balancers tell each other how
 long ago a route last dropped a service, and for how long they have known of
-every such change. A balancer that no other one could tell of the time before
-its start assumes a change then.
+every such change. Where no balancer knows the time before its start, a change
+is assumed.
 """
 
 from collections import Counter
