--- a/notchhoist/flows/balancer/tests/test_splits.py
+++ b/notchhoist/flows/balancer/tests/test_splits.py
@@ -295,14 +295,17 @@
     old_server, new_server, started_at=float("-inf"), routes_at=5
 ):
     """A balancer that knows nothing of former routes, with chosen entries."""
+    former = entry(1, service=OLD, **old_server)
+    named = entry(2, service=NEW, **new_server)
+    return list_servers([former, named], started_at, routes_at)
+
+
+def list_servers(entries, started_at=float("-inf"), routes_at=5):
+    """A balancer that has just listed some servers and one route, to NEW."""
     node = make_balancer("a", CODEC, "seed", started_at=started_at)
     table = crafting.table(1, [split_route((NEW, 1))])
     node.fleet.tables.on_table(table, routes_at)
-    entries = [
-        (entry(1, service=OLD, **old_server), 9),
-        (entry(2, service=NEW, **new_server), 9),
-    ]
-    node.fleet.on_listing(entries, 9, 1.0)
+    node.fleet.on_listing([(item, 9) for item in entries], 9, 1.0)
     node.tick(1.0)
     return node
 
@@ -336,18 +339,12 @@
     Args:
         servers: Fields of the entries of its servers.
     """
-    node = make_balancer("a", CODEC, "seed")
-    table = crafting.table(1, [split_route((NEW, 1))])
-    node.fleet.tables.on_table(table, 5)
     named = entry(2, service=NEW, **COLD_SINCE_ROUTES)
     former = [
         entry(number, service=OLD, **fields)
         for number, fields in enumerate(servers, 3)
     ]
-    listing = [(item, 9) for item in (named, *former)]
-    node.fleet.on_listing(listing, 9, 1.0)
-    node.tick(1.0)
-    return node
+    return list_servers([named, *former])
 
 
 LEFT_OVER = {"warm_in_s": 0.0, "created": 4}
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -110,8 +110,8 @@
         waiting: Packets that wait for the outcome.
         unanswered: Hosts of agents that have not answered.
         unsure: Hosts of agents that started too recently to know.
-        presumed: Hosts of agents that did too and are presumed not to have the
-            flow, each with the time when its agent started, seconds.
+        presumed: Hosts of such agents that are presumed not to have the flow,
+            each with the time when its agent started, seconds.
         sampled: Hosts of unsure agents that were sent a sample packet.
         answered_s: Time from the start of the search until all agents had
             answered, seconds; 0 if none was unsure.
