Ranges of published values in one module

Cause: the ranges that the reader of published documents accepts stood beside it; the codec and its tests could not refer to them. Change: moved to flows/model/ranges.py, with the widths of integers of control messages. No value changes.

--- a/notchhoist/flows/model/__init__.py
+++ b/notchhoist/flows/model/__init__.py
@@ -2,6 +2,7 @@
 
 Each module imports only those listed above it:
 
+* ``ranges``: ranges of published values.
 * ``mechanisms``: switches that disable mechanisms.
 * ``segments``: a decoded packet, and the ``Protocol`` of the packet codec.
 * ``request_hints``: hints on a flow's requests and on how long their caller
--- /dev/null
+++ b/notchhoist/flows/model/ranges.py
@@ -0,0 +1,17 @@
+"""Ranges of published values, which every later step can carry."""
+
+I32_MAX = (1 << 31) - 1
+I64_MAX = (1 << 63) - 1
+"""Largest integers of control messages, by the width of the field."""
+
+MAX_MS = 86_400_000
+"""Longest duration, ms: a day."""
+
+MAX_VERSION = 1 << 53
+"""Largest version of a configuration; floats represent it exactly."""
+
+MAX_COUNT = 1 << 63
+MAX_SLOTS = 100_000
+MAX_PER_S = 1e9
+MAX_WEIGHT = 1_000_000
+MAX_PRIORITY = 1000
--- a/notchhoist/platform/documents.py
+++ b/notchhoist/platform/documents.py
@@ -14,6 +14,15 @@
     RouteTable,
     ServerEntry,
 )
+from notchhoist.flows.model.ranges import (
+    MAX_COUNT,
+    MAX_MS,
+    MAX_PER_S,
+    MAX_PRIORITY,
+    MAX_SLOTS,
+    MAX_VERSION,
+    MAX_WEIGHT,
+)
 from notchhoist.platform.json_fields import (
     FieldError,
     Fields,
@@ -22,13 +31,6 @@
 )
 from notchhoist.platform.packets import service_key
 
-MAX_MS = 86_400_000
-MAX_VERSION = 1 << 53
-MAX_COUNT = 1 << 63
-MAX_SLOTS = 100_000
-MAX_PER_S = 1e9
-MAX_WEIGHT = 1_000_000
-
 DEFAULT_IDLE_MS = 60_000.0
 """Idle timeout where the configured one cannot be read, ms.
 
@@ -220,7 +222,9 @@
         service_key=service_key(host, number),
         kind=_KINDS[kind],
         targets=targets,
-        priority=value_or(lambda: fields.integer("priority", 0, 1000, 0), 0),
+        priority=value_or(
+            lambda: fields.integer("priority", 0, MAX_PRIORITY, 0), 0
+        ),
         objective_ms=milliseconds("target_latency_ms"),
         timeout_ms=milliseconds("timeout_ms"),
     )
