Fix: numbers of many digits in published texts ended every balancer

Cause: `int` raises ValueError for texts of more than 4,300 digits. An entry or a route with such a port, an octet of that length or the header `store-era` reached it; nothing catches ValueError there, so the exception left the callback of the event loop and the process ended, again after each start.

Change: `parse_decimal` checks the length before it converts. It is the one place that turns published texts into numbers, and it states what is accepted: ASCII digits without leading zeros (inet_aton takes 0177 for octal, so one text stood for two addresses), ports 1 to 65535, eras 0 to 2**31 - 1. Addresses of entries are those of one host: 0.0.0.0/8, multicast and reserved addresses, among them broadcast, are refused.

Result: the odd entry or route costs itself only, is logged with its key, and a good entry under the same key is taken. Before, test_odd_documents.py showed `ValueError: Exceeds the limit (4300 digits) for integer string conversion` for the entry, the route, the octet and the era, and accepted port 0, leading zeros and addresses of no host.

--- a/notchhoist/flows/model/ranges.py
+++ b/notchhoist/flows/model/ranges.py
@@ -15,3 +15,12 @@
 MAX_PER_S = 1e9
 MAX_WEIGHT = 1_000_000
 MAX_PRIORITY = 1000
+
+MIN_PORT = 1
+MAX_PORT = 65_535
+
+HOST_FIRST_OCTETS = range(1, 224)
+"""First octets of IPv4 addresses that one host has: not of this network (0), a
+multicast group (224 to 239), or reserved (from 240)."""
+
+MAX_ERA = I32_MAX
--- a/notchhoist/platform/documents.py
+++ b/notchhoist/platform/documents.py
@@ -15,6 +15,7 @@
     ServerEntry,
 )
 from notchhoist.flows.model.ranges import (
+    HOST_FIRST_OCTETS,
     MAX_COUNT,
     MAX_MS,
     MAX_PER_S,
@@ -269,7 +270,7 @@
     """
     place = f"servers/{server_id}"
     fields = Fields(decode_json(text, place), place)
-    host, _ = split_address(fields.text("address"), f"{place}.address")
+    host = _host(fields)
     state = fields.choice("state", ("ready", "draining"))
     fields.text("version")
     fields.integer("seq", 0, MAX_COUNT)
@@ -284,3 +285,13 @@
         created=created,
         born_ms=fields.integer("born", 0, MAX_COUNT, default=0),
     )
+
+
+def _host(fields: Fields) -> str:
+    """Reads the IP address of a backend server's host."""
+    text = fields.text("address")
+    place = f"{fields.place}.address"
+    host, _ = split_address(text, place)
+    if int(host.partition(".")[0]) not in HOST_FIRST_OCTETS:
+        raise FieldError(place, "the address of a host", text)
+    return host
--- a/notchhoist/platform/eras.py
+++ b/notchhoist/platform/eras.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Mapping
 
-from notchhoist.platform.json_fields import FieldError
+from notchhoist.flows.model.ranges import MAX_ERA
+from notchhoist.platform.json_fields import FieldError, parse_decimal
 
 ERA_HEADER = "store-era"
 """Header of each answer of the store; each restore from a backup adds one."""
@@ -20,11 +21,12 @@
         (3, 1)
 
     Raises:
-        FieldError: The header does not hold a whole number.
+        FieldError: The header does not hold an era.
     """
     text = headers.get(ERA_HEADER)
     if text is None:
         return known
-    if not (text.isascii() and text.isdigit()):
+    era = parse_decimal(text, 0, MAX_ERA)
+    if era is None:
         raise FieldError(ERA_HEADER, "a whole number", text)
-    return int(text)
+    return era
--- a/notchhoist/platform/json_fields.py
+++ b/notchhoist/platform/json_fields.py
@@ -4,6 +4,7 @@
 from typing import Any, TypeVar
 
 from notchhoist.base.errors import ConfigurationProblem
+from notchhoist.flows.model.ranges import MAX_PORT, MIN_PORT
 
 T = TypeVar("T")
 
@@ -177,14 +178,38 @@
     Examples:
         >>> split_address("10.1.0.10:8172", "listen.ready")
         ('10.1.0.10', 8172)
+
+    Raises:
+        FieldError: The octets or the port are out of range, or not written as
+            ``parse_decimal`` requires.
     """
-    host, _, port = text.rpartition(":")
-    octets = host.split(".")
-    good = len(octets) == 4 and all(_is_number(part, 255) for part in octets)
-    if not good or not _is_number(port, 65535):
+    host, _, port_text = text.rpartition(":")
+    octets = [parse_decimal(part, 0, 255) for part in host.split(".")]
+    port = parse_decimal(port_text, MIN_PORT, MAX_PORT)
+    if len(octets) != 4 or None in octets or port is None:
         raise FieldError(place, "ip:port", text)
-    return host, int(port)
+    return host, port
+
+
+def parse_decimal(text: str, low: int, high: int) -> int | None:
+    """Returns the number from ``low`` to ``high`` that a text denotes.
 
+    Leading zeros are refused: ``socket`` takes octets with them for octal.
 
-def _is_number(text: str, maximum: int) -> bool:
-    return text.isascii() and text.isdecimal() and int(text) <= maximum
+    Examples:
+        >>> parse_decimal("8172", 1, 65535), parse_decimal("08172", 1, 65535)
+        (8172, None)
+
+    Returns:
+        None if the number is out of range or the text has anything but the
+        ASCII digits of a number without leading zeros.
+    """
+    # ``int`` raises ValueError for texts of several thousand digits.
+    if len(text) > len(str(high)):
+        return None
+    if not (text.isascii() and text.isdecimal()):
+        return None
+    if text[0] == "0" and text != "0":
+        return None
+    number = int(text)
+    return number if low <= number <= high else None
--- /dev/null
+++ b/notchhoist/platform/tests/test_odd_documents.py
@@ -0,0 +1,86 @@
+"""Tests that odd published data costs itself only, and ends no process."""
+
+import pytest
+
+from notchhoist.platform.documents import decode_configuration, decode_entry
+from notchhoist.platform.eras import read_era
+from notchhoist.platform.json_fields import FieldError, split_address
+from notchhoist.platform.tests.test_documents import (
+    CONFIGURATION,
+    ENTRY,
+    TWO_ROUTES,
+    changed,
+)
+from notchhoist.platform.tests.test_feeding import logged_problems, make_feeder
+from notchhoist.platform.tests.test_store import changes, item
+
+MANY_DIGITS = "1" * 5000
+
+
+def test_a_port_of_many_digits_costs_only_its_entry():
+    """``int`` raises ValueError for such texts, which ended the balancers."""
+    odd = {**ENTRY, "address": f"10.128.0.10:{MANY_DIGITS}"}
+    feeder = make_feeder(
+        item("op/config", CONFIGURATION),
+        item("servers/i-1", ENTRY),
+        item("servers/i-2", odd),
+    )
+    board = feeder.node.board
+    assert list(board.servers) == ["i-1"]
+    [problem] = logged_problems(feeder)
+    assert problem.startswith("servers/i-2.address: expected ip:port")
+    mended = {**ENTRY, "address": "10.128.0.10:8080"}
+    feeder.on_answer(200, changes(item("servers/i-2", mended, 51)), 1.0)
+    assert list(board.servers) == ["i-1", "i-2"]
+
+
+def test_a_port_of_many_digits_costs_only_its_route():
+    path = ["routes", 0, "path_prefix"]
+    table = decode_configuration(changed(TWO_ROUTES, path, f"/{MANY_DIGITS}/"))
+    assert [route.name for route in table.routes.values()] == ["r-2"]
+
+
+def test_an_era_of_many_digits_is_refused():
+    with pytest.raises(FieldError, match="store-era"):
+        read_era({"store-era": MANY_DIGITS}, 1)
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "10.1.0.10:0",
+        "10.1.0.10:65536",
+        "10.1.0.10:0080",
+        "10.1.0.10:+80",
+        "10.1.0.10:\u0663",
+        "10.1.0.10:\u00b2",
+        "10.1.0.10:",
+        "10.1.0.10",
+        "10.1.0.0177:80",
+        "10.1.0.010:80",
+        "10.1.0.256:80",
+        "10.1.0.:80",
+        "10.1.0:80",
+        "10.1.0.1.1:80",
+        "::1:80",
+        "",
+        f"{MANY_DIGITS}.1.0.1:80",
+    ],
+)
+def test_an_address_has_four_decimal_octets_and_a_port(address):
+    with pytest.raises(FieldError):
+        split_address(address, "address")
+
+
+@pytest.mark.parametrize("port", [1, 65535])
+def test_the_ends_of_the_range_of_ports_are_accepted(port):
+    assert split_address(f"0.0.0.0:{port}", "listen") == ("0.0.0.0", port)
+
+
+@pytest.mark.parametrize(
+    "host", ["0.0.0.0", "0.1.2.3", "224.0.0.1", "240.0.0.1", "255.255.255.255"]
+)
+def test_an_entry_with_an_address_of_no_host_is_refused(host):
+    text = changed(ENTRY, ["address"], f"{host}:8080")
+    with pytest.raises(FieldError, match="address of a host"):
+        decode_entry("i-7", text)
