Fix: a page of the state dump past the range of islice ended the process

Cause: `GET /dump/SECTION?offset=` reached `islice`, which raises ValueError for numbers above sys.maxsize, outside of the part of `answer_state` that answers ValueError with status 400. The handler of the HTTP port runs in a callback of the event loop, so the exception would leave it; that a process ends by it was read, not run.

Change: offset and limit are parsed by `parse_decimal`, with a range that `islice` takes. Unicode digits, accepted before, are refused like other texts.

Result: such requests are answered with status 400. Before, the test showed `ValueError: Stop argument for islice() must be None or an integer: 0 <= x <= sys.maxsize`.

--- a/notchhoist/daemon/flow_state.py
+++ b/notchhoist/daemon/flow_state.py
@@ -19,9 +19,11 @@
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.flows.decisions import server_selection
 from notchhoist.flows.model.fleet import Route, Server
+from notchhoist.flows.model.ranges import I32_MAX
 from notchhoist.flows.model.records import Records
 from notchhoist.flows.model.view import ZoneKey
 from notchhoist.flows.published import states
+from notchhoist.platform.json_fields import parse_decimal
 
 HEALTH_PATH = "/health"
 DUMP_PATH = "/dump/"
@@ -89,9 +91,10 @@
     numbers = {"offset": 0, "limit": MAX_PAGE_ENTRIES}
     for item in query.split("&") if query else ():
         name, _, text = item.partition("=")
-        if name not in numbers or not text.isdecimal():
+        number = parse_decimal(text, 0, I32_MAX)
+        if name not in numbers or number is None:
             raise ValueError(f"{name}: expected a whole number, got {text!r}")
-        numbers[name] = int(text)
+        numbers[name] = number
     return numbers["offset"], min(numbers["limit"], MAX_PAGE_ENTRIES)
 
 
--- a/notchhoist/daemon/tests/test_flow_state.py
+++ b/notchhoist/daemon/tests/test_flow_state.py
@@ -2,6 +2,8 @@
 
 import json
 
+import pytest
+
 from notchhoist.daemon.flow_metrics import metrics_text
 from notchhoist.daemon.flow_state import answer_state
 from notchhoist.flows.agent.node import make_agent
@@ -136,3 +138,12 @@
     )
     text = metrics_text(node, True, 1.0, make_scheduler(0.0))
     assert 'notchhoist_round_trip_seconds{zone="b"} 0.01' in text
+
+
+@pytest.mark.parametrize("number", ["9" * 20, "9" * 5000, "\u0663", "-1", ""])
+def test_an_offset_or_limit_out_of_range_is_refused(number):
+    """``islice`` raised ValueError for offsets that exceed its range."""
+    node = make_balancer("a", CODEC, "seed", "10.0.1.1")
+    for name in ("offset", "limit"):
+        target = f"/dump/servers?{name}={number}"
+        assert answer_state(node, "h", "a", target, 0.0).status == 400
