Fix: balancers ended after 1,024 failed calls of the store in a row

Cause: the pauses and timeouts of calls to the store double with each failure, as `first * 2**failures`, and the limit was applied to the result. A float cannot hold 2**1024: from the 1,024th failure on the product raised OverflowError. It left the callback that had handled the failure, and the process ended. The count is reset only by a usable answer. All balancers that read the store count alike, so they end within moments of each other.

Change: the number of doublings is limited before the multiplication, in one function for the three times.

Result: pauses and timeouts stay at their limits however long the store is away. Before, the test showed `OverflowError: int too large to convert to float` with and without state.

--- a/notchhoist/platform/calls.py
+++ b/notchhoist/platform/calls.py
@@ -41,6 +41,9 @@
 changes that follow each other closely. It is a twelfth of the propagation
 deadline of a configuration."""
 
+MAX_DOUBLINGS = 100
+"""Most doublings of a time; a float cannot hold the result of 1,024."""
+
 
 class StoreCall(Struct, frozen=True):
     """A GET request to the store.
@@ -70,7 +73,7 @@
     if not has_state and call_in_round < SHORT_TIMEOUT_CALLS:
         return SHORT_TIMEOUT_S
     doublings = failures if has_state else rounds
-    return min(LISTING_MAX_S, LISTING_FIRST_S * 2**doublings)
+    return _doubled(LISTING_FIRST_S, doublings, LISTING_MAX_S)
 
 
 def answer_timeout_s(first_s: float, failures: int) -> float:
@@ -80,7 +83,7 @@
         first_s: The timeout after a call that did not fail, seconds.
         failures: Number of consecutive failed calls.
     """
-    return min(ANSWER_MAX_S, first_s * 2**failures)
+    return _doubled(first_s, failures, ANSWER_MAX_S)
 
 
 def pause_s(failures: int) -> float:
@@ -89,4 +92,14 @@
     Args:
         failures: Number of consecutive failed calls before the last one.
     """
-    return min(PAUSE_MAX_S, PAUSE_FIRST_S * 2**failures)
+    return _doubled(PAUSE_FIRST_S, failures, PAUSE_MAX_S)
+
+
+def _doubled(first_s: float, times: int, max_s: float) -> float:
+    """Returns a time after a number of doublings, at most ``max_s``, seconds.
+
+    Examples:
+        >>> _doubled(0.1, 2, 1.0), _doubled(0.1, 5000, 1.0)
+        (0.4, 1.0)
+    """
+    return min(max_s, first_s * 2 ** min(times, MAX_DOUBLINGS))
--- a/notchhoist/platform/tests/test_store.py
+++ b/notchhoist/platform/tests/test_store.py
@@ -265,3 +265,13 @@
     invalid = item("servers/i-1", {"service": 4}, 60)
     [refused] = store_reader.on_answer(200, changes(invalid), 1.0)
     assert (refused.server_id, refused.revision) == ("i-1", 60)
+
+
+@pytest.mark.parametrize("make", [reader, listed])
+def test_pauses_and_timeouts_stay_bounded_after_thousands_of_failures(make):
+    """Doubling overflowed after 1,024 failures, which ended the balancers."""
+    store_reader = make()
+    for _ in range(3000):
+        assert store_reader.next_call().timeout_s <= 5.0
+        store_reader.on_failed(0.0)
+        assert 0.0 < store_reader.due <= calls.PAUSE_MAX_S
