Fix: an entry with a number past the wire's width ended every balancer

Cause: the reader accepted `born` and `seq` up to 2**63, one more than the i64 of control messages carries. The codec raised OverflowError when a balancer sent its view on, in a callback of the event loop, so every balancer ended, and again after each start until the entry was gone. `seq` is not sent on.

Change: whole numbers without a range of their own end at I64_MAX, the width of the field on the wire. The ranges of eras and revisions stand in ranges.py with the others, so that each published field has its range there once.

Result: an entry with 2**63 costs itself only; 2**63 - 1 arrives at another balancer.

--- a/notchhoist/flows/model/__init__.py
+++ b/notchhoist/flows/model/__init__.py
@@ -2,6 +2,7 @@
 
 Each module imports only those listed above it:
 
+* ``revisions``: revisions that stay ordered across restores of the store.
 * ``ranges``: ranges of published values.
 * ``mechanisms``: switches that disable mechanisms.
 * ``segments``: a decoded packet, and the ``Protocol`` of the packet codec.
--- a/notchhoist/flows/model/ranges.py
+++ b/notchhoist/flows/model/ranges.py
@@ -1,4 +1,11 @@
-"""Ranges of published values, which every later step can carry."""
+"""Ranges of published values, which every later step can carry.
+
+Later steps are the control messages, whose integers have a fixed width and
+which fit into a datagram, the logs, the state dump and the metrics. Whole
+numbers without a range of their own end at ``I64_MAX``.
+"""
+
+from notchhoist.flows.model.revisions import COUNTS_PER_ERA
 
 I32_MAX = (1 << 31) - 1
 I64_MAX = (1 << 63) - 1
@@ -10,7 +17,6 @@
 MAX_VERSION = 1 << 53
 """Largest version of a configuration; floats represent it exactly."""
 
-MAX_COUNT = 1 << 63
 MAX_SLOTS = 100_000
 MAX_PER_S = 1e9
 MAX_WEIGHT = 1_000_000
@@ -24,3 +30,5 @@
 multicast group (224 to 239), or reserved (from 240)."""
 
 MAX_ERA = I32_MAX
+MAX_REVISION = COUNTS_PER_ERA - 1
+"""Largest number of a restore of the store, and of a change within an era."""
--- a/notchhoist/platform/changes.py
+++ b/notchhoist/platform/changes.py
@@ -3,9 +3,10 @@
 from msgspec import Struct
 
 from notchhoist.base.errors import PlatformError
+from notchhoist.flows.model.ranges import MAX_REVISION
 from notchhoist.flows.model.revisions import make_revision
 from notchhoist.platform.documents import decode_json
-from notchhoist.platform.items import MAX_REVISION, StoreEvent, read_item
+from notchhoist.platform.items import StoreEvent, read_item
 from notchhoist.platform.json_fields import FieldError, Fields
 
 
--- a/notchhoist/platform/documents.py
+++ b/notchhoist/platform/documents.py
@@ -16,7 +16,7 @@
 )
 from notchhoist.flows.model.ranges import (
     HOST_FIRST_OCTETS,
-    MAX_COUNT,
+    I64_MAX,
     MAX_MS,
     MAX_PER_S,
     MAX_PRIORITY,
@@ -273,7 +273,7 @@
     host = _host(fields)
     state = fields.choice("state", ("ready", "draining"))
     fields.text("version")
-    fields.integer("seq", 0, MAX_COUNT)
+    fields.integer("seq", 0, I64_MAX)
     return ServerEntry(
         server_id=server_id,
         service=fields.text("service"),
@@ -283,7 +283,7 @@
         draining=state == "draining",
         warm_in_s=fields.number("cold_remaining_ms", 0, MAX_MS) / 1000,
         created=created,
-        born_ms=fields.integer("born", 0, MAX_COUNT, default=0),
+        born_ms=fields.integer("born", 0, I64_MAX, default=0),
     )
 
 
--- a/notchhoist/platform/items.py
+++ b/notchhoist/platform/items.py
@@ -4,7 +4,8 @@
 
 from notchhoist.base.errors import ConfigurationRefusedError
 from notchhoist.flows.model.fleet import RouteTable, ServerEntry
-from notchhoist.flows.model.revisions import COUNTS_PER_ERA, make_revision
+from notchhoist.flows.model.ranges import MAX_REVISION
+from notchhoist.flows.model.revisions import make_revision
 from notchhoist.platform.documents import (
     decode_configuration,
     decode_entry,
@@ -16,7 +17,6 @@
 SERVERS_PREFIX = "servers/"
 EVACUATIONS_PREFIX = "op/evacuate/"
 """An item with this prefix evacuates a zone for as long as the item exists."""
-MAX_REVISION = COUNTS_PER_ERA - 1
 
 
 class TablePublished(Struct, frozen=True):
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -13,6 +13,7 @@
 from notchhoist.base.draws import Draw
 from notchhoist.base.errors import PlatformError
 from notchhoist.flows.model.fleet import ServerEntry
+from notchhoist.flows.model.ranges import MAX_REVISION
 from notchhoist.flows.model.revisions import count_of, era_of, make_revision
 from notchhoist.flows.published.budget import PropagationBudget
 from notchhoist.platform.calls import (
@@ -29,7 +30,6 @@
 from notchhoist.platform.changes import read_changes
 from notchhoist.platform.documents import decode_json
 from notchhoist.platform.items import (
-    MAX_REVISION,
     EntryRefused,
     ServerPublished,
     ServersListed,
--- a/notchhoist/platform/tests/test_odd_documents.py
+++ b/notchhoist/platform/tests/test_odd_documents.py
@@ -2,9 +2,15 @@
 
 import pytest
 
+from notchhoist.flows.balancer.node import make_balancer
+from notchhoist.flows.codec.message_codec import decode_message, encode_message
+from notchhoist.flows.model import ranges
+from notchhoist.flows.model.effects import SendPeer
+from notchhoist.flows.model.messages import ViewAsk
 from notchhoist.platform.documents import decode_configuration, decode_entry
 from notchhoist.platform.eras import read_era
 from notchhoist.platform.json_fields import FieldError, split_address
+from notchhoist.platform.packets import PacketCodec
 from notchhoist.platform.tests.test_documents import (
     CONFIGURATION,
     ENTRY,
@@ -15,6 +21,21 @@
 from notchhoist.platform.tests.test_store import changes, item
 
 MANY_DIGITS = "1" * 5000
+DATAGRAM_BYTES_MAX = 65_507
+OTHER_ENTRY = {**ENTRY, "address": "10.128.0.10:8080"}
+THIRD_ENTRY = {**ENTRY, "address": "10.128.0.11:8080"}
+
+
+def view_of_another(node, reads_pieces=True):
+    """Returns the view of a balancer that gets all of a balancer's view."""
+    other = make_balancer("a", PacketCodec(), "other", "10.0.0.2")
+    query = ViewAsk(0, number=1, reads_pieces=reads_pieces)
+    for effect in node.on_peer("10.0.0.2", query, 2.0):
+        if isinstance(effect, SendPeer) and effect.host == "10.0.0.2":
+            data = encode_message(effect.message)
+            assert len(data) <= DATAGRAM_BYTES_MAX
+            other.on_peer("10.0.0.1", decode_message(data), 2.0)
+    return other.board.view
 
 
 def test_a_port_of_many_digits_costs_only_its_entry():
@@ -84,3 +105,17 @@
     text = changed(ENTRY, ["address"], f"{host}:8080")
     with pytest.raises(FieldError, match="address of a host"):
         decode_entry("i-7", text)
+
+
+@pytest.mark.parametrize("field", ["born", "seq"])
+def test_an_entry_with_a_number_past_the_wire_costs_only_itself(field):
+    """The codec raised OverflowError for 2**63, which ended the balancers."""
+    feeder = make_feeder(
+        item("servers/i-1", ENTRY),
+        item("servers/i-2", {**OTHER_ENTRY, field: ranges.I64_MAX}),
+        item("servers/i-3", {**THIRD_ENTRY, field: ranges.I64_MAX + 1}),
+    )
+    assert list(view_of_another(feeder.node).servers) == ["i-1", "i-2"]
+    assert list(feeder.node.board.servers) == ["i-1", "i-2"]
+    [problem] = logged_problems(feeder)
+    assert problem.startswith(f"servers/i-3.{field}: expected a whole number")
