Fix: an entry with a long name kept a view from all other balancers

Cause: names of services, zones, routes and servers had no limit. A name of 400,000 characters makes a control message of 400,280 bytes, more than the 65,507 of a UDP datagram and than the 65,535 bytes of a text that the codec reads, so that no other balancer gets the view from one that has read it. A split of many services did the same. Names with NUL, line feeds or marks that change the direction of text went into the log as they were.

Change: a name is printable and has at most 200 bytes in UTF-8, as the keys of the store; a split has at most 16 services; a key that is a prefix alone, or no name, is skipped. The ranges stand in ranges.py.

Result: such an entry, route or item costs itself only and is logged once.

--- a/notchhoist/platform/documents.py
+++ b/notchhoist/platform/documents.py
@@ -21,6 +21,7 @@
     MAX_PER_S,
     MAX_PRIORITY,
     MAX_SLOTS,
+    MAX_TARGETS,
     MAX_VERSION,
     MAX_WEIGHT,
 )
@@ -194,7 +195,7 @@
 def _cold_bound(value: object, place: str) -> ColdBound:
     fields = Fields(value, place)
     return ColdBound(
-        service=fields.text("name"),
+        service=fields.name("name"),
         per_s=fields.number("cold_per_s", 0, MAX_PER_S, default=0),
         lasts_s=fields.number("cold_start_s", 0, MAX_MS / 1000, default=0),
     )
@@ -219,7 +220,7 @@
 
     kind = value_or(lambda: fields.choice("kind", tuple(_KINDS)), FALLBACK_KIND)
     return Route(
-        name=value_or(lambda: fields.text("name"), f"{host}:{number}"),
+        name=value_or(lambda: fields.name("name"), f"{host}:{number}"),
         service_key=service_key(host, number),
         kind=_KINDS[kind],
         targets=targets,
@@ -239,9 +240,13 @@
             not be the split that the operator asked for.
     """
     if not fields.has("split"):
-        return ((fields.text("service"), 1),)
+        return ((fields.name("service"), 1),)
     targets: dict[str, int] = {}
-    for place, value in fields.elements("split"):
+    listed = fields.elements("split")
+    if len(listed) > MAX_TARGETS:
+        place = f"{fields.place}.split"
+        raise FieldError(place, f"at most {MAX_TARGETS} services", len(listed))
+    for place, value in listed:
         service, weight = _target(value, place)
         if service in targets:
             raise FieldError(
@@ -256,7 +261,7 @@
 
 def _target(value: object, place: str) -> tuple[str, int]:
     fields = Fields(value, place)
-    return fields.text("service"), fields.integer("weight", 0, MAX_WEIGHT)
+    return fields.name("service"), fields.integer("weight", 0, MAX_WEIGHT)
 
 
 def decode_entry(server_id: str, text: bytes, created: int = 0) -> ServerEntry:
@@ -272,13 +277,13 @@
     fields = Fields(decode_json(text, place), place)
     host = _host(fields)
     state = fields.choice("state", ("ready", "draining"))
-    fields.text("version")
+    fields.name("version")
     fields.integer("seq", 0, I64_MAX)
     return ServerEntry(
         server_id=server_id,
-        service=fields.text("service"),
+        service=fields.name("service"),
         host=host,
-        zone=fields.text("zone"),
+        zone=fields.name("zone"),
         slots=fields.integer("slots", 0, MAX_SLOTS),
         draining=state == "draining",
         warm_in_s=fields.number("cold_remaining_ms", 0, MAX_MS) / 1000,
--- a/notchhoist/platform/items.py
+++ b/notchhoist/platform/items.py
@@ -4,7 +4,11 @@
 
 from notchhoist.base.errors import ConfigurationRefusedError
 from notchhoist.flows.model.fleet import RouteTable, ServerEntry
-from notchhoist.flows.model.ranges import MAX_REVISION
+from notchhoist.flows.model.ranges import (
+    MAX_KEY_BYTES,
+    MAX_REVISION,
+    is_name,
+)
 from notchhoist.flows.model.revisions import make_revision
 from notchhoist.platform.documents import (
     decode_configuration,
@@ -18,6 +22,8 @@
 EVACUATIONS_PREFIX = "op/evacuate/"
 """An item with this prefix evacuates a zone for as long as the item exists."""
 
+KEY_FORM = f"a prefix and a printable name, at most {MAX_KEY_BYTES} bytes"
+
 
 class TablePublished(Struct, frozen=True):
     """A valid configuration, and the revision that published it."""
@@ -133,11 +139,13 @@
 def _event(key: str, item: Fields, era: int) -> StoreEvent | None:
     if key == CONFIGURATION_KEY:
         return _table_event(item, era)
+    if not key.startswith((SERVERS_PREFIX, EVACUATIONS_PREFIX)):
+        return None
+    if not is_name(key) or key in (SERVERS_PREFIX, EVACUATIONS_PREFIX):
+        return ItemRefused(FieldError(f"{item.place}.key", KEY_FORM, key))
     if key.startswith(SERVERS_PREFIX):
         return _server_event(key.removeprefix(SERVERS_PREFIX), item, era)
-    if key.startswith(EVACUATIONS_PREFIX):
-        return _zone_event(key.removeprefix(EVACUATIONS_PREFIX), item, era)
-    return None
+    return _zone_event(key.removeprefix(EVACUATIONS_PREFIX), item, era)
 
 
 def _revision(item: Fields, name: str, era: int) -> int:
--- a/notchhoist/platform/json_fields.py
+++ b/notchhoist/platform/json_fields.py
@@ -4,10 +4,17 @@
 from typing import Any, TypeVar
 
 from notchhoist.base.errors import ConfigurationProblem
-from notchhoist.flows.model.ranges import MAX_PORT, MIN_PORT
+from notchhoist.flows.model.ranges import (
+    MAX_NAME_BYTES,
+    MAX_PORT,
+    MIN_PORT,
+    is_name,
+)
 
 T = TypeVar("T")
 
+NAME_FORM = f"a printable text of at most {MAX_NAME_BYTES} bytes"
+
 _SHOWN_CHARACTERS_MAX = 60
 
 
@@ -104,6 +111,13 @@
             raise FieldError(self._at(name), "a non-empty string", value)
         return value
 
+    def name(self, name: str) -> str:
+        """Returns a name; see ``is_name``."""
+        value = self.text(name)
+        if not is_name(value):
+            raise FieldError(self._at(name), NAME_FORM, value)
+        return value
+
     def choice(self, name: str, choices: tuple[str, ...]) -> str:
         """Returns a string that is one of the choices."""
         value = self.text(name)
--- a/notchhoist/platform/tests/test_odd_documents.py
+++ b/notchhoist/platform/tests/test_odd_documents.py
@@ -14,6 +14,7 @@
 from notchhoist.platform.tests.test_documents import (
     CONFIGURATION,
     ENTRY,
+    ROUTE,
     TWO_ROUTES,
     changed,
 )
@@ -119,3 +120,86 @@
     assert list(feeder.node.board.servers) == ["i-1", "i-2"]
     [problem] = logged_problems(feeder)
     assert problem.startswith(f"servers/i-3.{field}: expected a whole number")
+
+
+def long_split(count):
+    return [
+        {"service": f"{n:03}" + "s" * (ranges.MAX_NAME_BYTES - 3), "weight": 1}
+        for n in range(count)
+    ]
+
+
+@pytest.mark.parametrize("field", ["service", "zone", "version"])
+@pytest.mark.parametrize(
+    "name", ["n" * 400_000, "n" * 201, "\u00e9" * 101, "a\0b", "a\nb", "\u202e"]
+)
+def test_an_odd_name_costs_only_its_entry(field, name):
+    """Other balancers could not decode a view with such a name."""
+    feeder = make_feeder(
+        item("op/config", CONFIGURATION),
+        item("servers/i-1", ENTRY),
+        item("servers/i-2", {**OTHER_ENTRY, field: name}),
+    )
+    for reads_pieces in (True, False):
+        view = view_of_another(feeder.node, reads_pieces)
+        assert list(view.servers) == ["i-1"]
+    [problem] = logged_problems(feeder)
+    assert problem.startswith(f"servers/i-2.{field}: expected a printable text")
+
+
+@pytest.mark.parametrize("reads_pieces", [True, False])
+def test_the_longest_names_reach_another_balancer(reads_pieces):
+    """Each part of a view must fit into one datagram."""
+    name = "\u00e9" * (ranges.MAX_NAME_BYTES // 2)
+    route = {**ROUTE, "name": name, "split": long_split(ranges.MAX_TARGETS)}
+    routes = [{**route, "path_prefix": f"/{port}/"} for port in range(1, 31)]
+    servers = [
+        item(
+            f"servers/{number:02}" + "i" * (ranges.MAX_KEY_BYTES - 10),
+            {
+                **ENTRY,
+                "address": f"10.128.0.{number}:1",
+                "service": name,
+                "zone": name,
+            },
+        )
+        for number in range(30)
+    ]
+    zone = "op/evacuate/" + "z" * (ranges.MAX_KEY_BYTES - 12)
+    configuration = item("op/config", {**CONFIGURATION, "routes": routes})
+    feeder = make_feeder(configuration, *servers, item(zone, {}))
+    assert not logged_problems(feeder)
+    view = view_of_another(feeder.node, reads_pieces)
+    known = feeder.node.board.view
+    assert len(view.servers) == len(view.table.routes) == 30
+    assert (view.servers, view.table.routes, view.evacuated) == (
+        known.servers,
+        known.table.routes,
+        known.evacuated,
+    )
+
+
+def test_a_split_of_too_many_services_leaves_its_route_as_it_was():
+    """A part of a view with such a route did not fit into a datagram."""
+    split = long_split(ranges.MAX_TARGETS + 1)
+    text = changed(TWO_ROUTES, ["routes", 0, "split"], split)
+    table = decode_configuration(text)
+    assert [route.name for route in table.routes.values()] == ["r-2"]
+    [problem] = table.problems
+    assert problem.place == "routes[0].split"
+
+
+@pytest.mark.parametrize(
+    "key", ["servers/", "servers/" + "i" * 193, "servers/a\nb", "op/evacuate/"]
+)
+def test_an_item_with_an_odd_key_is_skipped(key):
+    feeder = make_feeder(
+        item("op/config", CONFIGURATION),
+        item(key, ENTRY),
+        item("servers/i-1", ENTRY),
+    )
+    assert list(feeder.node.board.servers) == ["i-1"]
+    assert not feeder.node.board.view.evacuated
+    [problem] = logged_problems(feeder)
+    assert problem.startswith("answer.items[1].key: expected")
+    assert len(problem) < 200
