Fix: the text of an error followed the invalid value without a limit

Cause: FieldError built its text with `repr(value)` and cut it afterwards. For values nested just below the decoder's limit `repr` raises RecursionError, for numbers of more than 4,300 digits ValueError; neither is a FieldError, so it left the reader. For a value of a megabyte it took time in proportion. The text of a refused configuration held a problem for each of its routes, and became one line of the log.

Change: the text is built from the first items and levels of a value, of a large number from its number of bits; the message of a refused configuration has its first five problems and the number of the others. The error still holds all problems.

Result: texts of errors are short, take few steps, and do not raise.

--- a/notchhoist/base/errors.py
+++ b/notchhoist/base/errors.py
@@ -4,6 +4,9 @@
 with a library would take longer than loading all of this module.
 """
 
+SHOWN_PROBLEMS_MAX = 5
+"""Most problems of a document in the message of its error."""
+
 
 class NotchhoistError(Exception):
     """Base of all errors of the package."""
@@ -96,8 +99,10 @@
         self.problems = problems
 
     def __str__(self) -> str:
-        """Returns a message of one line."""
-        return "; ".join(str(problem) for problem in self.problems)
+        """Returns a message of one line, with the first problems."""
+        shown = [str(problem) for problem in self.problems[:SHOWN_PROBLEMS_MAX]]
+        more = len(self.problems) - len(shown)
+        return "; ".join([*shown, f"{more} more"] if more else shown)
 
 
 class SettingsRefusedError(NotchhoistError):
--- a/notchhoist/platform/json_fields.py
+++ b/notchhoist/platform/json_fields.py
@@ -1,6 +1,7 @@
 """Validated access to decoded JSON; each error names the field's path."""
 
 from collections.abc import Callable, Mapping
+from itertools import islice
 from typing import Any, TypeVar
 
 from notchhoist.base.errors import ConfigurationProblem
@@ -16,6 +17,10 @@
 NAME_FORM = f"a printable text of at most {MAX_NAME_BYTES} bytes"
 
 _SHOWN_CHARACTERS_MAX = 60
+_SHOWN_ITEMS_MAX = 4
+_SHOWN_LEVELS_MAX = 2
+_SHOWN_BITS_MAX = 128
+"""Limits of the part of an invalid value that an error shows."""
 
 
 class FieldError(ValueError):
@@ -26,8 +31,7 @@
     """
 
     def __init__(self, place: str, expected: str, got: object) -> None:
-        shown = repr(got)[:_SHOWN_CHARACTERS_MAX]
-        self.problem = ConfigurationProblem(place, expected, shown)
+        self.problem = ConfigurationProblem(place, expected, _shown(got))
         super().__init__(str(self.problem))
 
 
@@ -227,3 +231,36 @@
         return None
     number = int(text)
     return number if low <= number <= high else None
+
+
+def _shown(value: object, levels: int = _SHOWN_LEVELS_MAX) -> str:
+    """Returns the first characters of the text of a decoded JSON value.
+
+    ``repr`` would take time in proportion to the value, and it raises
+    RecursionError for values that the decoder accepts.
+
+    Examples:
+        >>> _shown({"a": [1, [2, [3]]]}), _shown(1 << 200), _shown([1] * 9)
+        ("{'a': [1, [...]]}", 'a number of 201 bits', '[1, 1, 1, 1, ...]')
+    """
+    if isinstance(value, str):
+        text = repr(value[:_SHOWN_CHARACTERS_MAX])
+    elif isinstance(value, Mapping):
+        pairs = islice(value.items(), _SHOWN_ITEMS_MAX) if levels else ()
+        items = [
+            f"{_shown(key)}: {_shown(item, levels - 1)}" for key, item in pairs
+        ]
+        text = "{" + _joined(items, len(value)) + "}"
+    elif isinstance(value, list | tuple):
+        shown = value[:_SHOWN_ITEMS_MAX] if levels else ()
+        items = [_shown(item, levels - 1) for item in shown]
+        text = "[" + _joined(items, len(value)) + "]"
+    elif isinstance(value, int) and value.bit_length() > _SHOWN_BITS_MAX:
+        text = f"a number of {value.bit_length()} bits"
+    else:
+        text = repr(value)
+    return text[:_SHOWN_CHARACTERS_MAX]
+
+
+def _joined(items: list[str], total: int) -> str:
+    return ", ".join(items if len(items) == total else [*items, "..."])
--- a/notchhoist/platform/tests/test_odd_documents.py
+++ b/notchhoist/platform/tests/test_odd_documents.py
@@ -1,7 +1,11 @@
 """Tests that odd published data costs itself only, and ends no process."""
 
+import itertools
+import json
+
 import pytest
 
+from notchhoist.base.errors import ConfigurationRefusedError
 from notchhoist.flows.balancer.node import make_balancer
 from notchhoist.flows.codec.message_codec import decode_message, encode_message
 from notchhoist.flows.model import ranges
@@ -203,3 +207,63 @@
     [problem] = logged_problems(feeder)
     assert problem.startswith("answer.items[1].key: expected")
     assert len(problem) < 200
+
+
+def nested(depth, opening, closing):
+    return (opening * depth + "0" + closing * depth).encode()
+
+
+def at_depth(depth, call):
+    """Calls a function with a number of frames below it."""
+    return call() if depth == 0 else at_depth(depth - 1, call)
+
+
+@pytest.mark.parametrize("frames", [0, 300, 600, 800])
+@pytest.mark.parametrize(("opening", "closing"), [("[", "]"), ('{"a":', "}")])
+def test_an_error_text_does_not_follow_a_nested_value(opening, closing, frames):
+    """``repr`` raised RecursionError for values that the decoder accepts."""
+
+    def decode(depth):
+        value = nested(depth, opening, closing)
+        entry = json.dumps({**ENTRY, "service": 0}).encode()
+        with pytest.raises(FieldError) as caught:
+            decode_entry("i-7", entry.replace(b": 0", b": " + value, 1))
+        assert len(str(caught.value)) < 250
+        document = json.dumps({**CONFIGURATION, "limits": 0}).encode()
+        document = document.replace(b'"limits": 0', b'"limits": ' + value)
+        try:
+            table = decode_configuration(document)
+        except ConfigurationRefusedError as error:
+            assert len(str(error)) < 250
+        else:
+            [problem] = table.problems
+            assert len(str(problem)) < 250
+
+    at_depth(frames, lambda: [decode(depth) for depth in range(1, 1000)])
+
+
+class Endless(dict):
+    """An object whose fields never end."""
+
+    def items(self):
+        return ((str(number), self) for number in itertools.count())
+
+
+@pytest.mark.parametrize(
+    "value",
+    ["x" * 10**6, 10**5000, -(10**5000), [0] * 10**6, [[0] * 10**5], Endless()],
+    ids=["text", "number", "negative", "list", "nested", "endless"],
+)
+def test_an_error_text_is_short_and_takes_few_steps(value):
+    assert len(str(FieldError("place", "a name", value))) < 100
+
+
+def test_the_text_of_a_refused_configuration_is_short():
+    """A line of the log held a problem for each of 1,600 routes."""
+    routes = [{**ROUTE, "host": "x" * 99} for _ in range(1600)]
+    text = json.dumps({**CONFIGURATION, "routes": routes}).encode()
+    with pytest.raises(ConfigurationRefusedError) as caught:
+        decode_configuration(text)
+    assert len(caught.value.problems) == 1600
+    assert len(str(caught.value)) < 1000
+    assert str(caught.value).endswith("; 1595 more")
