Fix: skipped items were logged without their key, again, or not at all

Cause: the error of an item's own field (revision, created, value, removed) named its place in the answer, not its key, so operators could not find the item, and the same item at another place was logged again. A refused configuration was logged with each read of it and not counted. After 200 problems no further one was logged until the next start, as nothing left the list that is kept for state dumps.

Change: errors of an item's fields name its key.

Result: what was skipped is logged once, with its key, and counted each time it is read.

--- a/notchhoist/platform/__init__.py
+++ b/notchhoist/platform/__init__.py
@@ -12,6 +12,7 @@
 * ``calls``: describes a call to the store and computes its timeouts.
 * ``store``: decides the next call to the store and decodes its answers.
 * ``unnamed_eras``: detects restores of a store whose answers name no era.
+* ``problem_log``: counts and logs what cannot be read.
 * ``feeding``: decides when a balancer reads the store, and applies the answers.
 * ``readiness``: answers the platform's readiness check.
 
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct
 
-from notchhoist.base.errors import ConfigurationProblem, PlatformError
+from notchhoist.base.errors import PlatformError
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.revisions import count_of, era_of
@@ -15,6 +15,7 @@
 from notchhoist.platform.eras import ERA_HEADER, read_era
 from notchhoist.platform.items import ServersListed, StoreEvent
 from notchhoist.platform.json_fields import FieldError
+from notchhoist.platform.problem_log import ProblemLog
 from notchhoist.platform.store import StoreReader
 from notchhoist.platform.unnamed_eras import shows_older_state
 
@@ -28,9 +29,6 @@
 
 NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 
-MAX_PROBLEMS = 200
-"""Most problems in published data that are kept for state dumps."""
-
 
 class StoreFeeder(Struct, eq=False):
     """Decides when to call the store, and applies its answers to a balancer.
@@ -66,6 +64,11 @@
     read_reason: str = ""
     confirmation_era: int = 0
 
+    @property
+    def problems(self) -> ProblemLog:
+        """Records what cannot be read."""
+        return ProblemLog(self.node.board)
+
     def next_call(self, now: float) -> StoreCall | None:
         """Returns the call to make now.
 
@@ -208,7 +211,7 @@
         try:
             era = read_era(headers, known)
         except FieldError as error:
-            self._record_problem(error.problem)
+            self.problems.record([error.problem])
             return known
         if era != board.store_era:
             self._record_decision("store era", f"{board.store_era} -> {era}")
@@ -334,8 +337,7 @@
         match event:
             case items.TablePublished():
                 self.node.board.refused = ""
-                for problem in event.table.problems:
-                    self._record_problem(problem)
+                self.problems.record(event.table.problems)
                 fleet.tables.on_table(
                     event.table, event.revision, replace_same_version=True
                 )
@@ -352,27 +354,16 @@
             case items.ServerRemoved():
                 fleet.on_removed(event.server_id, event.revision, now)
             case items.TableRefused():
-                self.node.board.refused = str(event.error)
-                self._record_decision("refused", str(event.error))
+                self.problems.record_refused(event.error)
             case items.EntryRefused():
-                self._record_problem(event.error.problem)
+                self.problems.record([event.error.problem])
                 fleet.on_refused(event.server_id, event.revision)
             case items.ZoneEvacuated():
                 fleet.zones.on_evacuated(event.zone, event.revision, now)
             case items.ZoneReturned():
                 fleet.zones.on_returned(event.zone, event.revision, now)
             case items.ItemRefused():
-                self._record_problem(event.error.problem)
-
-    def _record_problem(self, problem: ConfigurationProblem) -> None:
-        """Counts a problem; logs and keeps it unless it is kept already."""
-        board = self.node.board
-        board.records.counters[Count.PARTS_REFUSED] += 1
-        text = str(problem)
-        if text in board.problems or len(board.problems) >= MAX_PROBLEMS:
-            return
-        board.problems.append(text)
-        self._record_decision("not understood", text)
+                self.problems.record([event.error.problem])
 
 
 def _find_listing(events: Sequence[StoreEvent]) -> ServersListed | None:
--- a/notchhoist/platform/items.py
+++ b/notchhoist/platform/items.py
@@ -133,7 +133,7 @@
         key = item.text("key")
     except FieldError as error:
         return "", ItemRefused(error)
-    return key, _event(key, item, era)
+    return key, _event(key, Fields(value, key), era)
 
 
 def _event(key: str, item: Fields, era: int) -> StoreEvent | None:
@@ -142,7 +142,7 @@
     if not key.startswith((SERVERS_PREFIX, EVACUATIONS_PREFIX)):
         return None
     if not is_name(key) or key in (SERVERS_PREFIX, EVACUATIONS_PREFIX):
-        return ItemRefused(FieldError(f"{item.place}.key", KEY_FORM, key))
+        return ItemRefused(FieldError("key", KEY_FORM, key))
     if key.startswith(SERVERS_PREFIX):
         return _server_event(key.removeprefix(SERVERS_PREFIX), item, era)
     return _zone_event(key.removeprefix(EVACUATIONS_PREFIX), item, era)
