Fix: a page without a further key ended a listing; listings without a pause

Cause: three faults where a listing goes wrong. A page with `more_pages` on which no item has a readable key counted as the last page, so servers of later pages were removed; a page that repeats its last key was requested for good without a pause. The first page of a listing reset the count of failures, so that pauses did not grow where a later page failed again and again. A watch whose history is lost led to a listing at once, and that to the next watch: a store that has no history was read as fast as it answers.

Change: a page with `more_pages` must hold a key after the one that it was requested from, otherwise the answer cannot be used and the listing begins again after a pause. Only complete answers reset the failures. From the second lost history in a row on there is a pause, which grows like those of failures.

--- a/notchhoist/platform/calls.py
+++ b/notchhoist/platform/calls.py
@@ -95,6 +95,18 @@
     return _doubled(PAUSE_FIRST_S, failures, PAUSE_MAX_S)
 
 
+def relisting_pause_s(histories_lost: int) -> float:
+    """Returns the longest pause before a listing, seconds.
+
+    Without it, a store that loses the history of each watch would be read
+    without any pause.
+
+    Args:
+        histories_lost: Number of watches in a row whose history was lost.
+    """
+    return 0.0 if histories_lost < 2 else pause_s(histories_lost - 2)
+
+
 def _doubled(first_s: float, times: int, max_s: float) -> float:
     """Returns a time after a number of doublings, at most ``max_s``, seconds.
 
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -26,6 +26,7 @@
     answer_timeout_s,
     listing_timeout_s,
     pause_s,
+    relisting_pause_s,
 )
 from notchhoist.platform.changes import read_changes
 from notchhoist.platform.documents import decode_json
@@ -67,6 +68,7 @@
             everything that is newer than the state known before.
         due: When to make the next call, seconds.
         failures: Number of consecutive failed calls.
+        histories_lost: Number of watches in a row whose history was lost.
         calls: Number of calls so far.
         listed: Entries on the pages read so far.
         table: Configuration on these pages; applied after the last page.
@@ -89,6 +91,7 @@
     answer_complete: bool = False
     due: float = 0.0
     failures: int = 0
+    histories_lost: int = 0
     calls: int = 0
     listed: list[tuple[ServerEntry, int]] = field(default_factory=list)
     table: TablePublished | None = None
@@ -204,9 +207,12 @@
         if silent and not self.has_state:
             pause = 0.0
         self.failures += 1
-        self.due = now + pause * (0.5 + 0.5 * self.draw())
+        self.due = now + self._with_jitter(pause)
         self._discard_pages()
 
+    def _with_jitter(self, pause: float) -> float:
+        return pause * (0.5 + 0.5 * self.draw())
+
     def on_not_needed(self, now: float) -> None:
         """Handles a call that was ended because its answer is not needed."""
         self.due = now
@@ -250,7 +256,9 @@
         )
         if history_lost or not usable:
             self.restart_listing()
-            self.due = now
+            self.histories_lost += history_lost
+            pause = relisting_pause_s(self.histories_lost) if usable else 0.0
+            self.due = now + self._with_jitter(pause)
             return ()
         if status != 200:
             self.on_failed(now)
@@ -265,7 +273,8 @@
             self.next_read = ReadKind.LISTING
             self.on_failed(now)
             raise PlatformError("answer", str(error)) from error
-        self.failures = 0
+        if self.answer_complete:
+            self.failures = 0
         return events
 
     def _on_page(self, fields: Fields, now: float) -> list[StoreEvent]:
@@ -293,7 +302,10 @@
             if event is not None:
                 events.append(event)
         self.due = now
-        if fields.boolean("more_pages", default=False) and last_key:
+        if fields.boolean("more_pages", default=False):
+            if last_key <= self.page_after:
+                expected = f"a key after {self.page_after!r}"
+                raise FieldError("answer.more_pages", expected, last_key)
             self.page_after = last_key
             return events
         listed = ServersListed(
@@ -313,6 +325,7 @@
 
     def _on_changes(self, fields: Fields, now: float) -> list[StoreEvent]:
         changes = read_changes(fields, self.era)
+        self.histories_lost = 0
         self.answer_complete = True
         self.seen_revision = changes.revision
         self.revision = max(self.revision, changes.revision)
--- a/notchhoist/platform/tests/test_store.py
+++ b/notchhoist/platform/tests/test_store.py
@@ -275,3 +275,47 @@
         assert store_reader.next_call().timeout_s <= 5.0
         store_reader.on_failed(0.0)
         assert 0.0 < store_reader.due <= calls.PAUSE_MAX_S
+
+
+@pytest.mark.parametrize(
+    "last", [{"key": 3}, 4, item("servers/a", ENTRY), item("other", {})]
+)
+def test_a_page_that_leads_to_no_further_key_is_no_end_of_a_listing(last):
+    """Without a key it counted as the last page, so servers were removed."""
+    store_reader = reader()
+    store_reader.next_call()
+    store_reader.on_answer(200, page(item("servers/a", ENTRY), more=True), 0)
+    store_reader.next_call()
+    with pytest.raises(PlatformError, match="more_pages: expected a key after"):
+        store_reader.on_answer(200, page(last, more=True), 0.0)
+    assert store_reader.due > 0.0
+    assert store_reader.next_call().target == "/kv-range?path_prefix="
+
+
+def test_pauses_grow_if_a_later_page_fails_again_and_again():
+    """The first page reset them, so that 20 calls a second went on for good."""
+    store_reader = reader()
+    for _ in range(8):
+        store_reader.next_call()
+        first = page(item("servers/a", ENTRY), more=True)
+        store_reader.on_answer(200, first, 0.0)
+        with pytest.raises(PlatformError):
+            store_reader.on_answer(200, b"{}", 0.0)
+    assert store_reader.due >= calls.PAUSE_MAX_S / 2
+    store_reader.on_answer(200, page(item("servers/a", ENTRY)), 0.0)
+    assert store_reader.failures == 0
+
+
+def test_listings_pause_if_no_watch_after_them_succeeds():
+    """Listings and lost watches followed each other without any pause."""
+    store_reader = listed()
+    dues = []
+    for _ in range(8):
+        store_reader.on_answer(410, b"", 0.0)
+        dues.append(store_reader.due)
+        store_reader.on_answer(200, page(item("servers/i-1", ENTRY)), 0.0)
+    assert dues[0] == 0.0
+    assert dues[-1] >= calls.PAUSE_MAX_S / 2
+    store_reader.on_answer(200, changes(as_of=52), 0.0)
+    store_reader.on_answer(410, b"", 0.0)
+    assert store_reader.due == 0.0
