Fix: each item without a key filled the log with another line

Cause: the error of an item without a readable key named its place in the answer, so that many such items were as many different problems.

Change: the error names the item by its own field only.

Result: such items are counted each, and logged once for each kind of error.

--- a/notchhoist/platform/changes.py
+++ b/notchhoist/platform/changes.py
@@ -35,7 +35,7 @@
         FieldError: The answer does not have the format of a watch's answer.
     """
     items = fields.elements("events")
-    events = [read_item(place, item, era)[1] for place, item in items]
+    events = [read_item(item, era)[1] for _, item in items]
     count = fields.integer("as_of", 0, MAX_REVISION)
     return StoreChanges(
         events=[event for event in events if event is not None],
--- a/notchhoist/platform/items.py
+++ b/notchhoist/platform/items.py
@@ -114,13 +114,10 @@
 )
 
 
-def read_item(
-    place: str, value: object, era: int = 0
-) -> tuple[str, StoreEvent | None]:
+def read_item(value: object, era: int = 0) -> tuple[str, StoreEvent | None]:
     """Decodes an item; an invalid item yields an event and raises nothing.
 
     Args:
-        place: Path to the item, for error messages.
         value: The item, decoded from JSON.
         era: Era of the store to which its revisions belong.
 
@@ -129,8 +126,7 @@
         the item is not relevant here.
     """
     try:
-        item = Fields(value, place)
-        key = item.text("key")
+        key = Fields(value, "item").text("key")
     except FieldError as error:
         return "", ItemRefused(error)
     return key, _event(key, Fields(value, key), era)
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -285,8 +285,8 @@
             self.page_revision = revision
         events: list[StoreEvent] = []
         last_key = ""
-        for place, item in fields.elements("items"):
-            key, event = read_item(place, item, self.era)
+        for _, item in fields.elements("items"):
+            key, event = read_item(item, self.era)
             last_key = key or last_key
             if isinstance(event, ServerPublished):
                 self.listed.append((event.entry, event.revision))
--- a/notchhoist/platform/tests/test_odd_documents.py
+++ b/notchhoist/platform/tests/test_odd_documents.py
@@ -323,3 +323,13 @@
     assert feeder.node.board.table.version == 7
     assert len(logged_problems(feeder)) == MAX_PROBLEMS
     assert parts_refused(feeder) == 1600
+
+
+@pytest.mark.parametrize("odd", [0, {}, {"key": 7}])
+def test_items_without_a_key_are_logged_once(odd):
+    """Each filled the log once more, as its place in the answer differed."""
+    feeder = make_feeder(item("servers/i-1", ENTRY))
+    for now in (1.0, 2.0):
+        feeder.on_answer(200, changes(*[odd] * 1000), now)
+    assert len(logged_problems(feeder)) == 1
+    assert parts_refused(feeder) == 2000
