Fix: balancers confirmed a view to others past the revision of the store

Cause: an answer that names a revision far above the store's counter, within a named era, moves the revision of the view there. Watches from it have no history, so the reader lists again and again and follows, but it went on confirming its view to the balancers that it tells. Those know everything up to that revision, as they believe, get no change any more, and do not read the store themselves: they stopped following for good.

Change: a listing that is older than the view was when it was requested confirms nothing; the store's answers are linearizable, so the view's revision is wrong. The views of the others get too old, and each reads the store itself.

The revision stays wrong until the next start or era.

--- a/notchhoist/platform/__init__.py
+++ b/notchhoist/platform/__init__.py
@@ -13,6 +13,7 @@
 * ``store``: decides the next call to the store and decodes its answers.
 * ``unnamed_eras``: detects restores of a store whose answers name no era.
 * ``problem_log``: counts and logs what cannot be read.
+* ``applying``: applies what was read from the store to a balancer.
 * ``feeding``: decides when a balancer reads the store, and applies the answers.
 * ``readiness``: answers the platform's readiness check.
 
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -9,7 +9,7 @@
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.revisions import count_of, era_of
-from notchhoist.platform import items
+from notchhoist.platform.applying import apply_event
 from notchhoist.platform.calls import HISTORY_GONE, StoreCall
 from notchhoist.platform.changes import read_confirmation
 from notchhoist.platform.eras import ERA_HEADER, read_era
@@ -146,16 +146,25 @@
         if listed is not None:
             self.node.synchronizer.reconciler.on_listed()
         for event in events:
-            self._apply(event, now)
+            apply_event(self.node, event, now)
         board = self.node.board
         # A refused watch or the first of several pages confirms nothing.
         if board.fleet_known and self.reader.answer_complete:
-            board.view.advance_to(self.reader.revision)
-            self.node.synchronizer.on_confirmed(
-                now, self.reader.answer_age_s(now - self.called_at)
-            )
+            if not self._is_behind(listed):
+                board.view.advance_to(self.reader.revision)
+                age_s = self.reader.answer_age_s(now - self.called_at)
+                self.node.synchronizer.on_confirmed(now, age_s)
             self.node.on_published(now)
 
+    def _is_behind(self, listed: ServersListed | None) -> bool:
+        """Returns whether a listing shows that the view's revision is wrong.
+
+        The store has never had that revision, although one of its answers
+        named it. The listing is applied, but other balancers cannot be told
+        what is older than the revision that they have: they must read it.
+        """
+        return listed is not None and listed.revision < self.revision_at_listing
+
     def _on_store_regained(self) -> None:
         """Handles the first usable answer after an outage."""
         self.last_call_failed = False
@@ -290,7 +299,7 @@
             return
         board.store_answered_at = now
         for event in changes.events:
-            self._apply(event, now)
+            apply_event(self.node, event, now)
         board.view.advance_to(changes.revision)
         self.node.synchronizer.on_confirmed(
             now, now - self.confirmation_sent_at
@@ -332,39 +341,6 @@
             event, b"", outcome, revision=revision, **inputs
         )
 
-    def _apply(self, event: StoreEvent, now: float) -> None:
-        fleet = self.node.fleet
-        match event:
-            case items.TablePublished():
-                self.node.board.refused = ""
-                self.problems.record(event.table.problems)
-                fleet.tables.on_table(
-                    event.table, event.revision, replace_same_version=True
-                )
-            case items.ServersListed():
-                fleet.on_listing(
-                    event.entries,
-                    event.revision,
-                    now,
-                    refused=event.refused,
-                    evacuated=event.evacuated,
-                )
-            case items.ServerPublished():
-                fleet.on_entry(event.entry, event.revision, now)
-            case items.ServerRemoved():
-                fleet.on_removed(event.server_id, event.revision, now)
-            case items.TableRefused():
-                self.problems.record_refused(event.error)
-            case items.EntryRefused():
-                self.problems.record([event.error.problem])
-                fleet.on_refused(event.server_id, event.revision)
-            case items.ZoneEvacuated():
-                fleet.zones.on_evacuated(event.zone, event.revision, now)
-            case items.ZoneReturned():
-                fleet.zones.on_returned(event.zone, event.revision, now)
-            case items.ItemRefused():
-                self.problems.record([event.error.problem])
-
 
 def _find_listing(events: Sequence[StoreEvent]) -> ServersListed | None:
     """Returns the full listing among the events of an answer, or None."""
--- a/notchhoist/platform/tests/test_odd_answers.py
+++ b/notchhoist/platform/tests/test_odd_answers.py
@@ -2,6 +2,7 @@
 
 import json
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -147,6 +148,8 @@
     if kind not in ("item", "answer"):
         return False
     field = path[-1] if kind == "item" else path
+    if field == "items":
+        return text.startswith("[")
     kind_of_value = STORE_FIELDS.get(field)
     try:
         value = json.loads(text)
@@ -216,3 +219,18 @@
 @given(examples)
 def test_odd_items_and_answers_cost_only_themselves(example):
     check(example)
+
+
+@pytest.mark.parametrize("step", ["watch", "listing", "confirmation"])
+def test_a_view_past_the_revision_of_the_store_is_not_passed_on(step):
+    """Balancers that got their view from others stopped following for good."""
+    fleet = make_fleet(500)
+    huge = str(ranges.MAX_REVISION)
+    read_odd(fleet, ("answer", "as_of"), huge, step)
+    version = fleet.board.table.version + 1
+    fleet.model.put("op/config", {**WIDE_CONFIGURATION, "version": version})
+    for _ in range(12):
+        fleet.call()
+    assert fleet.board.table.version == version
+    assert fleet.told.synchronizer.stale_at() < fleet.now
+    assert fleet.board.view.revision > fleet.board.store_revision
