A process that is not ready says what it waits for, and since when

Cause: an operator of a process that had started and never became ready saw status 503 and nothing else. No log line, metric or field of /health told whether it lacked the store, the configuration, the list of servers or other balancers, nor for how long; `store lost` is logged once, for the first failed call only.

Change: `NotReady` names the reasons and `Readiness` records them: `not ready` at once when the reason changes and again after 1, 2, 4 to at most 60 s while it lasts, `ready` with the time that it took. The inputs are the pending call of the store, its last answer and failure, the failures in a row, the other balancers heard and the view. /health, the gauge `notchhoist_not_ready_seconds` by reason and the body of the readiness check's 503 tell the same. An agent is not ready only while it stops: what it needs comes with its flows. /health moved to a module of its own; it and the inputs of the records are loaded after the sockets are open.

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -47,7 +47,7 @@
 from notchhoist.flows.model.mechanisms import NAMES
 from notchhoist.flows.model.records import Timing
 from notchhoist.platform.packets import PacketCodec
-from notchhoist.platform.readiness import status_for
+from notchhoist.platform.readiness import answer_check
 from notchhoist.platform.settings import (
     HostSettings,
     load_host_settings,
@@ -162,20 +162,18 @@
             )
 
     def _answer_readiness(self, path: str) -> Reply:
-        return Reply(status_for(path, lambda: self.node.is_ready))
-
-    def _metrics_text(self, now: float) -> str:
-        return metrics_text(
-            self.node, self.settings.balances, now, self.ports.link
-        )
+        node = self.node
+        not_ready_s = node.readiness.not_ready_s(self.loop.clock())
+        return Reply(*answer_check(path, node.board.not_ready, not_ready_s))
 
     def _answer_metrics_port(self, path: str) -> Reply:
-        now = self.loop.clock()
+        now, settings = self.loop.clock(), self.settings
         if path == METRICS_PATH:
-            return Reply(200, self._metrics_text(now))
+            link = self.ports.link
+            text = metrics_text(self.node, settings.balances, now, link)
+            return Reply(200, text)
         from notchhoist.daemon.flow_state import answer_state
 
-        settings = self.settings
         reply = answer_state(self.node, settings.name, settings.zone, path, now)
         return reply or Reply(404)
 
--- a/notchhoist/daemon/flow_metrics.py
+++ b/notchhoist/daemon/flow_metrics.py
@@ -9,7 +9,14 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, cast
 
-from notchhoist.flows.model.records import BUCKETS_S, Histogram, Series, Timing
+from notchhoist.flows.model.records import (
+    BUCKETS_S,
+    Histogram,
+    NotReady,
+    Readiness,
+    Series,
+    Timing,
+)
 from notchhoist.flows.model.revisions import count_of, era_of
 from notchhoist.links.scheduler import LinkScheduler
 
@@ -48,10 +55,11 @@
         gauges = _balancer_gauges(cast("BalancerNode", node), now)
     else:
         gauges = _agent_gauges(cast("AgentNode", node), now)
-    gauges |= _link_gauges(link)
+    gauges |= {"uptime_seconds": now - board.started_at} | _link_gauges(link)
     for name, value in gauges.items():
         lines.append(f"# TYPE notchhoist_{name} gauge")
         lines.append(f"notchhoist_{name} {value:g}")
+    lines += _not_ready_lines(board.not_ready, node.readiness, now)
     if balances:
         lines += _round_trips(cast("BalancerNode", node).health.distances)
     lines += _histograms(board.records.histograms)
@@ -72,6 +80,8 @@
         "store_revision": count_of(board.store_revision),
         "store_era": board.store_era,
         "view_age_seconds": now - node.board.confirmed_at,
+        "store_answer_age_seconds": now - board.store_answered_at,
+        "store_failures": board.store_failures,
         "servers_suspected": sum(s.suspected for s in board.servers.values()),
         "servers_listed": sum(s.listed for s in board.servers.values()),
         "balancers_alive": len(node.synchronizer.membership.alive(now)),
@@ -81,6 +91,23 @@
     }
 
 
+def _not_ready_lines(
+    present: NotReady | None, readiness: Readiness, now: float
+) -> list[str]:
+    """Returns for how long each reason has kept the process from being ready.
+
+    The reasons that do not hold now are 0.
+    """
+    name = "notchhoist_not_ready_seconds"
+    lines = [f"# TYPE {name} gauge"]
+    for reason in NotReady:
+        if reason is NotReady.STARTING:
+            continue  # It ends before the metrics can be read.
+        seconds = readiness.not_ready_s(now) if reason is present else 0.0
+        lines.append(f'{name}{{reason="{reason.value}"}} {seconds:g}')
+    return lines
+
+
 def _round_trips(distances: Distances) -> list[str]:
     """Returns the round-trip times by zone, as far as they are known."""
     known = {
--- a/notchhoist/daemon/flow_state.py
+++ b/notchhoist/daemon/flow_state.py
@@ -11,12 +11,14 @@
 import msgspec
 
 from notchhoist.daemon.flow_distances import distance_rows
+from notchhoist.daemon.flow_health import Node, Row, health
 from notchhoist.daemon.flow_journal import flow_text
 from notchhoist.daemon.flow_pressure import pressure_rows
 from notchhoist.daemon.flow_splits import split_rows
 from notchhoist.daemon.http_port import Reply
 from notchhoist.flows.agent.node import AgentNode
 from notchhoist.flows.balancer.node import BalancerNode
+from notchhoist.flows.balancer.readiness import age_s
 from notchhoist.flows.decisions import server_selection
 from notchhoist.flows.model.fleet import Route, Server
 from notchhoist.flows.model.records import Records
@@ -28,9 +30,6 @@
 MAX_PAGE_ENTRIES = 500
 """Most entries in a reply: about 100 KB."""
 
-Row = dict[str, object]
-Node = BalancerNode | AgentNode
-
 
 def answer_state(
     node: Node, name: str, zone: str, target: str, now: float
@@ -95,38 +94,6 @@
     return numbers["offset"], min(numbers["limit"], MAX_PAGE_ENTRIES)
 
 
-def health(node: Node, name: str, zone: str, now: float) -> Row:
-    """Returns the health of a daemon.
-
-    Agents read no configuration, so their revision is None.
-    """
-    row: Row = {
-        "name": name,
-        "zone": zone,
-        "path": "opaque",
-        "ready": node.is_ready,
-        "stopping": node.board.stopping,
-    }
-    if isinstance(node, AgentNode):
-        return row | {"role": "agent", "revision": None, "refused": ""}
-    board = node.board
-    return row | {
-        "role": "balancer",
-        "revision": board.table.version if board.table else 0,
-        "refused": board.refused,
-        "not_understood": len(board.problems),
-        "view_revision": board.view.revision,
-        "view_age_s": _age(now, node.board.confirmed_at),
-        "reads_store": node.synchronizer.membership.is_reader(now),
-        "isolated": board.isolated,
-    }
-
-
-def _age(now: float, at: float) -> float | None:
-    """Returns the time since a moment, seconds; None if there was none."""
-    return round(now - at, 3) if at > float("-inf") else None
-
-
 def _servers(node: BalancerNode, now: float) -> Iterator[Row]:
     for service, servers in node.board.by_service.items():
         service_times_ms = [
@@ -167,8 +134,8 @@
         yield {
             "zone": zone,
             "evacuated": zone in view.evacuated,
-            "evacuated_s": None if since is None else _age(now, since),
-            "returned_s": _age(now, state.returned_at),
+            "evacuated_s": None if since is None else age_s(now, since),
+            "returned_s": age_s(now, state.returned_at),
             "revision": view.changed_at.get(ZoneKey(zone), 0),
         }
 
@@ -194,7 +161,7 @@
         "running": server.running,
         "pace_ms": server.service_time_ms,
         "counts_as_slots": round(counted_slots, 2),
-        "load_age_s": _age(now, server.heard_at),
+        "load_age_s": age_s(now, server.heard_at),
         "suspected": server.suspected,
         "lost": server.lost,
         "other_service": server.other_service,
@@ -208,7 +175,7 @@
             "flow": flow_text(flow),
             "server": placement.server.entry.server_id,
             "phase": "accepted" if placement.accepted else "offered",
-            "idle_s": _age(now, placement.last_at),
+            "idle_s": age_s(now, placement.last_at),
         }
     for flow, search in node.board.searches.items():
         yield {
@@ -216,7 +183,7 @@
             "phase": "searched for",
             "unanswered": sorted(search.unanswered),
             "rounds": search.rounds,
-            "idle_s": _age(now, search.sent_at),
+            "idle_s": age_s(now, search.sent_at),
         }
 
 
@@ -245,7 +212,7 @@
 
 def _balancers(node: BalancerNode, now: float) -> Iterator[Row]:
     for host, heard_at in node.synchronizer.membership.last_heard.items():
-        yield {"peer": host, "heard_s": _age(now, heard_at)}
+        yield {"peer": host, "heard_s": age_s(now, heard_at)}
 
 
 def _agent_flows(node: AgentNode, now: float) -> Iterator[Row]:
@@ -254,10 +221,10 @@
             "flow": flow_text(flow),
             "phase": agent_flow.phase.value,
             "balancer": agent_flow.balancer,
-            "idle_s": _age(now, agent_flow.last_at),
+            "idle_s": age_s(now, agent_flow.last_at),
             "running_s": None
             if agent_flow.running_since is None
-            else _age(now, agent_flow.running_since),
+            else age_s(now, agent_flow.running_since),
         }
 
 
@@ -265,7 +232,7 @@
     for request in node.board.waiting.values():
         yield {
             "flow": flow_text(request.flow),
-            "waited_s": _age(now, request.arrived_at),
+            "waited_s": age_s(now, request.arrived_at),
             "late_in_s": round(request.due - now, 3),
             "priority": request.hints.priority,
             "may_be_refused": request.unopened,
@@ -297,7 +264,7 @@
     return {
         "state_revision": state.revision if state else 0,
         "born_ms": state.born_ms if state else None,
-        "evacuated_s": None if since is None else _age(now, since),
+        "evacuated_s": None if since is None else age_s(now, since),
         "cold_s": cold_s,
         "bound_per_s": state.bound_per_s if state and cold_s else None,
         "bound_used": len(node.opening_gate.recent_openings.times)
@@ -308,7 +275,7 @@
 
 def _known_balancers(node: AgentNode, now: float) -> Iterator[Row]:
     for host, heard_at in node.board.balancers.items():
-        yield {"peer": host, "heard_s": _age(now, heard_at)}
+        yield {"peer": host, "heard_s": age_s(now, heard_at)}
 
 
 def _counters(node: Node, _: float) -> Iterator[Row]:
--- a/notchhoist/flows/agent/node.py
+++ b/notchhoist/flows/agent/node.py
@@ -33,7 +33,7 @@
     PeerMessage,
 )
 from notchhoist.flows.model.notes import Load, NoteKind
-from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.records import Count, Readiness
 from notchhoist.flows.model.segments import Segment, SegmentCodec
 
 IDLE_RETENTION_S = 60.0
@@ -66,6 +66,7 @@
         lookup: Answers balancers that search for flows.
         forwarder: Forwards packets of existing flows.
         idle_survey: Resets idle flows whose server has exited.
+        readiness: Records why the agent is not ready.
     """
 
     board: AgentBoard
@@ -79,12 +80,16 @@
     lookup: FlowLookup
     forwarder: PacketForwarder
     idle_survey: IdleFlowSurvey
+    readiness: Readiness
     sweep_due: float = 0.0
 
     @property
     def is_ready(self) -> bool:
         """Whether the agent serves, which ends with a planned stop."""
-        return not self.board.stopping
+        return self.board.not_ready is None
+
+    def _update_readiness(self, now: float) -> None:
+        self.readiness.update(self.board.not_ready, now, lambda _: {})
 
     def load(self, now: float) -> Load:
         """Returns the load of the backend server; see ``LoadCounter``."""
@@ -268,6 +273,7 @@
         self.request_gate.tick(now)
         self.idle_survey.tick(now)
         self.watch.tick(now)
+        self._update_readiness(now)
         if now >= self.lookup.outcomes_due:
             self.lookup.tick(self.load(now), now)
         if now >= self.sweep_due:
@@ -295,6 +301,7 @@
     def stop(self, now: float) -> list[Effect]:
         """Begins a planned stop and notifies the balancers."""
         self.board.stopping = True
+        self._update_readiness(now)
         for host, heard_at in self.board.balancers.items():
             if now - heard_at <= STOP_NOTICE_WINDOW_S:
                 self.replies.send_load(host, now)
@@ -375,4 +382,5 @@
             lookup,
         ),
         idle_survey=IdleFlowSurvey(board, codec, watch),
+        readiness=Readiness(board.records, now),
     )
--- a/notchhoist/flows/balancer/node.py
+++ b/notchhoist/flows/balancer/node.py
@@ -38,7 +38,7 @@
     ViewTell,
 )
 from notchhoist.flows.model.notes import NoteKind
-from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.records import Count, Readiness
 from notchhoist.flows.model.segments import Segment, SegmentCodec
 from notchhoist.flows.published.fleet_updater import (
     FleetUpdater,
@@ -75,6 +75,7 @@
         identifier: Learns which service an agent runs.
         caller_packets: Routes packets of callers.
         idle_monitor: Checks idle flows whose server may be down.
+        readiness: Records why this balancer is not ready.
         sweep_due: When expired state is next removed, seconds.
     """
 
@@ -92,14 +93,13 @@
     identifier: ServiceIdentifier
     caller_packets: CallerPackets
     idle_monitor: IdleFlowMonitor
+    readiness: Readiness
     sweep_due: float = 0.0
 
     @property
     def is_ready(self) -> bool:
         """Whether routers should send flows to this balancer."""
-        board = self.board
-        known = board.table is not None and board.fleet_known
-        return known and not board.stopping and not board.isolated
+        return self.board.not_ready is None
 
     def on_caller(self, segment: Segment, now: float) -> list[Effect]:
         """Handles a packet of a caller."""
@@ -184,6 +184,15 @@
         """Handles changes of what the platform publishes."""
         self.reroute_detector.check(now)
         self.caller_packets.replay_early(now)
+        self._update_readiness(now)
+
+    def _update_readiness(self, now: float) -> None:
+        self.readiness.update(self.board.not_ready, now, self._state_sources)
+
+    def _state_sources(self, now: float) -> dict[str, object]:
+        from notchhoist.flows.balancer.readiness import state_sources
+
+        return state_sources(self.board, self.synchronizer.membership, now)
 
     def tick(self, now: float) -> list[Effect]:
         """Performs the periodic work that is due."""
@@ -196,6 +205,7 @@
         self.isolation.tick(now)
         self.synchronizer.tick(now)
         self.informer.tick(now)
+        self._update_readiness(now)
         if now >= self.sweep_due:
             self.sweep_due = now + SWEEP_EVERY_S
             self._sweep(now)
@@ -321,4 +331,5 @@
             early,
         ),
         idle_monitor=IdleFlowMonitor(board, codec, health, finder),
+        readiness=Readiness(board.records, started_at),
     )
--- a/notchhoist/flows/boards/agent_board.py
+++ b/notchhoist/flows/boards/agent_board.py
@@ -7,7 +7,7 @@
 from notchhoist.flows.model.effects import Effect
 from notchhoist.flows.model.mechanisms import ALL, Mechanisms
 from notchhoist.flows.model.messages import ServerState
-from notchhoist.flows.model.records import Records, Timing
+from notchhoist.flows.model.records import NotReady, Records, Timing
 
 
 class AgentBoard(Struct, eq=False):
@@ -86,6 +86,14 @@
         waited_s = now - request.arrived_at
         self.records.observe(Timing.WAITING, self.service, outcome, waited_s)
 
+    @property
+    def not_ready(self) -> NotReady | None:
+        """Why the agent does not serve; None if it does.
+
+        It serves from its start on: what it needs, balancers send with flows.
+        """
+        return NotReady.STOPPING if self.stopping else None
+
     @property
     def is_draining(self) -> bool:
         """Whether the backend server has announced that it drains."""
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -10,7 +10,7 @@
 from notchhoist.flows.model.effects import Effect
 from notchhoist.flows.model.fleet import Route, RouteTable, Server
 from notchhoist.flows.model.mechanisms import ALL, Mechanisms
-from notchhoist.flows.model.records import Records
+from notchhoist.flows.model.records import NotReady, Records
 from notchhoist.flows.model.segments import Segment
 from notchhoist.flows.model.view import FleetView
 
@@ -203,6 +203,10 @@
             platform.
         store_failed_at: When the store last failed for this process, seconds.
         store_answered_at: When the store last answered this process, seconds.
+        store_failures: Consecutive calls that the store has not answered.
+        store_error: Why the last of them failed; empty if none did.
+        store_call: Kind of the pending call of the store; empty if there is
+            none.
         store_revision: Revision in the last answer of the store.
         store_era: Era of the store in its last answer.
         flows: Placements of flows, least recently used first.
@@ -251,6 +255,9 @@
     confirmed_by: str = ""
     store_failed_at: float = float("-inf")
     store_answered_at: float = float("-inf")
+    store_failures: int = 0
+    store_error: str = ""
+    store_call: str = ""
     store_revision: int = 0
     store_era: int = 0
     flows: collections.OrderedDict[bytes, Placement] = field(
@@ -270,6 +277,21 @@
     isolated: bool = False
     uses: Mechanisms = ALL
 
+    @property
+    def not_ready(self) -> NotReady | None:
+        """Why routers should not send flows here; None if they should."""
+        if self.stopping:
+            return NotReady.STOPPING
+        if self.table is None:
+            if self.refused:
+                return NotReady.CONFIGURATION_REFUSED
+            if self.fleet_known:
+                return NotReady.NO_CONFIGURATION
+            return NotReady.NO_STATE
+        if not self.fleet_known:
+            return NotReady.NO_SERVERS
+        return NotReady.ISOLATED if self.isolated else None
+
     @property
     def confirmed_clock(self) -> float | None:
         """``confirmed_at`` for the log, seconds; None if never confirmed."""
--- a/notchhoist/flows/model/records.py
+++ b/notchhoist/flows/model/records.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+from collections.abc import Callable
 
 from msgspec import Struct, field
 
@@ -21,6 +22,11 @@
 DECISIONS_KEPT = 1000
 """Most decisions that wait to be logged."""
 
+FIRST_LOG_INTERVAL_S = 1.0
+MAX_LOG_INTERVAL_S = 60.0
+"""Bounds of the intervals at which a process that is not ready says so again,
+seconds; each interval is twice the former one."""
+
 
 BUCKETS_S = (
     *(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0),
@@ -204,3 +210,91 @@
             self.counters[Count.DECISIONS_DROPPED] += 1
             return
         self.decisions.append(decision)
+
+
+class NotReady(enum.StrEnum):
+    """Why routers should not send flows to a process.
+
+    Attributes:
+        STARTING: Nothing has been checked yet.
+        STOPPING: A planned stop has begun.
+        NO_STATE: Neither the platform nor another balancer has told what is
+            published.
+        CONFIGURATION_REFUSED: The published configuration is invalid, and there
+            is no former one.
+        NO_CONFIGURATION: The list of servers is known, but no configuration.
+        NO_SERVERS: The configuration is known, but no list of servers.
+        ISOLATED: Neither agents nor other balancers are heard.
+    """
+
+    STARTING = "starting"
+    STOPPING = "stopping"
+    NO_STATE = "published state unknown"
+    CONFIGURATION_REFUSED = "configuration refused"
+    NO_CONFIGURATION = "no configuration"
+    NO_SERVERS = "no list of servers"
+    ISOLATED = "isolated"
+
+
+class Readiness(Struct, eq=False):
+    """Records why a process is not ready, and since when.
+
+    Attributes:
+        records: Receives the decisions.
+        since: Since when the process is not ready, seconds: first since its
+            start, ``-inf`` if that is unknown; None if it is ready.
+        reason: Why it is not ready; None if it is.
+        reason_since: Since when that is the reason, seconds.
+        log_due: When the reason is next logged, seconds.
+        log_interval_s: Time from then to the next record, seconds.
+    """
+
+    records: Records
+    since: float | None
+    reason: NotReady | None = NotReady.STARTING
+    reason_since: float = float("-inf")
+    log_due: float = float("-inf")
+    log_interval_s: float = FIRST_LOG_INTERVAL_S
+
+    def update(
+        self,
+        reason: NotReady | None,
+        now: float,
+        inputs: Callable[[float], dict[str, object]],
+    ) -> None:
+        """Records a change of the reason, and a reason that lasts.
+
+        Args:
+            reason: Why the process is not ready; None if it is.
+            now: Runtime clock, seconds.
+            inputs: Returns what the reason is based on, for the log.
+        """
+        changed = reason is not self.reason
+        if not changed and (reason is None or now < self.log_due):
+            return
+        if self.since is None:
+            self.since = now
+        if changed:
+            former, self.reason, self.reason_since = self.reason, reason, now
+            self.log_interval_s = FIRST_LOG_INTERVAL_S
+        waited_s = round(now - self.since, 3)
+        if reason is None:
+            self.since = None
+            self.records.record_decision(
+                "ready", b"", f"was {former}", waited_s=waited_s, **inputs(now)
+            )
+            return
+        self.log_due = now + self.log_interval_s
+        self.log_interval_s = min(2 * self.log_interval_s, MAX_LOG_INTERVAL_S)
+        self.records.record_decision(
+            "not ready",
+            b"",
+            reason.value,
+            waited_s=waited_s,
+            reason_s=round(now - self.reason_since, 3),
+            **inputs(now),
+        )
+
+    def not_ready_s(self, now: float) -> float:
+        """Returns how long the process has not been ready, seconds."""
+        return 0.0 if self.since is None else now - self.since
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -38,7 +38,6 @@
     Attributes:
         node: The balancer.
         reader: Decides which call is next.
-        last_call_failed: Whether the last call had no usable answer.
         restore_possible: The store may have been restored during an outage; a
             listing shows whether it was.
         era_named: Whether the last answer named its era. Then no listing is
@@ -57,7 +56,6 @@
 
     node: BalancerNode
     reader: StoreReader
-    last_call_failed: bool = False
     restore_possible: bool = False
     era_named: bool = False
     revision_at_listing: int = 0
@@ -66,6 +64,11 @@
     read_reason: str = ""
     confirmation_era: int = 0
 
+    @property
+    def last_call_failed(self) -> bool:
+        """Whether the last call had no usable answer."""
+        return self.node.board.store_failures > 0
+
     def next_call(self, now: float) -> StoreCall | None:
         """Returns the call to make now.
 
@@ -73,6 +76,11 @@
             None if other balancers keep the view fresh enough;
             ``reader.due`` is then the time of the next check.
         """
+        call = self._next_call(now)
+        self.node.board.store_call = call.purpose if call is not None else ""
+        return call
+
+    def _next_call(self, now: float) -> StoreCall | None:
         must_read = self.node.synchronizer.must_read(now)
         self._record_read_reason(must_read, now)
         if not must_read:
@@ -122,6 +130,7 @@
             now: Runtime clock, seconds.
             headers: Headers of the answer by their names in lower case.
         """
+        self.node.board.store_call = ""
         era = self._record_era(headers, self.reader.era)
         if status == HISTORY_GONE:
             self._record_history_lost()
@@ -155,7 +164,7 @@
 
     def _on_store_regained(self) -> None:
         """Handles the first usable answer after an outage."""
-        self.last_call_failed = False
+        self.node.board.store_failures = 0
         self.restore_possible = not self.era_named
         self._record_decision("store regained", "reading")
 
@@ -241,6 +250,7 @@
             now: Runtime clock, seconds.
             silent: Whether the call timed out.
         """
+        self.node.board.store_call = ""
         self.reader.on_failed(now, silent)
         self._record_store_lost(reason, now)
 
@@ -257,9 +267,10 @@
 
     def on_not_needed(self, now: float) -> None:
         """Handles a call that was ended because of ``needs_answer``."""
+        self.node.board.store_call = ""
         self.reader.on_not_needed(now)
         if self.last_call_failed:
-            self.last_call_failed = False
+            self.node.board.store_failures = 0
             self._record_decision("store regained", "told by others")
 
     def confirming_call(self, now: float) -> StoreCall:
@@ -315,10 +326,12 @@
         self.node.finder.confirmer.on_failed(now)
 
     def _record_store_lost(self, reason: str, now: float) -> None:
-        self.node.board.store_failed_at = now
+        board = self.node.board
         if not self.last_call_failed:
-            self.last_call_failed = True
             self._record_decision("store lost", reason)
+        board.store_failed_at = now
+        board.store_failures += 1
+        board.store_error = reason
 
     def _record_decision(
         self, event: str, outcome: str, **inputs: object
