--- a/notchhoist/daemon/flow_journal.py
+++ b/notchhoist/daemon/flow_journal.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import sys
 import zlib
 from collections import Counter
 from collections.abc import Callable
@@ -12,6 +13,7 @@
 import msgspec
 from msgspec import Struct, field
 
+import notchhoist
 from notchhoist.daemon.loop import Clock
 from notchhoist.flows.model.records import COSTLY_EVENTS, ROUTINE_EVENTS
 
@@ -151,6 +153,21 @@
     os.write(1, line)
 
 
+def process_fields(balances: bool) -> dict[str, str]:
+    """Returns a process's role, versions and kind of machine.
+
+    Examples:
+        >>> list(process_fields(balances=True))
+        ['role', 'version', 'python', 'machine']
+    """
+    return {
+        "role": "balancer" if balances else "agent",
+        "version": notchhoist.__version__,
+        "python": ".".join(str(number) for number in sys.version_info[:3]),
+        "machine": os.uname().machine,
+    }
+
+
 def flow_text(flow: bytes) -> str:
     """Returns a flow's key as text: address of the caller, then the service's.
 
--- a/notchhoist/daemon/flow_metrics.py
+++ b/notchhoist/daemon/flow_metrics.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, cast
 
+from notchhoist.daemon.flow_journal import process_fields
 from notchhoist.flows.model.records import (
     BUCKETS_S,
     Histogram,
@@ -46,7 +47,8 @@
         link: Scheduler of the datagrams that leave the host.
     """
     board = node.board
-    lines = ["# TYPE notchhoist_events counter"]
+    lines = _build_lines(balances)
+    lines.append("# TYPE notchhoist_events counter")
     lines += [
         f'notchhoist_events_total{{event="{name.value}"}} {count}'
         for name, count in sorted(board.records.counters.items())
@@ -91,6 +93,14 @@
     }
 
 
+def _build_lines(balances: bool) -> list[str]:
+    """Returns the metric that names role, version and machine."""
+    fields = process_fields(balances).items()
+    labels = ",".join(f'{name}="{value}"' for name, value in fields)
+    name = "notchhoist_build_info"
+    return [f"# TYPE {name} gauge", f"{name}{{{labels}}} 1"]
+
+
 def _not_ready_lines(
     present: NotReady | None, readiness: Readiness, now: float
 ) -> list[str]:
--- a/notchhoist/daemon/tests/test_flow_health.py
+++ b/notchhoist/daemon/tests/test_flow_health.py
@@ -3,6 +3,7 @@
 import json
 
 from notchhoist.base.draws import make_draw
+from notchhoist.daemon.flow_journal import process_fields
 from notchhoist.daemon.flow_metrics import metrics_text
 from notchhoist.daemon.flow_state import answer_state
 from notchhoist.flows.agent.node import make_agent
@@ -85,3 +86,16 @@
     assert health(node, 12.5)["not_ready"] == "stopping"
     values = gauges(node, 12.5, balances=False)
     assert values['not_ready_seconds{reason="stopping"}'] == "2.5"
+
+
+def test_metrics_and_the_start_line_name_role_version_and_machine():
+    node = make_agent(crafting.SERVICE, CODEC, STARTED_AT)
+    [build] = [
+        name
+        for name in gauges(node, 12.0, balances=False)
+        if name.startswith("build_info")
+    ]
+    fields = process_fields(balances=False)
+    assert fields["role"] == "agent"
+    assert all(f'{key}="{value}"' in build for key, value in fields.items())
+    assert fields["version"] == health(node, 12.0)["version"]
