List what is not understood while it lasts, log it once, count what is skipped

Cause: `board.problems` was a list that only grew. An operator who had mended an entry still saw it in `why configuration`, and after 200 problems no further one was logged or listed until the next start. Nothing counted the entries that are skipped now. A text was as long as the id that another writer had chosen. `refused` was logged at each reading of the same document, and stayed listed at a balancer that got the mended one from another balancer.

Change: `flows/published/problems.py` keeps the problems by the key of their item. One ends when its item is published again or removed, when a listing does not show it, or when another balancer tells of a newer entry or configuration. It is logged when it begins, 20 of one answer and then their number; texts have at most 300 characters, `refused` 2,000. /dump/problems names the key; `notchhoist_entries_skipped`, `_parts_not_understood` and `_configuration_refused` say how many hold now.

`test_feeding.py` compared the list with the log lines; it compares the texts under their key now, and that this is the only key.

--- a/notchhoist/daemon/flow_health.py
+++ b/notchhoist/daemon/flow_health.py
@@ -4,6 +4,7 @@
 from notchhoist.flows.agent.node import AgentNode
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.flows.balancer.readiness import age_s, state_sources
+from notchhoist.flows.published.problems import count_problems
 
 Row = dict[str, object]
 Node = BalancerNode | AgentNode
@@ -34,11 +35,13 @@
     if isinstance(node, AgentNode):
         return row | {"role": "agent", "revision": None, "refused": ""}
     board, membership = node.board, node.synchronizer.membership
+    texts, entries = count_problems(board)
     row |= {
         "role": "balancer",
         "revision": board.table.version if board.table else 0,
         "refused": board.refused,
-        "not_understood": len(board.problems),
+        "not_understood": texts,
+        "entries_skipped": entries,
         "reads_store": membership.is_reader(now),
         "isolated": board.isolated,
     }
--- a/notchhoist/daemon/flow_metrics.py
+++ b/notchhoist/daemon/flow_metrics.py
@@ -69,13 +69,18 @@
 
 
 def _balancer_gauges(node: BalancerNode, now: float) -> dict[str, float]:
+    from notchhoist.flows.published.problems import count_problems
     from notchhoist.flows.published.reroutings import history_ms
 
     board = node.board
+    texts, entries = count_problems(board)
     return {
         "flows": len(board.flows),
         "searches": len(board.searches),
         "openings": len(board.openings),
+        "configuration_refused": bool(board.refused),
+        "entries_skipped": entries,
+        "parts_not_understood": texts,
         "configuration_version": board.table.version if board.table else 0,
         "view_revision": count_of(board.view.revision),
         "view_era": era_of(board.view.revision),
--- a/notchhoist/daemon/flow_state.py
+++ b/notchhoist/daemon/flow_state.py
@@ -24,6 +24,10 @@
 from notchhoist.flows.model.records import Records
 from notchhoist.flows.model.view import ZoneKey
 from notchhoist.flows.published import states
+from notchhoist.flows.published.problems import (
+    MAX_CHARACTERS,
+    present_problems,
+)
 
 HEALTH_PATH = "/health"
 DUMP_PATH = "/dump/"
@@ -284,8 +288,9 @@
 
 
 def _problems(node: BalancerNode, _: float) -> Iterator[Row]:
-    for text in node.board.problems:
-        yield {"not_understood": text}
+    for key, problem in present_problems(node.board).items():
+        for text in problem.texts:
+            yield {"key": key[:MAX_CHARACTERS], "not_understood": text}
 
 
 def _decisions(node: Node, _: float) -> Iterator[Row]:
--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -164,6 +164,24 @@
     returned_at: float = float("-inf")
 
 
+class PublishedProblem(Struct, eq=False):
+    """A published item that is not understood, or only in part.
+
+    Attributes:
+        texts: What is wrong with it.
+        seen_at: Revision of the last answer of the store that held it.
+        server_id: Id of the server whose entry it is, or empty.
+        is_configuration: It is the configuration.
+        is_unkeyed: Its key cannot be read.
+    """
+
+    texts: tuple[str, ...]
+    seen_at: int
+    server_id: str = ""
+    is_configuration: bool = False
+    is_unkeyed: bool = False
+
+
 class BalancerBoard(Struct, eq=False):
     """The state of a balancer.
 
@@ -223,7 +241,8 @@
         outbox: Effects to perform.
         stopping: A planned stop has begun.
         refused: Why the last published document was refused, or empty.
-        problems: Parts of published documents that were not understood.
+        problems: Published items that are not understood, by key; see
+            ``present_problems``.
         resumed_at: When this process last resumed after a stall, seconds.
             Messages that arrived during the stall were read up to then.
         isolated: Neither agents nor other balancers are heard.
@@ -272,7 +291,7 @@
     outbox: list[Effect] = field(default_factory=list)
     stopping: bool = False
     refused: str = ""
-    problems: list[str] = field(default_factory=list)
+    problems: dict[str, PublishedProblem] = field(default_factory=dict)
     resumed_at: float = float("-inf")
     isolated: bool = False
     uses: Mechanisms = ALL
--- a/notchhoist/flows/published/tables.py
+++ b/notchhoist/flows/published/tables.py
@@ -72,6 +72,7 @@
         if not board.view.put_table(table, revision, replace_same_version):
             return
         board.table = table = board.view.table or table
+        board.refused = ""
         if former is not None and drops_service(former, table):
             board.has_new_reroute = True
         before = former.routes if former else {}
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -5,11 +5,12 @@
 
 from msgspec import Struct
 
-from notchhoist.base.errors import ConfigurationProblem, PlatformError
+from notchhoist.base.errors import PlatformError
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.revisions import count_of, era_of
-from notchhoist.platform import items
+from notchhoist.flows.published import problems
+from notchhoist.platform.applying import apply_events
 from notchhoist.platform.calls import HISTORY_GONE, StoreCall
 from notchhoist.platform.changes import read_confirmation
 from notchhoist.platform.eras import ERA_HEADER, read_era
@@ -28,9 +29,6 @@
 
 NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 
-MAX_PROBLEMS = 200
-"""Most problems in published data that are kept for state dumps."""
-
 
 class StoreFeeder(Struct, eq=False):
     """Decides when to call the store, and applies its answers to a balancer.
@@ -151,9 +149,8 @@
         self.restore_possible = self.restore_possible and listed is None
         if listed is not None:
             self.node.synchronizer.reconciler.on_listed()
-        for event in events:
-            self._apply(event, now)
         board = self.node.board
+        apply_events(self.node, events, board.store_revision, now)
         # A refused watch or the first of several pages confirms nothing.
         if board.fleet_known and self.reader.answer_complete:
             board.view.advance_to(self.reader.revision)
@@ -217,7 +214,10 @@
         try:
             era = read_era(headers, known)
         except FieldError as error:
-            self._record_problem(error.problem)
+            text = str(error.problem)
+            seen_at = self.reader.seen_revision
+            new = problems.record_item(board, text, seen_at)
+            problems.log_problems(board, new)
             return known
         if era != board.store_era:
             self._record_decision("store era", f"{board.store_era} -> {era}")
@@ -297,8 +297,7 @@
             self.on_confirmation_failed(str(error), now)
             return
         board.store_answered_at = now
-        for event in changes.events:
-            self._apply(event, now)
+        apply_events(self.node, changes.events, changes.revision, now)
         board.view.advance_to(changes.revision)
         self.node.synchronizer.on_confirmed(
             now, now - self.confirmation_sent_at
@@ -342,51 +341,6 @@
             event, b"", outcome, revision=revision, **inputs
         )
 
-    def _apply(self, event: StoreEvent, now: float) -> None:
-        fleet = self.node.fleet
-        match event:
-            case items.TablePublished():
-                self.node.board.refused = ""
-                for problem in event.table.problems:
-                    self._record_problem(problem)
-                fleet.tables.on_table(
-                    event.table, event.revision, replace_same_version=True
-                )
-            case items.ServersListed():
-                fleet.on_listing(
-                    event.entries,
-                    event.revision,
-                    now,
-                    refused=event.refused,
-                    evacuated=event.evacuated,
-                )
-            case items.ServerPublished():
-                fleet.on_entry(event.entry, event.revision, now)
-            case items.ServerRemoved():
-                fleet.on_removed(event.server_id, event.revision, now)
-            case items.TableRefused():
-                self.node.board.refused = str(event.error)
-                self._record_decision("refused", str(event.error))
-            case items.EntryRefused():
-                self._record_problem(event.error.problem)
-                fleet.on_refused(event.server_id, event.revision)
-            case items.ZoneEvacuated():
-                fleet.zones.on_evacuated(event.zone, event.revision, now)
-            case items.ZoneReturned():
-                fleet.zones.on_returned(event.zone, event.revision, now)
-            case items.ItemRefused():
-                self._record_problem(event.error.problem)
-
-    def _record_problem(self, problem: ConfigurationProblem) -> None:
-        """Counts a problem; logs and keeps it unless it is kept already."""
-        board = self.node.board
-        board.records.counters[Count.PARTS_REFUSED] += 1
-        text = str(problem)
-        if text in board.problems or len(board.problems) >= MAX_PROBLEMS:
-            return
-        board.problems.append(text)
-        self._record_decision("not understood", text)
-
 
 def _find_listing(events: Sequence[StoreEvent]) -> ServersListed | None:
     """Returns the full listing among the events of an answer, or None."""
--- a/notchhoist/platform/tests/test_feeding.py
+++ b/notchhoist/platform/tests/test_feeding.py
@@ -30,11 +30,11 @@
 """Time until the network retransmits a lost packet, seconds."""
 
 
-def make_feeder(*items):
+def make_feeder(*items, as_of=50):
     node = make_balancer("a", PacketCodec(), "seed", "10.0.0.1")
     feeder = StoreFeeder(node, StoreReader(make_draw("seed")))
     feeder.next_call(0.0)
-    feeder.on_answer(200, page(*items), 0.0)
+    feeder.on_answer(200, page(*items, as_of=as_of), 0.0)
     return feeder
 
 
@@ -62,7 +62,8 @@
         "routes[1].kind: expected one of ('safe', 'download', 'unsafe',"
         " 'upload'), got 'odd'"
     ]
-    assert board.problems == logged_problems(feeder)
+    assert list(board.problems) == ["op/config"]
+    assert list(board.problems["op/config"].texts) == logged_problems(feeder)
     assert board.records.counters[Count.PARTS_REFUSED] == 2
 
 
@@ -115,9 +116,10 @@
     assert feeder.node.board.store_era == 0
 
 
-def update_from_another(feeder, now):
+def update_from_another(feeder, now, revision=1):
     sender = make_feeder(
-        item("op/config", CONFIGURATION), item("servers/i-1", ENTRY)
+        item("op/config", CONFIGURATION, revision),
+        item("servers/i-1", ENTRY, revision),
     )
     query = ViewAsk(0, 5, 1)
     feeder.node.synchronizer.query_sent_at[1] = now
