Tool: show processes lists which are not ready, away or started again

Cause: an operator with a fleet in which some processes did not start had to read /ready and the logs of each host. `show revisions` leaves agents and processes that do not answer out, and says `ready` without a reason.

Change: `show processes` has a row for every daemon of the settings, with why it is not ready, for how long, its uptime and what it last heard of the store; one that does not answer is a row with `no answer` and the error, also if none answers. Cells of a table show control characters of other writers' texts as escapes: they moved the cursor and broke rows.

--- a/notchhoist/cli/main.py
+++ b/notchhoist/cli/main.py
@@ -36,7 +36,7 @@
 One statement of the command language; without one, reads them line by line.
 
   show services | servers | flows | requests | revisions | leaving
-       | counters | peers | zones | pressure | splits
+       | counters | peers | zones | pressure | splits | processes
        [where FIELD OP VALUE [and ...]]
        [order by FIELD [asc|desc]] [limit N] [at HOST]
   why flow IP:PORT [at HOST]      who owns a flow and who says so
@@ -172,7 +172,11 @@
 
 
 def _format_cell(value: object) -> str:
-    return "-" if value is None else str(value)
+    """Returns a cell's text; other writers may have put control codes in it."""
+    if value is None:
+        return "-"
+    text = str(value)
+    return text if text.isprintable() else repr(text)[1:-1]
 
 
 def _change(
--- a/notchhoist/cli/opaque_queries.py
+++ b/notchhoist/cli/opaque_queries.py
@@ -24,6 +24,20 @@
     "isolated",
 )
 
+PROCESS_COLUMNS = (
+    "role",
+    "zone",
+    "version",
+    "uptime_s",
+    "ready",
+    "not_ready",
+    "not_ready_s",
+    "store_call",
+    "store_failures",
+    "store_error",
+    "entries_skipped",
+)
+
 
 def serves_opaque_flows(daemon: Daemon) -> bool:
     """Returns whether a daemon serves opaque flows."""
@@ -88,6 +102,20 @@
         yield {"host": daemon.host} | columns
 
 
+def processes(reader: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
+    """Yields each process, why it is not ready and how long it has run.
+
+    A process that does not answer is listed by its operator port.
+    """
+    unanswered = list(reader.failures)
+    for daemon in daemons:
+        columns = {name: daemon.health.get(name) for name in PROCESS_COLUMNS}
+        yield {"host": daemon.host} | columns
+    for failure in unanswered:
+        reason = f"no answer: {failure.reason}"
+        yield {"host": failure.daemon, "ready": False, "not_ready": reason}
+
+
 def problems(reader: FleetReader, daemons: list[Daemon]) -> Iterator[Row]:
     """Yields the problems that balancers found in published documents.
 
@@ -124,6 +152,7 @@
     "flows": _section_rows("flows"),
     "requests": _section_rows("requests", "agent"),
     "revisions": revisions,
+    "processes": processes,
     "leaving": leaving,
     "counters": counter_rows,
     "peers": _section_rows("peers"),
--- a/notchhoist/cli/queries.py
+++ b/notchhoist/cli/queries.py
@@ -74,7 +74,7 @@
     if coap:
         read_rows = _SUBJECTS.get(subject)
         yield from read_rows(reader, coap) if read_rows else ()
-    if opaque:
+    if opaque or not coap:
         yield from opaque_queries.SUBJECTS[subject](reader, opaque)
 
 
