--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -5,11 +5,12 @@
 
 from msgspec import Struct
 
-from notchhoist.base.errors import ConfigurationProblem, PlatformError
+from notchhoist.base.errors import PlatformError
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.revisions import count_of, era_of
-from notchhoist.platform import items
+from notchhoist.flows.published import problems
+from notchhoist.platform.applying import apply_events
 from notchhoist.platform.calls import HISTORY_GONE, StoreCall
 from notchhoist.platform.changes import read_confirmation
 from notchhoist.platform.eras import ERA_HEADER, read_era
@@ -28,9 +29,6 @@
 
 NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 
-MAX_PROBLEMS = 200
-"""Most problems in published data that are kept for state dumps."""
-
 
 class StoreFeeder(Struct, eq=False):
     """Decides when to call the store, and applies its answers to a balancer.
@@ -38,7 +36,6 @@
     Attributes:
         node: The balancer.
         reader: Decides which call is next.
-        last_call_failed: Whether the last call had no usable answer.
         restore_possible: The store may have been restored during an outage; a
             listing shows whether it was.
         era_named: Whether the last answer named its era. Then no listing is
@@ -57,7 +54,6 @@
 
     node: BalancerNode
     reader: StoreReader
-    last_call_failed: bool = False
     restore_possible: bool = False
     era_named: bool = False
     revision_at_listing: int = 0
@@ -66,6 +62,11 @@
     read_reason: str = ""
     confirmation_era: int = 0
 
+    @property
+    def last_call_failed(self) -> bool:
+        """Whether the last call had no usable answer."""
+        return self.node.board.store_failures > 0
+
     def next_call(self, now: float) -> StoreCall | None:
         """Returns the call to make now.
 
@@ -73,6 +74,11 @@
             None if other balancers keep the view fresh enough;
             ``reader.due`` is then the time of the next check.
         """
+        call = self._next_call(now)
+        self.node.board.store_call = call.purpose if call is not None else ""
+        return call
+
+    def _next_call(self, now: float) -> StoreCall | None:
         must_read = self.node.synchronizer.must_read(now)
         self._record_read_reason(must_read, now)
         if not must_read:
@@ -122,6 +128,7 @@
             now: Runtime clock, seconds.
             headers: Headers of the answer by their names in lower case.
         """
+        self.node.board.store_call = ""
         era = self._record_era(headers, self.reader.era)
         if status == HISTORY_GONE:
             self._record_history_lost()
@@ -142,9 +149,8 @@
         self.restore_possible = self.restore_possible and listed is None
         if listed is not None:
             self.node.synchronizer.reconciler.on_listed()
-        for event in events:
-            self._apply(event, now)
         board = self.node.board
+        apply_events(self.node, events, board.store_revision, now)
         # A refused watch or the first of several pages confirms nothing.
         if board.fleet_known and self.reader.answer_complete:
             board.view.advance_to(self.reader.revision)
@@ -155,7 +161,7 @@
 
     def _on_store_regained(self) -> None:
         """Handles the first usable answer after an outage."""
-        self.last_call_failed = False
+        self.node.board.store_failures = 0
         self.restore_possible = not self.era_named
         self._record_decision("store regained", "reading")
 
@@ -208,7 +214,10 @@
         try:
             era = read_era(headers, known)
         except FieldError as error:
-            self._record_problem(error.problem)
+            text = str(error.problem)
+            seen_at = self.reader.seen_revision
+            new = problems.record_item(board, text, seen_at)
+            problems.log_problems(board, new)
             return known
         if era != board.store_era:
             self._record_decision("store era", f"{board.store_era} -> {era}")
@@ -241,6 +250,7 @@
             now: Runtime clock, seconds.
             silent: Whether the call timed out.
         """
+        self.node.board.store_call = ""
         self.reader.on_failed(now, silent)
         self._record_store_lost(reason, now)
 
@@ -257,9 +267,10 @@
 
     def on_not_needed(self, now: float) -> None:
         """Handles a call that was ended because of ``needs_answer``."""
+        self.node.board.store_call = ""
         self.reader.on_not_needed(now)
         if self.last_call_failed:
-            self.last_call_failed = False
+            self.node.board.store_failures = 0
             self._record_decision("store regained", "told by others")
 
     def confirming_call(self, now: float) -> StoreCall:
@@ -286,8 +297,7 @@
             self.on_confirmation_failed(str(error), now)
             return
         board.store_answered_at = now
-        for event in changes.events:
-            self._apply(event, now)
+        apply_events(self.node, changes.events, changes.revision, now)
         board.view.advance_to(changes.revision)
         self.node.synchronizer.on_confirmed(
             now, now - self.confirmation_sent_at
@@ -315,10 +325,12 @@
         self.node.finder.confirmer.on_failed(now)
 
     def _record_store_lost(self, reason: str, now: float) -> None:
-        self.node.board.store_failed_at = now
+        board = self.node.board
         if not self.last_call_failed:
-            self.last_call_failed = True
             self._record_decision("store lost", reason)
+        board.store_failed_at = now
+        board.store_failures += 1
+        board.store_error = reason
 
     def _record_decision(
         self, event: str, outcome: str, **inputs: object
@@ -329,51 +341,6 @@
             event, b"", outcome, revision=revision, **inputs
         )
 
-    def _apply(self, event: StoreEvent, now: float) -> None:
-        fleet = self.node.fleet
-        match event:
-            case items.TablePublished():
-                self.node.board.refused = ""
-                for problem in event.table.problems:
-                    self._record_problem(problem)
-                fleet.tables.on_table(
-                    event.table, event.revision, replace_same_version=True
-                )
-            case items.ServersListed():
-                fleet.on_listing(
-                    event.entries,
-                    event.revision,
-                    now,
-                    refused=event.refused,
-                    evacuated=event.evacuated,
-                )
-            case items.ServerPublished():
-                fleet.on_entry(event.entry, event.revision, now)
-            case items.ServerRemoved():
-                fleet.on_removed(event.server_id, event.revision, now)
-            case items.TableRefused():
-                self.node.board.refused = str(event.error)
-                self._record_decision("refused", str(event.error))
-            case items.EntryRefused():
-                self._record_problem(event.error.problem)
-                fleet.on_refused(event.server_id, event.revision)
-            case items.ZoneEvacuated():
-                fleet.zones.on_evacuated(event.zone, event.revision, now)
-            case items.ZoneReturned():
-                fleet.zones.on_returned(event.zone, event.revision, now)
-            case items.ItemRefused():
-                self._record_problem(event.error.problem)
-
-    def _record_problem(self, problem: ConfigurationProblem) -> None:
-        """Counts a problem; logs and keeps it unless it is kept already."""
-        board = self.node.board
-        board.records.counters[Count.PARTS_REFUSED] += 1
-        text = str(problem)
-        if text in board.problems or len(board.problems) >= MAX_PROBLEMS:
-            return
-        board.problems.append(text)
-        self._record_decision("not understood", text)
-
 
 def _find_listing(events: Sequence[StoreEvent]) -> ServersListed | None:
     """Returns the full listing among the events of an answer, or None."""
