--- a/notchhoist/platform/__init__.py
+++ b/notchhoist/platform/__init__.py
@@ -12,7 +12,8 @@
 * ``calls``: describes a call to the store and computes its timeouts.
 * ``store``: decides the next call to the store and decodes its answers.
 * ``unnamed_eras``: detects restores of a store whose answers name no era.
-* ``feeding``: decides when a balancer reads the store, and applies the answers.
+* ``applying``: applies the events in an answer.
+* ``feeding``: decides when a balancer reads the store, and handles the answers.
 * ``readiness``: answers the platform's readiness check.
 
 The rest of the project gets the types of ``notchhoist.flows``.
