Fix: a host or number in a control message that no later step can carry

Cause: the decoder of control messages checked that fields are present and nothing else. Numbers went on into times, weights, logs and the next message.

Change: each field of flow.thrift has one range (codec/field_ranges.py), from the ranges of published values where it carries one. Hosts are IPv4 addresses as the published entries have them, keys of routes have 6 bytes, nan and infinite floats are out of range. A message with anything else is a CodecError: counted, logged and dropped. Keys of removed routes and of flows are only compared and keep any length. Messages of the former versions still decode (test_versions.py, unchanged).

The balancers of test_splits.py had no host ("") and sent that as a member, which no process does; they have one now, its checks are the same.

--- a/notchhoist/flows/balancer/tests/test_splits.py
+++ b/notchhoist/flows/balancer/tests/test_splits.py
@@ -39,6 +39,9 @@
 
 OLD, NEW, THIRD = "hallbook", "scoredrop", "tidepool"
 OLD_HOST, NEW_HOST, THIRD_HOST = "10.0.0.1", "10.0.0.2", "10.0.0.3"
+HOST = "10.0.9.7"
+"""Host of the balancer under test."""
+
 LOST = request(data=b"x", seq=500, ack=900)
 
 
@@ -50,7 +53,7 @@
     *routes, services=(OLD, NEW, THIRD), now=-100.0, first_start=False
 ):
     """A balancer with one server of each service, just read from the store."""
-    node = make_balancer("a", CODEC, "seed", first_start=first_start)
+    node = make_balancer("a", CODEC, "seed", HOST, first_start=first_start)
     node.fleet.tables.on_table(crafting.table(routes=list(routes)), 1)
     entries = [
         (entry(n, service=service), 1) for n, service in enumerate(services, 1)
@@ -186,7 +189,7 @@
     ]
     update = decode_message(encode_message(update))
     assert update.rerouted_for_ms == 11_000
-    node = make_balancer("a", CODEC, "seed")
+    node = make_balancer("a", CODEC, "seed", HOST)
     node.on_peer("10.0.9.1", update, 1.001)
     assert search_lost_flow(node, [NEW_HOST])[1] == [NEW_HOST, OLD_HOST]
 
@@ -251,7 +254,7 @@
     """The configuration that it lacks may have changed a route."""
     behind = balancer(split_route((OLD, 1)), services=(OLD, NEW))
     report = report_of(behind, now=1.0)
-    node = make_balancer("a", CODEC, "seed")
+    node = make_balancer("a", CODEC, "seed", HOST)
     table = crafting.table(7, [split_route((NEW, 1))])
     node.fleet.tables.on_table(table, 7)
     node.fleet.on_listing(
@@ -302,7 +305,7 @@
 
 def list_servers(entries, started_at=float("-inf"), routes_at=5):
     """A balancer that has just listed some servers and one route, to NEW."""
-    node = make_balancer("a", CODEC, "seed", started_at=started_at)
+    node = make_balancer("a", CODEC, "seed", HOST, started_at=started_at)
     table = crafting.table(1, [split_route((NEW, 1))])
     node.fleet.tables.on_table(table, routes_at)
     node.fleet.on_listing([(item, 9) for item in entries], 9, 1.0)
--- a/notchhoist/flows/codec/message_codec.py
+++ b/notchhoist/flows/codec/message_codec.py
@@ -8,10 +8,10 @@
 
 from notchhoist.base.errors import CodecError
 from notchhoist.flows.codec.compact import read_struct, write_struct
+from notchhoist.flows.codec.field_ranges import check_fields
 from notchhoist.flows.codec.generated import ttypes
 from notchhoist.flows.codec.view_codec import (
     AGE_MAX_S,
-    check_required_fields,
     view_of,
     view_struct,
 )
@@ -137,7 +137,7 @@
         struct.view_piece,
     ):
         if body is not None:
-            check_required_fields(body)
+            check_fields(body)
     if struct.load_ask is not None:
         load_query = struct.load_ask
         return LoadAsk(load_query.slots, _state_of(load_query.state))
@@ -180,15 +180,15 @@
 def _state_of(struct: Any) -> ServerState | None:
     if struct is None:
         return None
-    check_required_fields(struct)
+    check_fields(struct)
     return ServerState(
         revision=make_revision(struct.era or 0, struct.revision),
         born_ms=struct.born_ms,
         evacuated=struct.evacuated,
-        evacuated_for_s=max(0, struct.evacuated_for_ms) / 1000,
-        cold_for_s=max(0, struct.cold_for_ms) / 1000,
-        bound_per_s=max(0.0, struct.bound_per_s),
-        bound_lasts_s=max(0.0, struct.bound_lasts_s),
+        evacuated_for_s=struct.evacuated_for_ms / 1000,
+        cold_for_s=struct.cold_for_ms / 1000,
+        bound_per_s=struct.bound_per_s,
+        bound_lasts_s=struct.bound_lasts_s,
         draining=bool(struct.draining),
     )
 
--- a/notchhoist/flows/codec/view_codec.py
+++ b/notchhoist/flows/codec/view_codec.py
@@ -1,8 +1,8 @@
-"""Thrift structs of views, and the check for required fields."""
+"""Thrift structs of views."""
 
 from typing import Any
 
-from notchhoist.flows.codec.compact import CONTAINER_ITEMS_MAX
+from notchhoist.flows.codec.field_ranges import check_fields
 from notchhoist.flows.codec.generated import ttypes
 from notchhoist.flows.model.fleet import (
     ColdBound,
@@ -20,55 +20,6 @@
 
 AGE_MAX_S = 1e6
 
-_OPTIONAL_FIELDS = {
-    "FlowsTell": ("age_ms",),
-    "LoadAsk": ("state",),
-    "Member": ("unserved",),
-    "LoadTell": ("state_revision", "state_era", "service_name"),
-    "Server": ("born_ms", "era", "created_era", "withdrawn"),
-    "ServerState": ("draining", "era"),
-    "ViewAsk": ("number", "era", "reads_pieces", "unserved"),
-    "ViewPiece": (
-        "asked",
-        "era",
-        "placing_for_ms",
-        "rerouted_for_ms",
-        "reroutes_known_for_ms",
-    ),
-    "Zone": ("era",),
-    "ViewTell": (
-        "asked",
-        "era",
-        "placing_for_ms",
-        "rerouted_for_ms",
-        "reroutes_known_for_ms",
-        "cold_bounds",
-        "evacuated",
-        "returned",
-        "evacuated_total",
-        "routes_digest",
-    ),
-}
-"""Fields by struct that processes of earlier versions do not send."""
-
-
-_REQUIRED_FIELDS: dict[type, tuple[str, ...]] = {}
-"""Names of the required fields by struct, filled on first use."""
-
-
-def check_required_fields(struct: Any) -> None:
-    """Raises ValueError if a field that all versions send is missing."""
-    kind = type(struct)
-    names = _REQUIRED_FIELDS.get(kind)
-    if names is None:
-        later = _OPTIONAL_FIELDS.get(kind.__name__, ())
-        fields = [entry[2] for entry in struct.thrift_spec if entry]
-        names = tuple(name for name in fields if name not in later)
-        _REQUIRED_FIELDS[kind] = names
-    for name in names:
-        if getattr(struct, name) is None:
-            raise ValueError(f"{kind.__name__}.{name} is missing")
-
 
 def member_struct(member: Member) -> Any:
     """Returns the Thrift struct of a balancer."""
@@ -80,10 +31,10 @@
     """Returns the balancers in Thrift structs.
 
     Raises:
-        ValueError: A required field is missing.
+        ValueError: A field is missing or out of its range.
     """
     for struct in structs:
-        check_required_fields(struct)
+        check_fields(struct)
     return tuple(
         Member(m.host, m.link_mbps, m.age_ms, bool(m.unserved)) for m in structs
     )
@@ -159,7 +110,7 @@
 
 def _zones_of(structs: Any) -> tuple[tuple[str, int], ...]:
     for struct in structs or ():
-        check_required_fields(struct)
+        check_fields(struct)
     return tuple(
         (struct.name, make_revision(struct.era or 0, struct.revision))
         for struct in structs or ()
@@ -168,7 +119,7 @@
 
 def _bounds_of(structs: Any) -> tuple[ColdBound, ...]:
     for struct in structs or ():
-        check_required_fields(struct)
+        check_fields(struct)
     return tuple(
         ColdBound(struct.service_name, struct.per_s, struct.lasts_s)
         for struct in structs or ()
@@ -179,10 +130,10 @@
     """Returns the part of a view in a Thrift struct.
 
     Raises:
-        ValueError: A required field is missing or a value is impossible.
+        ValueError: A field is missing or out of its range.
     """
-    check_required_fields(struct)
-    if not 0 <= struct.part < struct.parts <= CONTAINER_ITEMS_MAX:
+    check_fields(struct)
+    if struct.part >= struct.parts:
         raise ValueError(f"impossible part: {struct.part} of {struct.parts}")
     era = struct.era or 0
     change = ViewChange(
@@ -216,9 +167,9 @@
 
 
 def _route_of(struct: Any) -> Route:
-    check_required_fields(struct)
+    check_fields(struct)
     for target in struct.targets:
-        check_required_fields(target)
+        check_fields(target)
     if sum(target.weight for target in struct.targets) <= 0:
         raise ValueError(f"route {struct.name}: no target has a weight")
     return Route(
@@ -241,7 +192,7 @@
 
 
 def _server_of(struct: Any) -> tuple[ServerEntry, int]:
-    check_required_fields(struct)
+    check_fields(struct)
     entry = ServerEntry(
         server_id=struct.server_id,
         service=struct.service_name,
--- a/notchhoist/flows/codec/view_pieces.py
+++ b/notchhoist/flows/codec/view_pieces.py
@@ -4,11 +4,7 @@
 from typing import Any
 
 from notchhoist.base.errors import CodecError
-from notchhoist.flows.codec.compact import (
-    CONTAINER_ITEMS_MAX,
-    read_struct,
-    write_struct,
-)
+from notchhoist.flows.codec.compact import read_struct, write_struct
 from notchhoist.flows.codec.generated import ttypes
 from notchhoist.flows.codec.view_codec import (
     AGE_MAX_S,
@@ -75,9 +71,10 @@
     """Returns the piece in a Thrift struct.
 
     Raises:
-        ValueError: A part number is impossible or a member lacks a field.
+        ValueError: A part number is impossible, or a member lacks a field or
+            has one out of its range.
     """
-    if not 0 <= struct.part < struct.parts <= CONTAINER_ITEMS_MAX:
+    if struct.part >= struct.parts:
         raise ValueError(f"impossible piece: {struct.part} of {struct.parts}")
     era = struct.era or 0
     return ViewPiece(
