Fix: balancers ended when a time or count outgrew its field on the wire

Cause: 24.9 days after the fleet's first placement placing_for_ms no longer fits into 32 bits, and the Thrift library raises OverflowError for each update that a balancer sends.

Change: the encoder puts times, counts and sizes at the end of their range (placing_for_ms of 24.9 days says "at least", as before); for any other number out of range, and for texts that are no UTF-8, it raises CodecError instead of the library's error. Numbers of flow queries start again at 1; two queries of one number would have to be 2^31 queries apart and both unanswered.

Tests: each number at the ends of its range, each growing field from -2^70 to 2^70 and -1e300 to 1e300, values that no range holds. Before: OverflowError ("int out of range", "int too big to convert"), UnicodeEncodeError, ValueError (nan); ages past 1e6 s lost their value although the wire carries them; the test of query numbers: OverflowError: int out of range.

--- a/notchhoist/flows/balancer/flow_queries.py
+++ b/notchhoist/flows/balancer/flow_queries.py
@@ -16,6 +16,7 @@
 from notchhoist.flows.boards.balancer_board import BalancerBoard
 from notchhoist.flows.model.effects import SendPeer
 from notchhoist.flows.model.messages import FlowsAsk
+from notchhoist.flows.model.ranges import I32_MAX
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.segments import Segment, SegmentCodec
 
@@ -68,7 +69,8 @@
         distances: Receives the measured round-trip times.
         queues: Query queues, by host and service tag.
         by_number: Keys of the queues with a query in flight, by its number.
-        last_number: Number of the last query; see ``first_number``.
+        last_number: Number of the last query; see ``first_number``. The next
+            one after the largest on the wire is 1.
     """
 
     board: BalancerBoard
@@ -213,7 +215,7 @@
                 break
             bytes_left -= len(sample)
             queue.sampled.append(flow)
-        self.last_number += 1
+        self.last_number = self.last_number % I32_MAX + 1
         queue.number = self.last_number
         queue.send_count = 0
         self.by_number[queue.number] = (host, tag)
--- a/notchhoist/flows/balancer/tests/test_flow_queries.py
+++ b/notchhoist/flows/balancer/tests/test_flow_queries.py
@@ -8,8 +8,10 @@
     RETRY_DELAY_MAX_S,
     RETRY_DELAY_S,
 )
+from notchhoist.flows.codec.message_codec import decode_message, encode_message
 from notchhoist.flows.model.effects import SendPeer
 from notchhoist.flows.model.messages import FlowsAsk, FlowsTell, LoadTell
+from notchhoist.flows.model.ranges import I32_MAX
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.tests import agent_harness
 from notchhoist.flows.tests.agent_harness import START, TAG, to_backend
@@ -168,3 +170,20 @@
         node.tick(0.1 * step)
     node.on_peer(HOST, LoadTell(0, 0, 0, False), 1.51)
     assert queries_to_host(node.tick(1.515))
+
+
+def test_numbers_of_queries_start_again_before_they_outgrow_the_wire():
+    """No query could be sent after the last number of 32 bits."""
+    node = balancer(servers=1)
+    node.finder.queries.last_number = I32_MAX - 1
+    numbers = []
+    for count in range(3):
+        [asked] = queries_to_host(
+            node.on_caller(unknown_flow_packet(count), 0.0)
+        )
+        assert decode_message(encode_message(asked)) == asked
+        numbers.append(asked.number)
+        lost = unknown_flow_packet(count).flow
+        tell = FlowsTell(asked.number, absent=(lost,))
+        node.on_peer(HOST, tell, 0.0)
+    assert numbers == [I32_MAX, 1, 2]
--- a/notchhoist/flows/codec/field_ranges.py
+++ b/notchhoist/flows/codec/field_ranges.py
@@ -1,7 +1,9 @@
-"""Ranges of the fields of control messages, checked when one is decoded.
+"""Ranges of the fields of control messages.
 
-A field has one range in all structs. Whatever passes can be computed with,
-logged, and encoded again for another process.
+A field has one range in all structs. Whatever passes when a message is decoded
+can be computed with, logged, and encoded again for another process. When a
+message is encoded, a time, count or size past its range becomes the end of it;
+any other number past its range is an error.
 """
 
 from collections.abc import Callable
@@ -72,6 +74,11 @@
 }
 """Least and greatest value by field name."""
 
+SATURATED_FIELDS = frozenset(
+    name for name, ends in FIELD_RANGES.items() if ends is _COUNT
+)
+"""Fields that keep their meaning at the end of their range."""
+
 _OPTIONAL_FIELDS = {
     "FlowsTell": ("age_ms",),
     "LoadAsk": ("state",),
@@ -180,3 +187,25 @@
         if not accepted:
             shown = repr(value)[:_SHOWN_CHARACTERS]
             raise ValueError(f"{kind.__name__}.{name} is out of range: {shown}")
+
+
+def fit_fields(struct: Any) -> Any:
+    """Puts the numbers of one struct into their ranges, to encode it.
+
+    Returns:
+        The struct.
+
+    Raises:
+        ValueError: A number is out of its range that must not be changed.
+    """
+    kind = type(struct)
+    for name, _, low, high, _ in _checks_of(kind):
+        value = getattr(struct, name)
+        if value is None or low is None:
+            continue
+        if name in SATURATED_FIELDS:
+            setattr(struct, name, int(min(max(value, low), high)))
+        elif not low <= value <= high:
+            shown = repr(value)[:_SHOWN_CHARACTERS]
+            raise ValueError(f"{kind.__name__}.{name} is out of range: {shown}")
+    return struct
--- a/notchhoist/flows/codec/message_codec.py
+++ b/notchhoist/flows/codec/message_codec.py
@@ -8,13 +8,9 @@
 
 from notchhoist.base.errors import CodecError
 from notchhoist.flows.codec.compact import read_struct, write_struct
-from notchhoist.flows.codec.field_ranges import check_fields
+from notchhoist.flows.codec.field_ranges import check_fields, fit_fields
 from notchhoist.flows.codec.generated import ttypes
-from notchhoist.flows.codec.view_codec import (
-    AGE_MAX_S,
-    view_of,
-    view_struct,
-)
+from notchhoist.flows.codec.view_codec import view_of, view_struct
 from notchhoist.flows.codec.view_pieces import piece_of, piece_struct
 from notchhoist.flows.model.messages import (
     FlowsAsk,
@@ -34,66 +30,96 @@
 )
 
 PROTOCOL_VERSION = 1
+REASON_CHARACTERS_MAX = 200
 
 
 def encode_message(message: PeerMessage) -> bytes:
-    """Encodes a control message."""
+    """Encodes a control message.
+
+    Times, counts and sizes past their ranges become the ends of these.
+
+    Raises:
+        CodecError: A field holds a value that the wire does not carry.
+    """
     struct = ttypes.FlowMessage(version=PROTOCOL_VERSION)
+    try:
+        _set_body(struct, message)
+        return write_struct(struct)
+    except Exception as error:  # Errors of the library share no base type.
+        raise _codec_error(error) from error
+
+
+def _codec_error(error: Exception) -> CodecError:
+    reason = f"{type(error).__name__}: {error}"[:REASON_CHARACTERS_MAX]
+    return CodecError("thrift", reason)
+
+
+def _set_body(struct: Any, message: PeerMessage) -> None:
     match message:
-        case LoadAsk():
-            struct.load_ask = ttypes.LoadAsk(
-                message.slots, _state_struct(message.state)
+        case LoadAsk(slots, state):
+            struct.load_ask = fit_fields(
+                ttypes.LoadAsk(slots, _state_struct(state))
             )
         case LoadTell():
-            struct.load_tell = ttypes.LoadTell(
-                message.flows,
-                message.running,
-                message.pace_ms,
-                message.stopping,
-                count_of(message.state_revision),
-                era_of(message.state_revision),
-                message.service or None,
-            )
+            struct.load_tell = _load_struct(message)
         case FlowsAsk(number, tag, heads, samples):
-            struct.flows_ask = ttypes.FlowsAsk(
-                number, tag, list(heads), list(samples)
+            struct.flows_ask = fit_fields(
+                ttypes.FlowsAsk(number, tag, list(heads), list(samples))
             )
         case FlowsTell():
             struct.flows_tell = _flows_struct(message)
         case ViewAsk():
-            struct.view_ask = ttypes.ViewAsk(
-                count_of(message.revision),
-                message.link_mbps,
-                message.number,
-                era_of(message.revision),
-                message.reads_pieces or None,
-                message.unserved or None,
-            )
+            struct.view_ask = _query_struct(message)
         case ViewTell():
             struct.view_tell = view_struct(message)
         case ViewPiece():
             struct.view_piece = piece_struct(message)
-    return write_struct(struct)
+
+
+def _load_struct(report: LoadTell) -> Any:
+    struct = ttypes.LoadTell(
+        report.flows,
+        report.running,
+        report.pace_ms,
+        report.stopping,
+        count_of(report.state_revision),
+        era_of(report.state_revision),
+        report.service or None,
+    )
+    return fit_fields(struct)
+
+
+def _query_struct(query: ViewAsk) -> Any:
+    struct = ttypes.ViewAsk(
+        count_of(query.revision),
+        query.link_mbps,
+        query.number,
+        era_of(query.revision),
+        query.reads_pieces or None,
+        query.unserved or None,
+    )
+    return fit_fields(struct)
 
 
 def _state_struct(state: ServerState | None) -> Any:
     if state is None:
         return None
-    return ttypes.ServerState(
+    struct = ttypes.ServerState(
         revision=count_of(state.revision),
         era=era_of(state.revision),
         born_ms=state.born_ms,
         evacuated=state.evacuated,
-        evacuated_for_ms=int(min(state.evacuated_for_s, AGE_MAX_S) * 1000),
-        cold_for_ms=int(min(state.cold_for_s, AGE_MAX_S) * 1000),
+        evacuated_for_ms=state.evacuated_for_s * 1000,
+        cold_for_ms=state.cold_for_s * 1000,
         bound_per_s=state.bound_per_s,
         bound_lasts_s=state.bound_lasts_s,
         draining=state.draining,
     )
+    return fit_fields(struct)
 
 
 def _flows_struct(reply: FlowsTell) -> Any:
-    return ttypes.FlowsTell(
+    struct = ttypes.FlowsTell(
         number=reply.number,
         present=list(reply.present),
         absent=list(reply.absent),
@@ -103,6 +129,7 @@
         pace_ms=reply.pace_ms,
         age_ms=reply.age_ms or None,
     )
+    return fit_fields(struct)
 
 
 def decode_message(data: bytes) -> PeerMessage:
@@ -121,8 +148,7 @@
         read_struct(struct, data)
         return _message_of(struct)
     except Exception as error:  # Errors of the library share no base type.
-        reason = f"{type(error).__name__}: {error}"[:200]
-        raise CodecError("thrift", reason) from error
+        raise _codec_error(error) from error
 
 
 def _message_of(struct: Any) -> PeerMessage:
--- a/notchhoist/flows/codec/tests/test_field_ranges.py
+++ b/notchhoist/flows/codec/tests/test_field_ranges.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from notchhoist.base.errors import CodecError
 from notchhoist.flows.codec.field_ranges import FIELD_RANGES
@@ -20,9 +21,19 @@
     structs_in,
     write_raw,
 )
+from notchhoist.flows.model.messages import (
+    FlowsTell,
+    LoadTell,
+    ViewAsk,
+    ViewPiece,
+    ViewTell,
+)
+from notchhoist.flows.model.ranges import I32_MAX
+from notchhoist.flows.model.revisions import make_revision
 
 I32, I64, DOUBLE = 8, 10, 4
 WIDTHS = {I32: 31, I64: 63}
+AGES = ("placing_for_ms", "rerouted_for_ms", "reroutes_known_for_ms")
 UNCHECKED = {"routes_digest"}
 """Numbers that are compared and nothing else."""
 
@@ -68,6 +79,22 @@
             decode_message(message_with(index, struct_index, name, value))
 
 
+@pytest.mark.parametrize(("index", "struct_index", "name", "wire"), NUMBERS)
+def test_numbers_at_the_ends_of_their_ranges_are_carried(
+    index, struct_index, name, wire
+):
+    if name in UNCHECKED or name in ("part", "parts", "weight"):
+        return
+    for value in FIELD_RANGES[name]:
+        carried = float(value)
+        if wire != DOUBLE:
+            carried = min(int(value), (1 << WIDTHS[wire]) - 1)
+        data = message_with(index, struct_index, name, carried)
+        message = decode_message(data)
+        assert decode_message(encode_message(message)) == message
+        msgspec.json.encode(message, enc_hook=str)
+
+
 @pytest.mark.parametrize(
     "host",
     [
@@ -136,3 +163,56 @@
         if spec and spec[1] in (I32, I64, DOUBLE)
     }
     assert names - UNCHECKED == FIELD_RANGES.keys()
+
+
+GROWING = {
+    LoadTell: ("flows", "running", "pace_ms"),
+    FlowsTell: ("flows", "running", "pace_ms", "age_ms"),
+    ViewAsk: ("link_mbps",),
+    ViewTell: AGES,
+    ViewPiece: AGES,
+}
+"""Fields that may grow past what the wire carries, by kind of message."""
+
+
+@given(st.floats(-1e300, 1e300) | st.integers(-(1 << 70), 1 << 70))
+def test_times_and_counts_past_their_ranges_become_the_ends(value):
+    """A placement 24.9 days ago did not fit, and each update raised."""
+    for message in MESSAGES:
+        for name in GROWING.get(type(message), ()):
+            grown = replace(message, **{name: value})
+            carried = getattr(decode_message(encode_message(grown)), name)
+            assert carried == int(min(max(value, 0), I32_MAX))
+
+
+@pytest.mark.parametrize("age_s", [-1.0, 0.0, 3e6, 1e300, math.inf])
+def test_any_age_of_a_view_can_be_sent(age_s):
+    for message in MESSAGES[5:]:
+        aged = replace(message, age_s=age_s)
+        carried = decode_message(encode_message(aged)).age_s
+        assert carried == min(max(age_s, 0.0), I32_MAX / 1000)
+
+
+@pytest.mark.parametrize(
+    ("index", "name", "value"),
+    [
+        (0, "slots", -1),
+        (0, "slots", 1 << 31),
+        (1, "state_revision", make_revision(1 << 63, 0)),
+        (1, "service", "\ud800"),
+        (2, "number", 1 << 31),
+        (2, "tag", 1 << 16),
+        (4, "number", 1 << 63),
+        (4, "revision", -1),
+        (5, "asked", 1 << 63),
+        (5, "age_s", math.nan),
+        (5, "parts", 1 << 31),
+        (6, "revision", make_revision(1 << 63, 0)),
+    ],
+)
+def test_a_value_that_the_wire_does_not_carry_is_a_codec_error(
+    index, name, value
+):
+    changed = replace(MESSAGES[index], **{name: value})
+    with pytest.raises(CodecError):
+        encode_message(changed)
--- a/notchhoist/flows/codec/view_codec.py
+++ b/notchhoist/flows/codec/view_codec.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from notchhoist.flows.codec.field_ranges import check_fields
+from notchhoist.flows.codec.field_ranges import check_fields, fit_fields
 from notchhoist.flows.codec.generated import ttypes
 from notchhoist.flows.model.fleet import (
     ColdBound,
@@ -18,13 +18,13 @@
 )
 from notchhoist.flows.model.view import ViewChange
 
-AGE_MAX_S = 1e6
-
 
 def member_struct(member: Member) -> Any:
     """Returns the Thrift struct of a balancer."""
     unserved = member.unserved or None
-    return ttypes.Member(member.host, member.link_mbps, member.age_ms, unserved)
+    return fit_fields(
+        ttypes.Member(member.host, member.link_mbps, member.age_ms, unserved)
+    )
 
 
 def members_of(structs: Any) -> tuple[Member, ...]:
@@ -43,11 +43,11 @@
 def view_struct(update: ViewTell) -> Any:
     """Returns the Thrift struct of a part of a view."""
     change = update.change
-    return ttypes.ViewTell(
+    struct = ttypes.ViewTell(
         revision=count_of(change.revision),
         era=era_of(change.revision),
         base=count_of(change.base),
-        age_ms=int(min(update.age_s, AGE_MAX_S) * 1000),
+        age_ms=update.age_s * 1000,
         members=[member_struct(member) for member in update.members],
         part=update.part,
         parts=update.parts,
@@ -72,6 +72,7 @@
         reroutes_known_for_ms=update.reroutes_known_for_ms or None,
         routes_digest=change.routes_digest,
     )
+    return fit_fields(struct)
 
 
 def _zone_struct(name: str, revision: int) -> Any:
--- a/notchhoist/flows/codec/view_pieces.py
+++ b/notchhoist/flows/codec/view_pieces.py
@@ -5,9 +5,9 @@
 
 from notchhoist.base.errors import CodecError
 from notchhoist.flows.codec.compact import read_struct, write_struct
+from notchhoist.flows.codec.field_ranges import fit_fields
 from notchhoist.flows.codec.generated import ttypes
 from notchhoist.flows.codec.view_codec import (
-    AGE_MAX_S,
     member_struct,
     members_of,
     view_of,
@@ -51,11 +51,11 @@
 
 def piece_struct(piece: ViewPiece) -> Any:
     """Returns the Thrift struct of a piece."""
-    return ttypes.ViewPiece(
+    struct = ttypes.ViewPiece(
         revision=count_of(piece.revision),
         era=era_of(piece.revision),
         base=count_of(piece.base),
-        age_ms=int(min(piece.age_s, AGE_MAX_S) * 1000),
+        age_ms=piece.age_s * 1000,
         members=[member_struct(member) for member in piece.members],
         part=piece.part,
         parts=piece.parts,
@@ -65,6 +65,7 @@
         rerouted_for_ms=piece.rerouted_for_ms or None,
         reroutes_known_for_ms=piece.reroutes_known_for_ms or None,
     )
+    return fit_fields(struct)
 
 
 def piece_of(struct: Any) -> ViewPiece:
