Fix: sending to a host that is no IP address raised, or looked up a name

Cause: sendto, connect and connect_ex take names. They look a name up, which blocks the whole process, and raise TypeError, OverflowError or ValueError for texts and ports that cannot be looked up; only OSError was caught. A check of a port that raised, also for want of a free descriptor, never reported, so its host counted as being checked for good, and a call of the store was not made again.

Change: addresses are checked to be numeric before they are used. A datagram to anything else is lost, as one that the kernel refuses; a check of a port reports SILENT after its time, a call of the store fails with the reason. The same holds where no socket can be opened (EMFILE).

Before: names were sent to ("sent to ('localhost', 9)"), "TypeError: host name must not contain null character", "TypeError: encoding of hostname failed", "OverflowError: connect(): port must be 0-65535", UnicodeEncodeError, gaierror and "OSError: [Errno 24]" left the functions; two checks of 'host' texts got 'accepted' or 'refused' from a port of this host.

--- a/notchhoist/base/datagrams.py
+++ b/notchhoist/base/datagrams.py
@@ -1,7 +1,10 @@
 """Non-blocking UDP sockets, read in batches; network errors do not raise."""
 
+import errno
 import socket
 
+MAX_PORT = 65_535
+
 BATCH_DATAGRAMS = 64
 """Datagrams read from a socket before the next socket gets its turn."""
 
@@ -42,6 +45,28 @@
     return sock
 
 
+def check_numeric(family: int, address: tuple[str, int]) -> None:
+    """Checks that an address can be used without looking up a name.
+
+    A lookup would block the process.
+
+    Args:
+        family: Address family, such as ``socket.AF_INET``.
+        address: Host and port.
+
+    Raises:
+        OSError: The host is not an IP address of the family, or there is no
+            such port.
+    """
+    host, port = address
+    try:
+        socket.inet_pton(family, host)
+    except ValueError as error:
+        raise OSError(errno.EINVAL, f"no IP address: {error}") from error
+    if not 0 <= port <= MAX_PORT:
+        raise OSError(errno.EINVAL, "no such port")
+
+
 def receive_batch(sock: socket.socket) -> list[tuple[bytes, tuple[str, int]]]:
     """Returns datagrams that have arrived with their senders, up to a batch."""
     received: list[tuple[bytes, tuple[str, int]]] = []
@@ -63,6 +88,12 @@
 ) -> bool:
     """Sends a datagram; one that the kernel refuses is lost.
 
+    Args:
+        sock: The socket.
+        datagram: The datagram.
+        to: IP address and port; None if the socket is connected. A datagram to
+            a name is lost, as names are not looked up.
+
     Returns:
         Whether the kernel accepted it, so that the sender can count losses.
     """
@@ -70,6 +101,7 @@
         if to is None:
             sock.send(datagram)
         else:
+            check_numeric(sock.family, to)
             sock.sendto(datagram, to)
     except OSError:
         return False
--- /dev/null
+++ b/notchhoist/base/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the daemon."""
--- a/notchhoist/daemon/http_call.py
+++ b/notchhoist/daemon/http_call.py
@@ -12,6 +12,7 @@
 import httptools
 from msgspec import Struct, field
 
+from notchhoist.base.datagrams import check_numeric
 from notchhoist.daemon.loop import Loop, Timer
 
 CONNECT_TIMEOUT_S = 1.0
@@ -117,7 +118,7 @@
         """
         host, port = self.address
         head = f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
-        self.request = head.encode()
+        self.request = head.encode(errors="replace")
         self.on_done = on_done
         self.on_failed = on_failed
         self.response = _Response()
@@ -136,10 +137,15 @@
         self.timer = self.loop.call_at(when, lambda: self._fail(NO_ANSWER))
 
     def _connect(self) -> None:
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        _enable_keepalive(self.sock)
-        self.sock.setblocking(False)
         self.connected = False
+        try:
+            check_numeric(socket.AF_INET, self.address)
+            self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            _enable_keepalive(self.sock)
+        except OSError as error:
+            self._fail(f"connect: {error}")
+            return
+        self.sock.setblocking(False)
         error_number = self.sock.connect_ex(self.address)
         if error_number not in (0, errno.EINPROGRESS):
             self._fail(f"connect: errno {error_number}")
--- a/notchhoist/daemon/port_check.py
+++ b/notchhoist/daemon/port_check.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import Callable
 
+from notchhoist.base.datagrams import check_numeric
 from notchhoist.daemon.loop import Loop
 from notchhoist.flows.model.effects import ConnectResult
 
@@ -33,10 +34,14 @@
         loop: The event loop.
         address: Address to connect to.
         wait_s: Timeout of the attempt, seconds.
-        on_checked: Called with the result.
+        on_checked: Called with the result; ``SILENT`` too if the attempt
+            cannot be made.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setblocking(False)
+    try:
+        sock = _open_socket(socket.SOCK_STREAM, address)
+    except OSError:
+        loop.call_later(wait_s, lambda: on_checked(ConnectResult.SILENT))
+        return
     immediate_error = sock.connect_ex(address)
 
     def finish(result: ConnectResult) -> None:
@@ -70,8 +75,13 @@
         packet: Payload of the packet.
         on_checked: Called with the result; ``SILENT`` is inconclusive.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sock.setblocking(False)
+    try:
+        sock = _open_socket(socket.SOCK_DGRAM, address)
+    except OSError:
+        loop.call_later(
+            REFUSAL_TIMEOUT_S, lambda: on_checked(ConnectResult.SILENT)
+        )
+        return
 
     def finish(result: ConnectResult) -> None:
         timer.cancel()
@@ -98,6 +108,20 @@
     loop.on_readable(sock, on_readable)
 
 
+def _open_socket(
+    kind: socket.SocketKind, address: tuple[str, int]
+) -> socket.socket:
+    """Opens a non-blocking socket to connect to an address.
+
+    Raises:
+        OSError: The address is not usable, or there is no free descriptor.
+    """
+    check_numeric(socket.AF_INET, address)
+    sock = socket.socket(socket.AF_INET, kind)
+    sock.setblocking(False)
+    return sock
+
+
 def _to_result(error: int) -> ConnectResult:
     """Converts the error number of a connection attempt."""
     if not error:
--- a/notchhoist/daemon/tests/test_http_call.py
+++ b/notchhoist/daemon/tests/test_http_call.py
@@ -1,9 +1,11 @@
 """Tests of requests to a server that stops responding without a reset."""
 
+import errno
 import socket
 
 import pytest
 
+from notchhoist.base.tests.test_datagrams import UNUSABLE
 from notchhoist.daemon.http_call import HttpClient
 from notchhoist.daemon.loop import Loop
 
@@ -142,3 +144,26 @@
         exchange.send_bytewise(connection, b"n", 0.0)
         exchange.send_bytewise(connection, b"ews", 0.0)
     assert exchange.failures == ["not needed any more"]
+
+
+@pytest.mark.parametrize("address", UNUSABLE, ids=repr)
+def test_request_to_an_unusable_address_fails(address):
+    failures = []
+    client = HttpClient(Loop(lambda: 0.0), address)
+    client.get("/", 1.0, lambda *_: None, failures.append)
+    [reason] = failures
+    assert reason.startswith("connect: ")
+    assert client.sock is None
+
+
+def test_request_without_a_free_descriptor_fails(monkeypatch):
+    """It raised, and the store was never called again."""
+
+    def no_socket(*_):
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    failures = []
+    monkeypatch.setattr(socket, "socket", no_socket)
+    client = HttpClient(Loop(lambda: 0.0), ("127.0.0.1", 9))
+    client.get("/", 1.0, lambda *_: None, failures.append)
+    assert failures == ["connect: [Errno 24] Too many open files"]
