--- a/notchhoist/daemon/http_call.py
+++ b/notchhoist/daemon/http_call.py
@@ -195,7 +195,10 @@
             return
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             self._fail(f"invalid HTTP response: {error}")
             return
         if self.response.complete:
--- a/notchhoist/daemon/tests/test_http_call.py
+++ b/notchhoist/daemon/tests/test_http_call.py
@@ -167,3 +167,14 @@
     client = HttpClient(Loop(lambda: 0.0), ("127.0.0.1", 9))
     client.get("/", 1.0, lambda *_: None, failures.append)
     assert failures == ["connect: [Errno 24] Too many open files"]
+
+
+def test_response_that_switches_protocols_fails(exchange):
+    """The parser's exception for it ended the process."""
+    exchange.call()
+    with exchange.accept() as connection:
+        head = b"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade"
+        connection.sendall(head + b"\r\nUpgrade: h2c\r\n\r\n")
+        exchange.loop.run_once()
+    [reason] = exchange.failures
+    assert reason.startswith("invalid HTTP response")
