Fix: a page of the state dump past 64 bits ended the process

Cause: /dump/flows?offset= was handed to islice, which raises ValueError past sys.maxsize; the error left the callback of the event loop. Numbers of over 4,300 digits were answered, but without the parameter's name.

Before: "ValueError: Stop argument for islice() must be None or an integer", and an error text "Exceeds the limit (4300 digits)".

--- a/notchhoist/daemon/flow_state.py
+++ b/notchhoist/daemon/flow_state.py
@@ -15,6 +15,7 @@
 from notchhoist.daemon.flow_pressure import pressure_rows
 from notchhoist.daemon.flow_splits import split_rows
 from notchhoist.daemon.http_port import Reply
+from notchhoist.daemon.pages import read_page
 from notchhoist.flows.agent.node import AgentNode
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.flows.decisions import server_selection
@@ -25,8 +26,6 @@
 
 HEALTH_PATH = "/health"
 DUMP_PATH = "/dump/"
-MAX_PAGE_ENTRIES = 500
-"""Most entries in a reply: about 100 KB."""
 
 Row = dict[str, object]
 Node = BalancerNode | AgentNode
@@ -63,7 +62,7 @@
         names = " or ".join(sections)
         return _reply(404, {"error": f"section: expected {names}"})
     try:
-        offset, limit = _page(query)
+        offset, limit = read_page(query)
     except ValueError as error:
         return _reply(400, {"error": str(error)})
     rows = list(row_source(node, now))
@@ -76,25 +75,6 @@
     return Reply(status, msgspec.json.encode(value, enc_hook=str).decode())
 
 
-def _page(query: str) -> tuple[int, int]:
-    """Returns the offset and the limit of a query.
-
-    Examples:
-        >>> _page("offset=20&limit=5"), _page("")
-        ((20, 5), (0, 500))
-
-    Raises:
-        ValueError: A parameter is unknown or not a whole number.
-    """
-    numbers = {"offset": 0, "limit": MAX_PAGE_ENTRIES}
-    for item in query.split("&") if query else ():
-        name, _, text = item.partition("=")
-        if name not in numbers or not text.isdecimal():
-            raise ValueError(f"{name}: expected a whole number, got {text!r}")
-        numbers[name] = int(text)
-    return numbers["offset"], min(numbers["limit"], MAX_PAGE_ENTRIES)
-
-
 def health(node: Node, name: str, zone: str, now: float) -> Row:
     """Returns the health of a daemon.
 
