--- a/notchhoist/daemon/flow_state.py
+++ b/notchhoist/daemon/flow_state.py
@@ -16,12 +16,12 @@
 from notchhoist.daemon.flow_pressure import pressure_rows
 from notchhoist.daemon.flow_splits import split_rows
 from notchhoist.daemon.http_port import Reply
+from notchhoist.daemon.pages import read_page
 from notchhoist.flows.agent.node import AgentNode
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.flows.balancer.readiness import age_s
 from notchhoist.flows.decisions import server_selection
 from notchhoist.flows.model.fleet import Route, Server
-from notchhoist.flows.model.ranges import I32_MAX
 from notchhoist.flows.model.records import Records
 from notchhoist.flows.model.view import ZoneKey
 from notchhoist.flows.published import states
@@ -29,12 +29,9 @@
     MAX_CHARACTERS,
     present_problems,
 )
-from notchhoist.platform.json_fields import parse_decimal
 
 HEALTH_PATH = "/health"
 DUMP_PATH = "/dump/"
-MAX_PAGE_ENTRIES = 500
-"""Most entries in a reply: about 100 KB."""
 
 
 def answer_state(
@@ -68,7 +65,7 @@
         names = " or ".join(sections)
         return _reply(404, {"error": f"section: expected {names}"})
     try:
-        offset, limit = _page(query)
+        offset, limit = read_page(query)
     except ValueError as error:
         return _reply(400, {"error": str(error)})
     rows = list(row_source(node, now))
@@ -81,26 +78,6 @@
     return Reply(status, msgspec.json.encode(value, enc_hook=str).decode())
 
 
-def _page(query: str) -> tuple[int, int]:
-    """Returns the offset and the limit of a query.
-
-    Examples:
-        >>> _page("offset=20&limit=5"), _page("")
-        ((20, 5), (0, 500))
-
-    Raises:
-        ValueError: A parameter is unknown or not a whole number.
-    """
-    numbers = {"offset": 0, "limit": MAX_PAGE_ENTRIES}
-    for item in query.split("&") if query else ():
-        name, _, text = item.partition("=")
-        number = parse_decimal(text, 0, I32_MAX)
-        if name not in numbers or number is None:
-            raise ValueError(f"{name}: expected a whole number, got {text!r}")
-        numbers[name] = number
-    return numbers["offset"], min(numbers["limit"], MAX_PAGE_ENTRIES)
-
-
 def _servers(node: BalancerNode, now: float) -> Iterator[Row]:
     for service, servers in node.board.by_service.items():
         service_times_ms = [
