Soak: draw what surrounds processes on real machines

A daemon that ended with a status of its own after a signal of the run was taken as stopped.

A process may end only with a status that a signal of the run explains: 0 after SIGTERM, the signal itself where it came within the start.

Changed test: test_every_trouble_comes_in_some_plan_of_the_seeds_with_ splits compared with all troubles; it compares with all but the new ones, and a new test compares the new seeds with all.

--- a/notchhoist/testing/opaque/store.py
+++ b/notchhoist/testing/opaque/store.py
@@ -79,14 +79,17 @@
     lock: threading.Lock = attrs.Factory(threading.Lock)
 
     def put(self, key: str, value: object) -> None:
-        """Writes an item."""
+        """Writes an item whose value is encoded as JSON."""
+        self.put_raw(key, json.dumps(value).encode())
+
+    def put_raw(self, key: str, text: bytes) -> None:
+        """Writes an item with any bytes as value."""
         with self.lock:
-            self._put(key, value)
+            self._put(key, text)
 
-    def _put(self, key: str, value: object) -> None:
+    def _put(self, key: str, text: bytes) -> None:
         self.revision += 1
         known = self.items.get(key)
-        text = json.dumps(value).encode()
         self.items[key] = {
             "key": key,
             "value": base64.b64encode(text).decode(),
@@ -106,12 +109,15 @@
             self.history.append(Change(self.revision, key, item))
 
     def value(self, key: str) -> dict[str, Any] | None:
-        """Returns the decoded value of an item, or None if there is none."""
+        """Returns the object that an item holds, or None if it holds none."""
         item = self.items.get(key)
         if item is None:
             return None
-        held: dict[str, Any] = json.loads(base64.b64decode(str(item["value"])))
-        return held
+        try:
+            held = json.loads(base64.b64decode(str(item["value"])))
+        except (ValueError, RecursionError):
+            return None
+        return held if isinstance(held, dict) else None
 
     def compact(self) -> None:
         """Compacts the whole history."""
--- a/notchhoist/testing/opaque/troubles.py
+++ b/notchhoist/testing/opaque/troubles.py
@@ -226,7 +226,7 @@
         if server is None or not server.alive:
             continue
         stored = world.store.value(f"servers/{server.server_id}")
-        if stored is None or stored["state"] != server.state:
+        if stored is None or stored.get("state") != server.state:
             delay = world.rng.uniform(0.0, HEARTBEAT_S)
             world.later(delay, partial(_announce, world, host))
 
--- a/notchhoist/testing/soak/__init__.py
+++ b/notchhoist/testing/soak/__init__.py
@@ -15,7 +15,8 @@
 * ``routers``: forward callers' packets to ready balancers.
 * ``endpoints``: callers and backend servers on real sockets.
 * ``fleet``: the daemons and everything around them.
-* ``troubles``: the troubles by name.
+* ``troubles``: the troubles by name; each subject has a module of its own,
+  such as ``start_troubles``.
 * ``plan``: the schedule of troubles for a seed.
 * ``final_checks``: checks at the end of a run, beside those of the judge.
 * ``seeds``: regression seeds.
--- a/notchhoist/testing/soak/configuration_troubles.py
+++ b/notchhoist/testing/soak/configuration_troubles.py
@@ -3,6 +3,7 @@
 import random
 from functools import partial
 
+from notchhoist.testing.opaque import odd_documents
 from notchhoist.testing.soak.fleet import SERVICES, WORKLOADS, Fleet
 from notchhoist.testing.soak.healing import Heal, heal_nothing
 
@@ -12,6 +13,12 @@
 
 WEIGHT_CHANGES_S = WEIGHT_CHANGES * WEIGHT_CHANGE_GAP_S
 
+ODD_VERSIONS = 4
+ODD_VERSION_GAP_S = 0.2
+"""Number of odd versions in a row, and the pause between two in seconds."""
+
+ODD_VERSIONS_S = ODD_VERSIONS * ODD_VERSION_GAP_S
+
 
 def change_configuration(fleet: Fleet, _: random.Random) -> Heal:
     """Publishes five versions in quick succession."""
@@ -46,3 +53,21 @@
 
     fleet.loop.call_later(WEIGHT_CHANGES_S, stop)
     return partial(fleet.split_route, workload, ())
+
+
+def odd_configuration(fleet: Fleet, rng: random.Random) -> Heal:
+    """Publishes odd versions, then a good one.
+
+    Flows of a route that an odd version names with another address or service
+    may end, so this is no planned work.
+    """
+
+    def put_odd() -> None:
+        good = fleet.configuration()
+        text = odd_documents.odd_configuration(good, rng)
+        fleet.store.put_raw("op/config", text)
+
+    for number in range(ODD_VERSIONS):
+        fleet.loop.call_later(number * ODD_VERSION_GAP_S, put_odd)
+    fleet.loop.call_later(ODD_VERSIONS_S, fleet.publish)
+    return heal_nothing
--- a/notchhoist/testing/soak/daemons.py
+++ b/notchhoist/testing/soak/daemons.py
@@ -8,7 +8,9 @@
 from pathlib import Path
 
 import attrs
+import msgspec
 
+import notchhoist
 from notchhoist.platform.settings import PATH_VARIABLE
 from notchhoist.testing.soak import addresses
 
@@ -24,6 +26,13 @@
 
 COMMAND = (sys.executable, "-m", "notchhoist.daemon")
 
+ROOT = Path(notchhoist.__file__).parent.parent
+PLATFORM_COMMAND = (sys.executable, "-S", str(ROOT / "notchhoistd.py"))
+"""Starts a daemon as the platform does; packages are on ``PYTHONPATH``."""
+
+Signals = list[tuple[float, signal.Signals]]
+"""Signals with the time after the start at which each is sent, seconds."""
+
 
 @attrs.define(eq=False)
 class Daemon:
@@ -39,10 +48,13 @@
         process: The process, or None while it is down.
         down_until: Earliest time of the next start, seconds.
         kill_at: When a stopping process gets SIGKILL, seconds.
-        exit_expected: Whether the run has killed or stopped the process.
+        command: Command line of its processes.
+        settings_text: Complete contents of its settings file.
+        signals_at_starts: Signals that its next processes get, one list each.
+        exit_statuses: Statuses with which the process may exit: 0 and those of
+            the signals that the run has sent.
         starts: Number of processes started so far.
         started_at: When the process started, seconds.
-        reload_at: When it was last asked to reload, seconds.
     """
 
     name: str
@@ -54,10 +66,12 @@
     process: subprocess.Popen[bytes] | None = None
     down_until: float = float("-inf")
     kill_at: float = float("inf")
-    exit_expected: bool = False
+    command: tuple[str, ...] = COMMAND
+    settings_text: str = ""
+    signals_at_starts: list[Signals] = attrs.Factory(list)
+    exit_statuses: set[int] = attrs.Factory(set)
     starts: int = 0
     started_at: float = float("-inf")
-    reload_at: float = float("-inf")
 
     @property
     def settings_path(self) -> Path:
@@ -69,8 +83,8 @@
         """Path of its log, to which each of its processes appends."""
         return self.folder / f"{self.name}.log"
 
-    def write_settings(self, seeds: list[str]) -> None:
-        """Writes its settings file in the platform's format."""
+    def make_settings(self, seeds: list[str]) -> None:
+        """Makes its settings in the platform's format."""
         listen = {
             "datagram_addr": f"{self.bound_ip}:{addresses.PACKETS_PORT}",
             "ready": f"{self.bound_ip}:{addresses.READY_PORT}",
@@ -94,17 +108,24 @@
             listen["outbound"] = f"{self.bound_ip}:{addresses.OUTBOUND_PORT}"
             settings["app"] = f"{self.bound_ip}:{addresses.SERVER_PORT}"
             settings["service"] = self.service
-        self.settings_path.write_text(json.dumps(settings))
+        self.settings_text = json.dumps(settings)
+
+    def write_settings(self) -> None:
+        """Writes its settings file."""
+        self.settings_path.write_text(self.settings_text)
 
     def start(self, now: float) -> None:
         """Starts a process."""
         self.started_at = now
         variables = {**os.environ, PATH_VARIABLE: str(self.settings_path)}
+        if self.command == PLATFORM_COMMAND:
+            packages = Path(msgspec.__file__).parent.parent
+            variables["PYTHONPATH"] = str(packages)
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                COMMAND, env=variables, stdout=log, stderr=log
+                self.command, env=variables, stdout=log, stderr=log
             )
-        self.exit_expected = False
+        self.exit_statuses = set()
         self.kill_at = float("inf")
         self.starts += 1
 
@@ -114,13 +135,15 @@
 
     def kill(self, now: float, down_s: float = RESTART_DELAY_S) -> None:
         """Sends SIGKILL; the process is restarted after a pause."""
-        self.exit_expected = True
+        self.exit_statuses.add(-signal.SIGKILL)
         self.down_until = max(self.down_until, now + down_s)
         self._signal(signal.SIGKILL)
 
     def stop(self, now: float) -> None:
         """Sends SIGTERM; the process is restarted after it exits."""
-        self.exit_expected = True
+        self.exit_statuses.add(0)
+        if self._is_starting(now):
+            self.exit_statuses.add(-signal.SIGTERM)
         self.kill_at = min(self.kill_at, now + KILL_DELAY_S)
         self._signal(signal.SIGTERM)
 
@@ -134,9 +157,24 @@
 
     def reload(self, now: float) -> None:
         """Sends SIGHUP, upon which the process reloads its settings."""
-        self.reload_at = now
+        if self._is_starting(now):
+            self.exit_statuses.add(-signal.SIGHUP)
         self._signal(signal.SIGHUP)
 
+    def _is_starting(self, now: float) -> bool:
+        """Tells whether signals may find no handler yet."""
+        return now - self.started_at < INTERPRETER_STARTUP_S
+
+    def send(self, number: signal.Signals, now: float) -> None:
+        """Reloads, stops or kills the process."""
+        match number:
+            case signal.SIGHUP:
+                self.reload(now)
+            case signal.SIGTERM:
+                self.stop(now)
+            case _:
+                self.kill(now)
+
     def supervise(self, now: float) -> int | None:
         """Restarts an exited process and kills one that does not stop.
 
@@ -148,20 +186,14 @@
                 self.start(now)
             return None
         if now >= self.kill_at:
+            self.exit_statuses.add(-signal.SIGKILL)
             self._signal(signal.SIGKILL)
         status = self.process.poll()
         if status is None:
             return None
-        unexpected = not self.exit_expected and not self._ended_by_reload(
-            status
-        )
         self.process = None
         self.down_until = max(self.down_until, now + RESTART_DELAY_S)
-        return status if unexpected else None
-
-    def _ended_by_reload(self, status: int) -> bool:
-        early = self.reload_at - self.started_at < INTERPRETER_STARTUP_S
-        return status == -signal.SIGHUP and early
+        return None if status in self.exit_statuses else status
 
     def shut_down(self) -> None:
         """Kills the process and does not restart it."""
--- a/notchhoist/testing/soak/datagram_proxy.py
+++ b/notchhoist/testing/soak/datagram_proxy.py
@@ -12,11 +12,17 @@
 
 from notchhoist.base import datagrams
 from notchhoist.daemon.loop import Loop
+from notchhoist.testing.opaque.damage import damage
 from notchhoist.testing.soak.addresses import PEER_PORTS
 
 PORTS = (PEER_PORTS[0], PEER_PORTS[0] + 1)
 """Ports for packets between balancers and agents, and for control messages."""
 
+CONTROL_PORT = PORTS[1]
+
+LATE_S = 0.3
+"""Longest delay of the second copy of a control message, seconds."""
+
 
 @attrs.define
 class LinkState:
@@ -44,6 +50,8 @@
         bound_by_advertised: Bound address by advertised address.
         sockets: Sockets by advertised address and port.
         links: Faults by advertised addresses of sender and receiver.
+        damaged: Share of the control messages that a second copy follows, which
+            is damaged, double or late.
         forwarded: Number of datagrams forwarded.
         dropped: Number of datagrams lost, cut, or of unknown senders.
     """
@@ -54,6 +62,7 @@
     bound_by_advertised: dict[str, str] = attrs.Factory(dict)
     sockets: dict[tuple[str, int], socket.socket] = attrs.Factory(dict)
     links: dict[tuple[str, str], LinkState] = attrs.Factory(dict)
+    damaged: float = 0.0
     forwarded: int = 0
     dropped: int = 0
 
@@ -81,6 +90,8 @@
             if source is None:
                 self.dropped += 1
                 continue
+            if port == CONTROL_PORT and self.rng.random() < self.damaged:
+                self._deliver_copy(source, target, data)
             state = self.links.get((source, target))
             if state is None:
                 self._deliver(source, target, port, data)
@@ -92,6 +103,13 @@
             else:
                 self._deliver(source, target, port, data)
 
+    def _deliver_copy(self, source: str, target: str, data: bytes) -> None:
+        """Delivers a second copy of a control message, damaged or late."""
+        copy = damage(data, self.rng) if self.rng.random() < 0.7 else data
+        delay_s = self.rng.uniform(0.0, LATE_S)
+        deliver = partial(self._deliver, source, target, CONTROL_PORT, copy)
+        self.loop.call_later(delay_s, deliver)
+
     def _deliver(
         self, source: str, target: str, port: int, data: bytes
     ) -> None:
--- a/notchhoist/testing/soak/final_checks.py
+++ b/notchhoist/testing/soak/final_checks.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterator
 
 from notchhoist.daemon.flow_metrics import METRICS_PATH, METRICS_PORT
+from notchhoist.platform.readiness import READY_PATH
+from notchhoist.testing.soak.addresses import READY_PORT
 from notchhoist.testing.soak.daemons import Daemon
 from notchhoist.testing.soak.fleet import Fleet
 
@@ -16,6 +18,7 @@
 """Maximum resident memory of a daemon, a requirement of the users."""
 
 METRICS_TIMEOUT_S = 5.0
+READY_TIMEOUT_S = 2.0
 
 
 def read_metric(daemon: Daemon, name: str) -> float | None:
@@ -41,6 +44,17 @@
             yield f"CONFIG: {daemon.name} {text}"
 
 
+def check_ready(fleet: Fleet) -> Iterator[str]:
+    """Yields a line for each daemon that does not say that it is ready."""
+    for daemon in fleet.daemons:
+        url = f"http://{daemon.bound_ip}:{READY_PORT}{READY_PATH}"
+        try:
+            with urllib.request.urlopen(url, timeout=READY_TIMEOUT_S):
+                pass
+        except OSError as error:
+            yield f"READY: {daemon.name} {error}"
+
+
 def check_memory(fleet: Fleet) -> Iterator[str]:
     """Yields a line for each daemon that exceeds the memory limit."""
     for daemon in fleet.daemons:
--- a/notchhoist/testing/soak/fleet.py
+++ b/notchhoist/testing/soak/fleet.py
@@ -1,6 +1,7 @@
 """A fleet of real daemons and their simulated environment."""
 
 import random
+import signal
 import time
 from collections import Counter
 from functools import partial
@@ -15,7 +16,7 @@
 from notchhoist.testing.opaque.traffic import Workload
 from notchhoist.testing.soak import addresses
 from notchhoist.testing.soak.addresses import Block
-from notchhoist.testing.soak.daemons import Daemon
+from notchhoist.testing.soak.daemons import COMMAND, Daemon, Signals
 from notchhoist.testing.soak.datagram_proxy import DatagramProxy
 from notchhoist.testing.soak.endpoints import (
     CALLERS_PER_ZONE,
@@ -71,6 +72,7 @@
         folder: Folder of settings files and logs.
         per_zone: Balancers in each zone.
         factor: Multiplier of the numbers in ``SERVICES``.
+        command: Command line of the daemons.
         loop: The event loop.
         judge: Collects outcomes and violations.
         store: Model of the platform's store.
@@ -99,6 +101,7 @@
     store: StoreModel
     per_zone: int = 1
     factor: int = 1
+    command: tuple[str, ...] = COMMAND
     loop: Loop = attrs.Factory(lambda: Loop(time.monotonic))
     judge: Judge = attrs.Factory(Judge)
     proxy: DatagramProxy = attrs.field(init=False)
@@ -162,7 +165,8 @@
             daemon.advertised_ip for daemon in self.balancers[:SEED_BALANCERS]
         ]
         for daemon in self.daemons:
-            daemon.write_settings(seeds)
+            daemon.make_settings(seeds)
+            daemon.write_settings()
         self._supervise()
         self._tick()
         self.routers.probe()
@@ -175,6 +179,7 @@
             advertised_ip=self.block.advertised_ip(zone, number),
             service=service,
             folder=self.folder,
+            command=self.command,
         )
         self.proxy.add(daemon.bound_ip, daemon.advertised_ip)
         return daemon
@@ -220,15 +225,18 @@
         self.version += 1
         self.write_configuration()
 
-    def write_configuration(self) -> None:
-        """Writes the newest version into the store."""
+    def configuration(self) -> dict[str, object]:
+        """Returns the newest version of the configuration."""
         kinds = [
             attrs.evolve(item, split=self.splits.get(item.port, ()))
             for item in WORKLOADS
             if not self.drops[item.port]
         ]
-        text = published.configuration_of(self.version, kinds)
-        self.store.put("op/config", text)
+        return published.configuration_of(self.version, kinds)
+
+    def write_configuration(self) -> None:
+        """Writes the newest version into the store."""
+        self.store.put("op/config", self.configuration())
 
     def split_route(
         self, workload: Workload, targets: tuple[tuple[str, int], ...]
@@ -258,6 +266,13 @@
         """Records an unplanned disruption at the present time."""
         self.judge.disturb(self.loop.clock())
 
+    def add_fault(self, lasts_s: float) -> None:
+        """Records a fault that ends by itself after some seconds."""
+        token = f"fault that began at {self.loop.clock()} for {lasts_s} s"
+        self.active_faults.add(token)
+        end = partial(self.active_faults.discard, token)
+        self.loop.call_later(lasts_s, end)
+
     def begin_traffic(self) -> None:
         """Starts Poisson arrivals of requests for each workload."""
         self.traffic_on = True
@@ -289,12 +304,26 @@
     def _supervise(self) -> None:
         now = self.loop.clock()
         for daemon in self.daemons:
+            starts = daemon.starts
             status = daemon.supervise(now)
+            if daemon.starts > starts and daemon.signals_at_starts:
+                self._send_signals(daemon, daemon.signals_at_starts.pop(0))
             if status is not None:
                 text = f"{daemon.name} ended by itself with {status}"
                 self.judge.break_rule("EXIT", text, now)
         self.loop.call_later(SUPERVISE_INTERVAL_S, self._supervise)
 
+    def _send_signals(self, daemon: Daemon, signals: Signals) -> None:
+        """Sends signals to a process that has just started."""
+        process = daemon.process
+
+        def send(number: signal.Signals) -> None:
+            if daemon.process is process:
+                daemon.send(number, self.loop.clock())
+
+        for delay_s, number in signals:
+            self.loop.call_later(delay_s, partial(send, number))
+
     def run_until(self, when: float) -> None:
         """Runs the event loop until a time."""
         self.loop.running = True
--- a/notchhoist/testing/soak/plan.py
+++ b/notchhoist/testing/soak/plan.py
@@ -5,10 +5,12 @@
 
 import attrs
 
+from notchhoist.testing.soak.daemons import COMMAND, PLATFORM_COMMAND
 from notchhoist.testing.soak.troubles import (
-    ALL_TROUBLES,
     LATER_TROUBLES,
     NEWEST_TROUBLES,
+    SPLIT_TROUBLES,
+    SURROUNDINGS_TROUBLES,
     TROUBLES,
     Trouble,
 )
@@ -29,6 +31,12 @@
 SPLIT_SEEDS = 700_000
 """Seeds from this one on also draw from ``SPLIT_TROUBLES``."""
 
+SURROUNDINGS_SEEDS = 1_000_000
+"""Seeds from this one on also draw from ``SURROUNDINGS_TROUBLES``."""
+
+SURROUNDINGS_SHARE = 0.5
+"""Share of those troubles among the troubles of such a seed."""
+
 GAP_S = (0.1, 3.0)
 DURATION_S = (0.5, 4.0)
 
@@ -51,10 +59,29 @@
 
 
 def _troubles_of(seed: int) -> Mapping[str, Trouble]:
-    if seed >= SPLIT_SEEDS:
-        return ALL_TROUBLES
-    newest = NEWEST_TROUBLES if seed >= NEWEST_SEEDS else {}
-    return TROUBLES | (LATER_TROUBLES if seed >= LATER_SEEDS else {}) | newest
+    troubles = TROUBLES
+    for first_seed, added in (
+        (LATER_SEEDS, LATER_TROUBLES),
+        (NEWEST_SEEDS, NEWEST_TROUBLES),
+        (SPLIT_SEEDS, SPLIT_TROUBLES),
+    ):
+        troubles = troubles | (added if seed >= first_seed else {})
+    return troubles
+
+
+def _names(troubles: Mapping[str, Trouble], planned_only: bool) -> list[str]:
+    return [
+        name
+        for name, trouble in troubles.items()
+        if trouble.planned or not planned_only
+    ]
+
+
+def command_of(seed: int) -> tuple[str, ...]:
+    """Returns the command line of the daemons in the run of a seed."""
+    if seed < SURROUNDINGS_SEEDS:
+        return COMMAND
+    return random.Random(f"command {seed}").choice((COMMAND, PLATFORM_COMMAND))
 
 
 def make_plan(seed: int, length_s: float) -> Sequence[Step]:
@@ -68,16 +95,14 @@
     """
     rng = random.Random(f"plan {seed}")
     planned_only = rng.random() < PLANNED_SHARE
-    troubles = _troubles_of(seed)
-    names = [
-        name
-        for name, trouble in troubles.items()
-        if trouble.planned or not planned_only
-    ]
+    names = _names(_troubles_of(seed), planned_only)
+    added = _names(SURROUNDINGS_TROUBLES, planned_only)
     steps: list[Step] = []
     at = rng.uniform(*GAP_S)
     while at < length_s:
         name = rng.choice(names)
+        if seed >= SURROUNDINGS_SEEDS and rng.random() < SURROUNDINGS_SHARE:
+            name = rng.choice(added)
         times = 2 if rng.random() < REPEAT_SHARE else 1
         for _ in range(times):
             duration_s = rng.uniform(*DURATION_S)
--- a/notchhoist/testing/soak/run.py
+++ b/notchhoist/testing/soak/run.py
@@ -15,7 +15,12 @@
 from notchhoist.testing.soak import final_checks
 from notchhoist.testing.soak.addresses import Block
 from notchhoist.testing.soak.fleet import Fleet
-from notchhoist.testing.soak.plan import Step, make_plan
+from notchhoist.testing.soak.plan import (
+    SURROUNDINGS_SEEDS,
+    Step,
+    command_of,
+    make_plan,
+)
 from notchhoist.testing.soak.seeds import REGRESSIONS
 from notchhoist.testing.soak.store_port import store_server
 from notchhoist.testing.soak.troubles import ALL_TROUBLES
@@ -29,6 +34,14 @@
 abandoned within 1.6 s."""
 
 CALM_S = 4.0
+
+READY_S = SETTLE_S + CALM_S
+"""Every daemon is ready this long after the last disruption, seconds."""
+
+READY_WAIT_MAX_S = 20.0
+"""Longest wait for that, in seconds, where disruptions of the soak's own event
+loop follow the last trouble."""
+
 OUTCOMES_TIMEOUT_S = 10.0
 """Time from the last request until every deadline has passed, seconds; the
 longest deadline is 8 s."""
@@ -132,7 +145,9 @@
     fleet.run_until(fleet.loop.clock() + CALM_S)
     asked = _count_requests(fleet)[0] - asked_before
     fleet.traffic_on = False
+    _wait_calm(fleet)
     for line in (
+        *final_checks.check_ready(fleet),
         *final_checks.check_versions(fleet),
         *final_checks.check_memory(fleet),
     ):
@@ -143,6 +158,15 @@
         fleet.judge.break_rule("END", line, fleet.loop.clock())
 
 
+def _wait_calm(fleet: Fleet) -> None:
+    """Waits until every daemon has had the time to become ready."""
+    ends_at = fleet.loop.clock() + READY_WAIT_MAX_S
+    while fleet.loop.clock() < ends_at:
+        if fleet.loop.clock() - fleet.judge.last_disruption >= READY_S:
+            return
+        fleet.run_until(fleet.loop.clock() + 0.1)
+
+
 def _wait_for_outcomes(fleet: Fleet) -> None:
     """Waits until every request is answered, refused or failed."""
     ends_at = fleet.loop.clock() + OUTCOMES_TIMEOUT_S
@@ -176,7 +200,10 @@
     model = StoreModel(random.Random(rng.random()))
     steps = make_plan(seed, length_s)
     with store_server(model, block.store_ip()) as port:
-        fleet = Fleet(rng, block, folder, port, model, per_zone, factor)
+        fleet = Fleet(
+            *(rng, block, folder, port, model, per_zone, factor),
+            command=command_of(seed),
+        )
         try:
             fleet.build()
             _wait_ready(fleet)
@@ -219,7 +246,11 @@
         """Returns the seeds to run."""
         if self.regressions:
             return tuple(REGRESSIONS)
-        first = self.seed if self.seed >= 0 else random.randrange(10**6)
+        first = (
+            self.seed
+            if self.seed >= 0
+            else random.randrange(2 * SURROUNDINGS_SEEDS)
+        )
         return range(first, first + self.count)
 
 
--- a/notchhoist/testing/soak/store_troubles.py
+++ b/notchhoist/testing/soak/store_troubles.py
@@ -7,7 +7,7 @@
 from notchhoist.testing.soak.daemons import Daemon
 from notchhoist.testing.soak.fleet import ENTRY_LEASE_S, Fleet
 from notchhoist.testing.soak.healing import Heal, heal_nothing, sample_share
-from notchhoist.testing.soak.stream_proxy import StreamState
+from notchhoist.testing.soak.stream_proxy import SLOWING_STATES, StreamState
 
 OUTAGE_S = (0.2, 2.0)
 """Range of the outage before a store is restored from a backup, seconds."""
@@ -53,7 +53,15 @@
 
 def store_partly_gone(fleet: Fleet, rng: random.Random) -> Heal:
     """Disturbs the path to the store for half of the balancers."""
-    state = rng.choice(list(StreamState)[1:])
+    state = rng.choice(SLOWING_STATES)
+    return _set_store_paths(
+        fleet, sample_share(rng, fleet.balancers, 0.5), state
+    )
+
+
+def damaged_answers(fleet: Fleet, rng: random.Random) -> Heal:
+    """Cuts off or damages the store's answers to half of the balancers."""
+    state = rng.choice((StreamState.CUT_OFF, StreamState.DAMAGED))
     return _set_store_paths(
         fleet, sample_share(rng, fleet.balancers, 0.5), state
     )
--- a/notchhoist/testing/soak/stream_proxy.py
+++ b/notchhoist/testing/soak/stream_proxy.py
@@ -1,6 +1,7 @@
 """A fault-injecting TCP proxy between the daemons and the store."""
 
 import enum
+import random
 import socket
 import struct
 
@@ -21,6 +22,9 @@
         SILENT: Bytes are read and discarded, in both directions.
         MUTE: Requests pass, responses do not: a one-way partition.
         SLOW: Every chunk of a response is delayed.
+        CUT_OFF: Responses end before their last byte.
+        DAMAGED: Some bytes of a response are replaced by bytes that no JSON
+            text holds.
     """
 
     WELL = "well"
@@ -28,12 +32,26 @@
     SILENT = "silent"
     MUTE = "mute"
     SLOW = "slow"
+    CUT_OFF = "cut off"
+    DAMAGED = "damaged"
+
+
+SLOWING_STATES = (
+    StreamState.RESET,
+    StreamState.SILENT,
+    StreamState.MUTE,
+    StreamState.SLOW,
+)
+"""Faults that delay or lose whole responses."""
 
 
 SLOW_DELAY_S = 0.3
 """Extra delay of a response on a slow path, seconds: 75 times the 4 ms of a
 normal response."""
 
+CUT_DELAY_S = 0.01
+REPLACED_BYTES = 3
+
 
 @attrs.define(eq=False)
 class _ConnectionPair:
@@ -54,6 +72,7 @@
         store: Address of the store itself.
         state: Current fault of the path.
         pairs: Open connections with their counterparts.
+        rng: Source of the draws that spoil responses.
     """
 
     loop: Loop
@@ -61,6 +80,7 @@
     store: tuple[str, int]
     state: StreamState = StreamState.WELL
     pairs: list[_ConnectionPair] = attrs.Factory(list)
+    rng: random.Random = attrs.Factory(lambda: random.Random(1))
 
     def accept(self) -> None:
         """Accepts a connection and opens its counterpart to the store."""
@@ -107,12 +127,24 @@
             # Bytes are missing from here on, so the connection stays silent.
             pair.silent = True
             return
+        if is_response and state in (StreamState.CUT_OFF, StreamState.DAMAGED):
+            data = self._spoil(pair, data)
         target = pair.daemon_side if is_response else pair.store_side
         delay_s = (
             SLOW_DELAY_S if state is StreamState.SLOW and is_response else 0.0
         )
         self.loop.call_later(delay_s, lambda: self._write(pair, target, data))
 
+    def _spoil(self, pair: _ConnectionPair, data: bytes) -> bytes:
+        """Returns a part of a response, cut off or with some bytes replaced."""
+        if self.state is StreamState.CUT_OFF:
+            self.loop.call_later(CUT_DELAY_S, lambda: self._close_pair(pair))
+            return data[: self.rng.randrange(len(data))]
+        spoiled = bytearray(data)
+        for _ in range(REPLACED_BYTES):
+            spoiled[self.rng.randrange(len(data))] = self.rng.randint(128, 255)
+        return bytes(spoiled)
+
     def _write(
         self, pair: _ConnectionPair, target: socket.socket, data: bytes
     ) -> None:
--- a/notchhoist/testing/soak/tests/test_soak.py
+++ b/notchhoist/testing/soak/tests/test_soak.py
@@ -1,17 +1,26 @@
 """Tests of the soak test's parts, and short runs with real processes."""
 
 import itertools
+import signal
 from types import SimpleNamespace
 
 import pytest
 
 from notchhoist.testing.soak import final_checks, run
 from notchhoist.testing.soak.addresses import BLOCKS, Block
+from notchhoist.testing.soak.daemons import (
+    COMMAND,
+    INTERPRETER_STARTUP_S,
+    PLATFORM_COMMAND,
+    Daemon,
+)
 from notchhoist.testing.soak.plan import (
     LATER_SEEDS,
     NEWEST_SEEDS,
     SPLIT_SEEDS,
+    SURROUNDINGS_SEEDS,
     Step,
+    command_of,
     make_plan,
 )
 from notchhoist.testing.soak.run import run_seed
@@ -20,6 +29,7 @@
     ALL_TROUBLES,
     LATER_TROUBLES,
     NEWEST_TROUBLES,
+    SURROUNDINGS_TROUBLES,
     TROUBLES,
 )
 
@@ -96,9 +106,21 @@
 def test_every_trouble_comes_in_some_plan_of_the_seeds_with_splits():
     seeds = range(SPLIT_SEEDS, SPLIT_SEEDS + 60)
     names = {step.name for seed in seeds for step in make_plan(seed, 20.0)}
+    assert names == set(ALL_TROUBLES) - set(SURROUNDINGS_TROUBLES)
+
+
+def test_every_trouble_comes_in_some_plan_of_the_seeds_with_surroundings():
+    seeds = range(SURROUNDINGS_SEEDS, SURROUNDINGS_SEEDS + 60)
+    names = {step.name for seed in seeds for step in make_plan(seed, 20.0)}
     assert names == set(ALL_TROUBLES)
 
 
+def test_some_runs_start_the_daemons_as_the_platform_does():
+    seeds = range(SURROUNDINGS_SEEDS, SURROUNDINGS_SEEDS + 20)
+    assert {command_of(seed) for seed in seeds} == {COMMAND, PLATFORM_COMMAND}
+    assert command_of(SURROUNDINGS_SEEDS - 1) == COMMAND
+
+
 def test_some_seeds_hold_planned_work_only():
     planned = [
         seed
@@ -129,5 +151,39 @@
     assert not list(final_checks.check_answered(0, 0))
 
 
+class EndedProcess:
+    """A process that has ended with a status."""
+
+    def __init__(self, status):
+        self.status = status
+
+    def poll(self):
+        return self.status
+
+
+@pytest.mark.parametrize(
+    ("number", "after_s", "status", "reported"),
+    [
+        (signal.SIGTERM, 1.0, 0, False),
+        (signal.SIGTERM, 1.0, 1, True),
+        (signal.SIGTERM, 1.0, -signal.SIGTERM, True),
+        (signal.SIGTERM, 0.0, -signal.SIGTERM, False),
+        (signal.SIGHUP, 0.0, -signal.SIGHUP, False),
+        (signal.SIGHUP, 0.0, 0, True),
+        (signal.SIGHUP, INTERPRETER_STARTUP_S, -signal.SIGHUP, True),
+        (signal.SIGKILL, 1.0, -signal.SIGKILL, False),
+        (signal.SIGKILL, 1.0, 3, True),
+    ],
+)
+def test_a_process_may_end_only_with_a_status_that_a_signal_explains(
+    number, after_s, status, reported, tmp_path
+):
+    daemon = Daemon("d", "z", "127.0.0.1", "127.0.0.1", "", tmp_path)
+    daemon.process = EndedProcess(status)
+    daemon.started_at = 0.0
+    daemon.send(number, after_s)
+    assert (daemon.supervise(after_s) is not None) == reported
+
+
 def test_each_seed_that_failed_has_a_cause():
     assert all(REGRESSIONS.values())
