Soak: a signal explains an end only where the process did not handle it

Cause: half a second after a start stood for "may find no handler".

Change: the soak reads at each signal whether the process handles it, in the masks of /proc/PID/status. That is stricter for quick starts (SIGHUP counted as an excuse for half a second) and right for slow ones.

--- a/notchhoist/testing/soak/daemons.py
+++ b/notchhoist/testing/soak/daemons.py
@@ -20,10 +20,6 @@
 KILL_DELAY_S = 6.0
 """Time from SIGTERM to SIGKILL, seconds, as on the platform."""
 
-INTERPRETER_STARTUP_S = 0.5
-"""On a busy machine the interpreter may need this long to reach the daemon's
-code, seconds. Until then SIGHUP terminates the process."""
-
 COMMAND = (sys.executable, "-m", "notchhoist.daemon")
 
 ROOT = Path(notchhoist.__file__).parent.parent
@@ -34,6 +30,20 @@
 """Signals with the time after the start at which each is sent, seconds."""
 
 
+def handles_signal(pid: int, number: signal.Signals) -> bool:
+    """Tells whether a process handles or ignores a signal."""
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return False
+    masks = [
+        int(line.split()[1], 16)
+        for line in lines
+        if line.startswith(("SigIgn:", "SigCgt:"))
+    ]
+    return any(mask >> (number - 1) & 1 for mask in masks)
+
+
 @attrs.define(eq=False)
 class Daemon:
     """A daemon's configuration and its current process.
@@ -51,8 +61,8 @@
         command: Command line of its processes.
         settings_text: Complete contents of its settings file.
         signals_at_starts: Signals that its next processes get, one list each.
-        exit_statuses: Statuses with which the process may exit: 0 and those of
-            the signals that the run has sent.
+        exit_statuses: Statuses with which the process may exit: 0 after a
+            request to stop, and those of signals that it did not handle yet.
         starts: Number of processes started so far.
         started_at: When the process started, seconds.
     """
@@ -130,20 +140,20 @@
         self.starts += 1
 
     def _signal(self, number: signal.Signals) -> None:
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
+        if self.process is None or self.process.poll() is not None:
+            return
+        if not handles_signal(self.process.pid, number):
+            self.exit_statuses.add(-number)
+        self.process.send_signal(number)
 
     def kill(self, now: float, down_s: float = RESTART_DELAY_S) -> None:
         """Sends SIGKILL; the process is restarted after a pause."""
-        self.exit_statuses.add(-signal.SIGKILL)
         self.down_until = max(self.down_until, now + down_s)
         self._signal(signal.SIGKILL)
 
     def stop(self, now: float) -> None:
         """Sends SIGTERM; the process is restarted after it exits."""
         self.exit_statuses.add(0)
-        if self._is_starting(now):
-            self.exit_statuses.add(-signal.SIGTERM)
         self.kill_at = min(self.kill_at, now + KILL_DELAY_S)
         self._signal(signal.SIGTERM)
 
@@ -155,21 +165,15 @@
         """Resumes the process with SIGCONT."""
         self._signal(signal.SIGCONT)
 
-    def reload(self, now: float) -> None:
+    def reload(self) -> None:
         """Sends SIGHUP, upon which the process reloads its settings."""
-        if self._is_starting(now):
-            self.exit_statuses.add(-signal.SIGHUP)
         self._signal(signal.SIGHUP)
 
-    def _is_starting(self, now: float) -> bool:
-        """Tells whether signals may find no handler yet."""
-        return now - self.started_at < INTERPRETER_STARTUP_S
-
     def send(self, number: signal.Signals, now: float) -> None:
         """Reloads, stops or kills the process."""
         match number:
             case signal.SIGHUP:
-                self.reload(now)
+                self.reload()
             case signal.SIGTERM:
                 self.stop(now)
             case _:
@@ -186,7 +190,6 @@
                 self.start(now)
             return None
         if now >= self.kill_at:
-            self.exit_statuses.add(-signal.SIGKILL)
             self._signal(signal.SIGKILL)
         status = self.process.poll()
         if status is None:
--- a/notchhoist/testing/soak/process_troubles.py
+++ b/notchhoist/testing/soak/process_troubles.py
@@ -63,5 +63,5 @@
 def reload_all(fleet: Fleet, _: random.Random) -> Heal:
     """Makes every daemon reload its settings."""
     for daemon in fleet.daemons:
-        daemon.reload(fleet.loop.clock())
+        daemon.reload()
     return heal_nothing
--- a/notchhoist/testing/soak/start_troubles.py
+++ b/notchhoist/testing/soak/start_troubles.py
@@ -103,24 +103,24 @@
     """Rewrites settings files in steps, with signals at some of them."""
     for daemon in sample_share(rng, fleet.daemons, 0.5):
         for number in range(REWRITES):
-            step = partial(_rewrite_partly, fleet, daemon, rng)
+            step = partial(_rewrite_partly, daemon, rng)
             fleet.loop.call_later(number * REWRITE_GAP_S, step)
-        finish = partial(_finish_rewrite, fleet, daemon, rng)
+        finish = partial(_finish_rewrite, daemon, rng)
         fleet.loop.call_later(REWRITING_S, finish)
     return heal_nothing
 
 
-def _rewrite_partly(fleet: Fleet, daemon: Daemon, rng: random.Random) -> None:
+def _rewrite_partly(daemon: Daemon, rng: random.Random) -> None:
     whole = daemon.settings_text
     daemon.settings_path.write_text(whole[: rng.randrange(len(whole))])
     if rng.random() < 0.5:
-        daemon.reload(fleet.loop.clock())
+        daemon.reload()
 
 
-def _finish_rewrite(fleet: Fleet, daemon: Daemon, rng: random.Random) -> None:
+def _finish_rewrite(daemon: Daemon, rng: random.Random) -> None:
     daemon.write_settings()
     if rng.random() < 0.5:
-        daemon.reload(fleet.loop.clock())
+        daemon.reload()
 
 
 def signals_at_start(fleet: Fleet, rng: random.Random) -> Heal:
--- a/notchhoist/testing/soak/tests/test_soak.py
+++ b/notchhoist/testing/soak/tests/test_soak.py
@@ -1,18 +1,19 @@
 """Tests of the soak test's parts, and short runs with real processes."""
 
 import itertools
+import os
 import signal
 from types import SimpleNamespace
 
 import pytest
 
-from notchhoist.testing.soak import final_checks, run
+from notchhoist.testing.soak import daemons, final_checks, run
 from notchhoist.testing.soak.addresses import BLOCKS, Block
 from notchhoist.testing.soak.daemons import (
     COMMAND,
-    INTERPRETER_STARTUP_S,
     PLATFORM_COMMAND,
     Daemon,
+    handles_signal,
 )
 from notchhoist.testing.soak.plan import (
     LATER_SEEDS,
@@ -151,38 +152,50 @@
     assert not list(final_checks.check_answered(0, 0))
 
 
-class EndedProcess:
-    """A process that has ended with a status."""
+class EndingProcess:
+    """A process that ends with a status at the first signal."""
 
     def __init__(self, status):
-        self.status = status
+        self.pid = os.getpid()
+        self.ends_with = status
+        self.status = None
 
     def poll(self):
         return self.status
 
+    def send_signal(self, _):
+        self.status = self.ends_with
+
 
 @pytest.mark.parametrize(
-    ("number", "after_s", "status", "reported"),
+    ("number", "handled", "status", "reported"),
     [
-        (signal.SIGTERM, 1.0, 0, False),
-        (signal.SIGTERM, 1.0, 1, True),
-        (signal.SIGTERM, 1.0, -signal.SIGTERM, True),
-        (signal.SIGTERM, 0.0, -signal.SIGTERM, False),
-        (signal.SIGHUP, 0.0, -signal.SIGHUP, False),
-        (signal.SIGHUP, 0.0, 0, True),
-        (signal.SIGHUP, INTERPRETER_STARTUP_S, -signal.SIGHUP, True),
-        (signal.SIGKILL, 1.0, -signal.SIGKILL, False),
-        (signal.SIGKILL, 1.0, 3, True),
+        (signal.SIGTERM, True, 0, False),
+        (signal.SIGTERM, True, 1, True),
+        (signal.SIGTERM, True, -signal.SIGTERM, True),
+        (signal.SIGTERM, False, -signal.SIGTERM, False),
+        (signal.SIGHUP, False, -signal.SIGHUP, False),
+        (signal.SIGHUP, False, 0, True),
+        (signal.SIGHUP, True, -signal.SIGHUP, True),
+        (signal.SIGKILL, False, -signal.SIGKILL, False),
+        (signal.SIGKILL, False, 3, True),
     ],
 )
 def test_a_process_may_end_only_with_a_status_that_a_signal_explains(
-    number, after_s, status, reported, tmp_path
+    number, handled, status, reported, tmp_path, monkeypatch
 ):
+    monkeypatch.setattr(daemons, "handles_signal", lambda *_: handled)
     daemon = Daemon("d", "z", "127.0.0.1", "127.0.0.1", "", tmp_path)
-    daemon.process = EndedProcess(status)
-    daemon.started_at = 0.0
-    daemon.send(number, after_s)
-    assert (daemon.supervise(after_s) is not None) == reported
+    daemon.process = EndingProcess(status)
+    daemon.send(number, 0.0)
+    assert (daemon.supervise(0.1) is not None) == reported
+
+
+def test_a_handled_signal_is_told_from_one_that_ends_the_process():
+    pid = os.getpid()
+    assert handles_signal(pid, signal.SIGINT)
+    assert not handles_signal(pid, signal.SIGUSR2)
+    assert not handles_signal(pid, signal.SIGKILL)
 
 
 def test_each_seed_that_failed_has_a_cause():
