Stand-in: odd entries of other writers and damaged control messages

Change: scenarios odd-entries (40 odd items beside the live ones, each live entry overwritten until its next heartbeat, evacuations of zones with odd names) and damaged-messages (a copy with changed bytes follows half of the control messages for 3 s). A process that sends to anything but an IPv4 address breaks ADDRESS: there are no real sockets that would refuse it. An undamaged message that cannot be decoded still ends the run.

--- a/notchhoist/testing/opaque/network.py
+++ b/notchhoist/testing/opaque/network.py
@@ -1,20 +1,25 @@
 """The simulated network: links, delays, packet loss and partitions."""
 
 import random
+import socket
 from collections.abc import Callable, Sequence
+from functools import lru_cache
 from typing import Protocol
 
 import attrs
 
+from notchhoist.base.errors import CodecError
 from notchhoist.daemon.ports import SocketRole
 from notchhoist.flows.agent.node import AgentNode
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.flows.codec.message_codec import decode_message
 from notchhoist.flows.model.effects import Effect
+from notchhoist.flows.model.messages import PeerMessage
 from notchhoist.flows.model.service_names import decode_from_balancer
 from notchhoist.links.packets import HEADERS_BYTES, Outgoing
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.testing.opaque.callers import CallerModel
+from notchhoist.testing.opaque.damage import damage
 from notchhoist.testing.opaque.frames import decode_frame, is_genuine
 from notchhoist.testing.opaque.hosts import Host
 from notchhoist.testing.opaque.judge import Judge
@@ -23,6 +28,22 @@
 IN_ZONE_DELAY_S = 0.0001
 CALLER_DELAY_S = 0.001
 MIN_SEND_DELAY_S = 0.005
+COPY_DELAY_S = 0.002
+
+
+@lru_cache(maxsize=4096)
+def is_ipv4(text: str) -> bool:
+    r"""Tells whether a text is an IPv4 address, which needs no look-up.
+
+    Examples:
+        >>> is_ipv4("10.0.0.1"), is_ipv4("entry-1"), is_ipv4("\0")
+        (True, False, False)
+    """
+    try:
+        socket.inet_pton(socket.AF_INET, text)
+    except (OSError, ValueError):
+        return False
+    return True
 
 
 class NetworkWorld(Protocol):
@@ -53,6 +74,8 @@
         loss: Probability that a datagram is lost.
         cuts: Pairs of IP numbers that cannot reach each other; an IP number
             paired with itself cannot reach the store.
+        damaged: Share of the control messages that a damaged copy follows.
+        malformed: Damaged messages so far that could not be decoded.
         zone_bytes: Bytes sent between zones so far.
     """
 
@@ -60,6 +83,8 @@
     cross_zone_s: float = 0.0014
     loss: float = 0.0
     cuts: set[frozenset[str]] = attrs.Factory(set)
+    damaged: float = 0.0
+    malformed: int = 0
     zone_bytes: int = 0
 
     def is_cut(self, one: str, other: str) -> bool:
@@ -99,6 +124,10 @@
         seq: int = 0,
     ) -> None:
         """Sends a datagram of a host, now or when its link has capacity."""
+        if not is_ipv4(target):
+            detail = f"{host.name} sends to {target[:40]!r}"
+            self.world.judge.break_rule("ADDRESS", detail, self.world.now)
+            return
         packet = Outgoing(port, raw, (target, 0), flow, seq, self.world.now)
         scheduler = host.link.scheduler
         if scheduler.offer(packet, self.world.now) is not None:
@@ -167,17 +196,34 @@
         host = self.world.hosts.get(target)
         if host is None:
             return
-        message = decode_message(raw)
         delay = wire_s + self.carry(source.ip, target, host.zone, len(raw))
+        if delay == float("inf"):
+            return
+        message = decode_message(raw)
+        self._deliver_control(source, host, message, delay)
+        if self.damaged and self.world.rng.random() < self.damaged:
+            self._deliver_damaged(source, host, raw, delay + COPY_DELAY_S)
 
+    def _deliver_damaged(
+        self, source: Host, host: Host, raw: bytes, delay: float
+    ) -> None:
+        try:
+            message = decode_message(damage(raw, self.world.rng))
+        except CodecError:
+            self.malformed += 1
+        else:
+            self._deliver_control(source, host, message, delay)
+
+    def _deliver_control(
+        self, source: Host, host: Host, message: PeerMessage, delay: float
+    ) -> None:
         def take() -> None:
             if host.node is not None:
                 self.world.perform(
                     host, host.node.on_peer(source.ip, message, self.world.now)
                 )
 
-        if delay < float("inf"):
-            self.world.later(delay, lambda: self.when_awake(host, take))
+        self.world.later(delay, lambda: self.when_awake(host, take))
 
     def _to_caller(
         self, source: Host, target: str, raw: bytes, wire_s: float
--- a/notchhoist/testing/opaque/scenarios.py
+++ b/notchhoist/testing/opaque/scenarios.py
@@ -9,6 +9,8 @@
 
 SPACING_S = 1.3
 AGENTS_SPACING_S = 1.6
+ODD_ITEMS = 40
+ODD_SPACING_S = 0.1
 LONG_AGENT_START_S = 4.4
 """Time from an agent's stop to its start on a host with little CPU, seconds.
 
@@ -192,6 +194,33 @@
     world.store.put("servers/i-strange/../x", {"born": "never"})
 
 
+def odd_entries(world: OpaqueWorld) -> None:
+    """Lets another writer add odd items and overwrite entries of servers."""
+    entry = {
+        "service": "hallbook",
+        "address": "10.200.0.1:8080",
+        "zone": world.zones[0],
+        "version": "v1",
+        "slots": 3,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "seq": 1,
+        "born": 1,
+    }
+    for number in range(ODD_ITEMS):
+        for key in (f"servers/odd-{number}", f"op/evacuate/odd-{number}"):
+            put = partial(troubles.put_odd, world, key, entry, 2.0)
+            world.later(number * ODD_SPACING_S, put)
+    for number, host in enumerate(_server_hosts(world)):
+        overwrite = partial(troubles.overwrite_oddly, world, host)
+        world.later(number * 0.5, overwrite)
+
+
+def damaged_messages(world: OpaqueWorld) -> None:
+    """Lets a damaged copy follow half of the control messages for 3 s."""
+    troubles.damage_messages(world, 0.5, 3.0)
+
+
 def change_weights(world: OpaqueWorld) -> None:
     """Changes the weights of a split route while balancers stop one by one."""
     weights = [(9, 1), (1, 9), (0, 1), (1, 0), (5, 5)]
@@ -226,4 +255,6 @@
     "reborn-servers": reborn_servers,
     "strange-entries": strange_entries,
     "change-weights": change_weights,
+    "odd-entries": odd_entries,
+    "damaged-messages": damaged_messages,
 }
--- a/notchhoist/testing/opaque/tests/test_scenarios.py
+++ b/notchhoist/testing/opaque/tests/test_scenarios.py
@@ -26,6 +26,19 @@
     assert world.judge.worth(world.workloads) >= least
 
 
+@pytest.mark.parametrize("seed", [7, 12, 13])
+def test_odd_entries_of_other_writers_end_no_process(seed):
+    world = simulate("odd-entries", seed=seed, seconds=SECONDS)
+    assert not world.judge.broken
+
+
+@pytest.mark.parametrize("seed", [10, 12])
+def test_damaged_messages_make_no_process_send_to_an_odd_host(seed):
+    world = simulate("damaged-messages", seed=seed, seconds=SECONDS)
+    assert not world.judge.broken
+    assert world.network.malformed
+
+
 def test_routers_that_move_few_flows_break_no_guarantee():
     world = simulate("kill-balancers", seed=3, seconds=SECONDS, steady=True)
     assert not world.judge.broken
--- a/notchhoist/testing/opaque/troubles.py
+++ b/notchhoist/testing/opaque/troubles.py
@@ -1,12 +1,15 @@
 """Faults and planned operations that can be injected into a world."""
 
+from collections.abc import Mapping
 from functools import partial
 
 import attrs
 
 from notchhoist.flows.agent.node import AgentNode
 from notchhoist.flows.balancer.node import BalancerNode
+from notchhoist.testing.opaque import published
 from notchhoist.testing.opaque.hosts import HOST_START_S, Host
+from notchhoist.testing.opaque.odd_documents import odd_document
 from notchhoist.testing.opaque.store import StoreBackup
 from notchhoist.testing.opaque.world import OpaqueWorld
 
@@ -175,6 +178,43 @@
     world.later(HEARTBEAT_S, partial(_announce, world, host))
 
 
+def put_odd(
+    world: OpaqueWorld, key: str, good: Mapping[str, object], for_s: float
+) -> None:
+    """Writes an odd document under a key and removes it later."""
+    world.store.put_raw(key, odd_document(good, world.rng))
+    world.later(for_s, lambda: world.store.remove(key))
+
+
+def overwrite_oddly(world: OpaqueWorld, host: Host) -> None:
+    """Overwrites a server's entry with an odd one until its next heartbeat."""
+    server = host.server
+    if server is None or not server.alive:
+        return
+    world.judge.disturb(world.now)
+    good = published.entry_of(host, server, world.now)
+    key = f"servers/{server.server_id}"
+    world.store.put_raw(key, odd_document(good, world.rng))
+
+    def put_right() -> None:
+        world.judge.disturb(world.now)
+        _announce(world, host)
+
+    world.later(HEARTBEAT_S, put_right)
+
+
+def damage_messages(world: OpaqueWorld, share: float, for_s: float) -> None:
+    """Lets damaged copies follow a share of the control messages."""
+    world.judge.disturb(world.now)
+    world.network.damaged = share
+
+    def heal() -> None:
+        world.judge.disturb(world.now)
+        world.network.damaged = 0.0
+
+    world.later(for_s, heal)
+
+
 def split_route(
     world: OpaqueWorld, kind: str, *targets: tuple[str, int]
 ) -> None:
