--- a/notchhoist/testing/soak/tests/test_soak.py
+++ b/notchhoist/testing/soak/tests/test_soak.py
@@ -45,6 +45,14 @@
     assert outcome.asked > 0
 
 
+@pytest.mark.parametrize("seed", [1_002_588, 1_003_163])
+def test_daemons_survive_what_surrounds_them(seed, tmp_path):
+    """Odd documents; held addresses, half-written settings, early signals."""
+    outcome = run_seed(seed, SECONDS, tmp_path)
+    assert not outcome.broken
+    assert outcome.asked > 0
+
+
 class PausedLoop:
     """An event loop whose clock moves only in ``run_until``."""
 
