Soak: a process that does not stop within its grace is a finding

Cause: a process that had to be killed 6 s after SIGTERM counted as stopped, whatever it was doing; a start that waits for an address or for settings must end at SIGTERM too.

Change: the kill at the end of the grace explains an end only where the run had suspended the process.

Result: the unit tests pass; the case without suspension failed before (None == -9).

--- a/notchhoist/testing/soak/daemons.py
+++ b/notchhoist/testing/soak/daemons.py
@@ -61,6 +61,7 @@
         command: Command line of its processes.
         settings_text: Complete contents of its settings file.
         signals_at_starts: Signals that its next processes get, one list each.
+        was_paused: Whether the process was suspended since its start.
         exit_statuses: Statuses with which the process may exit: 0 after a
             request to stop, and those of signals that it did not handle yet.
         starts: Number of processes started so far.
@@ -79,6 +80,7 @@
     command: tuple[str, ...] = COMMAND
     settings_text: str = ""
     signals_at_starts: list[Signals] = attrs.Factory(list)
+    was_paused: bool = False
     exit_statuses: set[int] = attrs.Factory(set)
     starts: int = 0
     started_at: float = float("-inf")
@@ -135,6 +137,7 @@
             self.process = subprocess.Popen(
                 self.command, env=variables, stdout=log, stderr=log
             )
+        self.was_paused = False
         self.exit_statuses = set()
         self.kill_at = float("inf")
         self.starts += 1
@@ -159,6 +162,7 @@
 
     def pause(self) -> None:
         """Suspends the process with SIGSTOP."""
+        self.was_paused = True
         self._signal(signal.SIGSTOP)
 
     def resume(self) -> None:
@@ -183,14 +187,17 @@
         """Restarts an exited process and kills one that does not stop.
 
         Returns:
-            The status of a process that exited unexpectedly, or None.
+            The status of a process that exited unexpectedly, or None; -9 if it
+            did not stop in time and was not suspended either.
         """
         if self.process is None:
             if now >= self.down_until:
                 self.start(now)
             return None
-        if now >= self.kill_at:
-            self._signal(signal.SIGKILL)
+        if now >= self.kill_at and self.process.poll() is None:
+            if self.was_paused:
+                self.exit_statuses.add(-signal.SIGKILL)
+            self.process.kill()
         status = self.process.poll()
         if status is None:
             return None
--- a/notchhoist/testing/soak/tests/test_soak.py
+++ b/notchhoist/testing/soak/tests/test_soak.py
@@ -11,6 +11,7 @@
 from notchhoist.testing.soak.addresses import BLOCKS, Block
 from notchhoist.testing.soak.daemons import (
     COMMAND,
+    KILL_DELAY_S,
     PLATFORM_COMMAND,
     Daemon,
     handles_signal,
@@ -174,6 +175,9 @@
     def send_signal(self, _):
         self.status = self.ends_with
 
+    def kill(self):
+        self.status = -signal.SIGKILL
+
 
 @pytest.mark.parametrize(
     ("number", "handled", "status", "reported"),
@@ -199,6 +203,21 @@
     assert (daemon.supervise(0.1) is not None) == reported
 
 
+@pytest.mark.parametrize("paused", [False, True])
+def test_a_process_that_does_not_stop_in_time_is_reported(
+    paused, tmp_path, monkeypatch
+):
+    monkeypatch.setattr(daemons, "handles_signal", lambda *_: True)
+    daemon = Daemon("d", "z", "127.0.0.1", "127.0.0.1", "", tmp_path)
+    daemon.process = EndingProcess(None)
+    if paused:
+        daemon.pause()
+    daemon.stop(0.0)
+    assert daemon.supervise(KILL_DELAY_S - 0.1) is None
+    status = daemon.supervise(KILL_DELAY_S)
+    assert status == (None if paused else -signal.SIGKILL)
+
+
 def test_a_handled_signal_is_told_from_one_that_ends_the_process():
     pid = os.getpid()
     assert handles_signal(pid, signal.SIGINT)
