--- a/notchhoist/testing/soak/tests/test_soak.py
+++ b/notchhoist/testing/soak/tests/test_soak.py
@@ -1,17 +1,28 @@
 """Tests of the soak test's parts, and short runs with real processes."""
 
 import itertools
+import os
+import signal
 from types import SimpleNamespace
 
 import pytest
 
-from notchhoist.testing.soak import final_checks, run
+from notchhoist.testing.soak import daemons, final_checks, run
 from notchhoist.testing.soak.addresses import BLOCKS, Block
+from notchhoist.testing.soak.daemons import (
+    COMMAND,
+    KILL_DELAY_S,
+    PLATFORM_COMMAND,
+    Daemon,
+    handles_signal,
+)
 from notchhoist.testing.soak.plan import (
     LATER_SEEDS,
     NEWEST_SEEDS,
     SPLIT_SEEDS,
+    SURROUNDINGS_SEEDS,
     Step,
+    command_of,
     make_plan,
 )
 from notchhoist.testing.soak.run import run_seed
@@ -20,6 +31,7 @@
     ALL_TROUBLES,
     LATER_TROUBLES,
     NEWEST_TROUBLES,
+    SURROUNDINGS_TROUBLES,
     TROUBLES,
 )
 
@@ -34,6 +46,14 @@
     assert outcome.asked > 0
 
 
+@pytest.mark.parametrize("seed", [1_002_588, 1_003_163])
+def test_daemons_survive_what_surrounds_them(seed, tmp_path):
+    """Odd documents; held addresses, half-written settings, early signals."""
+    outcome = run_seed(seed, SECONDS, tmp_path)
+    assert not outcome.broken
+    assert outcome.asked > 0
+
+
 class PausedLoop:
     """An event loop whose clock moves only in ``run_until``."""
 
@@ -96,9 +116,21 @@
 def test_every_trouble_comes_in_some_plan_of_the_seeds_with_splits():
     seeds = range(SPLIT_SEEDS, SPLIT_SEEDS + 60)
     names = {step.name for seed in seeds for step in make_plan(seed, 20.0)}
+    assert names == set(ALL_TROUBLES) - set(SURROUNDINGS_TROUBLES)
+
+
+def test_every_trouble_comes_in_some_plan_of_the_seeds_with_surroundings():
+    seeds = range(SURROUNDINGS_SEEDS, SURROUNDINGS_SEEDS + 60)
+    names = {step.name for seed in seeds for step in make_plan(seed, 20.0)}
     assert names == set(ALL_TROUBLES)
 
 
+def test_some_runs_start_the_daemons_as_the_platform_does():
+    seeds = range(SURROUNDINGS_SEEDS, SURROUNDINGS_SEEDS + 20)
+    assert {command_of(seed) for seed in seeds} == {COMMAND, PLATFORM_COMMAND}
+    assert command_of(SURROUNDINGS_SEEDS - 1) == COMMAND
+
+
 def test_some_seeds_hold_planned_work_only():
     planned = [
         seed
@@ -129,5 +161,69 @@
     assert not list(final_checks.check_answered(0, 0))
 
 
+class EndingProcess:
+    """A process that ends with a status at the first signal."""
+
+    def __init__(self, status):
+        self.pid = os.getpid()
+        self.ends_with = status
+        self.status = None
+
+    def poll(self):
+        return self.status
+
+    def send_signal(self, _):
+        self.status = self.ends_with
+
+    def kill(self):
+        self.status = -signal.SIGKILL
+
+
+@pytest.mark.parametrize(
+    ("number", "handled", "status", "reported"),
+    [
+        (signal.SIGTERM, True, 0, False),
+        (signal.SIGTERM, True, 1, True),
+        (signal.SIGTERM, True, -signal.SIGTERM, True),
+        (signal.SIGTERM, False, -signal.SIGTERM, False),
+        (signal.SIGHUP, False, -signal.SIGHUP, False),
+        (signal.SIGHUP, False, 0, True),
+        (signal.SIGHUP, True, -signal.SIGHUP, True),
+        (signal.SIGKILL, False, -signal.SIGKILL, False),
+        (signal.SIGKILL, False, 3, True),
+    ],
+)
+def test_a_process_may_end_only_with_a_status_that_a_signal_explains(
+    number, handled, status, reported, tmp_path, monkeypatch
+):
+    monkeypatch.setattr(daemons, "handles_signal", lambda *_: handled)
+    daemon = Daemon("d", "z", "127.0.0.1", "127.0.0.1", "", tmp_path)
+    daemon.process = EndingProcess(status)
+    daemon.send(number, 0.0)
+    assert (daemon.supervise(0.1) is not None) == reported
+
+
+@pytest.mark.parametrize("paused", [False, True])
+def test_a_process_that_does_not_stop_in_time_is_reported(
+    paused, tmp_path, monkeypatch
+):
+    monkeypatch.setattr(daemons, "handles_signal", lambda *_: True)
+    daemon = Daemon("d", "z", "127.0.0.1", "127.0.0.1", "", tmp_path)
+    daemon.process = EndingProcess(None)
+    if paused:
+        daemon.pause()
+    daemon.stop(0.0)
+    assert daemon.supervise(KILL_DELAY_S - 0.1) is None
+    status = daemon.supervise(KILL_DELAY_S)
+    assert status == (None if paused else -signal.SIGKILL)
+
+
+def test_a_handled_signal_is_told_from_one_that_ends_the_process():
+    pid = os.getpid()
+    assert handles_signal(pid, signal.SIGINT)
+    assert not handles_signal(pid, signal.SIGUSR2)
+    assert not handles_signal(pid, signal.SIGKILL)
+
+
 def test_each_seed_that_failed_has_a_cause():
     assert all(REGRESSIONS.values())
