--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -10,7 +10,7 @@
 from notchhoist.flows.model.effects import Effect
 from notchhoist.flows.model.fleet import Route, RouteTable, Server
 from notchhoist.flows.model.mechanisms import ALL, Mechanisms
-from notchhoist.flows.model.records import Records
+from notchhoist.flows.model.records import NotReady, Records
 from notchhoist.flows.model.segments import Segment
 from notchhoist.flows.model.view import FleetView
 
@@ -164,6 +164,24 @@
     returned_at: float = float("-inf")
 
 
+class PublishedProblem(Struct, eq=False):
+    """A published item that is not understood, or only in part.
+
+    Attributes:
+        texts: What is wrong with it.
+        seen_at: Revision of the last answer of the store that held it.
+        server_id: Id of the server whose entry it is, or empty.
+        is_configuration: It is the configuration.
+        is_unkeyed: Its key cannot be read.
+    """
+
+    texts: tuple[str, ...]
+    seen_at: int
+    server_id: str = ""
+    is_configuration: bool = False
+    is_unkeyed: bool = False
+
+
 class BalancerBoard(Struct, eq=False):
     """The state of a balancer.
 
@@ -203,6 +221,10 @@
             platform.
         store_failed_at: When the store last failed for this process, seconds.
         store_answered_at: When the store last answered this process, seconds.
+        store_failures: Consecutive calls that the store has not answered.
+        store_error: Why the last of them failed; empty if none did.
+        store_call: Kind of the pending call of the store; empty if there is
+            none.
         store_revision: Revision in the last answer of the store.
         store_era: Era of the store in its last answer.
         flows: Placements of flows, least recently used first.
@@ -219,7 +241,8 @@
         outbox: Effects to perform.
         stopping: A planned stop has begun.
         refused: Why the last published document was refused, or empty.
-        problems: Parts of published documents that were not understood.
+        problems: Published items that are not understood, by key; see
+            ``present_problems``.
         resumed_at: When this process last resumed after a stall, seconds.
             Messages that arrived during the stall were read up to then.
         isolated: Neither agents nor other balancers are heard.
@@ -251,6 +274,9 @@
     confirmed_by: str = ""
     store_failed_at: float = float("-inf")
     store_answered_at: float = float("-inf")
+    store_failures: int = 0
+    store_error: str = ""
+    store_call: str = ""
     store_revision: int = 0
     store_era: int = 0
     flows: collections.OrderedDict[bytes, Placement] = field(
@@ -265,11 +291,26 @@
     outbox: list[Effect] = field(default_factory=list)
     stopping: bool = False
     refused: str = ""
-    problems: list[str] = field(default_factory=list)
+    problems: dict[str, PublishedProblem] = field(default_factory=dict)
     resumed_at: float = float("-inf")
     isolated: bool = False
     uses: Mechanisms = ALL
 
+    @property
+    def not_ready(self) -> NotReady | None:
+        """Why routers should not send flows here; None if they should."""
+        if self.stopping:
+            return NotReady.STOPPING
+        if self.table is None:
+            if self.refused:
+                return NotReady.CONFIGURATION_REFUSED
+            if self.fleet_known:
+                return NotReady.NO_CONFIGURATION
+            return NotReady.NO_STATE
+        if not self.fleet_known:
+            return NotReady.NO_SERVERS
+        return NotReady.ISOLATED if self.isolated else None
+
     @property
     def confirmed_clock(self) -> float | None:
         """``confirmed_at`` for the log, seconds; None if never confirmed."""
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -9,13 +9,13 @@
 from notchhoist.flows.balancer.node import BalancerNode
 from notchhoist.flows.model.records import Count
 from notchhoist.flows.model.revisions import count_of, era_of
-from notchhoist.platform.applying import apply_event
+from notchhoist.flows.published import problems
+from notchhoist.platform.applying import apply_events
 from notchhoist.platform.calls import HISTORY_GONE, StoreCall
 from notchhoist.platform.changes import read_confirmation
 from notchhoist.platform.eras import ERA_HEADER, read_era
 from notchhoist.platform.items import ServersListed, StoreEvent
 from notchhoist.platform.json_fields import FieldError
-from notchhoist.platform.problem_log import ProblemLog
 from notchhoist.platform.store import StoreReader
 from notchhoist.platform.unnamed_eras import shows_older_state
 
@@ -36,7 +36,6 @@
     Attributes:
         node: The balancer.
         reader: Decides which call is next.
-        last_call_failed: Whether the last call had no usable answer.
         restore_possible: The store may have been restored during an outage; a
             listing shows whether it was.
         era_named: Whether the last answer named its era. Then no listing is
@@ -55,7 +54,6 @@
 
     node: BalancerNode
     reader: StoreReader
-    last_call_failed: bool = False
     restore_possible: bool = False
     era_named: bool = False
     revision_at_listing: int = 0
@@ -65,9 +63,9 @@
     confirmation_era: int = 0
 
     @property
-    def problems(self) -> ProblemLog:
-        """Records what cannot be read."""
-        return ProblemLog(self.node.board)
+    def last_call_failed(self) -> bool:
+        """Whether the last call had no usable answer."""
+        return self.node.board.store_failures > 0
 
     def next_call(self, now: float) -> StoreCall | None:
         """Returns the call to make now.
@@ -76,6 +74,11 @@
             None if other balancers keep the view fresh enough;
             ``reader.due`` is then the time of the next check.
         """
+        call = self._next_call(now)
+        self.node.board.store_call = call.purpose if call is not None else ""
+        return call
+
+    def _next_call(self, now: float) -> StoreCall | None:
         must_read = self.node.synchronizer.must_read(now)
         self._record_read_reason(must_read, now)
         if not must_read:
@@ -125,6 +128,7 @@
             now: Runtime clock, seconds.
             headers: Headers of the answer by their names in lower case.
         """
+        self.node.board.store_call = ""
         era = self._record_era(headers, self.reader.era)
         if status == HISTORY_GONE:
             self._record_history_lost()
@@ -145,29 +149,22 @@
         self.restore_possible = self.restore_possible and listed is None
         if listed is not None:
             self.node.synchronizer.reconciler.on_listed()
-        for event in events:
-            apply_event(self.node, event, now)
         board = self.node.board
+        apply_events(self.node, events, board.store_revision, now)
         # A refused watch or the first of several pages confirms nothing.
         if board.fleet_known and self.reader.answer_complete:
-            if not self._is_behind(listed):
+            # A listing older than the view shows that the view's revision is
+            # wrong: others that have it must read the store themselves.
+            known = self.revision_at_listing
+            if listed is None or listed.revision >= known:
                 board.view.advance_to(self.reader.revision)
                 age_s = self.reader.answer_age_s(now - self.called_at)
                 self.node.synchronizer.on_confirmed(now, age_s)
             self.node.on_published(now)
 
-    def _is_behind(self, listed: ServersListed | None) -> bool:
-        """Returns whether a listing shows that the view's revision is wrong.
-
-        The store has never had that revision, although one of its answers
-        named it. The listing is applied, but other balancers cannot be told
-        what is older than the revision that they have: they must read it.
-        """
-        return listed is not None and listed.revision < self.revision_at_listing
-
     def _on_store_regained(self) -> None:
         """Handles the first usable answer after an outage."""
-        self.last_call_failed = False
+        self.node.board.store_failures = 0
         self.restore_possible = not self.era_named
         self._record_decision("store regained", "reading")
 
@@ -220,7 +217,10 @@
         try:
             era = read_era(headers, known)
         except FieldError as error:
-            self.problems.record([error.problem])
+            text = str(error.problem)
+            seen_at = self.reader.seen_revision
+            new = problems.record_item(board, text, seen_at)
+            problems.log_problems(board, new)
             return known
         if era != board.store_era:
             self._record_decision("store era", f"{board.store_era} -> {era}")
@@ -253,6 +253,7 @@
             now: Runtime clock, seconds.
             silent: Whether the call timed out.
         """
+        self.node.board.store_call = ""
         self.reader.on_failed(now, silent)
         self._record_store_lost(reason, now)
 
@@ -269,9 +270,10 @@
 
     def on_not_needed(self, now: float) -> None:
         """Handles a call that was ended because of ``needs_answer``."""
+        self.node.board.store_call = ""
         self.reader.on_not_needed(now)
         if self.last_call_failed:
-            self.last_call_failed = False
+            self.node.board.store_failures = 0
             self._record_decision("store regained", "told by others")
 
     def confirming_call(self, now: float) -> StoreCall:
@@ -298,8 +300,7 @@
             self.on_confirmation_failed(str(error), now)
             return
         board.store_answered_at = now
-        for event in changes.events:
-            apply_event(self.node, event, now)
+        apply_events(self.node, changes.events, changes.revision, now)
         board.view.advance_to(changes.revision)
         self.node.synchronizer.on_confirmed(
             now, now - self.confirmation_sent_at
@@ -327,10 +328,12 @@
         self.node.finder.confirmer.on_failed(now)
 
     def _record_store_lost(self, reason: str, now: float) -> None:
-        self.node.board.store_failed_at = now
+        board = self.node.board
         if not self.last_call_failed:
-            self.last_call_failed = True
             self._record_decision("store lost", reason)
+        board.store_failed_at = now
+        board.store_failures += 1
+        board.store_error = reason
 
     def _record_decision(
         self, event: str, outcome: str, **inputs: object
