Fix: a key of many characters stood whole in the next request and the log

Cause: a key of the store's answers had no limit. One of 70,000 characters at the end of a page went into the request for the next page, and into the text of the error for a page that leads no further.

Change: a key of more than 200 bytes, the store's own limit, counts as unreadable, and the text of that error does not hold the key. Errors of an item's key name the same place, `item.key`, whatever is wrong with it.

Result: requests and lines stay short. Before, the test showed a request with the whole key.

--- a/notchhoist/platform/items.py
+++ b/notchhoist/platform/items.py
@@ -127,6 +127,8 @@
     """
     try:
         key = Fields(value, "item").text("key")
+        if len(key) > MAX_KEY_BYTES:
+            raise FieldError("item.key", KEY_FORM, key)
     except FieldError as error:
         return "", ItemRefused(error)
     return key, _event(key, Fields(value, key), era)
@@ -138,7 +140,7 @@
     if not key.startswith((SERVERS_PREFIX, EVACUATIONS_PREFIX)):
         return None
     if not is_name(key) or key in (SERVERS_PREFIX, EVACUATIONS_PREFIX):
-        return ItemRefused(FieldError("key", KEY_FORM, key))
+        return ItemRefused(FieldError("item.key", KEY_FORM, key))
     if key.startswith(SERVERS_PREFIX):
         return _server_event(key.removeprefix(SERVERS_PREFIX), item, era)
     return _zone_event(key.removeprefix(EVACUATIONS_PREFIX), item, era)
--- a/notchhoist/platform/store.py
+++ b/notchhoist/platform/store.py
@@ -304,7 +304,7 @@
         self.due = now
         if fields.boolean("more_pages", default=False):
             if last_key <= self.page_after:
-                expected = f"a key after {self.page_after!r}"
+                expected = "a key after the last page"
                 raise FieldError("answer.more_pages", expected, last_key)
             self.page_after = last_key
             return events
--- a/notchhoist/platform/tests/test_odd_documents.py
+++ b/notchhoist/platform/tests/test_odd_documents.py
@@ -207,7 +207,7 @@
     assert list(feeder.node.board.servers) == ["i-1"]
     assert not feeder.node.board.view.evacuated
     [problem] = logged_problems(feeder)
-    assert problem.startswith("key: expected")
+    assert problem.startswith("item.key: expected")
     assert len(problem) < 200
 
 
--- a/notchhoist/platform/tests/test_store.py
+++ b/notchhoist/platform/tests/test_store.py
@@ -319,3 +319,17 @@
     store_reader.on_answer(200, changes(as_of=52), 0.0)
     store_reader.on_answer(410, b"", 0.0)
     assert store_reader.due == 0.0
+
+
+def test_a_key_that_is_too_long_is_neither_requested_nor_logged():
+    """It stood whole in the next request, or in the text of an error."""
+    store_reader = reader()
+    store_reader.next_call()
+    long_key = item("t" * 70_000, ENTRY)
+    store_reader.on_answer(
+        200, page(item("servers/a", ENTRY), long_key, more=True), 0.0
+    )
+    assert store_reader.next_call().target.endswith("&after=servers%2Fa")
+    with pytest.raises(PlatformError) as caught:
+        store_reader.on_answer(200, page(long_key, more=True), 0.0)
+    assert len(str(caught.value)) < 200
