--- a/notchhoist/platform/tests/odd_data.py
+++ b/notchhoist/platform/tests/odd_data.py
@@ -4,7 +4,6 @@
 and the agents of the servers. Each message between them is encoded and decoded.
 """
 
-import base64
 import copy
 import json
 import random
@@ -93,12 +92,6 @@
     return encoded.encode("utf-8", "surrogatepass")
 
 
-def put_text(model, key, text):
-    """Writes an item whose value is a text that need not be JSON."""
-    model.put(key, {})
-    model.items[key]["value"] = base64.b64encode(text).decode()
-
-
 class Fleet:
     """A store, a balancer that reads it, one that is told, and their agents."""
 
--- a/notchhoist/platform/tests/test_odd_answers.py
+++ b/notchhoist/platform/tests/test_odd_answers.py
@@ -12,7 +12,6 @@
 from notchhoist.platform.tests.odd_data import (
     ODD_TEXTS,
     Fleet,
-    put_text,
     with_odd_text,
 )
 from notchhoist.platform.tests.test_documents import CONFIGURATION, ENTRY
@@ -118,10 +117,10 @@
     kind, path = place
     change = bytes
     if kind == "entry":
-        put_text(fleet.model, ODD, with_odd_text(ODD_ENTRY, path, text))
+        fleet.model.put_raw(ODD, with_odd_text(ODD_ENTRY, path, text))
     elif kind == "configuration":
         document = {**WIDE_CONFIGURATION, "version": 9}
-        put_text(fleet.model, "op/config", with_odd_text(document, path, text))
+        fleet.model.put_raw("op/config", with_odd_text(document, path, text))
     elif kind == "item":
 
         def change(body):
