Fix: nested values among the seeds of the settings raised RecursionError

Cause: each element of `seeds` was turned into text before it was parsed; `str` raises RecursionError for a value nested just below the decoder's limit, so a start ended with a traceback, and a reload would have left its callback.

Change: an element that is no text is refused as such.

--- a/notchhoist/platform/settings.py
+++ b/notchhoist/platform/settings.py
@@ -248,7 +248,13 @@
     if not fields.has("seeds"):
         return ()
     read = [
-        problems.value_or(partial(split_address, str(text), place), NO_ADDRESS)
-        for place, text in fields.elements("seeds")
+        problems.value_or(partial(_peer, value, place), NO_ADDRESS)
+        for place, value in fields.elements("seeds")
     ]
     return tuple(host for host, _ in read if host)
+
+
+def _peer(value: object, place: str) -> Address:
+    if not isinstance(value, str):
+        raise FieldError(place, "ip:port", value)
+    return split_address(value, place)
