Fix: any exception in a callback of the event loop ended the process

Cause: nothing stood between a callback and Loop.run. One value that a later step could not carry ended each process that read it, in the same moment, and after each start. In a batch of datagrams the ones behind it had been read and were lost; a tick, the check of the settings file and the reading of the store were scheduled again only at the end of their callbacks.

Change: Loop.on_exception, set once a daemon serves, gets what leaves a callback (daemon/exceptions.py): counted as `exceptions`, logged as `exception` with callback, reason and innermost frames, within the limits of the log. Datagrams, effects, HTTP requests and signals are guarded one by one. Ticks, settings checks, the link's backlog and the reading of the store go on; after an answer that could be applied in part only, everything is listed again. A socket whose callback fails rests 0.05 s. Ticks moved to daemon/ticking.py and two checks to port_check.py, which makes flow_daemon.py shorter; waits are at most an hour, as epoll takes no longer ones.

It hides nothing from tests: without a handler (tests, stand-in) the exception still leaves Loop.run, and the soak's final checks and the tests of real processes fail on an `exception` record.

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, cast
 
-from msgspec import Struct, field
+from msgspec import Struct
 from msgspec.structs import replace
 
 from notchhoist.base import datagrams
@@ -22,16 +22,12 @@
     metrics_text,
 )
 from notchhoist.daemon.http_port import Reply, open_http_port
-from notchhoist.daemon.loop import Loop, Timer
-from notchhoist.daemon.port_check import (
-    BACKEND_CONNECT_TIMEOUT_S,
-    HOST_CONNECT_TIMEOUT_S,
-    check_tcp_port,
-    check_udp_port,
-)
+from notchhoist.daemon.loop import Loop
+from notchhoist.daemon.port_check import check_backend, check_host
 from notchhoist.daemon.ports import Ports, SocketRole
 from notchhoist.daemon.receiving import DatagramReceiver
 from notchhoist.daemon.signals import watch_signals
+from notchhoist.daemon.ticking import Ticker
 from notchhoist.flows.model.effects import (
     CheckBackend,
     CheckHost,
@@ -79,12 +75,9 @@
 """How often the settings file is checked for changes, seconds. The platform may
 change it without a signal, and nothing in it is urgent."""
 
-MIN_TICK_INTERVAL_S = 0.005
-"""Least time between two ticks, seconds; each wake-up costs processor time."""
-
 
 class FlowDaemon(Struct, eq=False):
-    """One process: sockets, timers and a balancer or agent node.
+    """One process: sockets, timers and a node; see ``make_flow_daemon``.
 
     Attributes:
         settings: Settings from the platform.
@@ -93,7 +86,7 @@
         codec: Codec of the packets.
         journal: Writer of the logs.
         ports: The sockets of the process.
-        tick_timer: Timer of the next tick.
+        ticker: Ticks of the node.
         confirm: Reads the store at once; None in a process that does not read
             it.
         settings_changed_at: When the settings file was last modified, in
@@ -106,7 +99,7 @@
     codec: PacketCodec
     journal: FlowJournal
     ports: Ports
-    tick_timer: Timer = field(default_factory=lambda: Timer(float("inf"), None))
+    ticker: Ticker
     confirm: Callable[[], None] | None = None
     settings_changed_at: int = 0
 
@@ -152,7 +145,7 @@
         ]
         if disabled:
             self.journal.log("mechanisms", outcome="out of use", off=disabled)
-        self._tick()
+        self.ticker.tick()
 
     def _log_invalid_settings(self, settings: HostSettings) -> None:
         """Logs invalid settings for which a default is used."""
@@ -187,9 +180,12 @@
     def perform(self, effects: Iterable[Effect]) -> None:
         """Performs effects and schedules the next tick."""
         for effect in effects:
-            self._perform_one(effect)
-        self._log_decisions()
-        self._schedule()
+            try:
+                self._perform_one(effect)
+            except Exception as error:  # Any type: it must cost one effect.
+                self.loop.report(f"perform {type(effect).__name__}", error)
+        self.loop.call(self._log_decisions)
+        self.ticker.schedule()
 
     def _perform_one(self, effect: Effect) -> None:
         settings = self.settings
@@ -224,83 +220,43 @@
         self.ports.send(SocketRole.CONTROL, encode_message(effect.message), to)
 
     def _check_backend(self, sample: bytes) -> None:
-        backend = self.settings.backend
-        if backend is None:
-            return
-
-        def report(listens: bool, exited: bool | None = None) -> None:
+        def report(listens: bool, exited: bool | None) -> None:
             now = self.loop.clock()
             self.perform(self.agent.on_backend_checked(listens, now, exited))
 
-        def on_packet_checked(result: ConnectResult) -> None:
-            report(listens=False, exited=result is ConnectResult.REFUSED)
-
-        def on_checked(result: ConnectResult) -> None:
-            # A server that does not answer at all may only be slow, and its
-            # flows alive.
-            if result is not ConnectResult.REFUSED:
-                report(listens=True)
-            elif sample:
-                check_udp_port(self.loop, backend, sample, on_packet_checked)
-            else:
-                report(listens=False)
-
-        check_tcp_port(
-            self.loop, backend, BACKEND_CONNECT_TIMEOUT_S, on_checked
-        )
+        if self.settings.backend is not None:
+            check_backend(self.loop, self.settings.backend, sample, report)
 
     def _check_host(self, host: str) -> None:
-
-        def on_checked(result: ConnectResult) -> None:
+        def report(result: ConnectResult) -> None:
             now = self.loop.clock()
             self.perform(self.balancer.on_host_checked(host, result, now))
 
         # Every agent listens on the metrics port as soon as it serves.
-        address = (host, METRICS_PORT)
-        check_tcp_port(self.loop, address, HOST_CONNECT_TIMEOUT_S, on_checked)
+        check_host(self.loop, (host, METRICS_PORT), report)
 
     def _log_decisions(self) -> None:
         decisions = self.node.board.records.decisions
         if not decisions:
             return
-        lines = group_decisions(decisions)
-        decisions.clear()
+        try:
+            lines = group_decisions(decisions)
+        finally:
+            decisions.clear()
         for decision in lines:
             fields = dict(decision.inputs)
             if decision.flow:
                 fields["flow"] = flow_text(decision.flow)
             self.journal.log(decision.event, outcome=decision.outcome, **fields)
 
-    def _tick(self) -> None:
-        self.tick_timer = Timer(float("inf"), None)
-        self.perform(self.node.tick(self.loop.clock()))
-
-    def _schedule(self) -> None:
-        """Schedules the next tick, but never postpones one that is scheduled.
-
-        If it did, packets that arrive faster than ``MIN_TICK_INTERVAL_S`` would
-        postpone an overdue tick again and again. After a power failure, agents
-        with a packet every 3 ms reported, released and gave up nothing for
-        0.1 s and longer, and neither did balancers; the searches that timed
-        out meanwhile caused further packets.
-        """
-        soonest = self.loop.clock() + MIN_TICK_INTERVAL_S
-        if self.tick_timer.when <= soonest:
-            return
-        when = max(self.node.due(), soonest)
-        if when >= self.tick_timer.when:
-            return
-        self.tick_timer.cancel()
-        self.tick_timer = self.loop.call_at(when, self._tick)
-
     def _check_settings_file(self) -> None:
         """Reloads the settings if their file has changed without a signal."""
-        changed_at = _modified_at_ns(settings_path())
-        if changed_at != self.settings_changed_at:
-            self._reload()
         self.loop.call_later(
             SETTINGS_CHECK_INTERVAL_S, self._check_settings_file
         )
+        changed_at = _modified_at_ns(settings_path())
+        if changed_at != self.settings_changed_at:
+            self._reload()
 
     def _reload(self) -> None:
         """Reloads the settings; an invalid file keeps the old ones in force."""
@@ -328,18 +284,18 @@
 
     def _on_signal(self, number: int) -> None:
         if number == signal.SIGHUP:
-            self._reload()
+            self.loop.call(self._reload)
             return
         if self.node.board.stopping:
             return
         self.journal.log("stop", signal=signal.Signals(number).name)
         if not self.settings.balances:
-            self.perform(self.agent.stop(self.loop.clock()))
             self.loop.call_later(AGENT_STOP_DELAY_S, self._stop_agent)
             stop_after_s = min(
                 BACKEND_EXIT_WAIT_S, MAX_GRACE_SHARE * self.settings.grace_s
             )
             self.loop.call_later(stop_after_s, self.loop.stop)
+            self.perform(self.agent.stop(self.loop.clock()))
         else:
             self.balancer.stop()
             stop_after_s = min(
@@ -355,6 +311,21 @@
             self.loop.stop()
 
 
+def make_flow_daemon(
+    settings: HostSettings,
+    loop: Loop,
+    node: "BalancerNode | AgentNode",
+    codec: PacketCodec,
+    journal: FlowJournal,
+    ports: Ports,
+) -> FlowDaemon:
+    """Creates the daemon of a process; see ``FlowDaemon``."""
+    ticker = Ticker(loop, node)
+    daemon = FlowDaemon(settings, loop, node, codec, journal, ports, ticker)
+    ticker.perform = daemon.perform
+    return daemon
+
+
 def _modified_at_ns(path: str | None) -> int:
     """Returns when a file was last modified, nanoseconds; 0 if unknown."""
     try:
--- a/notchhoist/daemon/flow_runner.py
+++ b/notchhoist/daemon/flow_runner.py
@@ -13,9 +13,9 @@
 
 from notchhoist.base import datagrams
 from notchhoist.base.draws import make_draw
-from notchhoist.daemon.flow_daemon import FlowDaemon
+from notchhoist.daemon.flow_daemon import FlowDaemon, make_flow_daemon
 from notchhoist.daemon.flow_journal import FlowJournal
-from notchhoist.daemon.loop import Clock, Loop
+from notchhoist.daemon.loop import Clock, ExceptionHandler, Loop
 from notchhoist.daemon.ports import Ports
 from notchhoist.links.scheduler import make_scheduler
 from notchhoist.platform.packets import PacketCodec
@@ -52,7 +52,7 @@
         packets = settings.outbound or settings.packets
         node = _make_agent(settings, codec, loop.clock())
     first_peer_port = settings.peer_ports[0]
-    return FlowDaemon(
+    return make_flow_daemon(
         settings=settings,
         loop=loop,
         node=node,
@@ -131,6 +131,7 @@
     journal = FlowJournal(settings.name, clock, wall, write_to_stdout)
     daemon = make_daemon(settings, loop, journal, started_at)
     daemon.start()
+    loop.on_exception = _exception_handler(daemon)
     gc.enable()
     if settings.balances:
         _read_store(daemon, daemon.balancer)
@@ -138,6 +139,14 @@
     journal.log("stopped")
 
 
+def _exception_handler(daemon: FlowDaemon) -> ExceptionHandler:
+    """Returns what records the exceptions that leave callbacks."""
+    from notchhoist.daemon.exceptions import ExceptionRecorder
+
+    records = daemon.node.board.records
+    return ExceptionRecorder(records, daemon.journal).record
+
+
 def _read_store(daemon: FlowDaemon, node: BalancerNode) -> None:
     """Starts to read the platform's store."""
     from notchhoist.daemon.http_call import HttpClient
--- a/notchhoist/daemon/http_port.py
+++ b/notchhoist/daemon/http_port.py
@@ -10,7 +10,7 @@
 import httptools
 from msgspec import Struct, field
 
-from notchhoist.daemon.loop import Loop
+from notchhoist.daemon.loop import Loop, name_of
 
 MAX_CONNECTIONS = 32
 MAX_REQUEST_BYTES = 8192
@@ -29,6 +29,7 @@
     404: "Not Found",
     405: "Method Not Allowed",
     431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
     503: "Service Unavailable",
 }
 
@@ -50,6 +51,7 @@
 BAD_REQUEST = 400
 METHOD_NOT_ALLOWED = 405
 REQUEST_TOO_LONG = 431
+INTERNAL_ERROR = 500
 
 
 def encode_reply(
@@ -212,7 +214,11 @@
     def _respond(self, request: _Request, closes: bool) -> bytes:
         if request.method not in ALLOWED_METHODS:
             return encode_reply(Reply(METHOD_NOT_ALLOWED), closes=closes)
-        reply = self.handler(request.target)
+        try:
+            reply = self.handler(request.target)
+        except Exception as error:  # Any type: it must cost one request.
+            self.loop.report(name_of(self.handler), error)
+            reply = Reply(INTERNAL_ERROR)
         return encode_reply(reply, request.method != b"HEAD", closes)
 
     def _reject(self, connection: _Connection, status: int) -> None:
--- a/notchhoist/daemon/loop.py
+++ b/notchhoist/daemon/loop.py
@@ -11,6 +11,7 @@
 import selectors
 import socket
 from collections.abc import Callable, Sequence
+from typing import cast
 
 from msgspec import Struct, field
 
@@ -19,6 +20,17 @@
 StallCallback = Callable[[float, Sequence[object]], None]
 """Gets the length of a stall, seconds, and the sockets that are readable."""
 
+ExceptionHandler = Callable[[str, Exception], None]
+"""Gets the name of a callback and the exception that left it."""
+
+MAX_WAIT_S = 3600.0
+"""Longest wait in one iteration, seconds; the kernel limits it too."""
+
+FAILED_SOCKET_PAUSE_S = 0.05
+"""How long a socket is not watched after an exception left its callback,
+seconds. If the callback raises before it has read, the socket stays ready, and
+the loop would do nothing else."""
+
 STALL_S = 0.4
 """Shortest time for which the loop must not have run to count as stalled,
 seconds."""
@@ -56,6 +68,9 @@
             or got no CPU time, or if its callbacks took long.
         woken_at: When the last iteration stopped waiting, seconds; None before
             the first.
+        on_exception: Handles exceptions that leave callbacks, which then cost
+            only that call. Without it they end ``run``.
+        failure: Exception that ends ``run``; see ``fail``.
     """
 
     clock: Clock
@@ -67,6 +82,8 @@
     running: bool = True
     on_stall: StallCallback | None = None
     woken_at: float | None = None
+    on_exception: ExceptionHandler | None = None
+    failure: Exception | None = None
 
     def on_readable(self, sock: socket.socket, callback: Callback) -> None:
         """Calls a function whenever a socket is readable."""
@@ -103,10 +120,45 @@
         """Makes ``run`` return after the current iteration."""
         self.running = False
 
+    def fail(self, error: Exception) -> None:
+        """Makes ``run`` raise an exception after the current iteration."""
+        self.failure = error
+        self.stop()
+
+    def report(self, name: str, error: Exception) -> None:
+        """Hands an exception to ``on_exception``, or raises it without one.
+
+        Args:
+            name: Name of the callback or of the part of it that failed.
+            error: The exception.
+        """
+        if self.on_exception is None:
+            raise error
+        self.on_exception(name, error)
+
+    def call(self, callback: Callback) -> bool:
+        """Calls a function and reports an exception that leaves it.
+
+        Returns:
+            Whether none did.
+        """
+        try:
+            callback()
+        except Exception as error:  # What callbacks raise has no common type.
+            self.report(name_of(callback), error)
+            return False
+        return True
+
     def run(self) -> None:
-        """Runs the loop until ``stop`` is called."""
+        """Runs the loop until ``stop`` or ``fail`` is called.
+
+        Raises:
+            Exception: The exception that ``fail`` got.
+        """
         while self.running:
             self.run_once()
+        if self.failure is not None:
+            raise self.failure
 
     def run_once(self) -> None:
         """Runs one iteration: waits for sockets or timers and calls them.
@@ -119,12 +171,26 @@
         ready = [key for key, _ in self.selector.select(timeout_s)]
         self._detect_stall(waits_since, timeout_s, ready)
         for key in ready:
-            key.data()
+            if not self.call(key.data):
+                self._pause_watching(key)
         now = self.clock()
         while self.timers and self.timers[0][0] <= now:
             callback = heapq.heappop(self.timers)[2].callback
             if callback is not None:
-                callback()
+                self.call(callback)
+
+    def _pause_watching(self, key: selectors.SelectorKey) -> None:
+        """Watches a socket again after a pause, unless that was changed."""
+        if self.selector.get_map().get(key.fd) != key:
+            return
+        self.selector.unregister(key.fileobj)
+
+        def resume() -> None:
+            sock = cast("socket.socket", key.fileobj)
+            if sock.fileno() == key.fd not in self.selector.get_map():
+                self.selector.register(sock, key.events, key.data)
+
+        self.call_later(FAILED_SOCKET_PAUSE_S, resume)
 
     def _detect_stall(
         self,
@@ -146,12 +212,24 @@
         busy_s = 0.0 if self.woken_at is None else waits_since - self.woken_at
         self.woken_at = woken_at
         stalled_s = max(overslept_s, busy_s)
-        if stalled_s >= STALL_S and self.on_stall is not None:
-            self.on_stall(stalled_s, [key.fileobj for key in ready])
+        on_stall = self.on_stall
+        if stalled_s >= STALL_S and on_stall is not None:
+            readable = [key.fileobj for key in ready]
+            self.call(lambda: on_stall(stalled_s, readable))
 
     def _select_timeout(self, now: float) -> float | None:
         while self.timers and self.timers[0][2].callback is None:
             heapq.heappop(self.timers)
         if not self.timers:
             return None
-        return max(0.0, self.timers[0][0] - now)
+        return min(max(0.0, self.timers[0][0] - now), MAX_WAIT_S)
+
+
+def name_of(callback: Callable[..., object]) -> str:
+    """Returns the name of a callback for the log.
+
+    Examples:
+        >>> name_of(Loop.stop)
+        'Loop.stop'
+    """
+    return getattr(callback, "__qualname__", type(callback).__name__)
--- a/notchhoist/daemon/port_check.py
+++ b/notchhoist/daemon/port_check.py
@@ -108,6 +108,53 @@
     loop.on_readable(sock, on_readable)
 
 
+def check_backend(
+    loop: Loop,
+    backend: tuple[str, int],
+    sample: bytes,
+    report: Callable[[bool, bool | None], None],
+) -> None:
+    """Checks whether the backend server accepts connections, or packets.
+
+    Args:
+        loop: The event loop.
+        backend: Address of the server.
+        sample: Packet that is sent if it refuses connections; empty for none.
+        report: Called with whether the server accepts connections, or may do
+            so, and whether it refused the packet, None if none was sent.
+    """
+
+    def on_packet_checked(result: ConnectResult) -> None:
+        report(False, result is ConnectResult.REFUSED)
+
+    def on_checked(result: ConnectResult) -> None:
+        # A server that does not answer at all may only be slow, and its flows
+        # alive.
+        if result is not ConnectResult.REFUSED:
+            report(True, None)
+        elif sample:
+            check_udp_port(loop, backend, sample, on_packet_checked)
+        else:
+            report(False, None)
+
+    check_tcp_port(loop, backend, BACKEND_CONNECT_TIMEOUT_S, on_checked)
+
+
+def check_host(
+    loop: Loop,
+    address: tuple[str, int],
+    report: Callable[[ConnectResult], None],
+) -> None:
+    """Checks whether another host answers at a port.
+
+    Args:
+        loop: The event loop.
+        address: A port at which its agent listens.
+        report: Called with the result.
+    """
+    check_tcp_port(loop, address, HOST_CONNECT_TIMEOUT_S, report)
+
+
 def _open_socket(
     kind: socket.SocketKind, address: tuple[str, int]
 ) -> socket.socket:
--- a/notchhoist/daemon/ports.py
+++ b/notchhoist/daemon/ports.py
@@ -75,9 +75,12 @@
     def _send_waiting(self) -> None:
         self.timer = Timer(float("inf"), None)
         now = self.loop.clock()
-        for packet in self.link.take(now):
-            self.records.observe(Timing.LINK, "", "sent", now - packet.since)
-            datagrams.send(
-                self.sockets[packet.port], packet.datagram, packet.to
-            )
-        self._schedule(now)
+        try:
+            for packet in self.link.take(now):
+                self._send_packet(packet, now)
+        finally:
+            self._schedule(now)
+
+    def _send_packet(self, packet: Outgoing, now: float) -> None:
+        datagrams.send(self.sockets[packet.port], packet.datagram, packet.to)
+        self.records.observe(Timing.LINK, "", "sent", now - packet.since)
--- a/notchhoist/daemon/receiving.py
+++ b/notchhoist/daemon/receiving.py
@@ -9,7 +9,7 @@
 from notchhoist.base.errors import CodecError
 from notchhoist.daemon.backlog import StallBacklog
 from notchhoist.daemon.flow_journal import FlowJournal
-from notchhoist.daemon.loop import Loop
+from notchhoist.daemon.loop import Loop, name_of
 from notchhoist.daemon.ports import Ports, SocketRole
 from notchhoist.flows.model.effects import Effect
 from notchhoist.flows.model.records import Count, Timing
@@ -106,69 +106,82 @@
         self.node.board.records.counters[Count.OPENINGS_EXPIRED] += 1
         return True
 
-    def on_packets(self) -> None:
-        """Reads packets of callers (balancer) or of the backend (agent)."""
-        batch, waited = self._receive(SocketRole.PACKETS)
-        clock = self.ports.loop.clock
-        for raw, _ in batch:
-            now = clock()
+    def _handle_each(
+        self, batch: list[Received], handle: Callable[[bytes, str], None]
+    ) -> None:
+        """Handles each datagram; one that fails does not cost the others."""
+        for raw, (host, _) in batch:
             try:
-                if self.balances:
-                    segment = self.codec.decode_request(raw)
-                    if self._is_expired(segment, waited):
-                        continue
-                    effects = self.balancer.on_caller(segment, now)
-                else:
-                    segment = self.codec.decode_answer(raw)
-                    effects = self.agent.on_backend(segment, now)
+                handle(raw, host)
             except CodecError as error:
                 self._on_malformed(error)
-                continue
-            self.perform(effects)
-            self.packets_read += 1
-            if self.packets_read % PACKETS_PER_TIMING == 0:
-                self.node.board.records.observe(
-                    Timing.FORWARDING, "", "forwarded", clock() - now
-                )
+            except Exception as error:  # Any type: it must cost one datagram.
+                self.ports.loop.report(name_of(handle), error)
+
+    def on_packets(self) -> None:
+        """Reads packets of callers (balancer) or of the backend (agent)."""
+        batch, waited = self._receive(SocketRole.PACKETS)
+        handle = self._on_caller if self.balances else self._on_backend
+        self._handle_each(batch, lambda raw, _: handle(raw, waited))
+
+    def _on_caller(self, raw: bytes, waited: bool) -> None:
+        now = self.ports.loop.clock()
+        segment = self.codec.decode_request(raw)
+        if not self._is_expired(segment, waited):
+            self._forward(self.balancer.on_caller(segment, now), now)
+
+    def _on_backend(self, raw: bytes, _: bool) -> None:
+        now = self.ports.loop.clock()
+        segment = self.codec.decode_answer(raw)
+        self._forward(self.agent.on_backend(segment, now), now)
+
+    def _forward(self, effects: Iterable[Effect], since: float) -> None:
+        """Performs the effects of a packet; times some of them."""
+        self.perform(effects)
+        self.packets_read += 1
+        if self.packets_read % PACKETS_PER_TIMING == 0:
+            elapsed_s = self.ports.loop.clock() - since
+            self.node.board.records.observe(
+                Timing.FORWARDING, "", "forwarded", elapsed_s
+            )
 
     def on_peers(self) -> None:
         """Reads packets from agents (balancer) or balancers (agent)."""
         batch, waited = self._receive(SocketRole.PEERS)
-        for raw, (host, _) in batch:
-            now = self.ports.loop.clock()
-            try:
-                if self.balances:
-                    segment, service = self.codec.decode_request(raw), ""
-                else:
-                    segment, service = decode_from_balancer(self.codec, raw)
-            except CodecError as error:
-                self._on_malformed(error)
-                continue
-            if self.balances:
-                self.perform(self.balancer.on_agent(host, segment, now))
-            elif not self._is_expired(segment, waited):
-                self.perform(
-                    self.agent.on_balancer(host, segment, now, service)
-                )
+        if self.balances:
+            self._handle_each(batch, self._on_agent)
+        else:
+            self._handle_each(
+                batch, lambda raw, host: self._on_balancer(raw, host, waited)
+            )
         if waited:
             self._note_backlog_read()
 
+    def _on_agent(self, raw: bytes, host: str) -> None:
+        now = self.ports.loop.clock()
+        segment = self.codec.decode_request(raw)
+        self.perform(self.balancer.on_agent(host, segment, now))
+
+    def _on_balancer(self, raw: bytes, host: str, waited: bool) -> None:
+        now = self.ports.loop.clock()
+        segment, service = decode_from_balancer(self.codec, raw)
+        if not self._is_expired(segment, waited):
+            self.perform(self.agent.on_balancer(host, segment, now, service))
+
     def on_control(self) -> None:
         """Reads control messages."""
-        from notchhoist.flows.codec.message_codec import decode_message
-
         batch, waited = self._receive(SocketRole.CONTROL)
-        for raw, (host, _) in batch:
-            try:
-                message = decode_message(raw)
-            except CodecError as error:
-                self._on_malformed(error)
-                continue
-            now = self.ports.loop.clock()
-            self.perform(self.node.on_peer(host, message, now))
+        self._handle_each(batch, self._on_message)
         if waited:
             self._note_backlog_read()
 
+    def _on_message(self, raw: bytes, host: str) -> None:
+        from notchhoist.flows.codec.message_codec import decode_message
+
+        message = decode_message(raw)
+        now = self.ports.loop.clock()
+        self.perform(self.node.on_peer(host, message, now))
+
     def _on_malformed(self, error: CodecError) -> None:
         self.node.board.records.counters[Count.MALFORMED] += 1
         self.journal.log("malformed", reason=str(error))
--- a/notchhoist/daemon/store_calls.py
+++ b/notchhoist/daemon/store_calls.py
@@ -11,6 +11,12 @@
 from notchhoist.platform.calls import StoreCall
 from notchhoist.platform.feeding import StoreFeeder
 
+NOT_APPLIED = "answer not applied"
+"""Failure reason of a request whose response caused an exception."""
+
+RETRY_S = 1.0
+"""Time until the next request after an exception, seconds."""
+
 
 class StoreCalls(Struct, eq=False):
     """Sends the requests of a balancer to the platform's store.
@@ -34,6 +40,10 @@
 
     def call(self) -> None:
         """Sends the next request, if one is needed."""
+        if not self.loop.call(self._call):
+            self.loop.call_later(RETRY_S, self.call)
+
+    def _call(self) -> None:
         call = self.feeder.next_call(self.loop.clock())
         if call is None:
             self._schedule()
@@ -77,12 +87,16 @@
         def done(status: int, body: bytes) -> None:
             outcome = f"{call.purpose} {status}"
             self.observe(Timing.STORE, outcome, sent_at)
-            on_answer(status, body, clock(), caller.headers)
+            try:
+                on_answer(status, body, clock(), caller.headers)
+            except Exception as error:  # Any type: the reading must go on.
+                self.loop.report(f"{call.purpose} answer", error)
+                self._on_not_applied(on_failed)
             self._on_finished(caller)
 
         def failed(reason: str) -> None:
             self.observe(Timing.STORE, f"{call.purpose} failed", sent_at)
-            on_failed(reason, clock())
+            self.loop.call(lambda: on_failed(reason, clock()))
             self._on_finished(caller)
 
         caller.get(
@@ -94,6 +108,13 @@
             is_needed,
         )
 
+    def _on_not_applied(self, on_failed: Callable[[str, float], None]) -> None:
+        """Reads everything again, as the answer was applied in part."""
+        now, reader = self.loop.clock(), self.feeder.reader
+        reader.restart_listing()
+        self.loop.call(lambda: on_failed(NOT_APPLIED, now))
+        reader.due = max(reader.due, now + RETRY_S)
+
     def _on_finished(self, caller: HttpClient) -> None:
         if caller is self.client:
             self._schedule()
--- a/notchhoist/daemon/tests/test_flow_processes.py
+++ b/notchhoist/daemon/tests/test_flow_processes.py
@@ -25,6 +25,7 @@
     encode_frame,
 )
 from notchhoist.testing.opaque.store import StoreModel
+from notchhoist.testing.soak.final_checks import find_faults
 from notchhoist.testing.soak.store_port import store_server
 
 BALANCER, AGENT, CALLER, STORE = (
@@ -82,6 +83,15 @@
     )
 
 
+def stop(process):
+    """Ends a process; returns the faults that the rest of its log shows."""
+    process.kill()
+    rest = process.stdout.read()
+    process.wait()
+    process.stdout.close()
+    return [*find_faults(rest)]
+
+
 def status(host, path="/ready", port=PORTS["ready"]):
     url = f"http://{host}:{port}{path}"
     try:
@@ -137,10 +147,8 @@
         try:
             yield processes
         finally:
-            for process in processes.values():
-                process.kill()
-                process.wait()
-                process.stdout.close()
+            faults = [stop(process) for process in processes.values()]
+        assert not any(faults), faults
 
 
 @pytest.fixture
--- a/notchhoist/daemon/tests/test_ticks.py
+++ b/notchhoist/daemon/tests/test_ticks.py
@@ -1,7 +1,8 @@
 """Tests that ticks are on time at any rate of packets."""
 
-from notchhoist.daemon.flow_daemon import MIN_TICK_INTERVAL_S, FlowDaemon
+from notchhoist.daemon.flow_daemon import make_flow_daemon
 from notchhoist.daemon.loop import Loop
+from notchhoist.daemon.ticking import MIN_TICK_INTERVAL_S
 from notchhoist.flows.boards.balancer_board import BalancerBoard
 
 PACKETS = 400
@@ -34,8 +35,8 @@
     now = [0.0]
     loop = Loop(lambda: now[0])
     node = Node()
-    daemon = FlowDaemon(None, loop, node, None, None, None)
-    daemon._tick()
+    daemon = make_flow_daemon(None, loop, node, None, None, None)
+    daemon.ticker.tick()
     for _ in range(PACKETS):
         now[0] += packet_interval_s
         daemon.perform([])
--- a/notchhoist/flows/model/records.py
+++ b/notchhoist/flows/model/records.py
@@ -87,6 +87,7 @@
     OPENINGS_EXPIRED = "openings_expired"
     DECISIONS_DROPPED = "decisions_dropped"
     TIMINGS_DROPPED = "timings_dropped"
+    EXCEPTIONS = "exceptions"
 
 
 class Timing(enum.StrEnum):
--- a/notchhoist/testing/soak/final_checks.py
+++ b/notchhoist/testing/soak/final_checks.py
@@ -5,6 +5,7 @@
 import urllib.request
 from collections.abc import Iterator
 
+from notchhoist.daemon.exceptions import EVENT as EXCEPTION_EVENT
 from notchhoist.daemon.flow_metrics import METRICS_PATH, METRICS_PORT
 from notchhoist.testing.soak.daemons import Daemon
 from notchhoist.testing.soak.fleet import Fleet
@@ -16,6 +17,7 @@
 """Maximum resident memory of a daemon, a requirement of the users."""
 
 METRICS_TIMEOUT_S = 5.0
+MAX_SHOWN_BYTES = 1000
 
 
 def read_metric(daemon: Daemon, name: str) -> float | None:
@@ -50,21 +52,37 @@
 
 
 def check_logs(fleet: Fleet) -> Iterator[str]:
-    """Yields the first line of each log that is not a JSON log record."""
+    """Yields a line for each log that shows a fault of its daemon."""
     for daemon in fleet.daemons:
-        for number, line in enumerate(
-            daemon.log_path.read_bytes().split(b"\n")
-        ):
-            if line and not _is_record(line):
-                yield f"LOG: {daemon.name} line {number}: {line[:200]!r}"
-                break
+        for fault in find_faults(daemon.log_path.read_bytes()):
+            yield f"LOG: {daemon.name} {fault}"
 
 
-def _is_record(line: bytes) -> bool:
+def find_faults(log: bytes) -> Iterator[str]:
+    """Yields the first line that is no record, and the first exception.
+
+    Examples:
+        >>> list(find_faults(b'{"message_type":"start"}')), len(list(
+        ...     find_faults(b'no record, {"message_type":"exception"}')
+        ... ))
+        ([], 1)
+    """
+    found = set()
+    for number, line in enumerate(log.split(b"\n")):
+        if not line:
+            continue
+        event = _event_of(line)
+        if event in (None, EXCEPTION_EVENT) and event not in found:
+            found.add(event)
+            yield f"line {number}: {line[:MAX_SHOWN_BYTES]!r}"
+
+
+def _event_of(line: bytes) -> str | None:
+    """Returns the event of a log record; None if a line is not one."""
     try:
-        return "message_type" in json.loads(line)
-    except ValueError:
-        return False
+        return json.loads(line)["message_type"]
+    except (ValueError, KeyError, TypeError):
+        return None
 
 
 def check_answered(asked: int, answered: int) -> Iterator[str]:
