Log failures to open sockets, and each line of a batch on its own

Cause: a process without a free descriptor accepted nothing and checked no host, and its log did not say so. A decision that cannot be written as JSON (a name with half of a surrogate pair) cost the other lines of its batch.

Change: failures to accept and to open the socket of a check are recorded as exceptions are; each decision is logged on its own.

Tests: test_a_line_that_cannot_be_logged_does_not_cost_the_next_ones, and what is recorded in the tests of EMFILE in test_http_port.py and test_port_check.py (each asserts one more thing than before).

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -45,7 +45,7 @@
     SendPeer,
 )
 from notchhoist.flows.model.mechanisms import NAMES
-from notchhoist.flows.model.records import Timing
+from notchhoist.flows.model.records import Decision, Timing
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.platform.readiness import answer_check
 from notchhoist.platform.settings import (
@@ -244,10 +244,16 @@
         finally:
             decisions.clear()
         for decision in lines:
-            fields = dict(decision.inputs)
-            if decision.flow:
-                fields["flow"] = flow_text(decision.flow)
-            self.journal.log(decision.event, outcome=decision.outcome, **fields)
+            try:
+                self._log_decision(decision)
+            except Exception as error:  # Any type: it must cost one line.
+                self.loop.report("log", error)
+
+    def _log_decision(self, decision: Decision) -> None:
+        fields = dict(decision.inputs)
+        if decision.flow:
+            fields["flow"] = flow_text(decision.flow)
+        self.journal.log(decision.event, outcome=decision.outcome, **fields)
 
     def _check_settings_file(self) -> None:
         """Reloads the settings if their file has changed without a signal."""
--- a/notchhoist/daemon/http_port.py
+++ b/notchhoist/daemon/http_port.py
@@ -144,7 +144,8 @@
             sock, _ = self.listener.accept()
         except (BlockingIOError, ConnectionError):
             return  # The client reset the connection before it was accepted.
-        except OSError:
+        except OSError as error:
+            self.loop.note("HttpPort.accept", error)
             self.loop.stop_watching(self.listener)
             self.loop.call_later(ACCEPT_PAUSE_S, self.start)
             self._close_idle(now)
--- a/notchhoist/daemon/loop.py
+++ b/notchhoist/daemon/loop.py
@@ -136,6 +136,11 @@
             raise error
         self.on_exception(name, error)
 
+    def note(self, name: str, error: Exception) -> None:
+        """Hands an exception that was handled to ``on_exception``, if any."""
+        if self.on_exception is not None:
+            self.on_exception(name, error)
+
     def call(self, callback: Callback) -> bool:
         """Calls a function and reports an exception that leaves it.
 
--- a/notchhoist/daemon/port_check.py
+++ b/notchhoist/daemon/port_check.py
@@ -39,7 +39,8 @@
     """
     try:
         sock = _open_socket(socket.SOCK_STREAM, address)
-    except OSError:
+    except OSError as error:
+        loop.note("check_tcp_port", error)
         loop.call_later(wait_s, lambda: on_checked(ConnectResult.SILENT))
         return
     immediate_error = sock.connect_ex(address)
@@ -77,7 +78,8 @@
     """
     try:
         sock = _open_socket(socket.SOCK_DGRAM, address)
-    except OSError:
+    except OSError as error:
+        loop.note("check_udp_port", error)
         loop.call_later(
             REFUSAL_TIMEOUT_S, lambda: on_checked(ConnectResult.SILENT)
         )
--- a/notchhoist/daemon/tests/test_exceptions.py
+++ b/notchhoist/daemon/tests/test_exceptions.py
@@ -146,6 +146,16 @@
     assert process.exceptions[0]["callback"] == "perform ConfirmView"
 
 
+def test_a_line_that_cannot_be_logged_does_not_cost_the_next_ones(process):
+    records = process.node.board.records
+    for text in ("a", "\ud800", "b"):
+        records.record_decision("server", b"", "ready", server=text)
+    process.daemon.perform([])
+    lines = [json.loads(line) for line in process.lines]
+    logged = [item["server"] for item in lines if "server" in item]
+    assert (logged, process.counted) == (["a", "b"], 1)
+
+
 @pytest.mark.parametrize("name", ["tick", "due"])
 def test_ticks_go_on_after_an_exception(process, name):
     """A tick that raised was never scheduled again."""
--- a/notchhoist/daemon/tests/test_http_port.py
+++ b/notchhoist/daemon/tests/test_http_port.py
@@ -198,10 +198,13 @@
         sock.setblocking(False)
         full = NoDescriptors(listener)
         server.port.listener = full
+        noted = []
+        server.loop.on_exception = lambda name, error: noted.append(error.errno)
         for _ in range(20):
             server.now += ACCEPT_PAUSE_S / 10
             server.run(1)
         assert 1 <= full.calls <= 3
+        assert noted == [errno.EMFILE] * full.calls
         server.port.listener = listener
         server.now += ACCEPT_PAUSE_S
         sock.sendall(b"GET / HTTP/1.1" + HEAD_END)
--- a/notchhoist/daemon/tests/test_port_check.py
+++ b/notchhoist/daemon/tests/test_port_check.py
@@ -54,8 +54,9 @@
     def no_socket(*_):
         raise OSError(errno.EMFILE, "Too many open files")
 
-    now, results = [0.0], []
+    now, results, noted = [0.0], [], []
     loop = Loop(lambda: now[0])
+    loop.on_exception = lambda name, error: noted.append(error.errno)
     monkeypatch.setattr(socket, "socket", no_socket)
     if kind == "tcp":
         check_tcp_port(loop, ("127.0.0.1", 9), 0.1, results.append)
@@ -64,3 +65,4 @@
     now[0] = 0.1
     loop.run_once()
     assert results == [ConnectResult.SILENT]
+    assert noted == [errno.EMFILE]
