A start waits for addresses that a former process still holds

Cause: a process that met an address in use ended with status 3 at once, also where the former process was still within its grace; the metrics port, which nobody needs for traffic, ended it too.

Change: all sockets are opened together or not at all. If one is in use, or not yet on the host, the start logs `start waits` with the address and tries again every 0.1 s for `grace_s` and one second more. Nothing is bound meanwhile, so no datagrams pile up, and an agent counts its age from when its sockets are open: it has seen no earlier packet of its server. A metrics port in use is logged and tried again every second while the process serves. Balancers that check such a host meet the process that holds the port: they miss that an agent restarts there, which costs less than an agent that does not serve.

--- a/notchhoist/base/errors.py
+++ b/notchhoist/base/errors.py
@@ -120,6 +120,28 @@
         return "\n".join(f"{self.path}: {item}" for item in self.problems)
 
 
+class AddressError(NotchhoistError):
+    """Raised if an address of the process cannot be bound.
+
+    Attributes:
+        address: Protocol, host and port, such as ``udp 10.0.0.1:53``.
+        reason: Error text of the system.
+        may_become_free: Whether the address is in use or not yet on the host.
+    """
+
+    def __init__(
+        self, address: str, reason: str, may_become_free: bool
+    ) -> None:
+        super().__init__(address, reason, may_become_free)
+        self.address = address
+        self.reason = reason
+        self.may_become_free = may_become_free
+
+    def __str__(self) -> str:
+        """Returns a message of one line."""
+        return f"{self.address}: {self.reason}"
+
+
 class PlatformError(NotchhoistError):
     """Raised if the platform's service gives no usable response.
 
--- a/notchhoist/daemon/__main__.py
+++ b/notchhoist/daemon/__main__.py
@@ -26,7 +26,7 @@
     from notchhoist.daemon.lean_imports import load_msgspec
 
     load_msgspec()
-    from notchhoist.base.errors import SettingsRefusedError
+    from notchhoist.base.errors import AddressError, SettingsRefusedError
     from notchhoist.platform.settings import (
         PATH_VARIABLE,
         load_host_settings,
@@ -53,7 +53,7 @@
 
     try:
         run_host(settings, time.monotonic, time.time, STARTED_AT)
-    except OSError as error:
+    except AddressError as error:
         print(f"{settings.name}: {error}", file=sys.stderr)
         return EXIT_CANNOT_BIND
     return 0
--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -6,6 +6,7 @@
 
 import os
 import signal
+import socket
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, cast
 
@@ -21,7 +22,7 @@
     METRICS_PORT,
     metrics_text,
 )
-from notchhoist.daemon.http_port import Reply, open_http_port
+from notchhoist.daemon.http_port import Reply, serve_http
 from notchhoist.daemon.loop import Loop, Timer
 from notchhoist.daemon.port_check import (
     BACKEND_CONNECT_TIMEOUT_S,
@@ -96,6 +97,7 @@
         tick_timer: Timer of the next tick.
         confirm: Reads the store at once; None in a process that does not read
             it.
+        readiness: Listens for readiness checks.
         settings_changed_at: When the settings file was last modified, in
             nanoseconds.
     """
@@ -108,6 +110,7 @@
     ports: Ports
     tick_timer: Timer = field(default_factory=lambda: Timer(float("inf"), None))
     confirm: Callable[[], None] | None = None
+    readiness: socket.socket | None = None
     settings_changed_at: int = 0
 
     @property
@@ -128,7 +131,10 @@
 
     def start(self) -> None:
         """Starts to serve: sets up sockets, HTTP ports, signals and timers."""
+        from notchhoist.daemon.metrics_port import open_metrics_port
+
         loop = self.loop
+        watch_signals(loop, self._on_signal)
         DatagramReceiver(
             self.settings.balances,
             self.ports,
@@ -137,10 +143,14 @@
             self.journal,
             self.perform,
         ).start(loop)
-        open_http_port(loop, self.settings.ready, self._answer_readiness)
-        metrics_at = (self.settings.bind_ip, METRICS_PORT)
-        open_http_port(loop, metrics_at, self._answer_metrics_port)
-        watch_signals(loop, self._on_signal)
+        if self.readiness is not None:
+            serve_http(loop, self.readiness, self._answer_readiness)
+        open_metrics_port(
+            loop,
+            self.journal,
+            (self.settings.bind_ip, METRICS_PORT),
+            self._answer_metrics_port,
+        )
         self.settings_changed_at = _modified_at_ns(settings_path())
         loop.call_later(SETTINGS_CHECK_INTERVAL_S, self._check_settings_file)
         self.journal.log(
--- a/notchhoist/daemon/flow_runner.py
+++ b/notchhoist/daemon/flow_runner.py
@@ -9,14 +9,15 @@
 import gc
 import math
 import os
+import time
 from typing import TYPE_CHECKING
 
-from notchhoist.base import datagrams
 from notchhoist.base.draws import make_draw
+from notchhoist.base.errors import AddressError
 from notchhoist.daemon.flow_daemon import FlowDaemon
-from notchhoist.daemon.flow_journal import FlowJournal
+from notchhoist.daemon.flow_journal import FlowJournal, write_to_stdout
 from notchhoist.daemon.loop import Clock, Loop
-from notchhoist.daemon.ports import Ports
+from notchhoist.daemon.ports import HostSockets, Ports, open_host_sockets
 from notchhoist.links.scheduler import make_scheduler
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.platform.settings import HostSettings
@@ -41,17 +42,17 @@
         started_at: When the process started by the loop's clock, seconds.
 
     Raises:
-        OSError: An address cannot be bound.
+        AddressError: An address cannot be bound.
     """
     codec = PacketCodec()
+    _load_role(settings.balances)
+    sockets = _open_sockets(settings, loop.clock, journal)
+    # An agent has seen the packets of its server since its sockets are open.
     node: BalancerNode | AgentNode
     if settings.balances:
-        packets = settings.packets
         node = _make_balancer(settings, codec, started_at)
     else:
-        packets = settings.outbound or settings.packets
         node = _make_agent(settings, codec, loop.clock())
-    first_peer_port = settings.peer_ports[0]
     return FlowDaemon(
         settings=settings,
         loop=loop,
@@ -60,17 +61,59 @@
         journal=journal,
         ports=Ports(
             loop=loop,
-            sockets=(
-                datagrams.open_socket(packets),
-                datagrams.open_socket((settings.bind_ip, first_peer_port)),
-                datagrams.open_socket((settings.bind_ip, first_peer_port + 1)),
-            ),
+            sockets=sockets.datagrams,
             link=make_scheduler(settings.link_mbps),
             records=node.board.records,
         ),
+        readiness=sockets.readiness,
     )
 
 
+def _load_role(balances: bool) -> None:
+    """Loads the modules of a role, so that no packet waits for that."""
+    if balances:
+        import notchhoist.flows.balancer.node
+    else:
+        import notchhoist.flows.agent.node
+        import notchhoist.flows.agent.opening_gate  # noqa: F401
+
+
+def _open_sockets(
+    settings: HostSettings, clock: Clock, journal: FlowJournal
+) -> HostSockets:
+    """Opens the sockets; waits while a former process holds an address.
+
+    Raises:
+        AddressError: An address cannot be bound.
+    """
+    packets = settings.packets
+    if not settings.balances:
+        packets = settings.outbound or settings.packets
+    first_peer_port = settings.peer_ports[0]
+    udp_addresses = (
+        packets,
+        (settings.bind_ip, first_peer_port),
+        (settings.bind_ip, first_peer_port + 1),
+    )
+
+    def open_all() -> HostSockets:
+        return open_host_sockets(udp_addresses, settings.ready)
+
+    try:
+        return open_all()
+    except AddressError as error:
+        if not error.may_become_free:
+            raise
+        journal.log("start waits", outcome="for an address", reason=str(error))
+    from notchhoist.daemon.start_waits import (
+        ADDRESS_WAIT_MARGIN_S,
+        await_addresses,
+    )
+
+    wait_s = settings.grace_s + ADDRESS_WAIT_MARGIN_S
+    return await_addresses(open_all, wait_s, clock, time.sleep)
+
+
 def _make_balancer(
     settings: HostSettings, codec: PacketCodec, started_at: float
 ) -> BalancerNode:
@@ -123,10 +166,8 @@
         started_at: When the process started by that clock, seconds.
 
     Raises:
-        OSError: An address cannot be bound.
+        AddressError: An address cannot be bound.
     """
-    from notchhoist.daemon.flow_journal import write_to_stdout
-
     loop = Loop(clock)
     journal = FlowJournal(settings.name, clock, wall, write_to_stdout)
     daemon = make_daemon(settings, loop, journal, started_at)
--- a/notchhoist/daemon/http_port.py
+++ b/notchhoist/daemon/http_port.py
@@ -137,19 +137,25 @@
         connection.sock.close()
 
 
-def open_http_port(
-    loop: Loop, address: tuple[str, int], handler: Handler
-) -> HttpPort:
-    """Opens a server that listens at an address.
+def open_listener(address: tuple[str, int]) -> socket.socket:
+    """Opens a socket that accepts connections at an address.
 
     Raises:
         OSError: The address cannot be bound.
     """
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.setblocking(False)
-    listener.bind(address)
-    listener.listen(MAX_CONNECTIONS)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind(address)
+        listener.listen(MAX_CONNECTIONS)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
+def serve_http(loop: Loop, listener: socket.socket, handler: Handler) -> None:
+    """Answers the requests that come to a listening socket."""
     port = HttpPort(loop, listener, handler)
     loop.on_readable(listener, port.accept)
-    return port
--- a/notchhoist/daemon/ports.py
+++ b/notchhoist/daemon/ports.py
@@ -1,11 +1,16 @@
 """Sockets of a daemon, with sending paced to the rate of the link."""
 
 import enum
+import errno
 import socket
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
 
 from msgspec import Struct, field
 
 from notchhoist.base import datagrams
+from notchhoist.base.errors import AddressError
+from notchhoist.daemon.http_port import open_listener
 from notchhoist.daemon.loop import Loop, Timer
 from notchhoist.flows.model.records import Records, Timing
 from notchhoist.links.packets import Address, Outgoing
@@ -30,6 +35,57 @@
     CONTROL = 2
 
 
+class HostSockets(Struct, frozen=True):
+    """The sockets that a process needs in order to serve.
+
+    Attributes:
+        datagrams: The sockets for datagrams, by ``SocketRole``.
+        readiness: Listens for readiness checks.
+    """
+
+    datagrams: tuple[socket.socket, ...]
+    readiness: socket.socket
+
+
+def open_host_sockets(
+    udp_addresses: Sequence[Address], readiness: Address
+) -> HostSockets:
+    """Opens all sockets that a process needs, or none of them.
+
+    Args:
+        udp_addresses: Addresses to bind, by ``SocketRole``.
+        readiness: Address of the readiness check.
+
+    Raises:
+        AddressError: An address cannot be bound.
+    """
+    opened: list[socket.socket] = []
+    try:
+        for address in udp_addresses:
+            with _naming("udp", address):
+                opened.append(datagrams.open_socket(address))
+        with _naming("tcp", readiness):
+            opened.append(open_listener(readiness))
+    except AddressError:
+        for sock in opened:
+            sock.close()
+        raise
+    return HostSockets(tuple(opened[:-1]), opened[-1])
+
+
+@contextmanager
+def _naming(protocol: str, address: Address) -> Iterator[None]:
+    """Turns errors of the system into errors that name an address."""
+    try:
+        yield
+    except OSError as error:
+        raise AddressError(
+            f"{protocol} {address[0]}:{address[1]}",
+            str(error),
+            error.errno in (errno.EADDRINUSE, errno.EADDRNOTAVAIL),
+        ) from error
+
+
 class Ports(Struct, eq=False):
     """Sends datagrams no faster than the link carries them.
 
