Every end of a process is a log record

Cause: a process that ended wrote a line of text, a traceback or nothing, never a log record: bad settings, an address in use, a missing package (status 1, ModuleNotFoundError, also where msgspec itself was missing), an uncaught error, a request to stop before the handlers were installed. Nothing told whether another start could help.

Change: `exits.py` writes the last record with the standard library alone, and is loaded only then: `exit` with outcome, status, restart_helps, reason and, for uncaught errors and missing packages, the end of the traceback; `stopped` with status 0. A missing package has status 4. SIGTERM and SIGINT end a process that serves nothing yet at once, with `stopped`; from the moment the sockets are open they lead to the ordinary stop. Errors that the interpreter ignores are `error ignored` records. SIGHUP is ignored from the first line of notchhoistd.py.

Changed test: invalid settings were to be named on standard error; now the last record must name them, with the status, and standard error must stay empty.

--- a/notchhoist/daemon/__main__.py
+++ b/notchhoist/daemon/__main__.py
@@ -2,8 +2,9 @@
 
 A reload signal (SIGHUP) that arrives before its handler is installed would end
 the process, so it is ignored from the first line on; the settings are read
-later anyway. The garbage collector is off until the process serves: there is no
-garbage yet, and the collector takes a tenth of the time of a start.
+later anyway. A request to stop ends a process at once that does not serve yet.
+The garbage collector is off until the process serves: there is no garbage yet,
+and the collector takes a tenth of the time of a start.
 """
 
 import _signal
@@ -14,56 +15,99 @@
 
 gc.disable()
 
+import os  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
 
 STARTED_AT = time.monotonic()
 EXIT_BAD_SETTINGS = 2
-EXIT_CANNOT_BIND = 3
 
 
-def _run_on_platform(check: bool) -> int:
-    from notchhoist.daemon.lean_imports import load_msgspec
+def _stop_before_serving(host: str) -> None:
+    """Makes a request to stop end the process at once, with a log record.
 
-    load_msgspec()
-    from notchhoist.base.errors import AddressError, SettingsRefusedError
+    Args:
+        host: Name of this host; empty if it is not known yet.
+    """
+
+    def on_signal(number: int, frame: object) -> None:
+        # An exception could be lost in a callback of the interpreter.
+        try:
+            import signal
+
+            from notchhoist.daemon.exits import log_record
+
+            name = signal.Signals(number).name
+            log_record(host, "stopped", signal=name, status=0)
+        finally:
+            os._exit(0)
+
+    for number in (_signal.SIGTERM, _signal.SIGINT):
+        _signal.signal(number, on_signal)
+
+
+def _log_ignored_error(unraisable: "sys.UnraisableHookArgs") -> None:
+    """Logs an error in a callback of the interpreter, which ignores it."""
+    from notchhoist.daemon.exits import log_record
+
+    log_record("", "error ignored", reason=repr(unraisable.exc_value)[:2000])
+
+
+def _run_on_platform() -> int:
+    """Runs the daemon with the platform's settings; returns its exit status."""
+    host = ""
+    try:
+        _stop_before_serving(host)
+        sys.unraisablehook = _log_ignored_error
+        from notchhoist.daemon.lean_imports import load_msgspec
+
+        load_msgspec()
+        from notchhoist.platform.settings import (
+            load_host_settings,
+            required_settings_path,
+        )
+
+        path = required_settings_path()
+        settings = load_host_settings(path)
+        host = settings.name
+        _stop_before_serving(host)
+        from notchhoist.daemon.flow_runner import run_host
+
+        run_host(settings, time.monotonic, time.time, STARTED_AT)
+    except BaseException as error:
+        from notchhoist.daemon.exits import log_failure
+
+        return log_failure(host, error)
+    return 0
+
+
+def _check_settings() -> int:
+    """Prints what is wrong with the settings file; returns the exit status."""
+    from notchhoist.base.errors import SettingsRefusedError
     from notchhoist.platform.settings import (
-        PATH_VARIABLE,
         load_host_settings,
-        settings_path,
+        required_settings_path,
     )
 
-    path = settings_path()
-    if path is None:
-        print(f"{PATH_VARIABLE} names no settings file", file=sys.stderr)
-        return EXIT_BAD_SETTINGS
     try:
+        path = required_settings_path()
         settings = load_host_settings(path)
     except SettingsRefusedError as error:
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    if check:
-        for problem in settings.problems:
-            print(f"{path}: {problem}", file=sys.stderr)
-        print(
-            f"{path}: {'defaults for the rest' if settings.problems else 'ok'}"
-        )
-        return EXIT_BAD_SETTINGS if settings.problems else 0
-    from notchhoist.daemon.flow_runner import run_host
-
-    try:
-        run_host(settings, time.monotonic, time.time, STARTED_AT)
-    except AddressError as error:
-        print(f"{settings.name}: {error}", file=sys.stderr)
-        return EXIT_CANNOT_BIND
-    return 0
+    for problem in settings.problems:
+        print(f"{path}: {problem}", file=sys.stderr)
+    print(f"{path}: {'defaults for the rest' if settings.problems else 'ok'}")
+    return EXIT_BAD_SETTINGS if settings.problems else 0
 
 
 def main() -> None:
     """Runs the daemon with the platform's settings, or with our own."""
-    if sys.argv[1:] in ([], ["--check"]):
-        sys.exit(_run_on_platform(check=len(sys.argv) > 1))
+    if not sys.argv[1:]:
+        sys.exit(_run_on_platform())
     gc.enable()
+    if sys.argv[1:] == ["--check"]:
+        sys.exit(_check_settings())
     from notchhoist.daemon.main import main as run_with_own_settings
 
     run_with_own_settings()
--- a/notchhoist/daemon/flow_runner.py
+++ b/notchhoist/daemon/flow_runner.py
@@ -176,7 +176,10 @@
     if settings.balances:
         _read_store(daemon, daemon.balancer)
     loop.run()
-    journal.log("stopped")
+    # The journal may have reached its limit of lines.
+    from notchhoist.daemon.exits import log_record
+
+    log_record(settings.name, "stopped", status=0)
 
 
 def _read_store(daemon: FlowDaemon, node: BalancerNode) -> None:
--- a/notchhoist/daemon/tests/test_flow_processes.py
+++ b/notchhoist/daemon/tests/test_flow_processes.py
@@ -223,7 +223,10 @@
         timeout=WAIT_S,
     )
     assert process.returncode == 2
-    assert b"serves" in process.stderr
+    assert process.stderr == b""
+    last = json.loads(process.stdout.splitlines()[-1])
+    assert (last["message_type"], last["status"]) == ("exit", 2)
+    assert "serves" in last["reason"]
 
 
 def test_settings_that_change_without_a_signal_are_reloaded(fleet, tmp_path):
--- a/notchhoist/daemon/tests/test_starts.py
+++ b/notchhoist/daemon/tests/test_starts.py
@@ -1,6 +1,8 @@
 """Tests of starts and ends of real processes in odd surroundings."""
 
 import json
+import signal
+import sys
 import urllib.error
 import urllib.request
 
@@ -53,6 +55,41 @@
     return True
 
 
+@pytest.mark.parametrize("role", ROLES)
+def test_a_missing_package_ends_a_start_with_a_record(start, role, tmp_path):
+    status, last = start(role, packages=tmp_path).last_record()
+    assert (status, last["status"]) == (4, 4)
+    assert last["message_type"] == "exit"
+    assert (last["outcome"], last["restart_helps"]) == ("package missing", "no")
+    assert "msgspec" in last["reason"]
+
+
+@pytest.mark.parametrize(
+    ("role", "text"),
+    [
+        ("balancer", ""),
+        ("agent", "{"),
+        ("balancer", '{"serves": []}'),
+        ("agent", "\0" * 9),
+    ],
+)
+def test_settings_that_stay_invalid_end_a_start_with_a_record(
+    start, role, text
+):
+    status, last = start(role, text).last_record()
+    assert (status, last["status"]) == (2, 2)
+    assert last["message_type"] == "exit"
+    assert last["outcome"] == "settings refused"
+    assert last["restart_helps"] == "no"
+
+
+def test_settings_that_no_variable_names_end_a_start_with_a_record(start):
+    started = start("balancer", NOTCHHOIST_NODE_FILE="")
+    status, last = started.last_record()
+    assert (status, last["outcome"]) == (2, "settings refused")
+    assert "NOTCHHOIST_NODE_FILE" in last["reason"]
+
+
 @pytest.mark.parametrize(
     ("role", "name"),
     [
@@ -73,6 +110,16 @@
     wait_for(lambda: answers(PORTS["ready"], "/ready"))
 
 
+@pytest.mark.parametrize("role", ROLES)
+def test_an_address_that_stays_in_use_ends_a_start_with_a_record(start, role):
+    with hold("ready"):
+        status, last = start(role).last_record()
+    assert (status, last["status"]) == (3, 3)
+    assert last["outcome"] == "address not available"
+    assert last["restart_helps"] == "yes"
+    assert f"{IP}:{PORTS['ready']}" in last["reason"]
+
+
 @pytest.mark.parametrize("role", ROLES)
 def test_a_process_serves_while_its_metrics_port_is_in_use(start, role):
     with hold("metrics"):
@@ -80,3 +127,72 @@
         assert started.record("metrics port")["outcome"] == "not available"
         wait_for(lambda: answers(PORTS["ready"], "/ready"))
     wait_for(lambda: answers(METRICS_PORT, "/metrics"))
+
+
+RAISE = """
+import notchhoist.daemon.__main__ as entry
+import notchhoist.daemon.flow_runner as runner
+def fail(*arguments):
+    raise {error}
+def fail_deep(depth):
+    return fail() if depth == 0 else fail_deep(depth - 1)
+runner.run_host = lambda *arguments: fail_deep(500)
+entry.main()
+"""
+
+
+@pytest.mark.parametrize(
+    "error", ["ValueError('x' * 100_000)", "MemoryError()", "KeyError(chr(0))"]
+)
+def test_an_uncaught_error_ends_a_process_with_a_short_record(start, error):
+    program = RAISE.format(error=error)
+    started = start("balancer", command=[sys.executable, "-S", "-c", program])
+    status, last = started.last_record()
+    assert (status, last["status"]) == (1, 1)
+    assert (last["message_type"], last["host"]) == ("exit", "balancer-1")
+    assert last["outcome"] == "uncaught error"
+    assert error.partition("(")[0] in last["reason"]
+    assert "fail_deep" in last["traceback"]
+    assert len(started.log.read_bytes()) < 20_000
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+@pytest.mark.parametrize("cause", ["address"])
+def test_a_request_to_stop_ends_a_start_that_waits(start, cause, number):
+    settings = make_settings("agent", bounds={"grace_s": WAIT_S})
+    with hold("ready"):
+        text = "{" if cause == "settings" else json.dumps(settings)
+        started = start("agent", text)
+        started.record("start waits")
+        started.process.send_signal(number)
+        status, last = started.last_record()
+    assert (status, last["message_type"], last["status"]) == (0, "stopped", 0)
+
+
+@pytest.mark.parametrize("role", ROLES)
+def test_an_ordinary_stop_ends_with_a_record(start, role):
+    started = start(role)
+    started.record("start")
+    started.process.terminate()
+    status, last = started.last_record()
+    assert (status, last["message_type"], last["status"]) == (0, "stopped", 0)
+
+
+IGNORED_ERROR = """
+import notchhoist.daemon.__main__ as entry
+import notchhoist.daemon.flow_runner as runner
+class Failing:
+    def __del__(self):
+        raise ValueError("x" * 100_000)
+runner.run_host = lambda *arguments: Failing() and None
+entry.main()
+"""
+
+
+def test_an_error_that_the_interpreter_ignores_is_a_short_record(start):
+    started = start(
+        "balancer", command=[sys.executable, "-S", "-c", IGNORED_ERROR]
+    )
+    assert started.last_record()[0] == 0
+    assert "ValueError" in started.record("error ignored")["reason"]
+    assert len(started.log.read_bytes()) < 20_000
--- a/notchhoist/platform/settings.py
+++ b/notchhoist/platform/settings.py
@@ -98,6 +98,21 @@
     return environment.get(PATH_VARIABLE) or None
 
 
+def required_settings_path() -> str:
+    """Returns the path of the settings file.
+
+    Raises:
+        SettingsRefusedError: The platform has named no file.
+    """
+    path = settings_path()
+    if path is None:
+        problem = ConfigurationProblem(
+            PATH_VARIABLE, "the path of the settings file", "nothing"
+        )
+        raise SettingsRefusedError("environment", (problem,))
+    return path
+
+
 def enabled_mechanisms(
     problems: Problems, environment: Mapping[str, str] = os.environ
 ) -> Mechanisms:
