Settings that are being written end no process and hide no change

Cause: a start that met a settings file that was empty, cut off or missing ended with status 2 at once. The time of the file's last change was taken after it had been read, and SIGHUP is ignored until the handlers are installed: a change in between was never noticed without another signal. A file that could not be read at a signal was read again only if its time of change differed, up to 5 s later.

Change: a start logs `start waits` and reads the file again every 0.1 s for 2 s; then it ends with status 2 as before. The version of the file (time of change, size, inode) is taken before each read and compared once more when the process serves.

--- a/notchhoist/daemon/__main__.py
+++ b/notchhoist/daemon/__main__.py
@@ -19,6 +19,10 @@
 import sys  # noqa: E402
 import time  # noqa: E402
 
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from notchhoist.platform.settings import FileVersion, HostSettings
+
 STARTED_AT = time.monotonic()
 EXIT_BAD_SETTINGS = 2
 
@@ -46,6 +50,32 @@
         _signal.signal(number, on_signal)
 
 
+def _load_settings(path: str) -> "tuple[HostSettings, FileVersion | None]":
+    """Reads the settings; waits for a moment if the file is invalid.
+
+    Args:
+        path: Path of the settings file.
+
+    Returns:
+        The settings, and the version of their file.
+
+    Raises:
+        SettingsRefusedError: The file has stayed invalid.
+    """
+    from notchhoist.base.errors import SettingsRefusedError
+    from notchhoist.platform.settings import file_version, load_host_settings
+
+    version = file_version(path)
+    try:
+        return load_host_settings(path), version
+    except SettingsRefusedError as error:
+        from notchhoist.daemon.exits import log_record
+        from notchhoist.daemon.start_waits import await_settings
+
+        log_record("", "start waits", outcome="for settings", reason=str(error))
+        return await_settings(path, time.monotonic, time.sleep)
+
+
 def _log_ignored_error(unraisable: "sys.UnraisableHookArgs") -> None:
     """Logs an error in a callback of the interpreter, which ignores it."""
     from notchhoist.daemon.exits import log_record
@@ -62,18 +92,15 @@
         from notchhoist.daemon.lean_imports import load_msgspec
 
         load_msgspec()
-        from notchhoist.platform.settings import (
-            load_host_settings,
-            required_settings_path,
-        )
+        from notchhoist.platform.settings import required_settings_path
 
         path = required_settings_path()
-        settings = load_host_settings(path)
+        settings, version = _load_settings(path)
         host = settings.name
         _stop_before_serving(host)
         from notchhoist.daemon.flow_runner import run_host
 
-        run_host(settings, time.monotonic, time.time, STARTED_AT)
+        run_host(settings, path, version, time.monotonic, time.time, STARTED_AT)
     except BaseException as error:
         from notchhoist.daemon.exits import log_failure
 
--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -4,7 +4,6 @@
 that a restarted process serves as early as possible.
 """
 
-import os
 import signal
 import socket
 from collections.abc import Callable, Iterable
@@ -14,7 +13,6 @@
 from msgspec.structs import replace
 
 from notchhoist.base import datagrams
-from notchhoist.base.errors import SettingsRefusedError
 from notchhoist.daemon.decision_groups import group_decisions
 from notchhoist.daemon.flow_journal import FlowJournal, flow_text
 from notchhoist.daemon.flow_metrics import (
@@ -49,13 +47,10 @@
 from notchhoist.flows.model.records import Timing
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.platform.readiness import status_for
-from notchhoist.platform.settings import (
-    HostSettings,
-    load_host_settings,
-    settings_path,
-)
+from notchhoist.platform.settings import FileVersion, HostSettings
 
 if TYPE_CHECKING:
+    from notchhoist.daemon.settings_watch import SettingsWatch
     from notchhoist.flows.agent.node import AgentNode
     from notchhoist.flows.balancer.node import BalancerNode
 
@@ -76,10 +71,6 @@
 """How long an agent of a draining server waits at most for the exit of the
 server after a request to stop, seconds: idle flows there end with the exit."""
 
-SETTINGS_CHECK_INTERVAL_S = 5.0
-"""How often the settings file is checked for changes, seconds. The platform may
-change it without a signal, and nothing in it is urgent."""
-
 MIN_TICK_INTERVAL_S = 0.005
 """Least time between two ticks, seconds; each wake-up costs processor time."""
 
@@ -98,8 +89,7 @@
         confirm: Reads the store at once; None in a process that does not read
             it.
         readiness: Listens for readiness checks.
-        settings_changed_at: When the settings file was last modified, in
-            nanoseconds.
+        settings_watch: Follows changes of the settings file.
     """
 
     settings: HostSettings
@@ -111,7 +101,7 @@
     tick_timer: Timer = field(default_factory=lambda: Timer(float("inf"), None))
     confirm: Callable[[], None] | None = None
     readiness: socket.socket | None = None
-    settings_changed_at: int = 0
+    settings_watch: "SettingsWatch | None" = None
 
     @property
     def balancer(self) -> "BalancerNode":
@@ -151,8 +141,6 @@
             (self.settings.bind_ip, METRICS_PORT),
             self._answer_metrics_port,
         )
-        self.settings_changed_at = _modified_at_ns(settings_path())
-        loop.call_later(SETTINGS_CHECK_INTERVAL_S, self._check_settings_file)
         self.journal.log(
             "start", role="balancer" if self.settings.balances else "agent"
         )
@@ -164,6 +152,20 @@
             self.journal.log("mechanisms", outcome="out of use", off=disabled)
         self._tick()
 
+    def watch_settings(self, path: str, version: FileVersion | None) -> None:
+        """Follows changes of the settings file.
+
+        Args:
+            path: Path of the file.
+            version: Version of the file that was read.
+        """
+        from notchhoist.daemon.settings_watch import SettingsWatch
+
+        self.settings_watch = SettingsWatch(
+            path, self.loop, self.journal, self._apply_settings, version
+        )
+        self.settings_watch.check()
+
     def _log_invalid_settings(self, settings: HostSettings) -> None:
         """Logs invalid settings for which a default is used."""
         for problem in settings.problems:
@@ -303,24 +305,8 @@
         self.tick_timer.cancel()
         self.tick_timer = self.loop.call_at(when, self._tick)
 
-    def _check_settings_file(self) -> None:
-        """Reloads the settings if their file has changed without a signal."""
-        changed_at = _modified_at_ns(settings_path())
-        if changed_at != self.settings_changed_at:
-            self._reload()
-        self.loop.call_later(
-            SETTINGS_CHECK_INTERVAL_S, self._check_settings_file
-        )
-
-    def _reload(self) -> None:
-        """Reloads the settings; an invalid file keeps the old ones in force."""
-        path = settings_path()
-        self.settings_changed_at = _modified_at_ns(path)
-        try:
-            settings = load_host_settings(path or "")
-        except SettingsRefusedError as error:
-            self.journal.log("reload", outcome="refused", reason=str(error))
-            return
+    def _apply_settings(self, settings: HostSettings) -> None:
+        """Puts those of changed settings in force that may change."""
         self._log_invalid_settings(settings)
         if any(item.place.startswith("seeds") for item in settings.problems):
             settings = replace(settings, peers=self.settings.peers)
@@ -338,7 +324,8 @@
 
     def _on_signal(self, number: int) -> None:
         if number == signal.SIGHUP:
-            self._reload()
+            if self.settings_watch is not None:
+                self.settings_watch.reload()
             return
         if self.node.board.stopping:
             return
@@ -363,11 +350,3 @@
             self.loop.call_later(AGENT_STOP_DELAY_S, self._stop_agent)
         else:
             self.loop.stop()
-
-
-def _modified_at_ns(path: str | None) -> int:
-    """Returns when a file was last modified, nanoseconds; 0 if unknown."""
-    try:
-        return os.stat(path).st_mtime_ns if path else 0
-    except OSError:
-        return 0  # The next reload reports what is wrong with the file.
--- a/notchhoist/daemon/flow_runner.py
+++ b/notchhoist/daemon/flow_runner.py
@@ -20,7 +20,7 @@
 from notchhoist.daemon.ports import HostSockets, Ports, open_host_sockets
 from notchhoist.links.scheduler import make_scheduler
 from notchhoist.platform.packets import PacketCodec
-from notchhoist.platform.settings import HostSettings
+from notchhoist.platform.settings import FileVersion, HostSettings
 
 if TYPE_CHECKING:
     from notchhoist.flows.agent.node import AgentNode
@@ -155,12 +155,19 @@
 
 
 def run_host(
-    settings: HostSettings, clock: Clock, wall: Clock, started_at: float
+    settings: HostSettings,
+    path: str,
+    version: FileVersion | None,
+    clock: Clock,
+    wall: Clock,
+    started_at: float,
 ) -> None:
     """Runs a process until it gets a request to stop.
 
     Args:
         settings: Settings from the platform.
+        path: Path of the settings file.
+        version: Version of the file that was read.
         clock: The runtime's clock.
         wall: Time of day.
         started_at: When the process started by that clock, seconds.
@@ -172,6 +179,7 @@
     journal = FlowJournal(settings.name, clock, wall, write_to_stdout)
     daemon = make_daemon(settings, loop, journal, started_at)
     daemon.start()
+    daemon.watch_settings(path, version)
     gc.enable()
     if settings.balances:
         _read_store(daemon, daemon.balancer)
--- a/notchhoist/daemon/start_waits.py
+++ b/notchhoist/daemon/start_waits.py
@@ -8,8 +8,17 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from notchhoist.base.errors import AddressError
+from notchhoist.base.errors import AddressError, SettingsRefusedError
 from notchhoist.daemon.loop import Clock
+from notchhoist.platform.settings import (
+    FileVersion,
+    HostSettings,
+    file_version,
+    load_host_settings,
+)
+
+SETTINGS_WAIT_S = 2.0
+"""How long a start waits for a valid settings file, seconds."""
 
 ADDRESS_WAIT_MARGIN_S = 1.0
 """How long a start waits for its addresses beyond the time in which the former
@@ -22,6 +31,33 @@
 Opened = TypeVar("Opened")
 
 
+def await_settings(
+    path: str, clock: Clock, sleep: Sleep
+) -> tuple[HostSettings, FileVersion | None]:
+    """Reads the settings file until it is valid.
+
+    Args:
+        path: Path of the file.
+        clock: The runtime's clock.
+        sleep: Waits for a number of seconds.
+
+    Returns:
+        The settings, and the version of their file.
+
+    Raises:
+        SettingsRefusedError: The file has stayed invalid.
+    """
+    deadline = clock() + SETTINGS_WAIT_S
+    while True:
+        sleep(RETRY_INTERVAL_S)
+        version = file_version(path)
+        try:
+            return load_host_settings(path), version
+        except SettingsRefusedError:
+            if clock() >= deadline:
+                raise
+
+
 def await_addresses(
     open_all: Callable[[], Opened], wait_s: float, clock: Clock, sleep: Sleep
 ) -> Opened:
--- a/notchhoist/daemon/tests/test_start_waits.py
+++ b/notchhoist/daemon/tests/test_start_waits.py
@@ -1,12 +1,18 @@
 """Tests of the waits of a start, on a clock that tests advance."""
 
+import json
+
 import pytest
 
-from notchhoist.base.errors import AddressError
+from notchhoist.base.errors import AddressError, SettingsRefusedError
 from notchhoist.daemon.start_waits import (
     RETRY_INTERVAL_S,
+    SETTINGS_WAIT_S,
     await_addresses,
+    await_settings,
 )
+from notchhoist.daemon.tests.start_harness import make_settings
+from notchhoist.platform.settings import file_version
 
 
 class Pause:
@@ -28,6 +34,25 @@
             self.action_at = float("inf")
 
 
+def test_settings_are_read_as_soon_as_they_are_written(tmp_path):
+    path = tmp_path / "settings.json"
+    text = json.dumps(make_settings("agent"))
+    pause = Pause(SETTINGS_WAIT_S / 2, lambda: path.write_text(text))
+    settings, version = await_settings(str(path), pause.clock, pause.sleep)
+    assert settings.name == "agent-1"
+    assert version == file_version(str(path))
+    assert pause.now <= 100.0 + SETTINGS_WAIT_S / 2 + RETRY_INTERVAL_S
+
+
+def test_settings_that_stay_invalid_are_refused_in_bounded_time(tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text("{")
+    pause = Pause()
+    with pytest.raises(SettingsRefusedError):
+        await_settings(str(path), pause.clock, pause.sleep)
+    assert pause.now <= 100.0 + SETTINGS_WAIT_S + 2 * RETRY_INTERVAL_S
+
+
 def opener(errors):
     """Returns a function that raises errors in turn, then opens."""
 
--- a/notchhoist/daemon/tests/test_starts.py
+++ b/notchhoist/daemon/tests/test_starts.py
@@ -90,6 +90,68 @@
     assert "NOTCHHOIST_NODE_FILE" in last["reason"]
 
 
+@pytest.mark.parametrize("role", ROLES)
+@pytest.mark.parametrize("share", [0.0, 0.5, None])
+def test_a_start_waits_for_settings_that_are_being_written(start, role, share):
+    """Guards against an end by a file that is empty, cut off or missing."""
+    text = json.dumps(make_settings(role))
+    started = start(role, text[: int(len(text) * (share or 0.0))])
+    if share is None:
+        started.path.unlink()
+    started.record("start waits")
+    started.path.write_text(text)
+    assert started.record("start")["host"] == f"{role}-1"
+
+
+CHANGE_AFTER_READING = """
+import json, os, sys
+import notchhoist.daemon.__main__ as entry
+import notchhoist.platform.settings as settings
+load = settings.load_host_settings
+def load_before_a_change(path):
+    loaded = load(path)
+    settings.load_host_settings = load
+    with open(path) as file:
+        document = json.load(file)
+    document["seeds"] = ["127.11.0.9:1"]
+    with open(path, "w") as file:
+        json.dump(document, file)
+    return loaded
+settings.load_host_settings = load_before_a_change
+entry.main()
+"""
+
+
+def test_settings_that_change_during_a_start_are_reloaded(start):
+    """Guards against a change between the first read and the first check."""
+    started = start(
+        "balancer", command=[sys.executable, "-S", "-c", CHANGE_AFTER_READING]
+    )
+    assert started.record("reload")["changed"] == ["peers"]
+
+
+@pytest.mark.parametrize("role", ROLES)
+@pytest.mark.parametrize("text", ["", "{"])
+def test_settings_that_are_half_written_at_a_signal_are_read_again(
+    start, role, text
+):
+    started = start(role)
+    started.record("start")
+    started.path.write_text(text)
+    started.process.send_signal(signal.SIGHUP)
+    assert started.record("reload")["outcome"] == "refused"
+    changed = make_settings(role, seeds=["127.11.0.9:1"])
+    started.path.write_text(json.dumps(changed))
+    reloads = wait_for(
+        lambda: [
+            item["outcome"]
+            for item in started.records()
+            if item["message_type"] == "reload"
+        ][1:]
+    )
+    assert reloads == ["read"]
+
+
 @pytest.mark.parametrize(
     ("role", "name"),
     [
@@ -157,7 +219,7 @@
 
 
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
-@pytest.mark.parametrize("cause", ["address"])
+@pytest.mark.parametrize("cause", ["settings", "address"])
 def test_a_request_to_stop_ends_a_start_that_waits(start, cause, number):
     settings = make_settings("agent", bounds={"grace_s": WAIT_S})
     with hold("ready"):
--- a/notchhoist/platform/settings.py
+++ b/notchhoist/platform/settings.py
@@ -32,6 +32,12 @@
 have been found."""
 
 
+FileVersion = tuple[int, int, int]
+"""Time of the last change in nanoseconds, size in bytes, and inode of a file.
+Files that are written twice within the resolution of the file system's clock
+differ in one of the others."""
+
+
 class HostSettings(Struct, frozen=True):
     """Settings of a balancer or an agent on the platform's machines.
 
@@ -134,6 +140,15 @@
     return name
 
 
+def file_version(path: str) -> FileVersion | None:
+    """Returns what changes with a file; None if it cannot be examined."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return None  # Reading the file tells what is wrong with it.
+    return status.st_mtime_ns, status.st_size, status.st_ino
+
+
 def load_host_settings(path: str) -> HostSettings:
     """Reads and checks the settings file.
 
