--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -4,8 +4,8 @@
 that a restarted process serves as early as possible.
 """
 
-import os
 import signal
+import socket
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, cast
 
@@ -13,7 +13,6 @@
 from msgspec.structs import replace
 
 from notchhoist.base import datagrams
-from notchhoist.base.errors import SettingsRefusedError
 from notchhoist.daemon.decision_groups import group_decisions
 from notchhoist.daemon.flow_journal import (
     FlowJournal,
@@ -25,7 +24,7 @@
     METRICS_PORT,
     metrics_text,
 )
-from notchhoist.daemon.http_port import Reply, open_http_port
+from notchhoist.daemon.http_port import Reply, serve_http
 from notchhoist.daemon.loop import Loop
 from notchhoist.daemon.port_check import check_backend, check_host
 from notchhoist.daemon.ports import Ports, SocketRole
@@ -48,13 +47,10 @@
 from notchhoist.flows.model.records import Decision, Timing
 from notchhoist.platform.packets import PacketCodec
 from notchhoist.platform.readiness import answer_check
-from notchhoist.platform.settings import (
-    HostSettings,
-    load_host_settings,
-    settings_path,
-)
+from notchhoist.platform.settings import FileVersion, HostSettings
 
 if TYPE_CHECKING:
+    from notchhoist.daemon.settings_watch import SettingsWatch
     from notchhoist.flows.agent.node import AgentNode
     from notchhoist.flows.balancer.node import BalancerNode
 
@@ -75,10 +71,6 @@
 """How long an agent of a draining server waits at most for the exit of the
 server after a request to stop, seconds: idle flows there end with the exit."""
 
-SETTINGS_CHECK_INTERVAL_S = 5.0
-"""How often the settings file is checked for changes, seconds. The platform may
-change it without a signal, and nothing in it is urgent."""
-
 
 class FlowDaemon(Struct, eq=False):
     """One process: sockets, timers and a node; see ``make_flow_daemon``.
@@ -93,8 +85,8 @@
         ticker: Ticks of the node.
         confirm: Reads the store at once; None in a process that does not read
             it.
-        settings_changed_at: When the settings file was last modified, in
-            nanoseconds.
+        readiness: Listens for readiness checks.
+        settings_watch: Follows changes of the settings file.
     """
 
     settings: HostSettings
@@ -105,7 +97,8 @@
     ports: Ports
     ticker: Ticker
     confirm: Callable[[], None] | None = None
-    settings_changed_at: int = 0
+    readiness: socket.socket | None = None
+    settings_watch: "SettingsWatch | None" = None
 
     @property
     def balancer(self) -> "BalancerNode":
@@ -125,7 +118,10 @@
 
     def start(self) -> None:
         """Starts to serve: sets up sockets, HTTP ports, signals and timers."""
+        from notchhoist.daemon.metrics_port import open_metrics_port
+
         loop = self.loop
+        watch_signals(loop, self._on_signal)
         DatagramReceiver(
             self.settings.balances,
             self.ports,
@@ -134,12 +130,14 @@
             self.journal,
             self.perform,
         ).start(loop)
-        open_http_port(loop, self.settings.ready, self._answer_readiness)
-        metrics_at = (self.settings.bind_ip, METRICS_PORT)
-        open_http_port(loop, metrics_at, self._answer_metrics_port)
-        watch_signals(loop, self._on_signal)
-        self.settings_changed_at = _modified_at_ns(settings_path())
-        loop.call_later(SETTINGS_CHECK_INTERVAL_S, self._check_settings_file)
+        if self.readiness is not None:
+            serve_http(loop, self.readiness, self._answer_readiness)
+        open_metrics_port(
+            loop,
+            self.journal,
+            (self.settings.bind_ip, METRICS_PORT),
+            self._answer_metrics_port,
+        )
         self.journal.log("start", **process_fields(self.settings.balances))
         self._log_invalid_settings(self.settings)
         disabled = [
@@ -149,6 +147,20 @@
             self.journal.log("mechanisms", outcome="out of use", off=disabled)
         self.ticker.tick()
 
+    def watch_settings(self, path: str, version: FileVersion | None) -> None:
+        """Follows changes of the settings file.
+
+        Args:
+            path: Path of the file.
+            version: Version of the file that was read.
+        """
+        from notchhoist.daemon.settings_watch import SettingsWatch
+
+        self.settings_watch = SettingsWatch(
+            path, self.loop, self.journal, self._apply_settings, version
+        )
+        self.settings_watch.check()
+
     def _log_invalid_settings(self, settings: HostSettings) -> None:
         """Logs invalid settings for which a default is used."""
         for problem in settings.problems:
@@ -255,24 +267,8 @@
             fields["flow"] = flow_text(decision.flow)
         self.journal.log(decision.event, outcome=decision.outcome, **fields)
 
-    def _check_settings_file(self) -> None:
-        """Reloads the settings if their file has changed without a signal."""
-        self.loop.call_later(
-            SETTINGS_CHECK_INTERVAL_S, self._check_settings_file
-        )
-        changed_at = _modified_at_ns(settings_path())
-        if changed_at != self.settings_changed_at:
-            self._reload()
-
-    def _reload(self) -> None:
-        """Reloads the settings; an invalid file keeps the old ones in force."""
-        path = settings_path()
-        self.settings_changed_at = _modified_at_ns(path)
-        try:
-            settings = load_host_settings(path or "")
-        except SettingsRefusedError as error:
-            self.journal.log("reload", outcome="refused", reason=str(error))
-            return
+    def _apply_settings(self, settings: HostSettings) -> None:
+        """Puts those of changed settings in force that may change."""
         self._log_invalid_settings(settings)
         if any(item.place.startswith("seeds") for item in settings.problems):
             settings = replace(settings, peers=self.settings.peers)
@@ -290,7 +286,8 @@
 
     def _on_signal(self, number: int) -> None:
         if number == signal.SIGHUP:
-            self.loop.call(self._reload)
+            if self.settings_watch is not None:
+                self.loop.call(self.settings_watch.reload)
             return
         if self.node.board.stopping:
             return
@@ -324,17 +321,11 @@
     codec: PacketCodec,
     journal: FlowJournal,
     ports: Ports,
+    readiness: socket.socket | None = None,
 ) -> FlowDaemon:
     """Creates the daemon of a process; see ``FlowDaemon``."""
     ticker = Ticker(loop, node)
     daemon = FlowDaemon(settings, loop, node, codec, journal, ports, ticker)
+    daemon.readiness = readiness
     ticker.perform = daemon.perform
     return daemon
-
-
-def _modified_at_ns(path: str | None) -> int:
-    """Returns when a file was last modified, nanoseconds; 0 if unknown."""
-    try:
-        return os.stat(path).st_mtime_ns if path else 0
-    except OSError:
-        return 0  # The next reload reports what is wrong with the file.
--- a/notchhoist/daemon/tests/test_http_port.py
+++ b/notchhoist/daemon/tests/test_http_port.py
@@ -17,7 +17,8 @@
     MAX_CONNECTIONS,
     MAX_REQUEST_BYTES,
     Reply,
-    open_http_port,
+    open_listener,
+    serve_http,
 )
 from notchhoist.daemon.loop import Loop
 from notchhoist.flows.balancer.node import make_balancer
@@ -48,7 +49,8 @@
     def __init__(self, handler=lambda target: Reply(200, target)):
         self.now = 0.0
         self.loop = Loop(lambda: self.now)
-        self.port = open_http_port(self.loop, ("127.0.0.1", 0), handler)
+        listener = open_listener(("127.0.0.1", 0))
+        self.port = serve_http(self.loop, listener, handler)
 
     def run(self, iterations=3):
         for _ in range(iterations):
