Closed standard files do not get the numbers of sockets

Cause: where a process was started with its standard files closed, the event loop and the first sockets got the numbers 0 to 2, and each log line was written to a socket. Change: closed standard files are opened on the null device before anything else is opened. Result: the new test of a real process failed before (`['anon_inode:...ket:[515505]'] == ['/dev/null', ...]`) and passes now.

--- a/notchhoist/daemon/__main__.py
+++ b/notchhoist/daemon/__main__.py
@@ -27,6 +27,18 @@
 EXIT_BAD_SETTINGS = 2
 
 
+def _open_standard_files() -> None:
+    """Opens the null device for standard files that are closed.
+
+    Sockets would get their numbers otherwise, and log lines with them.
+    """
+    for number in range(3):
+        try:
+            os.fstat(number)
+        except OSError:
+            os.open(os.devnull, os.O_RDWR)
+
+
 def _stop_before_serving(host: str) -> None:
     """Makes a request to stop end the process at once, with a log record.
 
@@ -88,6 +100,7 @@
     host = ""
     try:
         _stop_before_serving(host)
+        _open_standard_files()
         sys.unraisablehook = _log_ignored_error
         from notchhoist.daemon.lean_imports import load_msgspec
 
--- a/notchhoist/daemon/tests/test_starts.py
+++ b/notchhoist/daemon/tests/test_starts.py
@@ -1,6 +1,7 @@
 """Tests of starts and ends of real processes in odd surroundings."""
 
 import json
+import os
 import signal
 import sys
 import urllib.error
@@ -258,3 +259,13 @@
     assert started.last_record()[0] == 0
     assert "ValueError" in started.record("error ignored")["reason"]
     assert len(started.log.read_bytes()) < 20_000
+
+
+def test_log_lines_never_reach_a_socket_without_standard_output(start):
+    """Guards against sockets that get the numbers of closed files."""
+    closing = ["sh", "-c", 'exec "$@" <&- >&- 2>&-', "sh"]
+    started = start("agent", command=closing + run_command("agent"))
+    wait_for(lambda: answers(PORTS["ready"], "/ready"))
+    folder = f"/proc/{started.process.pid}/fd"
+    files = [os.readlink(f"{folder}/{number}") for number in range(3)]
+    assert files == [os.devnull] * 3
