Tests of signals at any moment of a start

Cause: nothing tried a request to stop before the handlers of the event loop are installed, nor signals in series during a start.

--- a/notchhoist/daemon/tests/test_starts.py
+++ b/notchhoist/daemon/tests/test_starts.py
@@ -261,6 +261,41 @@
     assert len(started.log.read_bytes()) < 20_000
 
 
+SIGNAL_AT_IMPORT = """
+import os, sys
+import notchhoist.daemon.__main__ as entry
+def kill(event, arguments):
+    if event == "import" and arguments[0] == "{module}":
+        for number in {numbers}:
+            os.kill(os.getpid(), number)
+sys.addaudithook(kill)
+entry.main()
+"""
+
+
+@pytest.mark.parametrize("numbers", [(15,), (1, 15), (15, 1)])
+@pytest.mark.parametrize(
+    ("module", "is_serving"),
+    [
+        ("msgspec", False),
+        ("notchhoist.platform.settings", False),
+        ("notchhoist.daemon.flow_runner", False),
+        ("notchhoist.flows.agent.node", False),
+        ("notchhoist.daemon.settings_watch", True),
+    ],
+)
+def test_a_request_to_stop_ends_a_start_at_any_import(
+    start, module, is_serving, numbers
+):
+    """Guards against ends without a record before the handlers are set."""
+    program = SIGNAL_AT_IMPORT.format(module=module, numbers=numbers)
+    started = start("agent", command=[sys.executable, "-S", "-c", program])
+    status, last = started.last_record()
+    assert (status, last["message_type"], last["status"]) == (0, "stopped", 0)
+    events = [record["message_type"] for record in started.records()]
+    assert ("stop" in events) == is_serving
+
+
 def test_log_lines_never_reach_a_socket_without_standard_output(start):
     """Guards against sockets that get the numbers of closed files."""
     closing = ["sh", "-c", 'exec "$@" <&- >&- 2>&-', "sh"]
