--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -155,8 +155,7 @@
         if board.fleet_known and self.reader.answer_complete:
             # A listing older than the view shows that the view's revision is
             # wrong: others that have it must read the store themselves.
-            known = self.revision_at_listing
-            if listed is None or listed.revision >= known:
+            if not listed or listed.revision >= self.revision_at_listing:
                 board.view.advance_to(self.reader.revision)
                 age_s = self.reader.answer_age_s(now - self.called_at)
                 self.node.synchronizer.on_confirmed(now, age_s)
