--- a/notchhoist/daemon/http_port.py
+++ b/notchhoist/daemon/http_port.py
@@ -176,7 +176,9 @@
         try:
             data = connection.sock.recv(RECEIVE_BYTES)
             connection.received += len(data)
-            if not data:
+            if not data and connection.received:
+                self._reject(connection, BAD_REQUEST)
+            elif not data:
                 self._close(connection)
             elif connection.received > MAX_REQUEST_BYTES:
                 self._reject(connection, REQUEST_TOO_LONG)
--- a/notchhoist/daemon/tests/test_http_port.py
+++ b/notchhoist/daemon/tests/test_http_port.py
@@ -155,6 +155,18 @@
         assert (statuses(data), closed) == ([431], True)
 
 
+def test_request_that_ends_too_early_gets_400(server):
+    """The client has shut its side down, and still reads."""
+    for sent, expected in ((b"GET / HTTP/1.1\r\nHo", [400]), (b"", [])):
+        with server.connect() as sock:
+            sock.sendall(sent)
+            server.run()
+            sock.shutdown(socket.SHUT_WR)
+            server.run()
+            data, closed = received(sock)
+        assert (statuses(data), closed) == (expected, True)
+
+
 def test_requests_in_single_bytes_and_in_one_packet_are_answered(server):
     request = b"GET /x HTTP/1.1\r\nHost: h" + HEAD_END
     data, _ = server.exchange(*(bytes([byte]) for byte in request))
