Fix: a process stopped for good when nobody read its log

Cause: standard output was said not to block, but nothing set it so. When the reader of the pipe stood still, the next line waited in `write`: the process answered no packet, no readiness check and no signal until somebody read. On a machine whose log collector hangs this looks like processes that ended. A stream socket could also take part of a line, the rest of which was lost, and the count of dropped lines was lost whenever the line that was to report it could not be written either.

Change: `LineWriter` sets pipes and sockets not to block (files and terminals stay as they are) and completes a line that was written in part before the next one.

--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -15,11 +15,7 @@
 from notchhoist.base import datagrams
 from notchhoist.base.errors import SettingsRefusedError
 from notchhoist.daemon.decision_groups import group_decisions
-from notchhoist.daemon.flow_journal import (
-    FlowJournal,
-    flow_text,
-    process_fields,
-)
+from notchhoist.daemon.flow_journal import FlowJournal, flow_text
 from notchhoist.daemon.flow_metrics import (
     METRICS_PATH,
     METRICS_PORT,
@@ -147,7 +143,7 @@
         watch_signals(loop, self._on_signal)
         self.settings_changed_at = _modified_at_ns(settings_path())
         loop.call_later(SETTINGS_CHECK_INTERVAL_S, self._check_settings_file)
-        self.journal.log("start", **process_fields(self.settings.balances))
+        self.journal.log_start(self.settings.balances)
         self._log_invalid_settings(self.settings)
         disabled = [
             name for name in NAMES if not getattr(self.settings.uses, name)
@@ -298,6 +294,7 @@
         changed_at = _modified_at_ns(settings_path())
         if changed_at != self.settings_changed_at:
             self._reload()
+        self.journal.log_dropped()
         self.loop.call_later(
             SETTINGS_CHECK_INTERVAL_S, self._check_settings_file
         )
--- a/notchhoist/daemon/flow_journal.py
+++ b/notchhoist/daemon/flow_journal.py
@@ -4,7 +4,9 @@
 takes 0.08 s and 4 MB to load, too much for the platform's hosts.
 """
 
+import errno
 import os
+import stat
 import sys
 import zlib
 from collections import Counter
@@ -78,12 +80,16 @@
             self.second_started_at = now
             self.flow_lines = self.costly_lines = 0
             self.other_lines.clear()
-            self._log_dropped()
+            self.log_dropped()
         if self._admits(event, str(fields.get("flow", ""))):
             self._write(event, fields)
         else:
             self.dropped[event] += 1
 
+    def log_start(self, balances: bool) -> None:
+        """Logs the start of the process, in the role of balancer or agent."""
+        self.log("start", **process_fields(balances))
+
     def _admits(self, event: str, flow: str) -> bool:
         """Counts a line against its limit; returns False if that is reached."""
         others = self.other_lines.total()
@@ -110,14 +116,16 @@
             self.other_lines[event] += 1
         return True
 
-    def _log_dropped(self) -> None:
+    def log_dropped(self) -> None:
+        """Logs how many lines were dropped since this was last logged."""
         if not self.dropped:
             return
-        dropped = dict(self.dropped)
-        self.dropped.clear()
-        self._write("lines_dropped", {"dropped": dropped})
+        dropped, self.dropped = self.dropped, Counter()
+        if not self._write("lines_dropped", {"dropped": dict(dropped)}):
+            self.dropped = dropped
 
-    def _write(self, event: str, fields: dict[str, object]) -> None:
+    def _write(self, event: str, fields: dict[str, object]) -> bool:
+        """Writes a line; returns False if the reader does not keep up."""
         line: dict[str, object] = {
             "timestamp": round(self.wall(), 3),
             "clock": round(self.clock(), 4),
@@ -129,9 +137,10 @@
         try:
             self.write(msgspec.json.encode(line, enc_hook=str) + b"\n")
         except OSError:
-            # The reader does not keep up. A later line reports how many lines
-            # were lost.
+            # A later line reports how many lines were lost.
             self.dropped[event] += 1
+            return False
+        return True
 
 
 def is_sampled(flow: str) -> bool:
@@ -144,13 +153,55 @@
     return bool(flow) and zlib.crc32(flow.encode()) % FLOWS_PER_SAMPLE == 0
 
 
+class LineWriter(Struct, eq=False):
+    """Writes whole lines without waiting for their reader.
+
+    Attributes:
+        fd: File descriptor of the output.
+        rest: What is missing of a line that was written in part.
+        prepared: Whether the output has been set not to block.
+    """
+
+    fd: int
+    rest: bytes = b""
+    prepared: bool = False
+
+    def write(self, line: bytes) -> None:
+        """Writes a line.
+
+        Raises:
+            OSError: The reader does not keep up, or is gone; nothing of the
+                line was written.
+        """
+        if not self.prepared:
+            self._prepare()
+        if self.rest:
+            self.rest = self.rest[os.write(self.fd, self.rest) :]
+            if self.rest:
+                raise BlockingIOError(errno.EAGAIN, "output is full")
+        self.rest = line[os.write(self.fd, line) :]
+
+    def _prepare(self) -> None:
+        """Sets a pipe or socket not to block; files and terminals never wait.
+
+        A terminal is shared with the shell, which expects it to block.
+        """
+        mode = os.fstat(self.fd).st_mode
+        if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
+            os.set_blocking(self.fd, False)
+        self.prepared = True
+
+
+_STDOUT = LineWriter(1)
+
+
 def write_to_stdout(line: bytes) -> None:
     """Writes to standard output without waiting for its reader.
 
     Raises:
         OSError: The reader does not keep up; nothing useful was written.
     """
-    os.write(1, line)
+    _STDOUT.write(line)
 
 
 def process_fields(balances: bool) -> dict[str, str]:
--- a/notchhoist/daemon/tests/test_flow_journal.py
+++ b/notchhoist/daemon/tests/test_flow_journal.py
@@ -1,6 +1,13 @@
 """Tests of the log writer: limits per second, and writing without blocking."""
 
+import contextlib
+import fcntl
 import json
+import os
+import select
+import socket
+
+import pytest
 
 from notchhoist.daemon.flow_journal import (
     MAX_FLOW_LINES,
@@ -9,6 +16,7 @@
     MAX_OTHER_LINES,
     MAX_UNSAMPLED_FLOW_LINES,
     FlowJournal,
+    LineWriter,
     is_sampled,
 )
 
@@ -136,3 +144,98 @@
     assert events.count("server") == MAX_LINES_PER_EVENT
     assert events.count("find") == MAX_FLOW_LINES
     assert len(events) == MAX_OTHER_LINES + MAX_FLOW_LINES <= COSTLESS_LINES
+
+
+def test_the_count_of_dropped_lines_survives_a_reader_that_stands_still():
+    """The count was lost with the line that was to report it."""
+    reader, now = Reader(), [10.0]
+    log_writer = journal(reader, now)
+    reader.blocked = True
+    for _ in range(60):
+        now[0] += 1.0
+        log_writer.log("reset")
+    reader.blocked = False
+    now[0] += 1.0
+    log_writer.log("place")
+    assert reader.lines[0]["dropped"]["reset"] == 60
+    assert [line["message_type"] for line in reader.lines[1:]] == ["place"]
+
+
+def test_the_count_is_logged_without_a_further_event():
+    reader, now = Reader(), [10.0]
+    log_writer = journal(reader, now)
+    reader.blocked = True
+    log_writer.log("reset")
+    reader.blocked = False
+    log_writer.log_dropped()
+    log_writer.log_dropped()
+    [line] = reader.lines
+    assert line["dropped"] == {"reset": 1}
+
+
+class Pipe:
+    """A pipe with room for one page, and a writer of lines at one end."""
+
+    def __init__(self):
+        self.out, self.into = os.pipe()
+        fcntl.fcntl(self.into, fcntl.F_SETPIPE_SZ, select.PIPE_BUF)
+        self.writer = LineWriter(self.into)
+
+    def read(self):
+        return os.read(self.out, 100_000)
+
+    def close(self):
+        os.close(self.out)
+        os.close(self.into)
+
+
+@pytest.fixture
+def pipe():
+    pipe = Pipe()
+    yield pipe
+    with contextlib.suppress(OSError):
+        pipe.close()
+
+
+def test_a_full_pipe_refuses_a_line_and_takes_whole_ones_later(pipe):
+    """A write to a full pipe stopped the process until somebody read it."""
+    line = b"x" * 999 + b"\n"
+    written = 0
+    with pytest.raises(BlockingIOError):
+        for _ in range(1000):
+            pipe.writer.write(line)
+            written += 1
+    assert written >= 1
+    assert pipe.read() == line * written
+    pipe.writer.write(line)
+    assert pipe.read() == line
+
+
+def test_a_line_that_was_written_in_part_is_completed_before_the_next():
+    sender, receiver = socket.socketpair()
+    sender.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    writer = LineWriter(sender.fileno())
+    lines = [b"%06d" % number + b"x" * 3000 + b"\n" for number in range(200)]
+    received, accepted = b"", []
+    for line in lines:
+        with contextlib.suppress(BlockingIOError):
+            writer.write(line)
+            accepted.append(line)
+        received += receiver.recv(1000)
+    receiver.setblocking(False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            received += receiver.recv(100_000)
+            with contextlib.suppress(BlockingIOError):
+                writer.write(b"")
+    assert 0 < len(accepted) < len(lines)
+    assert received == b"".join(accepted)
+
+
+def test_a_reader_that_is_gone_costs_only_its_lines(pipe):
+    os.close(pipe.out)
+    log_writer = FlowJournal("h", lambda: 1.0, lambda: 0.0, pipe.writer.write)
+    log_writer.log("reset")
+    os.close(pipe.into)
+    log_writer.log("reset")
+    assert log_writer.dropped == {"reset": 2}
