Fix: a value that JSON cannot hold raised from the log, long ones had no bound

Cause: the values of a log line are texts and numbers of other writers. `msgspec.json.encode` raises for lone surrogates (UnicodeEncodeError), deep nesting (RecursionError), integers of over 4,300 digits (ValueError) and whatever the `str` of an object raises; only OSError was expected, so the exception left the callback that logged, which ends the process. The sampling of flows raised for the same texts. Nothing bounded a line: one of 1 MB was written as it was, and lines above the size that a pipe takes whole mix with those of others.

Change: `encode_line` falls back to `log_values`, loaded by the first such line, which shortens values, names what it cannot write and leaves out fields beyond 4,096 bytes; the line says `cut`.

Integers beyond 64 bits, bytes, nan and odd keys never raised.

--- a/notchhoist/daemon/flow_journal.py
+++ b/notchhoist/daemon/flow_journal.py
@@ -41,6 +41,10 @@
 """Most lines a second of one of the other events, so that none of them uses up
 the limit of all."""
 
+MAX_LINE_BYTES = 4096
+"""Longest line: what a pipe takes whole or not at all (``PIPE_BUF``), so that
+lines of processes that share one do not mix."""
+
 FLOWS_PER_SAMPLE = 8
 """One flow in this many is sampled."""
 
@@ -81,7 +85,8 @@
             self.flow_lines = self.costly_lines = 0
             self.other_lines.clear()
             self.log_dropped()
-        if self._admits(event, str(fields.get("flow", ""))):
+        flow = fields.get("flow")
+        if self._admits(event, flow if isinstance(flow, str) else ""):
             self._write(event, fields)
         else:
             self.dropped[event] += 1
@@ -135,7 +140,7 @@
         for name, value in fields.items():
             line[f"input_{name}" if name in line else name] = value
         try:
-            self.write(msgspec.json.encode(line, enc_hook=str) + b"\n")
+            self.write(encode_line(line))
         except OSError:
             # A later line reports how many lines were lost.
             self.dropped[event] += 1
@@ -143,6 +148,26 @@
         return True
 
 
+def encode_line(line: dict[str, object]) -> bytes:
+    r"""Encodes a line; values that JSON cannot hold or too long ones are cut.
+
+    Examples:
+        >>> encode_line({"host": "h", "outcome": "ready"})
+        b'{"host":"h","outcome":"ready"}\n'
+    """
+    try:
+        text = msgspec.json.encode(line, enc_hook=str)
+    except Exception:
+        # Values raise errors of any type, those of their own methods too. The
+        # line says that it is cut.
+        text = b""
+    if not text or len(text) >= MAX_LINE_BYTES:
+        from notchhoist.daemon.log_values import encode_shortened
+
+        text = encode_shortened(line, MAX_LINE_BYTES - 1)
+    return text + b"\n"
+
+
 def is_sampled(flow: str) -> bool:
     """Returns whether a flow is sampled, which is the same on every host.
 
@@ -150,7 +175,8 @@
         >>> is_sampled("")
         False
     """
-    return bool(flow) and zlib.crc32(flow.encode()) % FLOWS_PER_SAMPLE == 0
+    text = flow.encode(errors="backslashreplace")
+    return bool(flow) and zlib.crc32(text) % FLOWS_PER_SAMPLE == 0
 
 
 class LineWriter(Struct, eq=False):
