--- a/notchhoist/platform/applying.py
+++ b/notchhoist/platform/applying.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from notchhoist.flows.balancer.node import BalancerNode
+from notchhoist.flows.model.records import Count
 from notchhoist.flows.published import problems
 from notchhoist.platform import items
 from notchhoist.platform.items import CONFIGURATION_KEY, StoreEvent
@@ -77,6 +78,7 @@
 def _refuse(node: BalancerNode, text: str) -> None:
     """Records why the configuration is refused; logs it once while it lasts."""
     board = node.board
+    board.records.counters[Count.PARTS_REFUSED] += 1
     if board.refused == text:
         return
     board.refused = text
--- a/notchhoist/platform/feeding.py
+++ b/notchhoist/platform/feeding.py
@@ -153,10 +153,13 @@
         apply_events(self.node, events, board.store_revision, now)
         # A refused watch or the first of several pages confirms nothing.
         if board.fleet_known and self.reader.answer_complete:
-            board.view.advance_to(self.reader.revision)
-            self.node.synchronizer.on_confirmed(
-                now, self.reader.answer_age_s(now - self.called_at)
-            )
+            # A listing older than the view shows that the view's revision is
+            # wrong: others that have it must read the store themselves.
+            known = self.revision_at_listing
+            if listed is None or listed.revision >= known:
+                board.view.advance_to(self.reader.revision)
+                age_s = self.reader.answer_age_s(now - self.called_at)
+                self.node.synchronizer.on_confirmed(now, age_s)
             self.node.on_published(now)
 
     def _on_store_regained(self) -> None:
--- a/notchhoist/platform/items.py
+++ b/notchhoist/platform/items.py
@@ -4,7 +4,12 @@
 
 from notchhoist.base.errors import ConfigurationRefusedError
 from notchhoist.flows.model.fleet import RouteTable, ServerEntry
-from notchhoist.flows.model.revisions import COUNTS_PER_ERA, make_revision
+from notchhoist.flows.model.ranges import (
+    MAX_KEY_BYTES,
+    MAX_REVISION,
+    is_name,
+)
+from notchhoist.flows.model.revisions import make_revision
 from notchhoist.platform.documents import (
     decode_configuration,
     decode_entry,
@@ -16,7 +21,8 @@
 SERVERS_PREFIX = "servers/"
 EVACUATIONS_PREFIX = "op/evacuate/"
 """An item with this prefix evacuates a zone for as long as the item exists."""
-MAX_REVISION = COUNTS_PER_ERA - 1
+
+KEY_FORM = f"a prefix and a printable name, at most {MAX_KEY_BYTES} bytes"
 
 
 class TablePublished(Struct, frozen=True):
@@ -108,13 +114,10 @@
 )
 
 
-def read_item(
-    place: str, value: object, era: int = 0
-) -> tuple[str, StoreEvent | None]:
+def read_item(value: object, era: int = 0) -> tuple[str, StoreEvent | None]:
     """Decodes an item; an invalid item yields an event and raises nothing.
 
     Args:
-        place: Path to the item, for error messages.
         value: The item, decoded from JSON.
         era: Era of the store to which its revisions belong.
 
@@ -123,21 +126,24 @@
         the item is not relevant here.
     """
     try:
-        item = Fields(value, place)
-        key = item.text("key")
+        key = Fields(value, "item").text("key")
+        if len(key) > MAX_KEY_BYTES:
+            raise FieldError("item.key", KEY_FORM, key)
     except FieldError as error:
         return "", ItemRefused(error)
-    return key, _event(key, item, era)
+    return key, _event(key, Fields(value, key), era)
 
 
 def _event(key: str, item: Fields, era: int) -> StoreEvent | None:
     if key == CONFIGURATION_KEY:
         return _table_event(item, era)
+    if not key.startswith((SERVERS_PREFIX, EVACUATIONS_PREFIX)):
+        return None
+    if not is_name(key) or key in (SERVERS_PREFIX, EVACUATIONS_PREFIX):
+        return ItemRefused(FieldError("item.key", KEY_FORM, key))
     if key.startswith(SERVERS_PREFIX):
         return _server_event(key.removeprefix(SERVERS_PREFIX), item, era)
-    if key.startswith(EVACUATIONS_PREFIX):
-        return _zone_event(key.removeprefix(EVACUATIONS_PREFIX), item, era)
-    return None
+    return _zone_event(key.removeprefix(EVACUATIONS_PREFIX), item, era)
 
 
 def _revision(item: Fields, name: str, era: int) -> int:
--- a/notchhoist/platform/json_fields.py
+++ b/notchhoist/platform/json_fields.py
@@ -1,13 +1,26 @@
 """Validated access to decoded JSON; each error names the field's path."""
 
 from collections.abc import Callable, Mapping
+from itertools import islice
 from typing import Any, TypeVar
 
 from notchhoist.base.errors import ConfigurationProblem
+from notchhoist.flows.model.ranges import (
+    MAX_NAME_BYTES,
+    MAX_PORT,
+    MIN_PORT,
+    is_name,
+)
 
 T = TypeVar("T")
 
+NAME_FORM = f"a printable text of at most {MAX_NAME_BYTES} bytes"
+
 _SHOWN_CHARACTERS_MAX = 60
+_SHOWN_ITEMS_MAX = 4
+_SHOWN_LEVELS_MAX = 2
+_SHOWN_BITS_MAX = 128
+"""Limits of the part of an invalid value that an error shows."""
 
 
 class FieldError(ValueError):
@@ -18,8 +31,7 @@
     """
 
     def __init__(self, place: str, expected: str, got: object) -> None:
-        shown = repr(got)[:_SHOWN_CHARACTERS_MAX]
-        self.problem = ConfigurationProblem(place, expected, shown)
+        self.problem = ConfigurationProblem(place, expected, _shown(got))
         super().__init__(str(self.problem))
 
 
@@ -103,6 +115,13 @@
             raise FieldError(self._at(name), "a non-empty string", value)
         return value
 
+    def name(self, name: str) -> str:
+        """Returns a name; see ``is_name``."""
+        value = self.text(name)
+        if not is_name(value):
+            raise FieldError(self._at(name), NAME_FORM, value)
+        return value
+
     def choice(self, name: str, choices: tuple[str, ...]) -> str:
         """Returns a string that is one of the choices."""
         value = self.text(name)
@@ -177,14 +196,71 @@
     Examples:
         >>> split_address("10.1.0.10:8172", "listen.ready")
         ('10.1.0.10', 8172)
+
+    Raises:
+        FieldError: The octets or the port are out of range, or not written as
+            ``parse_decimal`` requires.
     """
-    host, _, port = text.rpartition(":")
-    octets = host.split(".")
-    good = len(octets) == 4 and all(_is_number(part, 255) for part in octets)
-    if not good or not _is_number(port, 65535):
+    host, _, port_text = text.rpartition(":")
+    octets = [parse_decimal(part, 0, 255) for part in host.split(".")]
+    port = parse_decimal(port_text, MIN_PORT, MAX_PORT)
+    if len(octets) != 4 or None in octets or port is None:
         raise FieldError(place, "ip:port", text)
-    return host, int(port)
+    return host, port
+
+
+def parse_decimal(text: str, low: int, high: int) -> int | None:
+    """Returns the number from ``low`` to ``high`` that a text denotes.
+
+    Leading zeros are refused: ``socket`` takes octets with them for octal.
+
+    Examples:
+        >>> parse_decimal("8172", 1, 65535), parse_decimal("08172", 1, 65535)
+        (8172, None)
+
+    Returns:
+        None if the number is out of range or the text has anything but the
+        ASCII digits of a number without leading zeros.
+    """
+    # ``int`` raises ValueError for texts of several thousand digits.
+    if len(text) > len(str(high)):
+        return None
+    if not (text.isascii() and text.isdecimal()):
+        return None
+    if text[0] == "0" and text != "0":
+        return None
+    number = int(text)
+    return number if low <= number <= high else None
 
 
-def _is_number(text: str, maximum: int) -> bool:
-    return text.isascii() and text.isdecimal() and int(text) <= maximum
+def _shown(value: object, levels: int = _SHOWN_LEVELS_MAX) -> str:
+    """Returns the first characters of the text of a decoded JSON value.
+
+    ``repr`` would take time in proportion to the value, and it raises
+    RecursionError for values that the decoder accepts.
+
+    Examples:
+        >>> _shown({"a": [1, [2, [3]]]}), _shown(1 << 200), _shown([1] * 9)
+        ("{'a': [1, [...]]}", 'a number of 201 bits', '[1, 1, 1, 1, ...]')
+    """
+    if isinstance(value, str):
+        text = repr(value[:_SHOWN_CHARACTERS_MAX])
+    elif isinstance(value, Mapping):
+        pairs = islice(value.items(), _SHOWN_ITEMS_MAX) if levels else ()
+        items = [
+            f"{_shown(key)}: {_shown(item, levels - 1)}" for key, item in pairs
+        ]
+        text = "{" + _joined(items, len(value)) + "}"
+    elif isinstance(value, list | tuple):
+        shown = value[:_SHOWN_ITEMS_MAX] if levels else ()
+        items = [_shown(item, levels - 1) for item in shown]
+        text = "[" + _joined(items, len(value)) + "]"
+    elif isinstance(value, int) and value.bit_length() > _SHOWN_BITS_MAX:
+        text = f"a number of {value.bit_length()} bits"
+    else:
+        text = repr(value)
+    return text[:_SHOWN_CHARACTERS_MAX]
+
+
+def _joined(items: list[str], total: int) -> str:
+    return ", ".join(items if len(items) == total else [*items, "..."])
