Fix: a quote in the name of a service made the metrics unreadable

Cause: names of services and zones are texts of other writers and stood in labels as they are. One with a quote, a backslash or a line feed ended its label early; a scraper then refuses all metrics of each balancer that knows it.

Change: `_label` writes the escapes of the text format.

Lone surrogates cannot come from the store: its JSON decoder refuses them.

--- a/notchhoist/daemon/flow_metrics.py
+++ b/notchhoist/daemon/flow_metrics.py
@@ -101,7 +101,7 @@
 def _build_lines(balances: bool) -> list[str]:
     """Returns the metric that names role, version and machine."""
     fields = process_fields(balances).items()
-    labels = ",".join(f'{name}="{value}"' for name, value in fields)
+    labels = ",".join(f'{name}="{_label(value)}"' for name, value in fields)
     name = "notchhoist_build_info"
     return [f"# TYPE {name} gauge", f"{name}{{{labels}}} 1"]
 
@@ -135,7 +135,7 @@
     name = "notchhoist_round_trip_seconds"
     lines = [f"# TYPE {name} gauge"]
     return lines + [
-        f'{name}{{zone="{zone}"}} {round_trip_s:g}'
+        f'{name}{{zone="{_label(zone)}"}} {round_trip_s:g}'
         for zone, round_trip_s in known.items()
     ]
 
@@ -175,11 +175,23 @@
         name = f"notchhoist_{timing.value}_seconds"
         lines.append(f"# TYPE {name} histogram")
         for series in selected:
-            labels = f'service="{series.service}",outcome="{series.outcome}"'
+            service, outcome = _label(series.service), _label(series.outcome)
+            labels = f'service="{service}",outcome="{outcome}"'
             lines += _histogram_lines(name, labels, histograms[series])
     return lines
 
 
+def _label(text: str) -> str:
+    r"""Returns a label's value with the escapes of the text format.
+
+    Examples:
+        >>> print(_label('a "b"'))
+        a \"b\"
+    """
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    return escaped.replace("\n", "\\n")
+
+
 def _histogram_lines(name: str, labels: str, histogram: Histogram) -> list[str]:
     lines = []
     total = 0
