--- a/notchhoist/daemon/flow_daemon.py
+++ b/notchhoist/daemon/flow_daemon.py
@@ -14,11 +14,7 @@
 
 from notchhoist.base import datagrams
 from notchhoist.daemon.decision_groups import group_decisions
-from notchhoist.daemon.flow_journal import (
-    FlowJournal,
-    flow_text,
-    process_fields,
-)
+from notchhoist.daemon.flow_journal import FlowJournal, flow_text
 from notchhoist.daemon.flow_metrics import (
     METRICS_PATH,
     METRICS_PORT,
@@ -71,6 +67,9 @@
 """How long an agent of a draining server waits at most for the exit of the
 server after a request to stop, seconds: idle flows there end with the exit."""
 
+DROPPED_LINES_INTERVAL_S = 5.0
+"""How often the number of log lines that were left out is logged, seconds."""
+
 
 class FlowDaemon(Struct, eq=False):
     """One process: sockets, timers and a node; see ``make_flow_daemon``.
@@ -138,7 +137,8 @@
             (self.settings.bind_ip, METRICS_PORT),
             self._answer_metrics_port,
         )
-        self.journal.log("start", **process_fields(self.settings.balances))
+        loop.call_later(DROPPED_LINES_INTERVAL_S, self._log_dropped_lines)
+        self.journal.log_start(self.settings.balances)
         self._log_invalid_settings(self.settings)
         disabled = [
             name for name in NAMES if not getattr(self.settings.uses, name)
@@ -267,6 +267,11 @@
             fields["flow"] = flow_text(decision.flow)
         self.journal.log(decision.event, outcome=decision.outcome, **fields)
 
+    def _log_dropped_lines(self) -> None:
+        """Logs periodically how many log lines were left out."""
+        self.loop.call_later(DROPPED_LINES_INTERVAL_S, self._log_dropped_lines)
+        self.journal.log_dropped()
+
     def _apply_settings(self, settings: HostSettings) -> None:
         """Puts those of changed settings in force that may change."""
         self._log_invalid_settings(settings)
