Soak: a disruption lasts until killed processes start again

The promise runs from the start of a process (contact_s, 4 s); the soak counted from the moment of the power-off, 2 s earlier.

Change: while a process that the run killed is down, the disruption goes on. Planned stops are unaffected: for them every bound holds throughout. This replaces a wrong check: it judged a time in which nothing is promised.

--- a/notchhoist/testing/soak/daemons.py
+++ b/notchhoist/testing/soak/daemons.py
@@ -61,6 +61,7 @@
         command: Command line of its processes.
         settings_text: Complete contents of its settings file.
         signals_at_starts: Signals that its next processes get, one list each.
+        killed: Whether it was killed and has not been started again.
         was_paused: Whether the process was suspended since its start.
         exit_statuses: Statuses with which the process may exit: 0 after a
             request to stop, and those of signals that it did not handle yet.
@@ -80,6 +81,7 @@
     command: tuple[str, ...] = COMMAND
     settings_text: str = ""
     signals_at_starts: list[Signals] = attrs.Factory(list)
+    killed: bool = False
     was_paused: bool = False
     exit_statuses: set[int] = attrs.Factory(set)
     starts: int = 0
@@ -137,7 +139,7 @@
             self.process = subprocess.Popen(
                 self.command, env=variables, stdout=log, stderr=log
             )
-        self.was_paused = False
+        self.killed = self.was_paused = False
         self.exit_statuses = set()
         self.kill_at = float("inf")
         self.starts += 1
@@ -151,6 +153,7 @@
 
     def kill(self, now: float, down_s: float = RESTART_DELAY_S) -> None:
         """Sends SIGKILL; the process is restarted after a pause."""
+        self.killed = True
         self.down_until = max(self.down_until, now + down_s)
         self._signal(signal.SIGKILL)
 
--- a/notchhoist/testing/soak/fleet.py
+++ b/notchhoist/testing/soak/fleet.py
@@ -304,6 +304,9 @@
     def _supervise(self) -> None:
         now = self.loop.clock()
         for daemon in self.daemons:
+            if daemon.killed:
+                # Nothing is promised until some seconds after its next start.
+                self.disturb()
             starts = daemon.starts
             status = daemon.supervise(now)
             if daemon.starts > starts and daemon.signals_at_starts:
--- a/notchhoist/testing/soak/tests/test_soak.py
+++ b/notchhoist/testing/soak/tests/test_soak.py
@@ -16,6 +16,7 @@
     Daemon,
     handles_signal,
 )
+from notchhoist.testing.soak.fleet import Fleet
 from notchhoist.testing.soak.plan import (
     LATER_SEEDS,
     NEWEST_SEEDS,
@@ -218,6 +219,25 @@
     assert status == (None if paused else -signal.SIGKILL)
 
 
+def test_a_disruption_lasts_until_killed_processes_start_again():
+    """Guards against deadlines that run while a host is without power."""
+    loop, disturbed_at = PausedLoop(), []
+    daemon = SimpleNamespace(
+        killed=True, starts=1, signals_at_starts=[], supervise=lambda _: None
+    )
+    fleet = SimpleNamespace(
+        loop=loop,
+        daemons=[daemon],
+        disturb=lambda: disturbed_at.append(loop.now),
+    )
+    fleet._supervise = lambda: Fleet._supervise(fleet)
+    loop.call_later(0.5, lambda: setattr(daemon, "killed", False))
+    fleet._supervise()
+    loop.run_until(1.0)
+    assert disturbed_at
+    assert 0.4 < max(disturbed_at) <= 0.5
+
+
 def test_a_handled_signal_is_told_from_one_that_ends_the_process():
     pid = os.getpid()
     assert handles_signal(pid, signal.SIGINT)
