Soak: signals to starting processes end them without a plan, too

Change: such an end, and any end by a signal, is a disruption until the process starts again. Stops of planned work still are none.

Result: the extended unit test passes; it fails without the change for SIGTERM.

--- a/notchhoist/testing/soak/daemons.py
+++ b/notchhoist/testing/soak/daemons.py
@@ -61,7 +61,8 @@
         command: Command line of its processes.
         settings_text: Complete contents of its settings file.
         signals_at_starts: Signals that its next processes get, one list each.
-        killed: Whether it was killed and has not been started again.
+        killed: Whether it was ended without a plan and has not been started
+            again.
         was_paused: Whether the process was suspended since its start.
         exit_statuses: Statuses with which the process may exit: 0 after a
             request to stop, and those of signals that it did not handle yet.
@@ -177,7 +178,8 @@
         self._signal(signal.SIGHUP)
 
     def send(self, number: signal.Signals, now: float) -> None:
-        """Reloads, stops or kills the process."""
+        """Reloads, stops or kills the process, without a plan."""
+        self.killed |= number == signal.SIGTERM
         match number:
             case signal.SIGHUP:
                 self.reload()
@@ -205,6 +207,7 @@
         if status is None:
             return None
         self.process = None
+        self.killed |= status != 0
         self.down_until = max(self.down_until, now + RESTART_DELAY_S)
         return None if status in self.exit_statuses else status
 
--- a/notchhoist/testing/soak/tests/test_soak.py
+++ b/notchhoist/testing/soak/tests/test_soak.py
@@ -203,6 +203,7 @@
     daemon.process = EndingProcess(status)
     daemon.send(number, 0.0)
     assert (daemon.supervise(0.1) is not None) == reported
+    assert daemon.killed == (number != signal.SIGHUP or status != 0)
 
 
 @pytest.mark.parametrize("paused", [False, True])
