--- a/notchhoist/testing/soak/tests/test_soak.py
+++ b/notchhoist/testing/soak/tests/test_soak.py
@@ -2,11 +2,14 @@
 
 import itertools
 import os
+import random
 import signal
 from types import SimpleNamespace
 
 import pytest
 
+from notchhoist.testing.opaque.frames import SYN, Frame, encode_frame
+from notchhoist.testing.opaque.judge import CONTACT_S, Judge
 from notchhoist.testing.soak import daemons, final_checks, run
 from notchhoist.testing.soak.addresses import BLOCKS, Block
 from notchhoist.testing.soak.daemons import (
@@ -16,6 +19,8 @@
     Daemon,
     handles_signal,
 )
+from notchhoist.testing.soak.endpoints import KEY, Endpoints
+from notchhoist.testing.soak.fleet import MAX_LAG_S, Fleet
 from notchhoist.testing.soak.plan import (
     LATER_SEEDS,
     NEWEST_SEEDS,
@@ -201,6 +206,7 @@
     daemon.process = EndingProcess(status)
     daemon.send(number, 0.0)
     assert (daemon.supervise(0.1) is not None) == reported
+    assert daemon.killed == (number != signal.SIGHUP or status != 0)
 
 
 @pytest.mark.parametrize("paused", [False, True])
@@ -218,6 +224,47 @@
     assert status == (None if paused else -signal.SIGKILL)
 
 
+def test_a_disruption_lasts_until_killed_processes_start_again():
+    """Guards against deadlines that run while a host is without power."""
+    loop, disturbed_at = PausedLoop(), []
+    daemon = SimpleNamespace(
+        killed=True, starts=1, signals_at_starts=[], supervise=lambda _: None
+    )
+    fleet = SimpleNamespace(
+        loop=loop,
+        daemons=[daemon],
+        disturb=lambda: disturbed_at.append(loop.now),
+    )
+    fleet._supervise = lambda: Fleet._supervise(fleet)
+    loop.call_later(0.5, lambda: setattr(daemon, "killed", False))
+    fleet._supervise()
+    loop.run_until(1.0)
+    assert disturbed_at
+    assert 0.4 < max(disturbed_at) <= 0.5
+
+
+def test_a_reset_that_a_lagging_loop_reads_late_is_excused():
+    fleet = SimpleNamespace(loop=PausedLoop(), judge=Judge())
+    Fleet.disturb(fleet)
+    assert not fleet.judge.is_calm(CONTACT_S + 0.9 * MAX_LAG_S)
+    assert fleet.judge.is_calm(CONTACT_S + MAX_LAG_S)
+
+
+@pytest.mark.parametrize("damaged", [False, True])
+def test_forged_packets_at_servers_are_excused_after_damaged_messages(damaged):
+    judge = Judge()
+    endpoints = Endpoints(PausedLoop(), random.Random(1), judge, None)
+    endpoints.samples_damaged = damaged
+    frame = Frame(("127.0.0.1", 1), ("127.0.0.1", 2), SYN, 0, 0)
+    genuine, forged = encode_frame(frame, KEY), encode_frame(frame, b"other")
+    assert endpoints._decode(genuine, "UNASKED", 0.0) is not None
+    assert not judge.broken
+    endpoints._decode(forged, "UNASKED", 0.0)
+    assert bool(judge.broken) == (not damaged)
+    endpoints._decode(forged, "MIXED", 1.0)
+    assert len(judge.broken) == (1 if damaged else 2)
+
+
 def test_a_handled_signal_is_told_from_one_that_ends_the_process():
     pid = os.getpid()
     assert handles_signal(pid, signal.SIGINT)
