The last record needs no module where none can be loaded

Cause: a request to stop that came while a module of the standard library was half loaded ended the process without a record, since the module that writes it needs that one. Where no file descriptors were left, that module could not be loaded either, and a traceback was written on standard error. Change: a short record of fixed form stands in for it.

--- a/notchhoist/daemon/__main__.py
+++ b/notchhoist/daemon/__main__.py
@@ -24,6 +24,7 @@
     from notchhoist.platform.settings import FileVersion, HostSettings
 
 STARTED_AT = time.monotonic()
+EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 
 
@@ -39,6 +40,26 @@
             os.open(os.devnull, os.O_RDWR)
 
 
+def _write_short_record(event: str, key: str, name: str, status: int) -> None:
+    """Writes a log record without loading any module.
+
+    Args:
+        event: Type of the record.
+        key: Name of a further field.
+        name: Value of that field, which needs no escapes.
+        status: Exit status of the process.
+    """
+    record = (
+        f'{{"timestamp": {time.time():.3f}, "clock": {time.monotonic():.4f}, '
+        f'"message_type": "{event}", "host": "", "{key}": "{name}", '
+        f'"status": {status}}}\n'
+    )
+    try:
+        os.write(1, record.encode())
+    except OSError:
+        return  # Nobody reads the log.
+
+
 def _stop_before_serving(host: str) -> None:
     """Makes a request to stop end the process at once, with a log record.
 
@@ -47,14 +68,15 @@
     """
 
     def on_signal(number: int, frame: object) -> None:
-        # An exception could be lost in a callback of the interpreter.
+        # An exception could be lost in a callback of the interpreter, and a
+        # module whose loading was interrupted cannot be used.
+        name = "SIGTERM" if number == _signal.SIGTERM else "SIGINT"
         try:
-            import signal
-
             from notchhoist.daemon.exits import log_record
 
-            name = signal.Signals(number).name
             log_record(host, "stopped", signal=name, status=0)
+        except Exception:
+            _write_short_record("stopped", "signal", name, 0)
         finally:
             os._exit(0)
 
@@ -115,10 +137,21 @@
 
         run_host(settings, path, version, time.monotonic, time.time, STARTED_AT)
     except BaseException as error:
+        return _log_failure(host, error)
+    return 0
+
+
+def _log_failure(host: str, error: BaseException) -> int:
+    """Logs the error that ends the process; returns the exit status."""
+    try:
         from notchhoist.daemon.exits import log_failure
 
         return log_failure(host, error)
-    return 0
+    except Exception:
+        # Neither files nor memory may be left for more than this.
+        name = type(error).__name__
+        _write_short_record("exit", "reason", name, EXIT_FAILED)
+        return EXIT_FAILED
 
 
 def _check_settings() -> int:
--- a/notchhoist/daemon/tests/test_starts.py
+++ b/notchhoist/daemon/tests/test_starts.py
@@ -277,6 +277,7 @@
 @pytest.mark.parametrize(
     ("module", "is_serving"),
     [
+        ("types", False),
         ("msgspec", False),
         ("notchhoist.platform.settings", False),
         ("notchhoist.daemon.flow_runner", False),
@@ -304,3 +305,12 @@
     folder = f"/proc/{started.process.pid}/fd"
     files = [os.readlink(f"{folder}/{number}") for number in range(3)]
     assert files == [os.devnull] * 3
+
+
+@pytest.mark.parametrize("limit", [7, 8, 9, 10])
+def test_a_lack_of_file_descriptors_ends_a_start_with_a_record(start, limit):
+    limiting = ["sh", "-c", f'ulimit -n {limit}; exec "$@"', "sh"]
+    started = start("agent", command=limiting + run_command("agent"))
+    status, last = started.last_record()
+    assert (last["message_type"], last["status"]) == ("exit", status)
+    assert status in (1, 3)
