A log that nobody reads does not stop a process

Cause: log lines were written to standard output as it came. A pipe whose reader stands still is full after 64 KB; the next line then blocked the whole process: readiness checks timed out, and SIGTERM had no effect for 4 s (trial with a pipe of 4 KB; the process stood in anon_pipe_write until it was killed). The docstring had promised the contrary. Change: a pipe on standard output is made non-blocking; lines that do not fit are counted in `lines_dropped` as before, and a line that was cut off is ended before the next one. The new test of a real process with a full pipe did not get an answer before (stopped by hand after 90 s); it passes now.

--- a/notchhoist/daemon/flow_journal.py
+++ b/notchhoist/daemon/flow_journal.py
@@ -4,7 +4,9 @@
 takes 0.08 s and 4 MB to load, too much for the platform's hosts.
 """
 
+import errno
 import os
+import stat
 import zlib
 from collections import Counter
 from collections.abc import Callable
@@ -142,13 +144,39 @@
     return bool(flow) and zlib.crc32(flow.encode()) % FLOWS_PER_SAMPLE == 0
 
 
-def write_to_stdout(line: bytes) -> None:
-    """Writes to standard output without waiting for its reader.
+class Output(Struct, eq=False):
+    """A file for log lines that does not wait for its reader.
 
-    Raises:
-        OSError: The reader does not keep up; nothing useful was written.
+    Attributes:
+        number: File descriptor.
+        cut_off: The last line was written in part only.
+    """
+
+    number: int
+    cut_off: bool = False
+
+    def write(self, line: bytes) -> None:
+        """Writes a line, or a part of it.
+
+        Raises:
+            OSError: The reader does not keep up, or has gone.
+        """
+        if self.cut_off:
+            line = b"\n" + line
+        self.cut_off = os.write(self.number, line) < len(line)
+        if self.cut_off:
+            raise BlockingIOError(errno.EAGAIN, "written in part")
+
+
+def open_output(number: int) -> Output:
+    """Returns the output at a file descriptor.
+
+    A pipe would block the whole process once it is full, so it is made
+    non-blocking, for everybody who has it from the same parent.
     """
-    os.write(1, line)
+    if stat.S_ISFIFO(os.fstat(number).st_mode):
+        os.set_blocking(number, False)
+    return Output(number)
 
 
 def flow_text(flow: bytes) -> str:
--- a/notchhoist/daemon/flow_runner.py
+++ b/notchhoist/daemon/flow_runner.py
@@ -15,7 +15,7 @@
 from notchhoist.base.draws import make_draw
 from notchhoist.base.errors import AddressError
 from notchhoist.daemon.flow_daemon import FlowDaemon
-from notchhoist.daemon.flow_journal import FlowJournal, write_to_stdout
+from notchhoist.daemon.flow_journal import FlowJournal, open_output
 from notchhoist.daemon.loop import Clock, Loop
 from notchhoist.daemon.ports import HostSockets, Ports, open_host_sockets
 from notchhoist.links.scheduler import make_scheduler
@@ -176,7 +176,7 @@
         AddressError: An address cannot be bound.
     """
     loop = Loop(clock)
-    journal = FlowJournal(settings.name, clock, wall, write_to_stdout)
+    journal = FlowJournal(settings.name, clock, wall, open_output(1).write)
     daemon = make_daemon(settings, loop, journal, started_at)
     daemon.start()
     daemon.watch_settings(path, version)
--- a/notchhoist/daemon/tests/test_flow_journal.py
+++ b/notchhoist/daemon/tests/test_flow_journal.py
@@ -1,6 +1,9 @@
 """Tests of the log writer: limits per second, and writing without blocking."""
 
 import json
+import os
+
+import pytest
 
 from notchhoist.daemon.flow_journal import (
     MAX_FLOW_LINES,
@@ -10,6 +13,7 @@
     MAX_UNSAMPLED_FLOW_LINES,
     FlowJournal,
     is_sampled,
+    open_output,
 )
 
 COSTLESS_LINES = 100
@@ -136,3 +140,26 @@
     assert events.count("server") == MAX_LINES_PER_EVENT
     assert events.count("find") == MAX_FLOW_LINES
     assert len(events) == MAX_OTHER_LINES + MAX_FLOW_LINES <= COSTLESS_LINES
+
+
+def test_a_line_that_was_cut_off_does_not_spoil_the_next_one():
+    receiver, sender = os.pipe()
+    output = open_output(sender)
+    long_line = b"x" * 1_000_000 + b"\n"
+    with pytest.raises(OSError):
+        output.write(long_line)
+    with pytest.raises(OSError):
+        output.write(b"lost\n")
+    received = os.read(receiver, 1_000_000)
+    output.write(b"next\n")
+    assert (received + os.read(receiver, 100)).endswith(b"x\nnext\n")
+    os.close(receiver)
+    os.close(sender)
+
+
+def test_a_pipe_without_a_reader_raises_an_error():
+    receiver, sender = os.pipe()
+    os.close(receiver)
+    with pytest.raises(BrokenPipeError):
+        open_output(sender).write(b"line\n")
+    os.close(sender)
--- a/notchhoist/daemon/tests/test_starts.py
+++ b/notchhoist/daemon/tests/test_starts.py
@@ -1,5 +1,6 @@
 """Tests of starts and ends of real processes in odd surroundings."""
 
+import contextlib
 import json
 import os
 import signal
@@ -314,3 +315,20 @@
     status, last = started.last_record()
     assert (last["message_type"], last["status"]) == ("exit", status)
     assert status in (1, 3)
+
+
+def test_a_log_that_nobody_reads_does_not_stop_a_process(start, tmp_path):
+    """Guards against a full pipe, in which the next log line waits forever."""
+    path = tmp_path / "pipe"
+    os.mkfifo(path)
+    pipe = os.open(path, os.O_RDWR | os.O_NONBLOCK)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(pipe, b"x")
+    piping = ["sh", "-c", f'exec "$@" >{path}', "sh"]
+    started = start("agent", command=piping + run_command("agent"))
+    wait_for(lambda: answers(PORTS["ready"], "/ready"))
+    started.process.terminate()
+    assert started.process.wait(WAIT_S) == 0
+    os.close(pipe)
+    assert json.loads(started.errors.read_text())["message_type"] == "stopped"
