Keep items without a key in the order in which they came

Change: the board keeps their keys in a queue.

A new test holds the limit over items that went and came back; it passes before and after.

--- a/notchhoist/flows/boards/balancer_board.py
+++ b/notchhoist/flows/boards/balancer_board.py
@@ -172,14 +172,12 @@
         seen_at: Revision of the last answer of the store that held it.
         server_id: Id of the server whose entry it is, or empty.
         is_configuration: It is the configuration.
-        is_unkeyed: Its key cannot be read.
     """
 
     texts: tuple[str, ...]
     seen_at: int
     server_id: str = ""
     is_configuration: bool = False
-    is_unkeyed: bool = False
 
 
 class BalancerBoard(Struct, eq=False):
@@ -243,6 +241,8 @@
         refused: Why the last published document was refused, or empty.
         problems: Published items that are not understood, by key; see
             ``present_problems``.
+        unkeyed_problems: Keys in ``problems`` of items without a readable key,
+            oldest first.
         resumed_at: When this process last resumed after a stall, seconds.
             Messages that arrived during the stall were read up to then.
         isolated: Neither agents nor other balancers are heard.
@@ -292,6 +292,9 @@
     stopping: bool = False
     refused: str = ""
     problems: dict[str, PublishedProblem] = field(default_factory=dict)
+    unkeyed_problems: collections.deque[str] = field(
+        default_factory=collections.deque
+    )
     resumed_at: float = float("-inf")
     isolated: bool = False
     uses: Mechanisms = ALL
--- a/notchhoist/flows/published/problems.py
+++ b/notchhoist/flows/published/problems.py
@@ -5,6 +5,7 @@
 return the texts that did not hold before, which are to be logged.
 """
 
+from collections import deque
 from collections.abc import Iterable, Sequence
 
 from notchhoist.flows.boards.balancer_board import (
@@ -71,13 +72,14 @@
         text: What is wrong with it.
         seen_at: Revision of the store's answer.
     """
-    unkeyed = [key for key, item in board.problems.items() if item.is_unkeyed]
     is_new = text not in board.problems
-    if is_new and len(unkeyed) >= MAX_UNKEYED:
-        del board.problems[unkeyed[0]]
     problem = _put(board, text, [text], seen_at)
-    problem.is_unkeyed = True
-    return list(problem.texts) if is_new else []
+    if not is_new:
+        return []
+    board.unkeyed_problems.append(text)
+    if len(board.unkeyed_problems) > MAX_UNKEYED:
+        board.problems.pop(board.unkeyed_problems.popleft(), None)
+    return list(problem.texts)
 
 
 def _put(
@@ -105,9 +107,12 @@
         board: State of the balancer.
         revision: Revision of the listing.
     """
-    for key, problem in list(board.problems.items()):
+    problems = board.problems
+    for key, problem in list(problems.items()):
         if problem.seen_at < revision:
-            del board.problems[key]
+            del problems[key]
+    unkeyed = board.unkeyed_problems
+    board.unkeyed_problems = deque(key for key in unkeyed if key in problems)
 
 
 def log_problems(board: BalancerBoard, texts: Sequence[str]) -> None:
--- a/notchhoist/platform/tests/test_problems.py
+++ b/notchhoist/platform/tests/test_problems.py
@@ -106,6 +106,17 @@
     assert listed(feeder)[-1].endswith(f"got {MAX_UNKEYED + 49}")
 
 
+def test_items_without_a_key_that_came_back_are_kept():
+    feeder = make_feeder({"key": 1})
+    read_all(feeder)
+    assert listed(feeder) == []
+    read_all(feeder, {"key": 1}, as_of=80)
+    watch(feeder, *[{"key": n} for n in range(2, MAX_UNKEYED + 1)], as_of=81)
+    assert len(listed(feeder)) == MAX_UNKEYED
+    watch(feeder, {"key": 0}, as_of=82)
+    assert len(listed(feeder)) == MAX_UNKEYED
+
+
 def test_a_mended_configuration_is_no_longer_listed():
     feeder = make_feeder(item("op/config", PARTLY_INVALID))
     assert health(feeder.node, 1.0)["not_understood"] == 1
