--- a/notchhoist/daemon/__main__.py
+++ b/notchhoist/daemon/__main__.py
@@ -2,8 +2,9 @@
 
 A reload signal (SIGHUP) that arrives before its handler is installed would end
 the process, so it is ignored from the first line on; the settings are read
-later anyway. The garbage collector is off until the process serves: there is no
-garbage yet, and the collector takes a tenth of the time of a start.
+later anyway. A request to stop ends a process at once that does not serve yet.
+The garbage collector is off until the process serves: there is no garbage yet,
+and the collector takes a tenth of the time of a start.
 """
 
 import _signal
@@ -14,56 +15,139 @@
 
 gc.disable()
 
+import os  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
 
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from notchhoist.platform.settings import FileVersion, HostSettings
+
 STARTED_AT = time.monotonic()
 EXIT_BAD_SETTINGS = 2
-EXIT_CANNOT_BIND = 3
 
 
-def _run_on_platform(check: bool) -> int:
-    from notchhoist.daemon.lean_imports import load_msgspec
+def _open_standard_files() -> None:
+    """Opens the null device for standard files that are closed.
+
+    Sockets would get their numbers otherwise, and log lines with them.
+    """
+    for number in range(3):
+        try:
+            os.fstat(number)
+        except OSError:
+            os.open(os.devnull, os.O_RDWR)
+
+
+def _stop_before_serving(host: str) -> None:
+    """Makes a request to stop end the process at once, with a log record.
+
+    Args:
+        host: Name of this host; empty if it is not known yet.
+    """
+
+    def on_signal(number: int, frame: object) -> None:
+        # An exception could be lost in a callback of the interpreter.
+        try:
+            import signal
+
+            from notchhoist.daemon.exits import log_record
+
+            name = signal.Signals(number).name
+            log_record(host, "stopped", signal=name, status=0)
+        finally:
+            os._exit(0)
+
+    for number in (_signal.SIGTERM, _signal.SIGINT):
+        _signal.signal(number, on_signal)
 
-    load_msgspec()
+
+def _load_settings(path: str) -> "tuple[HostSettings, FileVersion | None]":
+    """Reads the settings; waits for a moment if the file is invalid.
+
+    Args:
+        path: Path of the settings file.
+
+    Returns:
+        The settings, and the version of their file.
+
+    Raises:
+        SettingsRefusedError: The file has stayed invalid.
+    """
+    from notchhoist.base.errors import SettingsRefusedError
+    from notchhoist.platform.settings import file_version, load_host_settings
+
+    version = file_version(path)
+    try:
+        return load_host_settings(path), version
+    except SettingsRefusedError as error:
+        from notchhoist.daemon.exits import log_record
+        from notchhoist.daemon.start_waits import await_settings
+
+        log_record("", "start waits", outcome="for settings", reason=str(error))
+        return await_settings(path, time.monotonic, time.sleep)
+
+
+def _log_ignored_error(unraisable: "sys.UnraisableHookArgs") -> None:
+    """Logs an error in a callback of the interpreter, which ignores it."""
+    from notchhoist.daemon.exits import log_record
+
+    log_record("", "error ignored", reason=repr(unraisable.exc_value)[:2000])
+
+
+def _run_on_platform() -> int:
+    """Runs the daemon with the platform's settings; returns its exit status."""
+    host = ""
+    try:
+        _stop_before_serving(host)
+        _open_standard_files()
+        sys.unraisablehook = _log_ignored_error
+        from notchhoist.daemon.lean_imports import load_msgspec
+
+        load_msgspec()
+        from notchhoist.platform.settings import required_settings_path
+
+        path = required_settings_path()
+        settings, version = _load_settings(path)
+        host = settings.name
+        _stop_before_serving(host)
+        from notchhoist.daemon.flow_runner import run_host
+
+        run_host(settings, path, version, time.monotonic, time.time, STARTED_AT)
+    except BaseException as error:
+        from notchhoist.daemon.exits import log_failure
+
+        return log_failure(host, error)
+    return 0
+
+
+def _check_settings() -> int:
+    """Prints what is wrong with the settings file; returns the exit status."""
     from notchhoist.base.errors import SettingsRefusedError
     from notchhoist.platform.settings import (
-        PATH_VARIABLE,
         load_host_settings,
-        settings_path,
+        required_settings_path,
     )
 
-    path = settings_path()
-    if path is None:
-        print(f"{PATH_VARIABLE} names no settings file", file=sys.stderr)
-        return EXIT_BAD_SETTINGS
     try:
+        path = required_settings_path()
         settings = load_host_settings(path)
     except SettingsRefusedError as error:
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    if check:
-        for problem in settings.problems:
-            print(f"{path}: {problem}", file=sys.stderr)
-        print(
-            f"{path}: {'defaults for the rest' if settings.problems else 'ok'}"
-        )
-        return EXIT_BAD_SETTINGS if settings.problems else 0
-    from notchhoist.daemon.flow_runner import run_host
-
-    try:
-        run_host(settings, time.monotonic, time.time, STARTED_AT)
-    except OSError as error:
-        print(f"{settings.name}: {error}", file=sys.stderr)
-        return EXIT_CANNOT_BIND
-    return 0
+    for problem in settings.problems:
+        print(f"{path}: {problem}", file=sys.stderr)
+    print(f"{path}: {'defaults for the rest' if settings.problems else 'ok'}")
+    return EXIT_BAD_SETTINGS if settings.problems else 0
 
 
 def main() -> None:
     """Runs the daemon with the platform's settings, or with our own."""
-    if sys.argv[1:] in ([], ["--check"]):
-        sys.exit(_run_on_platform(check=len(sys.argv) > 1))
+    if not sys.argv[1:]:
+        sys.exit(_run_on_platform())
     gc.enable()
+    if sys.argv[1:] == ["--check"]:
+        sys.exit(_check_settings())
     from notchhoist.daemon.main import main as run_with_own_settings
 
     run_with_own_settings()
--- a/notchhoist/daemon/http_port.py
+++ b/notchhoist/daemon/http_port.py
@@ -176,7 +176,9 @@
         try:
             data = connection.sock.recv(RECEIVE_BYTES)
             connection.received += len(data)
-            if not data:
+            if not data and connection.received:
+                self._reject(connection, BAD_REQUEST)
+            elif not data:
                 self._close(connection)
             elif connection.received > MAX_REQUEST_BYTES:
                 self._reject(connection, REQUEST_TOO_LONG)
@@ -237,19 +239,28 @@
         connection.sock.close()
 
 
-def open_http_port(
-    loop: Loop, address: tuple[str, int], handler: Handler
-) -> HttpPort:
-    """Opens a server that listens at an address.
+def open_listener(address: tuple[str, int]) -> socket.socket:
+    """Opens a socket that accepts connections at an address.
 
     Raises:
         OSError: The address cannot be bound.
     """
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.setblocking(False)
-    listener.bind(address)
-    listener.listen(MAX_CONNECTIONS)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind(address)
+        listener.listen(MAX_CONNECTIONS)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
+def serve_http(
+    loop: Loop, listener: socket.socket, handler: Handler
+) -> HttpPort:
+    """Answers the requests that come to a listening socket."""
     port = HttpPort(loop, listener, handler)
     port.start()
     return port
--- a/notchhoist/daemon/tests/test_http_port.py
+++ b/notchhoist/daemon/tests/test_http_port.py
@@ -17,7 +17,8 @@
     MAX_CONNECTIONS,
     MAX_REQUEST_BYTES,
     Reply,
-    open_http_port,
+    open_listener,
+    serve_http,
 )
 from notchhoist.daemon.loop import Loop
 from notchhoist.flows.balancer.node import make_balancer
@@ -48,7 +49,8 @@
     def __init__(self, handler=lambda target: Reply(200, target)):
         self.now = 0.0
         self.loop = Loop(lambda: self.now)
-        self.port = open_http_port(self.loop, ("127.0.0.1", 0), handler)
+        listener = open_listener(("127.0.0.1", 0))
+        self.port = serve_http(self.loop, listener, handler)
 
     def run(self, iterations=3):
         for _ in range(iterations):
@@ -155,6 +157,18 @@
         assert (statuses(data), closed) == ([431], True)
 
 
+def test_request_that_ends_too_early_gets_400(server):
+    """The client has shut its side down, and still reads."""
+    for sent, expected in ((b"GET / HTTP/1.1\r\nHo", [400]), (b"", [])):
+        with server.connect() as sock:
+            sock.sendall(sent)
+            server.run()
+            sock.shutdown(socket.SHUT_WR)
+            server.run()
+            data, closed = received(sock)
+        assert (statuses(data), closed) == (expected, True)
+
+
 def test_requests_in_single_bytes_and_in_one_packet_are_answered(server):
     request = b"GET /x HTTP/1.1\r\nHost: h" + HEAD_END
     data, _ = server.exchange(*(bytes([byte]) for byte in request))
