A line that cannot be logged: test with a field that is given twice

Cause: the test took a lone surrogate for a value that no line can hold. The log writes it as an escape since values are shortened, so the line is there and nothing is counted: ['a', '\ud800', 'b'] and 0 instead of ['a', 'b'] and 1.

Change: the record in the middle has a field with the name of an argument of the writer, which still raises. The test asks for the same: the other lines, and one exception counted.

--- a/notchhoist/daemon/tests/test_exceptions.py
+++ b/notchhoist/daemon/tests/test_exceptions.py
@@ -21,7 +21,7 @@
 )
 from notchhoist.flows.balancer.node import make_balancer
 from notchhoist.flows.model.effects import ConfirmView
-from notchhoist.flows.model.records import Count
+from notchhoist.flows.model.records import Count, Decision
 from notchhoist.flows.tests.crafting import CODEC, packet
 from notchhoist.platform.feeding import StoreFeeder
 from notchhoist.platform.store import StoreReader
@@ -147,9 +147,10 @@
 
 
 def test_a_line_that_cannot_be_logged_does_not_cost_the_next_ones(process):
-    records = process.node.board.records
-    for text in ("a", "\ud800", "b"):
-        records.record_decision("server", b"", "ready", server=text)
+    decisions = process.node.board.records.decisions
+    odd = {"server": "odd", "outcome": "given twice"}
+    for inputs in ({"server": "a"}, odd, {"server": "b"}):
+        decisions.append(Decision("server", b"", inputs, "ready"))
     process.daemon.perform([])
     lines = [json.loads(line) for line in process.lines]
     logged = [item["server"] for item in lines if "server" in item]
