A short last record says outcome and whether a start helps

Cause: the record written where no module can be loaded lacked `outcome` and `restart_helps`, which operators look for.

--- a/notchhoist/daemon/__main__.py
+++ b/notchhoist/daemon/__main__.py
@@ -40,19 +40,18 @@
             os.open(os.devnull, os.O_RDWR)
 
 
-def _write_short_record(event: str, key: str, name: str, status: int) -> None:
+def _write_short_record(event: str, status: int, **texts: str) -> None:
     """Writes a log record without loading any module.
 
     Args:
         event: Type of the record.
-        key: Name of a further field.
-        name: Value of that field, which needs no escapes.
         status: Exit status of the process.
+        **texts: Further fields, which need no escapes.
     """
+    fields = "".join(f', "{key}": "{text}"' for key, text in texts.items())
     record = (
         f'{{"timestamp": {time.time():.3f}, "clock": {time.monotonic():.4f}, '
-        f'"message_type": "{event}", "host": "", "{key}": "{name}", '
-        f'"status": {status}}}\n'
+        f'"message_type": "{event}", "host": "", "status": {status}{fields}}}\n'
     )
     try:
         os.write(1, record.encode())
@@ -76,7 +75,7 @@
 
             log_record(host, "stopped", signal=name, status=0)
         except Exception:
-            _write_short_record("stopped", "signal", name, 0)
+            _write_short_record("stopped", 0, signal=name)
         finally:
             os._exit(0)
 
@@ -149,8 +148,13 @@
         return log_failure(host, error)
     except Exception:
         # Neither files nor memory may be left for more than this.
-        name = type(error).__name__
-        _write_short_record("exit", "reason", name, EXIT_FAILED)
+        _write_short_record(
+            "exit",
+            EXIT_FAILED,
+            outcome="uncaught error",
+            restart_helps="unknown",
+            reason=type(error).__name__,
+        )
         return EXIT_FAILED
 
 
--- a/notchhoist/daemon/tests/test_starts.py
+++ b/notchhoist/daemon/tests/test_starts.py
@@ -314,7 +314,10 @@
     started = start("agent", command=limiting + run_command("agent"))
     status, last = started.last_record()
     assert (last["message_type"], last["status"]) == ("exit", status)
-    assert status in (1, 3)
+    assert (status, last["outcome"]) in (
+        (1, "uncaught error"),
+        (3, "address not available"),
+    )
 
 
 def test_a_log_that_nobody_reads_does_not_stop_a_process(start, tmp_path):
