Test a changed era in one control message (known red)

Cause: a balancer takes over the era of any view that it is sent. StoreReader.resume then raises its era, and update_era refuses each answer of the store as one of an earlier era. The balancer tells the era to the others, also to one that starts again. They stay ready and follow nothing. Change: a test that changes the field era of one view between two balancers. Result: it fails on: 'i-9' is in neither list 40 calls later.

--- a/notchhoist/platform/tests/test_odd_answers.py
+++ b/notchhoist/platform/tests/test_odd_answers.py
@@ -6,9 +6,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from notchhoist.flows.codec.compact import read_struct, write_struct
+from notchhoist.flows.codec.generated import ttypes
+from notchhoist.flows.codec.message_codec import encode_message
 from notchhoist.flows.model import ranges
+from notchhoist.flows.model.messages import ViewTell
 from notchhoist.platform.documents import decode_json
 from notchhoist.platform.json_fields import FieldError
+from notchhoist.platform.tests import odd_data
 from notchhoist.platform.tests.odd_data import (
     ODD_TEXTS,
     Fleet,
@@ -233,3 +238,35 @@
     assert fleet.board.table.version == version
     assert fleet.told.synchronizer.stale_at() < fleet.now
     assert fleet.board.view.revision > fleet.board.store_revision
+
+
+@pytest.mark.parametrize("era", [2, 2**31 - 1, 2**40])
+def test_a_changed_era_in_one_control_message_stops_no_balancer_from_following(
+    monkeypatch, era
+):
+    """Both took the era over and refused each later answer of the store."""
+    fleet = Fleet()
+    fleet.model.put("op/config", CONFIGURATION)
+    fleet.model.put("servers/i-1", ENTRY)
+    changed = []
+
+    def encode_with_era(message):
+        data = encode_message(message)
+        is_view = isinstance(message, ViewTell) and message.change.servers
+        if changed or not is_view:
+            return data
+        struct = ttypes.FlowMessage()
+        read_struct(struct, data)
+        struct.view_tell.era = era
+        changed.append(message)
+        return write_struct(struct)
+
+    monkeypatch.setattr(odd_data, "encode_message", encode_with_era)
+    for _ in range(12):
+        fleet.call()
+    assert changed
+    fleet.model.put("servers/i-9", {**ENTRY, "address": "10.128.0.90:1"})
+    for _ in range(40):
+        fleet.call()
+    assert "i-9" in fleet.board.servers
+    assert "i-9" in fleet.told.board.servers
