--- a/notchhoist/daemon/tests/test_exceptions.py
+++ b/notchhoist/daemon/tests/test_exceptions.py
@@ -167,6 +167,16 @@
     assert process.counted == 1
 
 
+def test_packets_do_not_postpone_ticks_whose_due_time_raises(process):
+    """Each packet put the next tick off, so that there was none any more."""
+    process.node.failing = ("due",)
+    process.daemon.ticker.tick()
+    for _ in range(100):
+        process.daemon.perform([])
+        process.run(TICK_RETRY_S / 5, TICK_RETRY_S / 5)
+    assert len(process.node.ticks) >= 10
+
+
 def test_ticks_that_all_fail_end_the_process_without_spinning(process):
     """It is started again with an empty memory."""
     process.node.failing = ("tick",)
