Test a response of the store without an end (known red)

Cause: HttpClient adds to the body without a bound until the deadline of the request, 4 s or more. Change: a test with a socket from which such a response is read. Result: it fails on: 'assert []' after 100 MB.

--- a/notchhoist/daemon/tests/test_http_call.py
+++ b/notchhoist/daemon/tests/test_http_call.py
@@ -178,3 +178,33 @@
         exchange.loop.run_once()
     [reason] = exchange.failures
     assert reason.startswith("invalid HTTP response")
+
+
+class EndlessAnswer:
+    """A socket from which a response without an end is read."""
+
+    def __init__(self):
+        self.head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.chunk = b"40000\r\n" + b" " * 0x40000 + b"\r\n"
+
+    def recv(self, _):
+        head, self.head = self.head, b""
+        return head or self.chunk
+
+    def fileno(self):
+        return -1
+
+    def close(self):
+        pass
+
+
+def test_a_response_without_an_end_fails_before_it_fills_the_memory():
+    """A response took all memory that arrives in 4 s; the process was ended."""
+    exchange = Exchange()
+    exchange.call(total_timeout_s=4.0)
+    caller = exchange.caller
+    caller._disconnect()
+    caller.sock = EndlessAnswer()
+    for _ in range(400):
+        caller._read()
+    assert exchange.failures
