Fix: packets postponed the ticks of a node whose due time raised

What was seen: no process has shown it; a test of the review did (1 tick in 2 s, at least 10 expected). Cause: after each packet the next tick is scheduled. Where the node's due time raised, the pending retry was cancelled and set 0.1 s later again, so packets that come more often put it off for good. No tick failed, so the process was not ended by failing ticks either: ready, without ticks. Change: a retry never replaces a tick that is due sooner.

--- a/notchhoist/daemon/ticking.py
+++ b/notchhoist/daemon/ticking.py
@@ -84,7 +84,9 @@
         self.timer = self.loop.call_at(when, self.tick)
 
     def _retry(self, error: Exception) -> None:
-        """Schedules a tick after an exception, then reports that."""
-        self.timer.cancel()
-        self.timer = self.loop.call_later(TICK_RETRY_S, self.tick)
+        """Schedules a tick after an exception unless one is, and reports it."""
+        when = self.loop.clock() + TICK_RETRY_S
+        if when < self.timer.when:
+            self.timer.cancel()
+            self.timer = self.loop.call_at(when, self.tick)
         self.loop.report("tick", error)
