Fix: a start whose log nobody reads never ended

What operators would see: a process that neither serves nor ends, also upon SIGTERM, where the reader of a full pipe stands still. Cause: the records before a process serves, and the last one, were written to a pipe that blocks; the handler of SIGTERM waited in the same write. Change: pipes and sockets among the standard outputs are set not to block before the first record, in the step that opens closed ones.

--- a/notchhoist/daemon/__main__.py
+++ b/notchhoist/daemon/__main__.py
@@ -16,6 +16,7 @@
 gc.disable()
 
 import os  # noqa: E402
+import stat  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
 
@@ -28,16 +29,20 @@
 EXIT_BAD_SETTINGS = 2
 
 
-def _open_standard_files() -> None:
-    """Opens the null device for standard files that are closed.
+def _prepare_standard_files() -> None:
+    """Opens the null device for closed standard files; outputs do not block.
 
-    Sockets would get their numbers otherwise, and log lines with them.
+    Sockets would get the numbers of closed files, and log lines with them. A
+    log that nobody reads would stop the process.
     """
     for number in range(3):
         try:
-            os.fstat(number)
+            mode = os.fstat(number).st_mode
         except OSError:
             os.open(os.devnull, os.O_RDWR)
+            continue
+        if number and (stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode)):
+            os.set_blocking(number, False)
 
 
 def _write_short_record(event: str, status: int, **texts: str) -> None:
@@ -120,8 +125,8 @@
     """Runs the daemon with the platform's settings; returns its exit status."""
     host = ""
     try:
+        _prepare_standard_files()
         _stop_before_serving(host)
-        _open_standard_files()
         sys.unraisablehook = _log_ignored_error
         from notchhoist.daemon.lean_imports import load_msgspec
 
