Fix: a response of the store without an end filled the memory of a process

What operators would see: a process ended for its memory. Cause: the body of a response grew until the deadline of the request. Change: a response of more than 32 MB fails. Changes that do not fit are read as a listing, whose pages are short.

--- a/notchhoist/daemon/http_call.py
+++ b/notchhoist/daemon/http_call.py
@@ -25,12 +25,19 @@
 USER_TIMEOUT_MS = 2000
 RECEIVE_BYTES = 262_144
 
+MAX_RESPONSE_BYTES = 32_000_000
+"""Longest response, bytes, a fraction of the memory of a process. A page of a
+listing has about 1 MB."""
+
 NO_ANSWER = "no answer in time"
 """Failure reason of a request that timed out."""
 
 NOT_NEEDED = "not needed any more"
 """Failure reason of a request cancelled while its response was received."""
 
+TOO_LONG = "response too long"
+"""Failure reason of a request whose response exceeds its limit."""
+
 OnDone = Callable[[int, bytes], None]
 OnFailed = Callable[[str], None]
 IsNeeded = Callable[[], bool]
@@ -46,6 +53,7 @@
     body: bytearray = field(default_factory=bytearray)
     headers: dict[str, str] = field(default_factory=dict)
     complete: bool = False
+    received: int = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
@@ -193,6 +201,10 @@
         if not data or self.parser is None:
             self._fail("connection closed by the server")
             return
+        self.response.received += len(data)
+        if self.response.received > MAX_RESPONSE_BYTES:
+            self._fail(TOO_LONG)
+            return
         try:
             self.parser.feed_data(data)
         except (
--- a/notchhoist/daemon/store_calls.py
+++ b/notchhoist/daemon/store_calls.py
@@ -4,7 +4,12 @@
 
 from msgspec import Struct
 
-from notchhoist.daemon.http_call import NO_ANSWER, NOT_NEEDED, HttpClient
+from notchhoist.daemon.http_call import (
+    NO_ANSWER,
+    NOT_NEEDED,
+    TOO_LONG,
+    HttpClient,
+)
 from notchhoist.daemon.loop import Loop
 from notchhoist.flows.model.effects import Effect
 from notchhoist.flows.model.records import Timing
@@ -61,6 +66,9 @@
         if reason == NOT_NEEDED:
             self.feeder.on_not_needed(now)
             return
+        if reason == TOO_LONG:
+            # The changes since then will not get fewer; pages are short.
+            self.feeder.reader.request_listing()
         self.feeder.on_failed(reason, now, silent=reason == NO_ANSWER)
 
     def confirm(self) -> None:
--- a/notchhoist/daemon/tests/test_exceptions.py
+++ b/notchhoist/daemon/tests/test_exceptions.py
@@ -9,6 +9,7 @@
 from notchhoist.daemon.exceptions import MAX_FRAMES, ExceptionRecorder
 from notchhoist.daemon.flow_daemon import make_flow_daemon
 from notchhoist.daemon.flow_journal import FlowJournal
+from notchhoist.daemon.http_call import TOO_LONG
 from notchhoist.daemon.http_port import Reply
 from notchhoist.daemon.loop import Loop
 from notchhoist.daemon.ports import Ports, SocketRole
@@ -344,3 +345,16 @@
         ["confirmation answer"],
         ["answer not applied"],
     )
+
+
+def test_changes_that_do_not_fit_into_an_answer_are_listed():
+    """The same watch would fail again and again."""
+    store = Store()
+    store.calls.call()
+    [(listing, on_done, _)] = store.client.requests
+    on_done(200, EMPTY_LISTING)
+    [_, (watch, _, on_failed)] = store.client.requests
+    assert watch != listing
+    on_failed(TOO_LONG)
+    store.run(1.0)
+    assert store.client.requests[-1][0] == listing
