Fix: damaged control messages were taken for genuine ones

What operators would see: balancers that follow the store no more and stay ready, or backend servers that get packets that nobody sent. Cause: a control message carries no checksum beside UDP's, which a host's or a proxy's copy does not keep. Change: a message ends with its CRC-32. Earlier versions read a struct and ignore what follows; a message that ends with its struct is read as theirs.

--- a/notchhoist/flows/codec/flow.thrift
+++ b/notchhoist/flows/codec/flow.thrift
@@ -56,6 +56,8 @@
   11: optional i32 rerouted_for_ms, 12: optional i32 reroutes_known_for_ms
 }
 
+/** A message is followed by the CRC-32 of its bytes, 4 bytes, big-endian. */
+
 /** heads: headers of packets of the flows; samples: sample packets. */
 struct FlowsAsk { 1: i32 number, 2: i32 tag, 3: list<binary> heads, 4: list<binary> samples }
 /**
--- a/notchhoist/flows/codec/message_codec.py
+++ b/notchhoist/flows/codec/message_codec.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from notchhoist.base.errors import CodecError
-from notchhoist.flows.codec.compact import read_struct, write_struct
+from notchhoist.flows.codec.compact import read_message, write_message
 from notchhoist.flows.codec.field_ranges import check_fields, fit_fields
 from notchhoist.flows.codec.generated import ttypes
 from notchhoist.flows.codec.view_codec import view_of, view_struct
@@ -44,7 +44,7 @@
     struct = ttypes.FlowMessage(version=PROTOCOL_VERSION)
     try:
         _set_body(struct, message)
-        return write_struct(struct)
+        return write_message(struct)
     except Exception as error:  # Errors of the library share no base type.
         raise _codec_error(error) from error
 
@@ -145,7 +145,7 @@
     """
     struct = ttypes.FlowMessage()
     try:
-        read_struct(struct, data)
+        read_message(struct, data)
         return _message_of(struct)
     except Exception as error:  # Errors of the library share no base type.
         raise _codec_error(error) from error
