Benchmarks: addresses with ports, the name of a method

Cause: bench_start.py gave port 0, which settings refuse since ports are 1 to 65535; bench_logging.py and bench_flow_capacity.py called a method that had moved to another object before. Change: fixed ports, and the method by its present path.

--- a/benchmarks/bench_flow_capacity.py
+++ b/benchmarks/bench_flow_capacity.py
@@ -56,7 +56,7 @@
     ]
     node = make_balancer("a", CODEC, "seed", "10.9.9.9", ("10.9.9.8",))
     table = RouteTable(1, {route.service_key: route for route in routes}, 15.0)
-    node.fleet.on_table(table, 1)
+    node.fleet.tables.on_table(table, 1)
     entries = [
         ServerEntry(
             f"i{n}", f"s{n % services}", f"10.{n // 250}.0.{n % 250}", "a", 4,
--- a/benchmarks/bench_logging.py
+++ b/benchmarks/bench_logging.py
@@ -53,7 +53,7 @@
 def measure_placement():
     """Returns the processor time to place a flow and record the decision."""
     node = make_balancer("a", crafting.CODEC, "seed")
-    node.fleet.on_table(crafting.table(), 1)
+    node.fleet.tables.on_table(crafting.table(), 1)
     entries = [(crafting.entry(n), 1) for n in range(1, 8)]
     node.fleet.on_listing(entries, 1, 0.0)
     syns = [
--- a/benchmarks/bench_start.py
+++ b/benchmarks/bench_start.py
@@ -34,7 +34,7 @@
 
 
 def make_settings(role):
-    listen = {"datagram_addr": "127.9.1.1:0", "ready": "127.9.1.1:0"}
+    listen = {"datagram_addr": "127.9.1.1:28372", "ready": "127.9.1.1:28367"}
     document = {
         "node": role,
         "serves": [role],
@@ -47,7 +47,7 @@
         "platform": {"address": "127.9.1.1:1"},
     }
     if role == "side":
-        listen["outbound"] = "127.9.1.1:0"
+        listen["outbound"] = "127.9.1.1:28362"
         document.update(app="127.9.1.1:1", service="s")
     return document
 
